--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,121 @@
+// Package event writes numbered log events. Each package defines its events
+// as variables; docs/EVENTS.md lists them all and a test compares the two.
+package event
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number  int
+	Name    string // "package.what"
+	Level   log.Level
+	Meaning string // one sentence for operators
+	Action  string // what an operator does about it
+}
+
+var registry = struct {
+	sync.Mutex
+	byNumber map[int]*Event
+}{byNumber: map[int]*Event{}}
+
+// Define registers an event. A number used twice is a programming error and
+// panics at start.
+func Define(number int, name string, level log.Level, meaning, action string) *Event {
+	e := &Event{Number: number, Name: name, Level: level, Meaning: meaning, Action: action}
+	registry.Lock()
+	defer registry.Unlock()
+	if old, taken := registry.byNumber[number]; taken {
+		panic(fmt.Sprintf("event %d is both %s and %s", number, old.Name, name))
+	}
+	registry.byNumber[number] = e
+	return e
+}
+
+// All returns the defined events in the order of their numbers.
+func All() []*Event {
+	registry.Lock()
+	defer registry.Unlock()
+	all := make([]*Event, 0, len(registry.byNumber))
+	for _, e := range registry.byNumber {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Number < all[j].Number })
+	return all
+}
+
+// Sink receives each emitted event, whatever its level. It must not block.
+type Sink func(at time.Time, e *Event, keyvals []any)
+
+// Logger emits events. The zero value and nil discard them.
+type Logger struct {
+	base    *log.Logger
+	sink    Sink
+	keyvals []any
+}
+
+// NewLogger returns a logger that writes lines of at least the given level
+// to w and hands every event to sink, which may be nil.
+func NewLogger(w io.Writer, level log.Level, sink Sink) *Logger {
+	base := log.NewWithOptions(w, log.Options{
+		Level:           level,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Formatter:       log.LogfmtFormatter,
+	})
+	return &Logger{base: base, sink: sink}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return nil }
+
+// With returns a logger that adds keyvals to each event.
+func (l *Logger) With(keyvals ...any) *Logger {
+	if l == nil {
+		return nil
+	}
+	joined := append(append([]any{}, l.keyvals...), keyvals...)
+	return &Logger{base: l.base, sink: l.sink, keyvals: joined}
+}
+
+// Enabled reports whether an event of this level would be written, so that a
+// caller can leave out costly keyvals.
+func (l *Logger) Enabled(level log.Level) bool {
+	return l != nil && l.base != nil && l.base.GetLevel() <= level
+}
+
+// Emit writes one event with alternating keys and values.
+func (l *Logger) Emit(e *Event, keyvals ...any) {
+	if l == nil {
+		return
+	}
+	if len(l.keyvals) > 0 {
+		keyvals = append(append([]any{}, l.keyvals...), keyvals...)
+	}
+	if l.sink != nil {
+		l.sink(time.Now(), e, keyvals)
+	}
+	if l.base != nil && l.base.GetLevel() <= e.Level {
+		l.base.Log(e.Level, e.Name, append([]any{"event", e.Number}, keyvals...)...)
+	}
+}
+
+// Text renders keyvals as "key=value" pairs on one line.
+func Text(keyvals []any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%v=%v", keyvals[i], keyvals[i+1])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/standin/platform/log.go
@@ -0,0 +1,218 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+// Errors of the log besides journal.ErrNotAppended.
+var (
+	// ErrOutage is returned while the log is down.
+	ErrOutage = errors.New("log outage")
+	// ErrAnswerLost is returned when an append took effect and its answer
+	// was dropped.
+	ErrAnswerLost = errors.New("answer lost")
+)
+
+// LogConfig sets the limits of a Log.
+type LogConfig struct {
+	// AppendsPerSecond is the rate that the log takes, 300 when zero.
+	AppendsPerSecond float64
+	// Retention is how long records are kept, an hour when zero.
+	Retention time.Duration
+}
+
+// LogFaults are the switches of a Log.
+type LogFaults struct {
+	Down        bool          `json:"down"`         // refuse everything
+	Delay       time.Duration `json:"delay"`        // added to every call, in nanoseconds
+	LoseAnswers int           `json:"lose_answers"` // how many of the next appends lose their answer
+}
+
+// LogStats counts what the log did.
+type LogStats struct {
+	Appends uint64 // calls that took effect
+	Records uint64
+	Reads   uint64
+	Refused uint64 // for the rate limit
+	Lost    uint64 // answers dropped after effect
+	Outages uint64 // calls refused while down
+}
+
+type logRecord struct {
+	at      time.Time
+	payload []byte
+}
+
+type logStream struct {
+	base    journal.Offset // offset of records[0]
+	records []logRecord
+	grown   chan struct{} // closed when a record is added
+}
+
+// Log is an append-only log with offsets, streams, a rate limit and limited
+// retention. It implements journal.Log and is safe for concurrent use.
+type Log struct {
+	mu      sync.Mutex
+	cfg     LogConfig
+	limiter *rate.Limiter
+	streams map[journal.Stream]*logStream
+	faults  LogFaults
+	stats   LogStats
+}
+
+var _ journal.Log = (*Log)(nil)
+
+// NewLog returns an empty log.
+func NewLog(cfg LogConfig) *Log {
+	if cfg.AppendsPerSecond == 0 {
+		cfg.AppendsPerSecond = 300
+	}
+	if cfg.Retention == 0 {
+		cfg.Retention = time.Hour
+	}
+	return &Log{
+		cfg:     cfg,
+		limiter: rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), int(cfg.AppendsPerSecond)),
+		streams: map[journal.Stream]*logStream{},
+	}
+}
+
+// SetFaults replaces the switches.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Faults returns the switches as they stand.
+func (l *Log) Faults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// Stats returns the counts so far.
+func (l *Log) Stats() LogStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stats
+}
+
+// Append implements journal.Log.
+func (l *Log) Append(ctx context.Context, name journal.Stream, payloads [][]byte) (journal.Offset, error) {
+	if err := l.enter(ctx); err != nil {
+		return 0, errors.Wrap(journal.ErrNotAppended, err.Error())
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.limiter.Allow() {
+		l.stats.Refused++
+		return 0, errors.Wrap(journal.ErrNotAppended, "rate limit")
+	}
+	s := l.stream(name)
+	first := s.base + journal.Offset(len(s.records))
+	now := time.Now()
+	for _, p := range payloads {
+		s.records = append(s.records, logRecord{at: now, payload: append([]byte(nil), p...)})
+	}
+	l.stats.Appends++
+	l.stats.Records += uint64(len(payloads))
+	close(s.grown)
+	s.grown = make(chan struct{})
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		l.stats.Lost++
+		return 0, ErrAnswerLost
+	}
+	return first, nil
+}
+
+// Read implements journal.Log.
+func (l *Log) Read(ctx context.Context, name journal.Stream, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+	if err := l.enter(ctx); err != nil {
+		return journal.Page{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		page, grown, err := l.page(name, from, limit)
+		if err != nil || len(page.Entries) > 0 || page.Oldest > from || wait <= 0 {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-timeout.C:
+			wait = 0
+		case <-ctx.Done():
+			return journal.Page{}, ctx.Err()
+		}
+	}
+}
+
+// enter applies the outage and delay switches.
+func (l *Log) enter(ctx context.Context) error {
+	l.mu.Lock()
+	f := l.faults
+	if f.Down {
+		l.stats.Outages++
+	}
+	l.mu.Unlock()
+	if f.Down {
+		return ErrOutage
+	}
+	if f.Delay <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(f.Delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Log) page(name journal.Stream, from journal.Offset, limit int) (journal.Page, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return journal.Page{}, nil, ErrOutage
+	}
+	l.stats.Reads++
+	s := l.stream(name)
+	l.expire(s)
+	p := journal.Page{Oldest: s.base, Next: s.base + journal.Offset(len(s.records))}
+	if from < s.base {
+		return p, s.grown, nil
+	}
+	for i := int(from - s.base); i < len(s.records) && len(p.Entries) < limit; i++ {
+		p.Entries = append(p.Entries, journal.Entry{Offset: s.base + journal.Offset(i), Payload: s.records[i].payload})
+	}
+	return p, s.grown, nil
+}
+
+func (l *Log) stream(name journal.Stream) *logStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &logStream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// expire drops the records that are past retention.
+func (l *Log) expire(s *logStream) {
+	old := time.Now().Add(-l.cfg.Retention)
+	n := 0
+	for n < len(s.records) && s.records[n].at.Before(old) {
+		n++
+	}
+	s.records = s.records[n:]
+	s.base += journal.Offset(n)
+}
