--- a/internal/journal/types.go
+++ b/internal/journal/types.go
@@ -147,3 +147,21 @@
 	// Err is set once the replica can't go on folding.
 	Err error
 }
+
+// Proposer adds records to one stream and learns their fate.
+type Proposer interface {
+	// Propose encodes body as CBOR, appends it as a record of the given kind
+	// and waits until the record is folded, ctx ends, or its fate is known.
+	Propose(ctx context.Context, kind Kind, body any) Result
+	Status() Status
+}
+
+// PeerSource gives what other daemons have folded, for a daemon that starts
+// or has lost the log.
+type PeerSource interface {
+	// FetchState returns the state of the peer that has come furthest.
+	FetchState(ctx context.Context, stream Stream) (State, error)
+	// FetchEntries returns entries from an offset on, as a peer read them
+	// from the log; none when no peer holds them.
+	FetchEntries(ctx context.Context, stream Stream, from Offset, limit int) ([]Entry, error)
+}
