--- /dev/null
+++ b/internal/journal/ring.go
@@ -0,0 +1,42 @@
+package journal
+
+const (
+	ringEntries = 1024
+	ringBytes   = 1 << 20
+)
+
+// ring keeps the latest folded entries, bounded by number and bytes.
+type ring struct {
+	entries []Entry // contiguous
+	bytes   int
+}
+
+func (r *ring) add(e Entry) {
+	r.entries = append(r.entries, e)
+	r.bytes += len(e.Payload)
+	drop := 0
+	for len(r.entries)-drop > ringEntries || (r.bytes > ringBytes && len(r.entries)-drop > 1) {
+		r.bytes -= len(r.entries[drop].Payload)
+		r.entries[drop].Payload = nil
+		drop++
+	}
+	r.entries = r.entries[drop:]
+}
+
+func (r *ring) clear() { *r = ring{} }
+
+// from returns up to limit entries, nil if the first one is not held.
+func (r *ring) from(at Offset, limit int) []Entry {
+	if len(r.entries) == 0 || at < r.entries[0].Offset || limit <= 0 {
+		return nil
+	}
+	skip := at - r.entries[0].Offset
+	if skip >= Offset(len(r.entries)) {
+		return nil
+	}
+	held := r.entries[skip:]
+	if len(held) > limit {
+		held = held[:limit]
+	}
+	return append([]Entry(nil), held...)
+}
--- a/internal/journal/types.go
+++ b/internal/journal/types.go
@@ -69,6 +69,10 @@
 	// alone.
 	UnixMilli int64  `cbor:"5,keyasint"`
 	Body      []byte `cbor:"6,keyasint"`
+	// Basis is the first offset that the author had not folded when it first
+	// sent the record. A record that lands DuplicateWindow or more offsets
+	// later does not count, so no repeat can outlive the memory of its id.
+	Basis Offset `cbor:"7,keyasint"`
 }
 
 // Verdict is a rule's decision about one record.
--- /dev/null
+++ b/internal/service/snapshot.go
@@ -0,0 +1,67 @@
+package service
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+// bookState is a book in a snapshot.
+type bookState struct {
+	Revision uint64        `cbor:"1,keyasint"`
+	Services []recordState `cbor:"2,keyasint"` // in the order of their names
+}
+
+type recordState struct {
+	Service fleet.ServiceName `cbor:"1,keyasint"`
+	Owner   string            `cbor:"2,keyasint"`
+	Syntax  uint16            `cbor:"3,keyasint"`
+	History []HistoryEntry    `cbor:"4,keyasint"`
+}
+
+// Snapshot implements journal.Fold.
+func (b *Book) Snapshot() ([]byte, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	s := bookState{Revision: b.Catalog().Revision}
+	for name, rec := range b.records {
+		s.Services = append(s.Services, recordState{Service: name, Owner: rec.owner, Syntax: rec.syntax, History: rec.history})
+	}
+	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].Service < s.Services[j].Service })
+	return journal.Encode(s)
+}
+
+// Restore implements journal.Fold. It leaves the book as it was unless the
+// whole snapshot is understood.
+func (b *Book) Restore(data []byte) error {
+	var s bookState
+	if err := journal.Decode(data, &s); err != nil {
+		return errors.Wrap(err, "services")
+	}
+	records := make(map[fleet.ServiceName]*record, len(s.Services))
+	next := &Catalog{Revision: s.Revision, Services: map[fleet.ServiceName]*Published{}}
+	for _, r := range s.Services {
+		if len(r.History) == 0 || r.Syntax > Syntax {
+			return errors.Errorf("service %s: %d history entries, syntax %d", r.Service, len(r.History), r.Syntax)
+		}
+		rec := &record{owner: r.Owner, syntax: r.Syntax, history: r.History}
+		records[r.Service] = rec
+		newest := rec.newest()
+		if newest.Removed {
+			continue
+		}
+		spec, err := Parse(newest.File, []byte(newest.Body))
+		if err != nil {
+			return errors.Wrapf(err, "service %s", r.Service)
+		}
+		next.Services[r.Service] = published(spec, newest)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.records = records
+	b.swap(next)
+	return nil
+}
