--- /dev/null
+++ b/internal/journal/property_test.go
@@ -0,0 +1,245 @@
+package journal_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// step is one event of a drawn schedule.
+type step struct {
+	Kind   string
+	Daemon int
+	On     bool
+	Pause  int // milliseconds until the next step
+}
+
+const daemonsInRun = 4
+
+func drawSteps(t *rapid.T) []step {
+	kinds := []string{"add", "add", "add", "set", "set", "down", "lose", "slow", "cut", "late", "restart"}
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Daemon: rapid.IntRange(0, daemonsInRun-1).Draw(t, "daemon"),
+			On:     rapid.Bool().Draw(t, "on"),
+			Pause:  rapid.SampledFrom([]int{0, 1, 50, 300, 1500, 4000}).Draw(t, "pause"),
+		}
+	}), 20, 60).Draw(t, "steps")
+}
+
+// proposed is one proposal of a run and what its proposer was told.
+type proposed struct {
+	kind journal.Kind
+	name string
+	fate journal.Fate
+}
+
+// run is several daemons on one log under a schedule of faults.
+type run struct {
+	t   testing.TB
+	log *platform.Log
+
+	mu      sync.Mutex
+	daemons [daemonsInRun]*daemon
+	started int
+	results []proposed
+	calls   sync.WaitGroup
+	links   []*link
+}
+
+func (r *run) peers() peersOf {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append(peersOf(nil), r.daemons[:]...)
+}
+
+// FetchState and FetchEntries make the run the daemons' PeerSource.
+func (r *run) FetchState(ctx context.Context, s journal.Stream) (journal.State, error) {
+	return r.peers().FetchState(ctx, s)
+}
+
+func (r *run) FetchEntries(ctx context.Context, s journal.Stream, from journal.Offset, limit int) ([]journal.Entry, error) {
+	return r.peers().FetchEntries(ctx, s, from, limit)
+}
+
+func (r *run) start(i int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started++
+	id := fleet.DaemonID(fmt.Sprintf("d%d-%d", i, r.started))
+	r.daemons[i] = startDaemon(r.t, id, r.log, func(c *journal.Config) { c.Peers = r })
+	r.links = append(r.links, r.daemons[i].link)
+}
+
+func (r *run) at(i int) *daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.daemons[i]
+}
+
+func (r *run) propose(i, n int, kind journal.Kind) {
+	d := r.at(i)
+	p := proposed{kind: kind, name: fmt.Sprintf("p%d", n)}
+	var body any = add{p.name}
+	if kind == kindSet {
+		body = set{Base: d.fold.revision()}
+	}
+	r.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		p.fate = d.Propose(ctx, kind, body).Fate
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.results = append(r.results, p)
+	})
+}
+
+func (r *run) step(n int, s step) {
+	faults := r.log.Faults()
+	switch s.Kind {
+	case "add":
+		r.propose(s.Daemon, n, kindAdd)
+	case "set":
+		r.propose(s.Daemon, n, kindSet)
+	case "down":
+		faults.Down = s.On
+	case "lose":
+		faults.LoseAnswers += 2
+	case "slow":
+		faults.Delay = 0
+		if s.On {
+			faults.Delay = 700 * time.Millisecond
+		}
+	case "cut":
+		r.at(s.Daemon).link.set(func(l *link) { l.cut = s.On })
+	case "late":
+		r.at(s.Daemon).link.set(func(l *link) {
+			l.late = 0
+			if s.On {
+				l.late = 900 * time.Millisecond
+			}
+		})
+	case "restart":
+		r.at(s.Daemon).halt()
+		r.start(s.Daemon)
+	}
+	r.log.SetFaults(faults)
+	time.Sleep(time.Duration(s.Pause) * time.Millisecond)
+}
+
+// heal ends all faults and waits until every daemon has caught up.
+func (r *run) heal() {
+	r.log.SetFaults(platform.LogFaults{})
+	for _, l := range r.links {
+		l.set(func(l *link) { l.cut, l.late = false, 0 })
+	}
+	r.calls.Wait()
+	for _, l := range r.links {
+		l.delayed.Wait()
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// check compares what proposers were told with what the folds hold.
+func (r *run) check() error {
+	first, err := r.at(0).Export()
+	if err != nil {
+		return err
+	}
+	for i := range daemonsInRun {
+		s, err := r.at(i).Export()
+		if err != nil {
+			return err
+		}
+		if s.Next != first.Next || !bytes.Equal(s.Data, first.Data) {
+			return errors.Errorf("daemons 0 and %d differ at %d and %d", i, first.Next, s.Next)
+		}
+	}
+	times := map[string]int{}
+	for _, name := range r.at(0).fold.added() {
+		times[name]++
+	}
+	var sets, openSets uint64
+	for _, p := range r.results {
+		n := times[p.name]
+		switch {
+		case n > 1:
+			return errors.Errorf("%s applied %d times", p.name, n)
+		case p.kind == kindSet && p.fate == journal.FateAccepted:
+			sets++
+		case p.kind == kindSet && p.fate == journal.FateUnknown:
+			openSets++
+		case p.kind == kindSet:
+		case p.fate == journal.FateAccepted && n == 0:
+			return errors.Errorf("%s was accepted and is missing", p.name)
+		case (p.fate == journal.FateNotAppended || p.fate == journal.FateRejected) && n > 0:
+			return errors.Errorf("%s counts, its proposer was told fate %d", p.name, p.fate)
+		}
+	}
+	if revision := r.at(0).fold.revision(); revision < sets || revision > sets+openSets {
+		return errors.Errorf("revision %d with %d accepted and %d unknown", revision, sets, openSets)
+	}
+	return nil
+}
+
+// Whatever the faults, every daemon folds the same state, no record counts
+// twice, and what a proposer was told is true.
+func TestFatesAreTrueUnderFaults(t *testing.T) {
+	fates := map[journal.Fate]int{}
+	var repeats, lost uint64
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var err error
+		synctest.Test(t, func(t *testing.T) {
+			r := &run{t: t, log: platform.NewLog(platform.LogConfig{})}
+			for i := range daemonsInRun {
+				r.start(i)
+			}
+			for n, s := range steps {
+				r.step(n, s)
+			}
+			r.heal()
+			err = r.check()
+			for _, p := range r.results {
+				fates[p.fate]++
+			}
+			repeats += uint64(r.at(0).events.of("journal.repeat"))
+			lost += r.log.Stats().Lost
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+	t.Logf("fates %v, repeats in the log %d, lost answers %d", fates, repeats, lost)
+	for fate := journal.FateUnknown; fate <= journal.FateNotAppended; fate++ {
+		assert.Assert(t, fates[fate] > 0, "no proposal had fate %d", fate)
+	}
+	assert.Assert(t, repeats > 0 && lost > 0, "faults did not bite")
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -97,7 +97,7 @@
 	}
 	state, err := r.Export()
 	if err == nil {
-		err = s.write(ctx, state)
+		err = s.Write(ctx, state)
 	}
 	if err != nil {
 		if ctx.Err() == nil {
@@ -110,9 +110,9 @@
 	s.cfg.Events.Emit(eventSnapshot, "stream", state.Stream, "next", state.Next, "bytes", len(state.Data))
 }
 
-// write appends a state in chunks. A snapshot of which a part is missing is
+// Write appends a state in chunks, now. A snapshot of which a part is missing is
 // never used.
-func (s *Snapshotter) write(ctx context.Context, state State) error {
+func (s *Snapshotter) Write(ctx context.Context, state State) error {
 	chunks, err := split(state)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/journal/state_test.go
@@ -0,0 +1,273 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+const retention = time.Hour
+
+// keepSnapshots writes snapshots of a daemon's stream until the test ends or
+// the returned function is called.
+func keepSnapshots(t testing.TB, l journal.Log, d *daemon) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	s := journal.NewSnapshotter(journal.SnapshotterConfig{
+		Log: l, Replicas: []*journal.Replica{d.Replica}, Held: func(journal.Stream) bool { return true },
+	})
+	go func() {
+		defer close(ended)
+		s.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func addMany(t testing.TB, d *daemon, n int, size int) {
+	t.Helper()
+	for i := range n {
+		name := fmt.Sprintf("%06d%s", i, strings.Repeat("x", size))
+		mustAccept(t, d.Propose(t.Context(), kindAdd, add{name}))
+	}
+}
+
+// All records have expired; only the snapshot has the state.
+func TestStartFromSnapshot(t *testing.T) {
+	for name, size := range map[string]int{"small": 10, "chunked": 64 << 10} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := platform.NewLog(platform.LogConfig{Retention: retention})
+				a := startDaemon(t, "a", l, nil)
+				keepSnapshots(t, l, a)
+				addMany(t, a, 20, size)
+				time.Sleep(retention + 15*time.Minute)
+				addMany(t, a, 1, size)
+				b := startDaemon(t, "b", l, nil)
+				time.Sleep(time.Second)
+				assert.Equal(t, b.Status().Next, a.Status().Next)
+				assert.DeepEqual(t, b.fold.added(), a.fold.added())
+				assert.Equal(t, b.events.of("journal.adopted"), 1)
+			})
+		})
+	}
+}
+
+// A quiet stream's snapshots expire too and are written again.
+func TestSnapshotOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{Retention: retention})
+		a := startDaemon(t, "a", l, nil)
+		keepSnapshots(t, l, a)
+		addMany(t, a, 3, 1)
+		time.Sleep(24 * time.Hour)
+		b := startDaemon(t, "b", l, nil)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, b.fold.added(), a.fold.added())
+	})
+}
+
+func TestManyRecordsBringASnapshotSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{Retention: retention})
+		a := startDaemon(t, "a", l, nil)
+		written := &eventCount{by: map[string]int{}}
+		s := journal.NewSnapshotter(journal.SnapshotterConfig{
+			Log: l, Replicas: []*journal.Replica{a.Replica}, Records: 10,
+			Held: func(journal.Stream) bool { return true }, Events: logger(written),
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Second)
+		defer cancel()
+		go s.Run(ctx)
+		time.Sleep(6 * time.Second)
+		addMany(t, a, 11, 1)
+		<-ctx.Done()
+		synctest.Wait()
+		assert.Equal(t, written.of("journal.snapshot"), 1)
+	})
+}
+
+// A daemon that was cut off for longer than records are kept.
+func TestGapLoadsASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{Retention: retention})
+		a := startDaemon(t, "a", l, nil)
+		keepSnapshots(t, l, a)
+		b := startDaemon(t, "b", l, nil)
+		addMany(t, a, 3, 1)
+		b.link.set(func(l *link) { l.cut = true })
+		time.Sleep(time.Minute)
+		addMany(t, a, 5, 1)
+		time.Sleep(retention + time.Minute)
+		addMany(t, a, 2, 1)
+		b.link.set(func(l *link) { l.cut = false })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.events.of("journal.gap"), 1)
+		assert.DeepEqual(t, b.fold.added(), a.fold.added())
+		assert.Equal(t, b.Status().Next, a.Status().Next)
+	})
+}
+
+// Records have expired and there is no snapshot: the replica never skips. A
+// peer that has the state ends the wait.
+func TestGapWithoutSnapshotWaitsForAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{Retention: retention})
+		a := startDaemon(t, "a", l, nil)
+		addMany(t, a, 3, 1)
+		time.Sleep(retention + time.Minute)
+		addMany(t, a, 1, 1)
+		alone := startDaemon(t, "b", l, nil)
+		time.Sleep(time.Minute)
+		assert.Assert(t, alone.Status().ConfirmedAt.IsZero())
+		assert.Equal(t, len(alone.fold.added()), 0)
+		assert.Equal(t, alone.events.of("journal.no-snapshot"), 1)
+		helped := startDaemon(t, "c", l, func(c *journal.Config) { c.Peers = peersOf{a} })
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, helped.fold.added(), a.fold.added())
+		assert.Assert(t, !helped.Status().ConfirmedAt.IsZero())
+	})
+}
+
+func TestStartFromPeerWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		addMany(t, a, 5, 1)
+		l.SetFaults(platform.LogFaults{Down: true})
+		b := startDaemon(t, "b", l, func(c *journal.Config) { c.Peers = peersOf{a} })
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, b.fold.added(), a.fold.added())
+		assert.Assert(t, b.Status().LogAt.IsZero())
+		l.SetFaults(platform.LogFaults{})
+		mustAccept(t, b.Propose(t.Context(), kindAdd, add{"after"}))
+	})
+}
+
+// One daemon has lost the log; a peer relays.
+func TestRelayWhileTheLinkIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		b := startDaemon(t, "b", l, func(c *journal.Config) { c.Peers = peersOf{a} })
+		addMany(t, a, 1, 1)
+		b.link.set(func(l *link) { l.cut = true })
+		time.Sleep(3 * time.Second)
+		mustAccept(t, a.Propose(t.Context(), kindAdd, add{"relayed"}))
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, b.fold.added(), a.fold.added())
+		at := time.Now()
+		b.Confirm(a.Status().Next, at)
+		assert.Equal(t, b.Status().ConfirmedAt, at)
+		b.Confirm(a.Status().Next+1, at.Add(time.Second))
+		assert.Equal(t, b.Status().ConfirmedAt, at, "a record is missing")
+	})
+}
+
+// The peer's ring no longer holds what follows.
+func TestRelayOfAStateWhenEntriesAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		b := startDaemon(t, "b", l, func(c *journal.Config) { c.Peers = peersOf{a} })
+		addMany(t, a, 1, 1)
+		b.link.set(func(l *link) { l.cut = true })
+		time.Sleep(3 * time.Second)
+		addMany(t, a, 30, 64<<10)
+		b.Confirm(a.Status().Next, time.Now())
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, b.fold.added(), a.fold.added())
+	})
+}
+
+func TestUnusableSnapshotsArePassedOver(t *testing.T) {
+	for name, spoil := range map[string]func(*journal.State){
+		"corrupt":        func(s *journal.State) { s.Data[len(s.Data)-1] ^= 1 },
+		"unknown format": func(s *journal.State) { s.Format = journal.StateFormat + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := platform.NewLog(platform.LogConfig{Retention: retention})
+				a := startDaemon(t, "a", l, nil)
+				stop := keepSnapshots(t, l, a)
+				addMany(t, a, 3, 1)
+				time.Sleep(retention + 5*time.Minute)
+				stop()
+				addMany(t, a, 2, 1)
+				bad, err := a.Export()
+				assert.NilError(t, err)
+				spoil(&bad)
+				assert.NilError(t, journal.NewSnapshotter(journal.SnapshotterConfig{Log: l}).Write(t.Context(), bad))
+				b := startDaemon(t, "b", l, nil)
+				time.Sleep(time.Second)
+				assert.DeepEqual(t, b.fold.added(), a.fold.added())
+				assert.Equal(t, b.events.of("journal.bad-snapshot"), 1)
+			})
+		})
+	}
+}
+
+// A proposal whose record is passed over by an adopted state still learns
+// its fate, from the window of ids in the state.
+func TestFateComesWithAnAdoptedState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		b := startDaemon(t, "b", l, nil)
+		addMany(t, a, 1, 1)
+		b.link.set(func(l *link) { l.readDelay = 4 * time.Second })
+		time.Sleep(5 * time.Second)
+		b.link.set(func(l *link) { l.late = time.Second })
+		result := make(chan journal.Result, 1)
+		go func() { result <- b.Propose(context.Background(), kindAdd, add{"late"}) }()
+		time.Sleep(1500 * time.Millisecond)
+		s, err := a.Export()
+		assert.NilError(t, err)
+		assert.NilError(t, b.Adopt(s))
+		synctest.Wait()
+		mustAccept(t, <-result)
+	})
+}
+
+func TestAdoptOnlyMovesForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		addMany(t, a, 2, 1)
+		old, err := a.Export()
+		assert.NilError(t, err)
+		addMany(t, a, 2, 1)
+		assert.NilError(t, a.Adopt(old))
+		assert.Equal(t, a.Status().Next, journal.Offset(4))
+		assert.Equal(t, len(a.fold.added()), 4)
+		old.Stream = journal.StreamConfig
+		assert.ErrorContains(t, a.Adopt(old), "of stream config")
+	})
+}
+
+func TestEqualStatesHaveEqualBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		a := startDaemon(t, "a", l, nil)
+		b := startDaemon(t, "b", l, nil)
+		addMany(t, a, 5, 1)
+		synctest.Wait()
+		first, err := a.Export()
+		assert.NilError(t, err)
+		second, err := b.Export()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, first, second)
+	})
+}
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -25,29 +25,35 @@
 // tailLoop starts the replica up and follows the stream.
 func (r *Replica) tailLoop(ctx context.Context) {
 	delay := readRetryMin
+	wait := time.Duration(0) // the first answer after a failure comes at once
 	for ctx.Err() == nil {
-		err := r.tailOnce(ctx)
+		err := r.tailOnce(ctx, wait)
 		if r.Status().Err != nil {
 			return
 		}
 		if err == nil {
 			delay = readRetryMin
+			wait = r.cfg.Wait
 			continue
 		}
+		wait = 0
 		r.tailFailed(ctx, err)
 		sleep(ctx, delay)
 		delay = min(2*delay, readRetryMax)
 	}
 }
 
-func (r *Replica) tailOnce(ctx context.Context) error {
+func (r *Replica) tailOnce(ctx context.Context, wait time.Duration) error {
 	r.mu.Lock()
 	started := r.started
 	r.mu.Unlock()
 	if !started {
-		return r.load(ctx, 0)
+		if err := r.load(ctx, 0); err != nil {
+			return err
+		}
+		wait = 0
 	}
-	_, err := r.readOn(ctx, r.cfg.Wait)
+	_, err := r.readOn(ctx, wait)
 	var gap *gapError
 	if errors.As(err, &gap) {
 		return r.load(ctx, gap.oldest)
