Prove that a scope has one holder and is taken over within the bound

Claims name the number of the last renewal that the claimant saw, so the fold itself refuses a takeover that rests on an old view; a hold is counted from when the renewal that the log shows was sent. Ruled out: concluding anything from the answer to a claim or renewal, because that answer can be lost.

--- /dev/null
+++ b/internal/lease/book_test.go
@@ -0,0 +1,96 @@
+package lease_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+func apply(t testing.TB, b *lease.Book, author fleet.DaemonID, kind journal.Kind, body any) journal.Verdict {
+	t.Helper()
+	data, err := journal.Encode(body)
+	assert.NilError(t, err)
+	v, err := b.Apply(0, journal.Record{Kind: kind, Author: author, Body: data})
+	assert.NilError(t, err)
+	return v
+}
+
+func claim(term lease.Term, seen uint64) lease.Claim {
+	return lease.Claim{Items: []lease.ClaimItem{{Scope: "s", Term: term, Seen: seen}}}
+}
+
+func renew(term lease.Term, n uint64) lease.Renew {
+	return lease.Renew{Items: []lease.RenewItem{{Scope: "s", Term: term, Renewal: n}}}
+}
+
+func release(term lease.Term) lease.Release {
+	return lease.Release{Items: []lease.ReleaseItem{{Scope: "s", Term: term}}}
+}
+
+func TestRules(t *testing.T) {
+	book := lease.NewBook()
+	for _, step := range []struct {
+		name   string
+		author fleet.DaemonID
+		kind   journal.Kind
+		body   any
+		reason string // empty when it counts
+	}{
+		{"renewal of nothing", "a", lease.KindRenew, renew(0, 1), "not the holder of the term"},
+		{"claim of a later term", "a", lease.KindClaim, claim(2, 0), "the term is taken"},
+		{"first claim", "a", lease.KindClaim, claim(1, 0), ""},
+		{"second claim of the term", "b", lease.KindClaim, claim(1, 0), "the term is taken"},
+		{"renewal", "a", lease.KindRenew, renew(1, 1), ""},
+		{"renewal that skips one", "a", lease.KindRenew, renew(1, 3), ""},
+		{"renewal that was overtaken", "a", lease.KindRenew, renew(1, 2), "an older renewal"},
+		{"renewal by another", "b", lease.KindRenew, renew(1, 4), "not the holder of the term"},
+		{"claim that saw an old renewal", "b", lease.KindClaim, claim(2, 1), "renewed since the claimant looked"},
+		{"release by another", "b", lease.KindRelease, release(1), "not the holder of the term"},
+		{"takeover", "b", lease.KindClaim, claim(2, 3), ""},
+		{"renewal of the old term", "a", lease.KindRenew, renew(1, 4), "not the holder of the term"},
+		{"release", "b", lease.KindRelease, release(2), ""},
+		{"renewal after the release", "b", lease.KindRenew, renew(2, 1), "not the holder of the term"},
+		{"claim of a free scope", "a", lease.KindClaim, claim(3, 9), ""},
+		{"no items", "a", lease.KindRenew, lease.Renew{}, "no item counts"},
+		{"malformed body", "a", lease.KindRenew, "text", "malformed body"},
+	} {
+		v := apply(t, book, step.author, step.kind, step.body)
+		assert.Equal(t, v.Reason, step.reason, step.name)
+		assert.Equal(t, v.Accepted, step.reason == "", step.name)
+	}
+	l, ok := book.Current("s")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, l, lease.Lease{Scope: "s", Term: 3, Holder: "a"})
+}
+
+func TestItemsAreDecidedOneByOne(t *testing.T) {
+	b := lease.NewBook()
+	apply(t, b, "a", lease.KindClaim, claim(1, 0))
+	v := apply(t, b, "b", lease.KindClaim, lease.Claim{Items: []lease.ClaimItem{
+		{Scope: "s", Term: 1}, {Scope: "free", Term: 1},
+	}})
+	assert.Assert(t, v.Accepted)
+	refusals, ok := v.Detail.(lease.Refusals)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(refusals), 1)
+	assert.Equal(t, refusals[0].Lease.Holder, fleet.DaemonID("a"))
+	l, _ := b.Current("free")
+	assert.Equal(t, l.Holder, fleet.DaemonID("b"))
+}
+
+func TestSnapshotGivesTheSameBook(t *testing.T) {
+	b := lease.NewBook()
+	apply(t, b, "a", lease.KindClaim, claim(1, 0))
+	apply(t, b, "a", lease.KindRenew, renew(1, 7))
+	data, err := b.Snapshot()
+	assert.NilError(t, err)
+	back := lease.NewBook()
+	assert.NilError(t, back.Restore(data))
+	assert.DeepEqual(t, back.All(), b.All())
+	assert.ErrorContains(t, back.Restore([]byte("no book")), "leases")
+	assert.DeepEqual(t, back.All(), b.All())
+}
--- /dev/null
+++ b/internal/lease/property_test.go
@@ -0,0 +1,70 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+// step is one event of a drawn schedule.
+type step struct {
+	Kind  string
+	Which int
+	Pause int // seconds until the next step
+}
+
+// Whatever is killed, frozen or lost, no scope has two holders at any moment
+// and the log decides who holds it.
+func TestOneHolderUnderFaults(t *testing.T) {
+	kinds := []string{"kill", "freeze", "wake", "down", "up", "lose", "slow"}
+	freezes, terms := 0, lease.Term(0)
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				Kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+				Which: rapid.IntRange(0, 3).Draw(t, "which"),
+				Pause: rapid.SampledFrom([]int{0, 1, 3, 7, 15}).Draw(t, "pause"),
+			}
+		}), 5, 15).Draw(rt, "steps")
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3)
+			slots := make([]*daemon, 4)
+			for i := range slots {
+				slots[i] = c.start(fleet.DaemonID(fmt.Sprintf("d%d", i)))
+			}
+			c.watch(3 * time.Second)
+			for n, s := range steps {
+				faults := c.log.Faults()
+				switch s.Kind {
+				case "kill":
+					c.kill(slots[s.Which])
+					slots[s.Which] = c.start(fleet.DaemonID(fmt.Sprintf("d%d-%d", s.Which, n)))
+				case "freeze":
+					slots[s.Which].gate.shut()
+					freezes++
+				case "wake":
+					slots[s.Which].gate.reopen()
+				case "down", "up":
+					faults.Down = s.Kind == "down"
+				case "lose":
+					faults.LoseAnswers += 2
+				case "slow":
+					faults.Delay = time.Duration(s.Which) * time.Second
+				}
+				c.log.SetFaults(faults)
+				c.watch(time.Duration(s.Pause) * time.Second)
+			}
+			l, _ := slots[0].book.Current(c.scopes[0])
+			terms = max(terms, l.Term)
+		})
+	})
+	t.Logf("%d freezes, up to term %d", freezes, terms)
+	assert.Assert(t, freezes > 0 && terms > 3, "faults did not bite")
+}
