Prove that publishing has one winner and never reverts

The first form of TestInForceEverywhereWithin7s did not show the relay: the daemon's long poll was still on its way. Now the test waits for it to end, and one daemon's log hangs instead of failing.

--- /dev/null
+++ b/internal/service/publish_test.go
@@ -0,0 +1,243 @@
+package service_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/service"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+func TestRaceHasOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		a, b := start(t, "a", l, nil, false), start(t, "b", l, nil, false)
+		base := accepted(t, a.Publish(t.Context(), publication("anna", change(0, "s", "", "first"))))
+		synctest.Wait()
+		outs := make(chan service.Outcome, 2)
+		go func() { outs <- a.Publish(t.Context(), publication("anna", change(base, "s", "", "by anna"))) }()
+		go func() { outs <- b.Publish(t.Context(), publication("bert", change(base, "s", "", "by bert"))) }()
+		won, lost := <-outs, <-outs
+		if won.Kind != service.Accepted {
+			won, lost = lost, won
+		}
+		assert.Equal(t, won.Kind, service.Accepted)
+		assert.Equal(t, lost.Kind, service.Conflicted)
+		assert.Equal(t, len(lost.Conflicts), 1)
+		c := lost.Conflicts[0]
+		assert.Equal(t, c.Reason, service.ReasonBase)
+		assert.Equal(t, c.BaseRevision, base)
+		assert.Equal(t, c.CurrentRevision, won.Revision)
+		loser := map[string]string{"anna": "bert", "bert": "anna"}[c.Author]
+		assert.Assert(t, loser != "", "winner %q", c.Author)
+		want := fmt.Sprintf("...\n   - name: list\n     idempotent: true\n-# by %s\n+# by %s\n", c.Author, loser)
+		assert.Equal(t, c.Diff, want)
+	})
+}
+
+func TestAllOrNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, "a", newLog(), nil, false)
+		first := accepted(t, d.Publish(t.Context(), publication("anna", change(0, "s", "", "1"), change(0, "t", "", "1"))))
+		second := accepted(t, d.Publish(t.Context(), publication("anna", change(first, "s", "", "2"))))
+		out := d.Publish(t.Context(), publication("bert",
+			change(0, "new", "", "3"), change(first, "t", "", "3"), change(first, "s", "", "3")))
+		assert.Equal(t, out.Kind, service.Conflicted)
+		assert.Equal(t, len(out.Conflicts), 1)
+		assert.Equal(t, out.Conflicts[0].Service, fleet.ServiceName("s"))
+		c := d.book.Catalog()
+		assert.Equal(t, c.Revision, second)
+		assert.Equal(t, len(c.Services), 2)
+		assert.Equal(t, c.Services["t"].Revision, first)
+	})
+}
+
+func TestOwnerRule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, "a", newLog(), nil, false)
+		base := accepted(t, d.Publish(t.Context(), publication("anna", change(0, "s", "anna", "1"))))
+		out := d.Publish(t.Context(), publication("bert", change(base, "s", "bert", "stolen")))
+		assert.Equal(t, out.Kind, service.Conflicted)
+		assert.Equal(t, out.Conflicts[0].Reason, service.ReasonOwner)
+		assert.Equal(t, out.Conflicts[0].Owner, "anna")
+		removal := service.Change{Service: "s", BaseRevision: base}
+		assert.Equal(t, d.Publish(t.Context(), publication("bert", removal)).Kind, service.Conflicted)
+		base = accepted(t, d.Publish(t.Context(), publication("anna", change(base, "s", "", "given up"))))
+		accepted(t, d.Publish(t.Context(), publication("bert", change(base, "s", "bert", "taken"))))
+	})
+}
+
+func TestRemovalAndHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, "a", newLog(), nil, false)
+		base := uint64(0)
+		for i := range service.MaxHistory + 5 {
+			base = accepted(t, d.Publish(t.Context(), publication("anna", change(base, "s", "", fmt.Sprint(i)))))
+		}
+		history := d.book.History("s")
+		assert.Equal(t, len(history), service.MaxHistory)
+		assert.Equal(t, history[len(history)-1].Revision, base)
+		removal := service.Change{Service: "s", BaseRevision: base, File: "s.yaml"}
+		accepted(t, d.Publish(t.Context(), publication("anna", removal)))
+		assert.Equal(t, len(d.book.Catalog().Services), 0)
+		history = d.book.History("s")
+		assert.Assert(t, history[len(history)-1].Removed)
+		assert.Equal(t, d.Publish(t.Context(), publication("anna", removal)).Kind, service.Conflicted)
+		accepted(t, d.Publish(t.Context(), publication("bert", change(0, "s", "", "anew"))))
+	})
+}
+
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, "a", newLog(), nil, false)
+		base := uint64(0)
+		for range 4 {
+			padding := fmt.Sprintf("%030000d", base)
+			base = accepted(t, d.Publish(t.Context(), publication("anna", change(base, "s", "", padding))))
+		}
+		history := d.book.History("s")
+		assert.Equal(t, history[0].Body, "")
+		assert.Assert(t, history[1].Body != "" && history[3].Body != "")
+	})
+}
+
+func TestInvalidPublicationIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		d := start(t, "a", l, nil, false)
+		bad := change(0, "s", "", "x")
+		bad.Body = "service: s\nkind: robot\nsizes: 3\n"
+		other := change(0, "t", "", "x")
+		other.Service = "u"
+		out := d.Publish(t.Context(), service.Publication{Changes: []service.Change{bad, other, {}}})
+		assert.Equal(t, out.Kind, service.Invalid)
+		assert.Equal(t, len(out.Problems), 4, "%v", out.Problems)
+		assert.ErrorContains(t, out.Problems[0], "author")
+		assert.ErrorContains(t, out.Problems[1], "s.yaml:3:1: sizes: unknown field")
+		assert.ErrorContains(t, out.Problems[2], `names service "t", the change is for "u"`)
+		assert.ErrorContains(t, out.Problems[3], "not named")
+		twice := d.Publish(t.Context(), publication("anna", change(0, "s", "", "1"), change(0, "s", "", "2")))
+		assert.Equal(t, twice.Kind, service.Invalid)
+		assert.Equal(t, l.Stats().Records, uint64(0))
+	})
+}
+
+func TestDryRunSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		d := start(t, "a", l, nil, false)
+		assert.Equal(t, d.DryRun(publication("anna", change(0, "s", "", "1"))).Kind, service.WouldBeAccepted)
+		out := d.DryRun(publication("anna", change(3, "s", "", "1")))
+		assert.Equal(t, out.Kind, service.Conflicted)
+		assert.Equal(t, out.Conflicts[0].CurrentRevision, uint64(0))
+		assert.Equal(t, l.Stats().Records, uint64(0))
+	})
+}
+
+func TestPublishWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		d := start(t, "a", l, nil, false)
+		base := accepted(t, d.Publish(t.Context(), publication("anna", change(0, "s", "", "1"))))
+		l.SetFaults(platform.LogFaults{Down: true})
+		at := time.Now()
+		assert.Equal(t, d.Publish(t.Context(), publication("anna", change(base, "s", "", "2"))).Kind, service.NotPublished)
+		assert.Equal(t, time.Since(at), time.Duration(0))
+		l.SetFaults(platform.LogFaults{})
+		d.link.setCut(true)
+		assert.Equal(t, d.Publish(t.Context(), publication("anna", change(base, "s", "", "2"))).Kind, service.Unknown)
+	})
+}
+
+// A record that a daemon should not have written: what can't be right is
+// rejected, what is of a later syntax is not judged.
+func TestWhatTheFoldRefuses(t *testing.T) {
+	for name, c := range map[string]struct {
+		change service.Change
+		reason string
+		stops  bool
+	}{
+		"does not parse":  {change: service.Change{Service: "s", Body: "service: [", Syntax: 1}, reason: "a service file does not parse"},
+		"another service": {change: service.Change{Service: "t", Body: file("s", "", ""), Syntax: 1}, reason: "a service file does not match its change"},
+		"another owner":   {change: service.Change{Service: "s", Owner: "x", Body: file("s", "y", ""), Syntax: 1}, reason: "a service file does not match its change"},
+		"later syntax":    {change: service.Change{Service: "s", Body: "service: [", Syntax: service.Syntax + 1}, stops: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := service.NewBook()
+			data, err := journal.Encode(publication("anna", c.change))
+			assert.NilError(t, err)
+			v, err := b.Apply(0, journal.Record{Kind: service.KindPublish, Body: data})
+			assert.Equal(t, err != nil, c.stops, "%v", err)
+			assert.Assert(t, !v.Accepted)
+			assert.Equal(t, v.Reason, c.reason)
+			assert.Equal(t, b.Catalog().Revision, uint64(0))
+		})
+	}
+}
+
+// A configuration is in force at every live daemon within 7 s, also at one
+// that has lost the log, or gets no answer from it, but not its peers.
+func TestInForceEverywhereWithin7s(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.SetFaults(platform.LogFaults{Delay: 300 * time.Millisecond})
+		p := &peers{}
+		var all []*daemon
+		for i := range 9 {
+			all = append(all, start(t, fleet.DaemonID(fmt.Sprint(i)), l, p, false))
+		}
+		time.Sleep(5 * time.Second)
+		all[7].link.setHang(true)
+		all[8].link.setCut(true)
+		time.Sleep(3 * time.Second) // until the reads on their way have ended
+		revision := accepted(t, all[0].Publish(t.Context(), publication("anna", change(0, "s", "", "1"))))
+		at := time.Now()
+		for i, d := range all {
+			for d.book.Catalog().Revision < revision {
+				time.Sleep(50 * time.Millisecond)
+				assert.Assert(t, time.Since(at) <= 7*time.Second, "daemon %d has not got it", i)
+			}
+			t.Logf("daemon %d after %v", i, time.Since(at))
+		}
+	})
+}
+
+// Every daemon is replaced again and again over days, records expire, the
+// log fails now and then: the configuration never goes back.
+func TestNothingReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		p := &peers{}
+		live := []*daemon{start(t, "0", l, p, true), start(t, "1", l, p, true), start(t, "2", l, p, true)}
+		base := accepted(t, live[0].Publish(t.Context(), publication("anna", change(0, "s", "", "first"))))
+		for i := range 18 {
+			time.Sleep(20 * time.Minute)
+			l.SetFaults(platform.LogFaults{Down: i%5 == 4})
+			old := live[0]
+			live = append(live[1:], start(t, fleet.DaemonID(fmt.Sprint("r", i)), l, p, true))
+			time.Sleep(5 * time.Second)
+			old.kill()
+			l.SetFaults(platform.LogFaults{LoseAnswers: i % 2})
+			if i%4 == 3 {
+				time.Sleep(5 * time.Second)
+				base = accepted(t, live[0].Publish(t.Context(), publication("anna", change(base, "s", "", fmt.Sprint(i)))))
+			}
+			time.Sleep(5 * time.Second)
+			for j, d := range live {
+				c := d.book.Catalog()
+				assert.Equal(t, c.Revision, base, "daemon %d in round %d", j, i)
+				assert.Equal(t, c.Services["s"].Revision, base)
+			}
+		}
+		fresh := start(t, "fresh", l, nil, false)
+		time.Sleep(time.Second)
+		assert.Equal(t, fresh.book.Catalog().Revision, base)
+		assert.DeepEqual(t, fresh.book.History("s"), live[0].book.History("s"))
+	})
+}
