Record non-idempotent requests in a ledger fold

The ledger's fold decides by log order which intent may run; the client grants one run, records outcomes and abandonments, and keeps trying those that the log did not take. A given-up intent whose record arrives later is barred by its abandonment, whichever comes first.

--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,303 @@
+package ledger
+
+import (
+	"container/heap"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/foldtime"
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+// maxVoid bounds the given-up intents remembered for one key. Forgetting one
+// can leave a key stuck without an owner; it can't make the key run twice,
+// for no owner runs an intent that it gave up.
+const maxVoid = 8
+
+// Book is the fold of one ledger stream. It is safe for concurrent use.
+type Book struct {
+	mu       sync.RWMutex
+	window   time.Duration
+	clock    foldtime.Clock
+	entries  map[Key]*Entry
+	expiries expiryHeap
+	watchers map[Key]*watcher
+}
+
+var _ journal.Fold = (*Book)(nil)
+
+type watcher struct {
+	changed chan struct{}
+	users   int
+}
+
+// NewBook returns an empty book whose own intents live for window,
+// DefaultWindow when zero.
+func NewBook(window time.Duration) *Book {
+	if window == 0 {
+		window = DefaultWindow
+	}
+	return &Book{
+		window:   time.Duration(clampWindow(window.Milliseconds())) * time.Millisecond,
+		entries:  map[Key]*Entry{},
+		watchers: map[Key]*watcher{},
+	}
+}
+
+// Kinds implements journal.Fold.
+func (b *Book) Kinds() []journal.Kind {
+	return []journal.Kind{KindIntent, KindOutcome, KindAbandoned}
+}
+
+// Window returns how long the keys of this book's own intents live.
+func (b *Book) Window() time.Duration { return b.window }
+
+// Lookup returns the state of a key.
+func (b *Book) Lookup(k Key) (Entry, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	e, ok := b.entries[k]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Expired reports whether a key carries a time that is out of its window.
+func (b *Book) Expired(k Key) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return expired(k, b.window.Milliseconds(), b.clock.Milli())
+}
+
+// Len returns how many keys are kept.
+func (b *Book) Len() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return len(b.entries)
+}
+
+// Apply implements journal.Fold.
+func (b *Book) Apply(_ journal.Offset, r journal.Record) (journal.Verdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.clock.Observe(r.Author, r.UnixMilli) {
+		b.expire()
+	}
+	switch r.Kind {
+	case KindIntent:
+		return b.applyIntent(r)
+	case KindOutcome:
+		return b.applyOutcome(r)
+	case KindAbandoned:
+		return b.applyAbandoned(r)
+	default:
+		return journal.Verdict{}, errors.Errorf("unknown kind %q", r.Kind)
+	}
+}
+
+func (b *Book) applyIntent(r journal.Record) (journal.Verdict, error) {
+	var rec intentRecord
+	if err := decode(r.Body, &rec); err != nil {
+		return journal.Verdict{}, err
+	}
+	k := rec.Key.key()
+	window := clampWindow(rec.Window)
+	if expired(k, window, b.clock.Milli()) {
+		return journal.Reject(rejectExpired), nil
+	}
+	old := b.entries[k]
+	if reason := barred(old, rec); reason != "" {
+		return journal.Verdict{Reason: reason, Detail: *old}, nil
+	}
+	e := &Entry{
+		Key:    k,
+		Phase:  PhaseIntent,
+		Intent: rec.Intent,
+		Owner:  r.Author,
+		Digest: rec.Digest,
+		Until:  b.until(k, r.UnixMilli, window),
+	}
+	if old != nil {
+		e.Void = old.Void
+		e.Until = max(e.Until, old.Until)
+	}
+	b.put(e)
+	return journal.Verdict{Accepted: true, Detail: *e}, nil
+}
+
+// barred says why an intent can't win against the entry that is there.
+func barred(old *Entry, rec intentRecord) string {
+	switch {
+	case old == nil:
+		return ""
+	case slices.Contains(old.Void, rec.Intent):
+		return rejectVoid
+	case old.Phase == PhaseAbandoned:
+		return ""
+	case old.Digest != rec.Digest:
+		return rejectMismatch
+	default:
+		return rejectTaken
+	}
+}
+
+func (b *Book) applyOutcome(r journal.Record) (journal.Verdict, error) {
+	var rec outcomeRecord
+	if err := decode(r.Body, &rec); err != nil {
+		return journal.Verdict{}, err
+	}
+	old := b.entries[rec.Key.key()]
+	if old == nil || old.Intent != rec.Intent || old.Phase == PhaseAbandoned {
+		return journal.Reject(rejectNoIntent), nil
+	}
+	if old.Phase == PhaseDone || (old.Phase == PhaseUnknown && rec.Unknown) {
+		return journal.Reject(rejectFinal), nil
+	}
+	e := *old
+	e.Phase = PhaseDone
+	if rec.Unknown {
+		e.Phase = PhaseUnknown
+	}
+	e.Answer = rec.answer()
+	b.put(&e)
+	return journal.Accept(), nil
+}
+
+// applyAbandoned frees a key, or bars the intent before it has come.
+func (b *Book) applyAbandoned(r journal.Record) (journal.Verdict, error) {
+	var rec abandonedRecord
+	if err := decode(r.Body, &rec); err != nil {
+		return journal.Verdict{}, err
+	}
+	k := rec.Key.key()
+	old := b.entries[k]
+	if old == nil {
+		old = &Entry{Key: k, Phase: PhaseAbandoned}
+	}
+	if slices.Contains(old.Void, rec.Intent) {
+		return journal.Reject(rejectVoid), nil
+	}
+	owned := old.Intent == rec.Intent
+	if owned && (old.Phase == PhaseDone || old.Phase == PhaseUnknown) {
+		return journal.Reject(rejectFinal), nil
+	}
+	e := *old
+	e.Void = append(slices.Clip(slices.Clone(old.Void)), rec.Intent)
+	if len(e.Void) > maxVoid {
+		e.Void = e.Void[1:]
+	}
+	e.Until = max(e.Until, b.until(k, r.UnixMilli, clampWindow(rec.Window)))
+	if owned {
+		e.Phase = PhaseAbandoned
+	}
+	b.put(&e)
+	return journal.Accept(), nil
+}
+
+// put stores an entry and wakes those who wait for its key.
+func (b *Book) put(e *Entry) {
+	if old := b.entries[e.Key]; old == nil || old.Until != e.Until {
+		heap.Push(&b.expiries, expiry{until: e.Until, key: e.Key})
+	}
+	b.entries[e.Key] = e
+	b.wake(e.Key)
+}
+
+// until returns when a key that is used now may be forgotten. The greater of
+// the stream's and the author's time counts, for the stream's may lag after a
+// quiet time; and a key with a time of its own is kept until that time is out
+// of the window too, so that it can't be taken for new.
+func (b *Book) until(k Key, authorMilli, window int64) int64 {
+	used := max(b.clock.Milli(), authorMilli)
+	if at, ok := keyTime(k); ok && at > used && at <= used+window {
+		used = at
+	}
+	return used + window
+}
+
+// expire drops the keys whose time is over.
+func (b *Book) expire() {
+	now := b.clock.Milli()
+	for len(b.expiries) > 0 && b.expiries[0].until < now {
+		due := heap.Pop(&b.expiries).(expiry)
+		if e := b.entries[due.key]; e != nil && e.Until == due.until {
+			delete(b.entries, due.key)
+			b.wake(due.key)
+		}
+	}
+}
+
+// Watch returns a channel that is closed when the key next changes, and a
+// function to call when it is no longer needed.
+func (b *Book) Watch(k Key) (changed <-chan struct{}, done func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.watchers[k]
+	if w == nil {
+		w = &watcher{changed: make(chan struct{})}
+		b.watchers[k] = w
+	}
+	w.users++
+	return w.changed, func() { b.unwatch(k, w) }
+}
+
+func (b *Book) unwatch(k Key, w *watcher) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.users--
+	if w.users == 0 && b.watchers[k] == w {
+		delete(b.watchers, k)
+	}
+}
+
+func (b *Book) wake(k Key) {
+	if w := b.watchers[k]; w != nil {
+		close(w.changed)
+		delete(b.watchers, k)
+	}
+}
+
+// expired reports whether a key's own time is out of the window.
+func expired(k Key, window, nowMilli int64) bool {
+	at, ok := keyTime(k)
+	return ok && at+window < nowMilli
+}
+
+// keyTime returns the time in a key that is a UUID of version 7.
+func keyTime(k Key) (unixMilli int64, ok bool) {
+	if len(k.Caller) != 36 {
+		return 0, false
+	}
+	id, err := uuid.Parse(k.Caller)
+	if err != nil || id.Version() != 7 {
+		return 0, false
+	}
+	for _, c := range id[:6] {
+		unixMilli = unixMilli<<8 | int64(c)
+	}
+	return unixMilli, true
+}
+
+type expiry struct {
+	until int64
+	key   Key
+}
+
+// expiryHeap orders keys by when they are forgotten.
+type expiryHeap []expiry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].until < h[j].until }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiry)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/ledger/client.go
@@ -0,0 +1,310 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+const (
+	defaultInlineBytes = 4096
+	defaultHeldBytes   = 16 << 20
+	defaultFinishWait  = 500 * time.Millisecond
+	// recentGrants is how many grants are remembered for the assertion that
+	// none is given twice.
+	recentGrants = 1 << 14
+	// answerMargin is what is left of the caller's time for the answer that
+	// no outcome came.
+	answerMargin = 50 * time.Millisecond
+	// retryAfterLog is when to come back after the log was down.
+	retryAfterLog = 2 * time.Second
+	// retryAfterIntent is when to come back for an outcome that is awaited.
+	retryAfterIntent = time.Second
+)
+
+// Shard is one ledger stream: the book folds it, the proposer writes to it.
+type Shard struct {
+	Proposer journal.Proposer
+	Book     *Book
+}
+
+// ClientConfig sets up a Client.
+type ClientConfig struct {
+	Self fleet.DaemonID
+	// Shards are the ledger's streams; a key belongs to one by its hash. All
+	// daemons must have them alike in number and order.
+	Shards  []Shard
+	Events  *event.Logger
+	Metrics metrics.Registry
+	// InlineBytes is the largest answer recorded whole, 4096 when zero.
+	InlineBytes int
+	// HeldBytes bounds the answers kept in memory, 16 MiB when zero.
+	HeldBytes int
+	// WaitOutcome bounds how long Begin waits for the outcome of an earlier
+	// call; zero leaves it to the context.
+	WaitOutcome time.Duration
+	// FinishWait bounds how long Finish waits for its record, 500 ms when
+	// zero. After it, Run goes on.
+	FinishWait time.Duration
+	// Gone reports whether a daemon is known to have stopped for good; nil
+	// for not knowing. Its intents then get their answer without a wait.
+	Gone func(fleet.DaemonID) bool
+}
+
+// Client records the non-idempotent requests of one daemon. It is safe for
+// concurrent use.
+type Client struct {
+	cfg     ClientConfig
+	held    *heldAnswers
+	queue   *queue
+	grants  *grantLog
+	metrics clientMetrics
+}
+
+// NewClient returns a client. Run must run for what could not be recorded at
+// once.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.InlineBytes == 0 {
+		cfg.InlineBytes = defaultInlineBytes
+	}
+	if cfg.HeldBytes == 0 {
+		cfg.HeldBytes = defaultHeldBytes
+	}
+	if cfg.FinishWait == 0 {
+		cfg.FinishWait = defaultFinishWait
+	}
+	if cfg.Gone == nil {
+		cfg.Gone = func(fleet.DaemonID) bool { return false }
+	}
+	return &Client{
+		cfg:     cfg,
+		held:    newHeldAnswers(cfg.HeldBytes),
+		queue:   newQueue(),
+		grants:  newGrantLog(recentGrants),
+		metrics: newClientMetrics(cfg.Metrics),
+	}
+}
+
+// Lookup says what is known here of a key, without asking the log. It returns
+// false when nothing is, which does not prove that the key is new.
+func (c *Client) Lookup(key Key, digest uint64) (Grant, bool) {
+	e, ok := c.shard(key).Book.Lookup(key)
+	if !ok || e.Phase == PhaseAbandoned {
+		return Grant{}, false
+	}
+	if grant, ok := c.settled(e, digest); ok {
+		return grant, true
+	}
+	return Grant{Decision: Await}, true
+}
+
+// Begin records the intent to run a request and says whether this call runs
+// it. It returns when the outcome of an earlier call is known, or when the
+// context is nearly over.
+func (c *Client) Begin(ctx context.Context, key Key, digest uint64) Grant {
+	shard := c.shard(key)
+	if shard.Book.Expired(key) {
+		return c.refuseExpired()
+	}
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	for {
+		changed, done := shard.Book.Watch(key)
+		e, ok := shard.Book.Lookup(key)
+		if !ok || e.Phase == PhaseAbandoned {
+			done()
+			grant, final := c.propose(ctx, shard, key, digest)
+			if final {
+				return grant
+			}
+			continue
+		}
+		if grant, ok := c.settled(e, digest); ok {
+			done()
+			return grant
+		}
+		ended := c.await(ctx, changed, e)
+		done()
+		if ended {
+			return c.uncertain(key, "an earlier call with this key has no outcome yet")
+		}
+	}
+}
+
+// settled returns the answer that an entry already has.
+func (c *Client) settled(e Entry, digest uint64) (Grant, bool) {
+	if e.Digest != digest {
+		f := fleet.Refuse(fleet.ReasonKeyMismatch, 0, "the idempotency key was used for another request")
+		f.Field = "idempotency_key"
+		return Grant{Failure: f}, true
+	}
+	if answer, ok := c.held.get(e.Intent); ok {
+		return c.replay(e.Key, answer), true
+	}
+	switch e.Phase {
+	case PhaseDone:
+		return c.replayRecorded(e), true
+	case PhaseUnknown:
+		return c.uncertain(e.Key, "an earlier call with this key got no answer from the backend server"), true
+	}
+	if e.Owner != c.cfg.Self && c.cfg.Gone(e.Owner) {
+		return c.uncertain(e.Key, "the daemon that ran an earlier call with this key has stopped"), true
+	}
+	return Grant{}, false
+}
+
+// propose tries to win the key. It returns false when the key must be looked
+// at again.
+func (c *Client) propose(ctx context.Context, shard Shard, key Key, digest uint64) (Grant, bool) {
+	intent := IntentID(uuid.New())
+	body := intentRecord{
+		Key:    encodeKey(key),
+		Intent: intent,
+		Digest: digest,
+		Window: shard.Book.Window().Milliseconds(),
+	}
+	c.metrics.appends.Inc(1)
+	res := shard.Proposer.Propose(ctx, KindIntent, body)
+	switch res.Fate {
+	case journal.FateAccepted:
+		return c.grant(key, intent), true
+	case journal.FateRejected:
+		if res.Verdict.Reason == rejectExpired {
+			return c.refuseExpired(), true
+		}
+		return Grant{}, false
+	case journal.FateNotAppended:
+		return c.refuseLogDown(), true
+	default:
+		c.cfg.Events.Emit(eventIntentUnknown, "workspace", key.Workspace, "service", key.Service, "key", key.Caller, "error", res.Err)
+		c.enqueue(Token{Key: key, Intent: intent}, record{kind: KindAbandoned})
+		return c.refuseLogDown(), true
+	}
+}
+
+func (c *Client) grant(key Key, intent IntentID) Grant {
+	fresh := c.grants.add(key, intent, c.shard(key).Book.Window()/2)
+	invariant.Check(fresh, "ledger-grant-once", "key %v granted again as intent %x", key, intent)
+	c.metrics.runs.Inc(1)
+	return Grant{
+		Decision: Run,
+		Token:    Token{Key: key, Intent: intent, GrantedAt: time.Now()},
+	}
+}
+
+// Holds reports whether a grant still stands, to be asked immediately before
+// the request is sent: a process that was paused for longer than a part of
+// the window must not send any more.
+func (c *Client) Holds(t Token) bool {
+	book := c.shard(t.Key).Book
+	if time.Since(t.GrantedAt) > book.Window()/4 {
+		return false
+	}
+	e, ok := book.Lookup(t.Key)
+	return ok && e.Phase == PhaseIntent && e.Intent == t.Intent
+}
+
+// await waits for a change of the key and reports whether time is over.
+func (c *Client) await(ctx context.Context, changed <-chan struct{}, e Entry) (ended bool) {
+	c.metrics.waits.Inc(1)
+	var gone <-chan time.Time
+	if e.Owner != c.cfg.Self {
+		t := time.NewTimer(retryAfterIntent)
+		defer t.Stop()
+		gone = t.C
+	}
+	select {
+	case <-changed:
+		return false
+	case <-gone:
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// bound leaves a margin of the caller's time for the answer.
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if ok {
+		left := time.Until(deadline)
+		deadline = deadline.Add(-min(answerMargin, left/10))
+	}
+	if c.cfg.WaitOutcome > 0 {
+		latest := time.Now().Add(c.cfg.WaitOutcome)
+		if !ok || latest.Before(deadline) {
+			deadline, ok = latest, true
+		}
+	}
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+func (c *Client) replayRecorded(e Entry) Grant {
+	if e.Answer.Whole() {
+		return c.replay(e.Key, e.Answer)
+	}
+	c.metrics.replays.Inc(1)
+	return Grant{Failure: &fleet.Failure{
+		State:   fleet.Done,
+		Reason:  fleet.ReasonKeyInUse,
+		Message: "the request with this key ran to its end; its answer was too large to be recorded",
+	}}
+}
+
+func (c *Client) replay(key Key, a Answer) Grant {
+	c.metrics.replays.Inc(1)
+	c.cfg.Events.Emit(eventReplayed, "workspace", key.Workspace, "service", key.Service, "key", key.Caller)
+	return Grant{Decision: Replay, Answer: a}
+}
+
+func (c *Client) uncertain(key Key, message string) Grant {
+	c.metrics.uncertain.Inc(1)
+	c.cfg.Events.Emit(eventUncertain, "workspace", key.Workspace, "service", key.Service, "key", key.Caller, "reason", message)
+	return Grant{Failure: fleet.Uncertain(fleet.ReasonKeyInUse, spread(retryAfterIntent), "%s", message)}
+}
+
+func (c *Client) refuseLogDown() Grant {
+	c.metrics.refused.Inc(1)
+	return Grant{Failure: fleet.Refuse(fleet.ReasonLogDown, spread(retryAfterLog), "the request can't be recorded now, so this call was not run")}
+}
+
+func (c *Client) refuseExpired() Grant {
+	f := fleet.Refuse(fleet.ReasonKeyExpired, 0, "the idempotency key is older than its window")
+	f.Field = "idempotency_key"
+	return Grant{Failure: f}
+}
+
+func (c *Client) shard(key Key) Shard {
+	if len(c.cfg.Shards) == 1 {
+		return c.cfg.Shards[0]
+	}
+	return c.cfg.Shards[ShardOf(key, len(c.cfg.Shards))]
+}
+
+// ShardOf returns the shard of a key among n.
+func ShardOf(key Key, n int) int {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(key.Workspace))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(key.Service))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key.Caller)
+	return int(d.Sum64() % uint64(n))
+}
+
+// spread adds up to half, so that callers do not come back together.
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(d)/2+1))
+}
--- /dev/null
+++ b/internal/ledger/events.go
@@ -0,0 +1,28 @@
+package ledger
+
+import (
+	"github.com/charmbracelet/log"
+
+	"carawayproxy.example/caraway/internal/event"
+)
+
+var (
+	eventIntentUnknown = event.Define(1500, "ledger.intent_unknown", log.WarnLevel,
+		"The append of an intent got no answer; the request was refused as not run and the intent is being given up.",
+		"Check the log service if it repeats.")
+	eventQueued = event.Define(1501, "ledger.record_queued", log.WarnLevel,
+		"An outcome or abandonment could not be recorded yet and is kept in memory.",
+		"Check the log service; do not kill the daemon before ledger.pending is zero.")
+	eventRecorded = event.Define(1502, "ledger.record_written", log.InfoLevel,
+		"A queued outcome or abandonment was recorded.",
+		"None.")
+	eventRejected = event.Define(1503, "ledger.record_rejected", log.WarnLevel,
+		"A queued outcome or abandonment no longer counts, for example because its key has expired.",
+		"None, unless the log was down for longer than the key window.")
+	eventReplayed = event.Define(1504, "ledger.replayed", log.InfoLevel,
+		"A repeat of a request that ran before got the recorded answer.",
+		"None.")
+	eventUncertain = event.Define(1505, "ledger.uncertain", log.WarnLevel,
+		"A request with this key may have run and its outcome is not known.",
+		"Find out at the backend server whether it took effect, by the request's key.")
+)
--- /dev/null
+++ b/internal/ledger/queue.go
@@ -0,0 +1,119 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+// pendingID names one record that is to be written.
+type pendingID struct {
+	intent  IntentID
+	kind    journal.Kind
+	unknown bool
+}
+
+func (r record) id() pendingID {
+	return pendingID{intent: r.token.Intent, kind: r.kind, unknown: r.unknown}
+}
+
+type pending struct {
+	record record
+	// taken is set while someone tries to write it.
+	taken bool
+}
+
+// queue holds the records that are not yet written.
+type queue struct {
+	mu      sync.Mutex
+	pending map[pendingID]*pending
+	order   []pendingID
+	signal  chan struct{}
+}
+
+func newQueue() *queue {
+	return &queue{pending: map[pendingID]*pending{}, signal: make(chan struct{}, 1)}
+}
+
+func (q *queue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.pending)
+}
+
+// add keeps a record. A taken one is not handed out before its release.
+func (q *queue) add(r record, taken bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.pending[r.id()] != nil {
+		return
+	}
+	q.pending[r.id()] = &pending{record: r, taken: taken}
+	q.order = append(q.order, r.id())
+}
+
+func (q *queue) remove(r record) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pending, r.id())
+}
+
+// take hands out up to n records that nobody is trying to write.
+func (q *queue) take(n int) []record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var batch []record
+	kept := q.order[:0]
+	for _, id := range q.order {
+		p := q.pending[id]
+		if p == nil {
+			continue
+		}
+		kept = append(kept, id)
+		if len(batch) < n && !p.taken {
+			p.taken = true
+			batch = append(batch, p.record)
+		}
+	}
+	q.order = kept
+	return batch
+}
+
+// release gives back a record that could not be written.
+func (q *queue) release(r record) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if p := q.pending[r.id()]; p != nil {
+		p.taken = false
+	}
+}
+
+// ready reports whether a record waits to be tried.
+func (q *queue) ready() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range q.pending {
+		if !p.taken {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *queue) wake() {
+	select {
+	case q.signal <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for wake and reports false when ctx ended first.
+func (q *queue) await(ctx context.Context) bool {
+	select {
+	case <-q.signal:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,127 @@
+package ledger
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/foldtime"
+)
+
+// snapshotFormat is the version of the snapshot's form.
+const snapshotFormat = 1
+
+type snapshotRecord struct {
+	Format  uint16         `cbor:"1,keyasint"`
+	Clock   foldtime.State `cbor:"2,keyasint"`
+	Entries []entryRecord  `cbor:"3,keyasint"` // by key
+}
+
+type entryRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Key    keyRecord
+	Phase  Phase
+	Intent IntentID
+	Owner  fleet.DaemonID
+	Digest uint64
+	Until  int64
+	Void   []IntentID
+	// The answer, when done.
+	Body         []byte
+	AnswerDigest uint64
+	Size         int
+	Failed       bool
+	Message      string
+}
+
+// Snapshot implements journal.Fold.
+func (b *Book) Snapshot() ([]byte, error) {
+	b.mu.RLock()
+	s := snapshotRecord{Format: snapshotFormat, Clock: b.clock.State()}
+	s.Entries = make([]entryRecord, 0, len(b.entries))
+	for _, e := range b.entries {
+		s.Entries = append(s.Entries, encodeEntry(e))
+	}
+	b.mu.RUnlock()
+	slices.SortFunc(s.Entries, compareEntries)
+	data, err := cbor.Marshal(s)
+	return data, errors.WithStack(err)
+}
+
+// Restore implements journal.Fold. The state is unchanged on an error.
+func (b *Book) Restore(data []byte) error {
+	var s snapshotRecord
+	if err := decode(data, &s); err != nil {
+		return err
+	}
+	if s.Format != snapshotFormat {
+		return errors.Errorf("ledger snapshot of format %d, want %d", s.Format, snapshotFormat)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clock.Restore(s.Clock)
+	b.entries = make(map[Key]*Entry, len(s.Entries))
+	b.expiries = make(expiryHeap, 0, len(s.Entries))
+	for _, r := range s.Entries {
+		e := r.entry()
+		b.entries[e.Key] = e
+		b.expiries = append(b.expiries, expiry{until: e.Until, key: e.Key})
+	}
+	heap.Init(&b.expiries)
+	b.wakeAll()
+	return nil
+}
+
+func (b *Book) wakeAll() {
+	for k := range b.watchers {
+		b.wake(k)
+	}
+}
+
+func encodeEntry(e *Entry) entryRecord {
+	return entryRecord{
+		Key:          encodeKey(e.Key),
+		Phase:        e.Phase,
+		Intent:       e.Intent,
+		Owner:        e.Owner,
+		Digest:       e.Digest,
+		Until:        e.Until,
+		Void:         e.Void,
+		Body:         e.Answer.Body,
+		AnswerDigest: e.Answer.Digest,
+		Size:         e.Answer.Size,
+		Failed:       e.Answer.Failed,
+		Message:      e.Answer.Message,
+	}
+}
+
+func (r entryRecord) entry() *Entry {
+	return &Entry{
+		Key:    r.Key.key(),
+		Phase:  r.Phase,
+		Intent: r.Intent,
+		Owner:  r.Owner,
+		Digest: r.Digest,
+		Until:  r.Until,
+		Void:   r.Void,
+		Answer: Answer{
+			Body:    r.Body,
+			Digest:  r.AnswerDigest,
+			Size:    r.Size,
+			Failed:  r.Failed,
+			Message: r.Message,
+		},
+	}
+}
+
+func compareEntries(a, b entryRecord) int {
+	return cmp.Or(
+		cmp.Compare(a.Key.Workspace, b.Key.Workspace),
+		cmp.Compare(a.Key.Service, b.Key.Service),
+		cmp.Compare(a.Key.Caller, b.Key.Caller),
+	)
+}
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -4,6 +4,8 @@
 package ledger
 
 import (
+	"time"
+
 	"carawayproxy.example/caraway/internal/fleet"
 )
 
@@ -24,6 +26,9 @@
 	PhaseIntent Phase = "intent"
 	// PhaseDone: it ran, the outcome is recorded.
 	PhaseDone Phase = "done"
+	// PhaseUnknown: it was sent and its owner has given up waiting for the
+	// answer. A late answer may still replace it.
+	PhaseUnknown Phase = "unknown"
 	// PhaseAbandoned: its owner never sent it; the next intent may win.
 	PhaseAbandoned Phase = "abandoned"
 )
@@ -39,6 +44,24 @@
 	Message string
 }
 
+// Whole reports whether the answer holds its body.
+func (a Answer) Whole() bool { return len(a.Body) == a.Size }
+
+// Entry is the state of one key. Values are immutable.
+type Entry struct {
+	Key    Key
+	Phase  Phase
+	Intent IntentID // the winning one
+	Owner  fleet.DaemonID
+	Digest uint64
+	Answer Answer // when done
+	// Until is when the key is forgotten, in Unix milliseconds of the
+	// stream's time.
+	Until int64
+	// Void lists intents that lost their right to win.
+	Void []IntentID
+}
+
 // Decision says what the caller of Begin does next.
 type Decision uint8
 
@@ -50,6 +73,9 @@
 	Run
 	// Replay: the request ran before; Answer has its outcome.
 	Replay
+	// Await: an earlier call with the key has no outcome yet. Only Lookup
+	// says so; Begin waits.
+	Await
 )
 
 // Grant is the outcome of Begin.
@@ -60,8 +86,13 @@
 	Failure  *fleet.Failure
 }
 
+// IntentID names one intent. A daemon draws a new one for each try.
+type IntentID [16]byte
+
 // Token proves to Finish and Abandon which intent is meant.
 type Token struct {
 	Key    Key
 	Intent [16]byte
+	// GrantedAt is the local, monotonic time of the grant.
+	GrantedAt time.Time
 }
