Judge requests that were in flight at group deaths

History pieces deaths together from own and peers' sightings; a Policy judges the evidence without a clock: a fixed number of strikes, or prior odds times likelihood ratios against the hazard of the least affected fabric domains. Verdicts go to the control stream and end by time; until one is there, each daemon goes by the sightings.

--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -24,17 +24,21 @@
 	maxVerdicts = 4096
 	// maxTerm bounds how long a verdict lasts.
 	maxTerm = 24 * time.Hour
+	// clockSlack is how far daemons' clocks may differ.
+	clockSlack = 5 * time.Minute
 	// snapshotFormat is the version of the snapshot's form.
 	snapshotFormat = 1
 )
 
-// Verdict is a conviction in force.
+// Verdict is what the log says of a fingerprint until a moment: a conviction,
+// or a clearance that evidence seen here does not override.
 type Verdict struct {
 	Fingerprint Fingerprint       `cbor:"1,keyasint"`
 	Service     fleet.ServiceName `cbor:"2,keyasint"`
 	Author      fleet.DaemonID    `cbor:"3,keyasint"`
 	Until       int64             `cbor:"4,keyasint"` // Unix milliseconds
 	Deaths      int               `cbor:"5,keyasint"` // that it rests on
+	Cleared     bool              `cbor:"6,keyasint"`
 }
 
 type convictRecord struct {
@@ -46,6 +50,7 @@
 
 type clearRecord struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Term        int64       `cbor:"2,keyasint"` // milliseconds
 }
 
 type bookSnapshot struct {
@@ -93,22 +98,31 @@
 	if err := cbor.Unmarshal(r.Body, &rec); err != nil {
 		return journal.Verdict{}, errors.WithStack(err)
 	}
-	term := min(max(rec.Term, 0), maxTerm.Milliseconds())
 	v := Verdict{
 		Fingerprint: rec.Fingerprint,
 		Service:     rec.Service,
 		Author:      r.Author,
-		Until:       max(b.clock.Milli(), r.UnixMilli) + term,
+		Until:       b.until(r, rec.Term),
 		Deaths:      rec.Deaths,
 	}
-	if old, ok := b.verdicts[v.Fingerprint]; ok && old.Until >= v.Until {
-		return journal.Reject("convicted already"), nil
+	if old, ok := b.verdicts[v.Fingerprint]; ok && old.Until > r.UnixMilli {
+		return journal.Reject("decided already"), nil
 	}
+	b.put(v)
+	return journal.Accept(), nil
+}
+
+// put keeps a verdict, within the bound.
+func (b *Book) put(v Verdict) {
 	b.verdicts[v.Fingerprint] = v
 	if len(b.verdicts) > maxVerdicts {
 		b.evict()
 	}
-	return journal.Accept(), nil
+}
+
+func (b *Book) until(r journal.Record, term int64) int64 {
+	term = min(max(term, 0), maxTerm.Milliseconds())
+	return max(b.clock.Milli(), r.UnixMilli) + term
 }
 
 func (b *Book) clear(r journal.Record) (journal.Verdict, error) {
@@ -116,10 +130,14 @@
 	if err := cbor.Unmarshal(r.Body, &rec); err != nil {
 		return journal.Verdict{}, errors.WithStack(err)
 	}
-	if _, ok := b.verdicts[rec.Fingerprint]; !ok {
-		return journal.Reject("not convicted"), nil
-	}
-	delete(b.verdicts, rec.Fingerprint)
+	old := b.verdicts[rec.Fingerprint]
+	b.put(Verdict{
+		Fingerprint: rec.Fingerprint,
+		Service:     old.Service,
+		Author:      r.Author,
+		Until:       b.until(r, rec.Term),
+		Cleared:     true,
+	})
 	return journal.Accept(), nil
 }
 
@@ -138,12 +156,14 @@
 	delete(b.verdicts, first.Fingerprint)
 }
 
-// Convicted returns the verdict on a fingerprint that is in force now.
-func (b *Book) Convicted(f Fingerprint, now time.Time) (Verdict, bool) {
+// Verdict returns the verdict on a fingerprint that is in force now. One that
+// would last longer than any may comes from a wrong clock and has no force.
+func (b *Book) Verdict(f Fingerprint, now time.Time) (Verdict, bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	v, ok := b.verdicts[f]
-	return v, ok && now.UnixMilli() < v.Until
+	left := time.Duration(v.Until-now.UnixMilli()) * time.Millisecond
+	return v, ok && left > 0 && left <= maxTerm+clockSlack
 }
 
 // Verdicts returns all verdicts, by fingerprint.
--- /dev/null
+++ b/internal/suspect/hazard.go
@@ -0,0 +1,76 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// minExposure is the share of all group time that the least affected fabric
+// domains must make up together.
+const minExposure = 0.5
+
+// exposure is one fabric domain's deaths over its groups' time.
+type exposure struct {
+	deaths  float64
+	seconds float64
+}
+
+func (x exposure) rate() float64 { return x.deaths / x.seconds }
+
+// hazard returns the deaths per group-second that groups show anyhow. Deaths
+// of one domain close in time are one cause and count once. With least set it
+// rests on the fabric domains with the lowest rates, up to half of the whole
+// exposure, for the others' rates may come from crashing requests.
+func (h *History) hazard(now time.Time, least bool) float64 {
+	span := min(max(now.Sub(h.since), time.Minute), memory).Seconds()
+	all := h.exposures(span)
+	slices.SortFunc(all, func(a, b exposure) int {
+		switch {
+		case a.rate() < b.rate():
+			return -1
+		case a.rate() > b.rate():
+			return 1
+		default:
+			return 0
+		}
+	})
+	total := 0.0
+	for _, x := range all {
+		total += x.seconds
+	}
+	pooled := exposure{deaths: 1, seconds: hazardPrior.Seconds()}
+	taken := 0.0
+	for _, x := range all {
+		if least && taken >= minExposure*total {
+			break
+		}
+		pooled.deaths += x.deaths
+		pooled.seconds += x.seconds
+		taken += x.seconds
+	}
+	return pooled.rate()
+}
+
+// exposures returns each fabric domain's deaths and group time in a span of
+// seconds.
+func (h *History) exposures(span float64) []exposure {
+	causes := map[fleet.FabricDomain]float64{}
+	last := map[fleet.FabricDomain]time.Time{}
+	for _, d := range h.order {
+		if at, ok := last[d.fabric]; !ok || d.at.Sub(at) > burstSpan {
+			causes[d.fabric]++
+		}
+		last[d.fabric] = d.at
+	}
+	all := make([]exposure, 0, len(h.groups)+len(causes))
+	for fabric, n := range h.groups {
+		all = append(all, exposure{deaths: causes[fabric], seconds: float64(max(n, 1)) * span})
+		delete(causes, fabric)
+	}
+	for _, deaths := range causes {
+		all = append(all, exposure{deaths: deaths, seconds: span})
+	}
+	return all
+}
