--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"carawayproxy.example/caraway/internal/admission"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/routing"
+	"carawayproxy.example/caraway/internal/service"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+// Dispatcher carries requests through their life. It is safe for concurrent
+// use.
+type Dispatcher struct {
+	cfg      Config
+	budgets  budgets
+	runTimes runTimes
+	solo     solo
+	metrics  dispatchMetrics
+	inFlight atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	cfg.Timings = cfg.withDefaults()
+	if cfg.Daemons == nil {
+		cfg.Daemons = func() int { return 1 }
+	}
+	return &Dispatcher{cfg: cfg, metrics: newDispatchMetrics(cfg.Metrics)}
+}
+
+// InFlight returns how many requests are in progress, with the calls whose
+// callers are answered and whose outcomes are still awaited.
+func (d *Dispatcher) InFlight() int { return int(d.inFlight.Load()) }
+
+// Drain refuses new requests from now on. Those in flight go on.
+func (d *Dispatcher) Drain() {
+	if !d.draining.Swap(true) {
+		d.cfg.Events.Emit(eventDraining, "in_flight", d.InFlight())
+	}
+}
+
+// enter counts a request in, unless the daemon drains. The count comes first,
+// so that no request slips in after Drain has seen zero.
+func (d *Dispatcher) enter() *fleet.Failure {
+	d.inFlight.Add(1)
+	d.metrics.requests.Inc(1)
+	if !d.draining.Load() {
+		return nil
+	}
+	d.inFlight.Add(-1)
+	return fleet.Refuse(fleet.ReasonDraining, spread(retryAfterDrain), "this daemon is stopping; another one takes the request")
+}
+
+func (d *Dispatcher) leave() { d.inFlight.Add(-1) }
+
+// refused counts and logs a request's final failure.
+func (d *Dispatcher) refused(id fleet.RequestID, name fleet.ServiceName, ws fleet.Workspace, f *fleet.Failure) {
+	d.metrics.refused.Inc(1)
+	d.cfg.Events.Emit(eventRefused, "request", id, "service", name, "workspace", ws,
+		"state", f.State, "reason", f.Reason, "field", f.Field, "retry_after", f.RetryAfter, "message", f.Message)
+}
+
+// admit asks admission for a place, with the router's prediction.
+func (d *Dispatcher) admit(ctx context.Context, spec *service.Spec, ws service.WorkspaceSpec, dec routing.Decision) (Ticket, *fleet.Failure) {
+	deadline, _ := ctx.Deadline()
+	return d.cfg.Admission.Admit(time.Now(), admission.Request{
+		Workspace:     ws.Name,
+		Service:       spec.Service,
+		Weight:        ws.Share,
+		MaxInFlight:   ws.MaxInFlight,
+		Deadline:      deadline,
+		PredictedWait: dec.Wait,
+		PredictedRun:  d.runTimes.get(spec.Service),
+		Capacity:      d.capacity(dec),
+	})
+}
+
+// capacity is this daemon's part of what the groups can run at once.
+func (d *Dispatcher) capacity(dec routing.Decision) uint32 {
+	var total uint32
+	if dec.Chosen != nil {
+		total += candidateCapacity(*dec.Chosen)
+	}
+	for _, s := range dec.Others {
+		total += candidateCapacity(s.Candidate)
+	}
+	daemons := uint32(max(d.cfg.Daemons(), 1))
+	return (total + daemons - 1) / daemons
+}
+
+func candidateCapacity(c routing.Candidate) uint32 {
+	if c.Limit > 0 && c.Limit < c.MaxRunning {
+		return c.Limit
+	}
+	return c.MaxRunning
+}
+
+// standing refuses convicted requests and says whether one must run alone.
+func (d *Dispatcher) standing(id fleet.RequestID, name fleet.ServiceName, fp suspect.Fingerprint) (alone bool, f *fleet.Failure) {
+	switch d.cfg.Suspects.Standing(fp) {
+	case suspect.Convicted:
+		d.cfg.Events.Emit(eventSuspectRefused, "request", id, "service", name, "fingerprint", fp)
+		return false, fleet.Refuse(fleet.ReasonSuspect, 0, "the request resembles requests that crash backend servers")
+	case suspect.Alone:
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
+// spread adds up to half, so that callers do not come back together.
+func spread(d time.Duration) time.Duration {
+	return d + rand.N(d/2+1)
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// sampleSize is how many values a histogram keeps.
+const sampleSize = 1028
+
+type dispatchMetrics struct {
+	requests, refused, attempts, retries, resumed, noBudget      metrics.Counter
+	crossed, broken, stalled, lapsed, cancels, uncertain, tokens metrics.Counter
+	firstToken                                                   metrics.Histogram // milliseconds
+}
+
+func newDispatchMetrics(r metrics.Registry) dispatchMetrics {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	count := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, r) }
+	return dispatchMetrics{
+		requests:   count("requests"),
+		refused:    count("refused"),
+		attempts:   count("attempts"),
+		retries:    count("retries"),
+		resumed:    count("resumed"),
+		noBudget:   count("retries_over_budget"),
+		crossed:    count("crossed_answers"),
+		broken:     count("broken_answers"),
+		stalled:    count("stalled"),
+		lapsed:     count("lapsed"),
+		cancels:    count("cancels"),
+		uncertain:  count("uncertain"),
+		tokens:     count("tokens"),
+		firstToken: metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -84,6 +84,14 @@
 	Finish(ctx context.Context, token ledger.Token, answer ledger.Answer)
 	// Abandon records that the request was never sent.
 	Abandon(ctx context.Context, token ledger.Token)
+	// Lookup says what is known of a key without asking the log.
+	Lookup(key ledger.Key, digest uint64) (ledger.Grant, bool)
+	// Holds reports whether a grant still stands, immediately before the
+	// request is sent.
+	Holds(token ledger.Token) bool
+	// Doubt records that the request was sent and got no answer that can be
+	// trusted. A later Finish replaces it.
+	Doubt(ctx context.Context, token ledger.Token)
 }
 
 // Suspects tells how requests stand and learns of group deaths.
@@ -102,3 +110,8 @@
 	// it may be out of date.
 	Catalog() (*service.Catalog, *fleet.Failure)
 }
+
+var (
+	_ Ledger   = (*ledger.Client)(nil)
+	_ Suspects = (*suspect.Tracker)(nil)
+)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -264,6 +264,7 @@
 }
 
 func (c *Client) replay(key Key, a Answer) Grant {
+	invariant.Check(xxhash.Sum64(a.Body) == a.Digest || a.Failed, "ledger-whole-answer", "answer of key %v does not match its digest", key)
 	c.metrics.replays.Inc(1)
 	c.cfg.Events.Emit(eventReplayed, "workspace", key.Workspace, "service", key.Service, "key", key.Caller)
 	return Grant{Decision: Replay, Answer: a}
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -50,12 +50,16 @@
 // planned stop waits for zero.
 func (c *Client) Pending() int { return c.queue.len() }
 
-// write tries once within FinishWait and leaves the rest to Run. The record
+// write tries once within FinishWait and half of the caller's time, and leaves the rest to Run. The record
 // is pending from the start.
 func (c *Client) write(ctx context.Context, t Token, r record) {
 	r.token = t
 	c.queue.add(r, true)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.cfg.FinishWait)
+	wait := c.cfg.FinishWait
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) > 0 {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
 	defer cancel()
 	if c.record(ctx, r) {
 		c.queue.remove(r)
