Add the stand-ins and the adapters to platform and backend servers

Cause: the whole path needs something on both ends. The stand-ins keep their faults in one implementation for tests and processes. Before: types only. Conclusion: only a failed dial and a refusal by the peer prove NOT_RUN.

--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -69,7 +69,8 @@
 // Stream is the answer to one attempt.
 type Stream interface {
 	// Next returns the next chunk. After the chunk with the end, or when the
-	// connection ends before it, it returns io.EOF.
+	// connection ends before it, it returns io.EOF. The chunk's tokens are
+	// valid until the next call.
 	Next() (Chunk, error)
 	// Close drops the stream and its connection's share.
 	Close()
--- /dev/null
+++ b/internal/httpx/httpx.go
@@ -0,0 +1,94 @@
+// Package httpx builds the HTTP servers and clients that all listeners and
+// links share: HTTP/1.1 and cleartext HTTP/2 with bounded headers and idle
+// times, over a dialer that says when a request provably was not sent.
+package httpx
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of servers and clients.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	dialTimeout       = 2 * time.Second
+	maxHeaderBytes    = 32 << 10
+	pingAfter         = 2 * time.Second
+	pingTimeout       = 2 * time.Second
+	writeByteTimeout  = 10 * time.Second
+	maxIdlePerHost    = 64
+)
+
+// ErrDial marks a request whose connection was never made.
+var ErrDial = errors.New("dial failed")
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer is the DialFunc of the machine's own network.
+func Dialer() DialFunc {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
+	return d.DialContext
+}
+
+// NewServer returns a server for one listener. It speaks HTTP/1.1 and HTTP/2,
+// with TLS when tlsConfig is set and in clear text otherwise.
+func NewServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(tlsConfig == nil)
+	return &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         p,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: writeByteTimeout,
+		},
+	}
+}
+
+// NewClient returns a client that speaks cleartext HTTP/2 over dial. A failed
+// dial shows as ErrDial.
+func NewClient(dial DialFunc) *http.Client {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols:           p,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression:  true,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: writeByteTimeout,
+		},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			return conn, nil
+		},
+	}}
+}
+
+// dialError wraps what kept a connection from being made.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string        { return "dial: " + e.err.Error() }
+func (e *dialError) Unwrap() error        { return e.err }
+func (e *dialError) Is(target error) bool { return target == ErrDial }
--- /dev/null
+++ b/standin/platform/weights.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// WeightsConfig sets the store's rate.
+type WeightsConfig struct {
+	// BytesPerSecond is shared by all fetches, 64 GiB/s when zero.
+	BytesPerSecond float64
+	// ArtifactBytes is the size of each artifact, 16 GiB when zero.
+	ArtifactBytes uint64
+}
+
+const (
+	defaultWeightRate    = 64 << 30
+	defaultArtifactBytes = 16 << 30
+)
+
+// Weights is the rate-limited weight store. It is safe for concurrent use.
+type Weights struct {
+	mu      sync.Mutex
+	cfg     WeightsConfig
+	limiter *rate.Limiter
+	down    bool
+	fetches int
+}
+
+// NewWeights returns a store that has every artifact.
+func NewWeights(cfg WeightsConfig) *Weights {
+	if cfg.BytesPerSecond == 0 {
+		cfg.BytesPerSecond = defaultWeightRate
+	}
+	if cfg.ArtifactBytes == 0 {
+		cfg.ArtifactBytes = defaultArtifactBytes
+	}
+	return &Weights{cfg: cfg, limiter: newByteLimiter(cfg)}
+}
+
+// newByteLimiter counts in MiB so that artifacts fit a limiter's burst.
+func newByteLimiter(cfg WeightsConfig) *rate.Limiter {
+	burst := int(cfg.ArtifactBytes>>20) + 1
+	return rate.NewLimiter(rate.Limit(cfg.BytesPerSecond/(1<<20)), burst)
+}
+
+// SetRate changes the store's rate.
+func (w *Weights) SetRate(bytesPerSecond float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cfg.BytesPerSecond = bytesPerSecond
+	w.limiter.SetLimit(rate.Limit(bytesPerSecond / (1 << 20)))
+}
+
+// SetDown makes Fetch fail while down.
+func (w *Weights) SetDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
+// Fetches returns how many fetches ended well.
+func (w *Weights) Fetches() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fetches
+}
+
+// Fetch waits for the rate limit to let one artifact through and returns its
+// size in bytes.
+func (w *Weights) Fetch(ctx context.Context) (uint64, error) {
+	w.mu.Lock()
+	down, size, limiter := w.down, w.cfg.ArtifactBytes, w.limiter
+	w.mu.Unlock()
+	if down {
+		return 0, ErrOutage
+	}
+	// WaitN refuses at once when the wait would pass the deadline of ctx.
+	if err := limiter.WaitN(ctx, int(size>>20)); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	w.fetches++
+	w.mu.Unlock()
+	return size, nil
+}
