--- /dev/null
+++ b/internal/group/book.go
@@ -0,0 +1,178 @@
+package group
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+// Book folds the group records of the control stream. It is safe for
+// concurrent use.
+type Book struct {
+	terms lease.Terms
+	view  atomic.Pointer[View] // nil after a change, until it is asked for
+
+	mu     sync.Mutex
+	groups map[fleet.GroupID]*Group
+	owner  map[fleet.InstanceID]fleet.GroupID
+	issued map[lease.Scope]IDMark
+}
+
+var _ journal.Fold = (*Book)(nil)
+
+// NewBook returns an empty book that fences records by the given terms, which
+// must be folded from the same stream.
+func NewBook(terms lease.Terms) *Book {
+	return &Book{
+		terms:  terms,
+		groups: map[fleet.GroupID]*Group{},
+		owner:  map[fleet.InstanceID]fleet.GroupID{},
+		issued: map[lease.Scope]IDMark{},
+	}
+}
+
+// Kinds implements journal.Fold.
+func (b *Book) Kinds() []journal.Kind {
+	return []journal.Kind{KindForm, KindRepair, KindDrain, KindDissolve}
+}
+
+// View returns the groups as they stand. The caller must not change it.
+func (b *Book) View() *View {
+	if v := b.view.Load(); v != nil {
+		return v
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := &View{
+		Groups:     maps.Clone(b.groups),
+		ByInstance: maps.Clone(b.owner),
+		Issued:     maps.Clone(b.issued),
+	}
+	checkExclusive(v)
+	b.view.Store(v)
+	return v
+}
+
+// Apply implements journal.Fold.
+func (b *Book) Apply(_ journal.Offset, r journal.Record) (journal.Verdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch r.Kind {
+	case KindForm:
+		return apply(r, b.form)
+	case KindRepair:
+		return apply(r, b.repair)
+	case KindDrain:
+		return apply(r, b.drain)
+	case KindDissolve:
+		return apply(r, b.dissolve)
+	}
+	return journal.Verdict{}, errors.Errorf("group: record kind %q is unknown", r.Kind)
+}
+
+// apply decodes the body and runs the rule on it.
+func apply[T any](r journal.Record, rule func(fleet.DaemonID, *T) error) (journal.Verdict, error) {
+	var body T
+	if err := cbor.Unmarshal(r.Body, &body); err != nil {
+		return journal.Verdict{}, errors.Wrapf(err, "group: body of %s", r.Kind)
+	}
+	if err := rule(r.Author, &body); err != nil {
+		return journal.Reject(err.Error()), nil
+	}
+	return journal.Accept(), nil
+}
+
+func (b *Book) form(author fleet.DaemonID, r *FormRecord) error {
+	g := &r.Group
+	if err := b.fence(author, g.Scope, g.Term); err != nil {
+		return err
+	}
+	if err := b.checkNewID(g); err != nil {
+		return err
+	}
+	if g.Epoch != 1 || g.Phase != PhaseActive || g.Service == "" {
+		return errors.New("a new group has epoch 1, phase active and a service")
+	}
+	if err := b.checkInstances(g); err != nil {
+		return err
+	}
+	_, mark, _ := ParseID(g.ID)
+	b.issued[g.Scope] = mark
+	b.put(g)
+	return nil
+}
+
+func (b *Book) repair(author fleet.DaemonID, r *RepairRecord) error {
+	old, err := b.current(author, r.Scope, r.Term, r.Group)
+	if err != nil {
+		return err
+	}
+	if r.Epoch != old.Epoch+1 {
+		return fmt.Errorf("epoch %d does not follow %d", r.Epoch, old.Epoch)
+	}
+	if len(r.Members) != len(old.Members) {
+		return fmt.Errorf("%d members for a group of %d", len(r.Members), len(old.Members))
+	}
+	g := *old
+	g.Epoch, g.Term, g.Phase = r.Epoch, r.Term, PhaseActive
+	g.Members, g.Spares = r.Members, r.Spares
+	if r.ServiceRevision > 0 {
+		g.ServiceRevision = r.ServiceRevision
+	}
+	if err := b.checkInstances(&g); err != nil {
+		return err
+	}
+	b.remove(old)
+	b.put(&g)
+	return nil
+}
+
+func (b *Book) drain(author fleet.DaemonID, r *DrainRecord) error {
+	old, err := b.currentAt(author, r.Scope, r.Term, r.Group, r.Epoch)
+	if err != nil {
+		return err
+	}
+	g := *old
+	g.Phase, g.Term = PhaseDraining, r.Term
+	b.put(&g)
+	return nil
+}
+
+func (b *Book) dissolve(author fleet.DaemonID, r *DissolveRecord) error {
+	old, err := b.currentAt(author, r.Scope, r.Term, r.Group, r.Epoch)
+	if err != nil {
+		return err
+	}
+	b.remove(old)
+	return nil
+}
+
+// put takes a checked group in.
+func (b *Book) put(g *Group) {
+	b.groups[g.ID] = g
+	for m := range g.All() {
+		holder, taken := b.owner[m.Instance]
+		invariant.Check(!taken || holder == g.ID, InvariantExclusive,
+			"instance %s of group %s is also in group %s", m.Instance, g.ID, holder)
+		b.owner[m.Instance] = g.ID
+	}
+	b.view.Store(nil)
+}
+
+// remove frees the instances of a group and forgets it.
+func (b *Book) remove(g *Group) {
+	delete(b.groups, g.ID)
+	for m := range g.All() {
+		delete(b.owner, m.Instance)
+	}
+	b.view.Store(nil)
+}
--- /dev/null
+++ b/internal/group/rules.go
@@ -0,0 +1,131 @@
+package group
+
+import (
+	"fmt"
+	"iter"
+
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+// InvariantExclusive names the invariant that no instance is in two groups.
+const InvariantExclusive = "group.exclusive"
+
+// All yields members and spares.
+func (g *Group) All() iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, m := range g.Members {
+			if !yield(m) {
+				return
+			}
+		}
+		for _, m := range g.Spares {
+			if !yield(m) {
+				return
+			}
+		}
+	}
+}
+
+// fence accepts only records of the scope's holder under its current term.
+func (b *Book) fence(author fleet.DaemonID, scope lease.Scope, term lease.Term) error {
+	l, ok := b.terms.Current(scope)
+	switch {
+	case !ok:
+		return fmt.Errorf("scope %q has no lease", scope)
+	case term != l.Term:
+		return fmt.Errorf("term %d of scope %q is not the current %d", term, scope, l.Term)
+	case l.Released:
+		return fmt.Errorf("term %d of scope %q is released", term, scope)
+	case author != l.Holder:
+		return fmt.Errorf("author %q does not hold scope %q", author, scope)
+	}
+	return nil
+}
+
+// current returns the group that a record is about, if it may be changed
+// under this scope and term.
+func (b *Book) current(author fleet.DaemonID, scope lease.Scope, term lease.Term, id fleet.GroupID) (*Group, error) {
+	if err := b.fence(author, scope, term); err != nil {
+		return nil, err
+	}
+	g, ok := b.groups[id]
+	if !ok {
+		return nil, fmt.Errorf("group %q does not exist", id)
+	}
+	if g.Scope != scope {
+		return nil, fmt.Errorf("group %q belongs to scope %q", id, g.Scope)
+	}
+	return g, nil
+}
+
+// currentAt is current for records that name the epoch they found.
+func (b *Book) currentAt(author fleet.DaemonID, scope lease.Scope, term lease.Term, id fleet.GroupID, epoch fleet.Epoch) (*Group, error) {
+	g, err := b.current(author, scope, term, id)
+	if err != nil {
+		return nil, err
+	}
+	if g.Epoch != epoch {
+		return nil, fmt.Errorf("group %q is at epoch %d, not %d", id, g.Epoch, epoch)
+	}
+	return g, nil
+}
+
+// checkNewID accepts only an id that its scope has never given out.
+func (b *Book) checkNewID(g *Group) error {
+	scope, mark, ok := ParseID(g.ID)
+	if !ok || scope != g.Scope || mark.Term != g.Term {
+		return fmt.Errorf("id %q does not name scope %q and term %d", g.ID, g.Scope, g.Term)
+	}
+	if !b.issued[scope].Less(mark) {
+		return fmt.Errorf("id %q was given out before", g.ID)
+	}
+	return nil
+}
+
+// checkInstances accepts a membership only if each instance is named once, is
+// free or already this group's, and is in the group's fabric domain.
+func (b *Book) checkInstances(g *Group) error {
+	if len(g.Members) == 0 {
+		return errors.New("a group has at least one member")
+	}
+	if len(g.Spares) >= len(g.Members) {
+		return fmt.Errorf("%d spares for %d members: there must be fewer", len(g.Spares), len(g.Members))
+	}
+	instances := map[fleet.InstanceID]bool{}
+	addresses := map[string]bool{}
+	for m := range g.All() {
+		if m.Instance == "" || m.Address == "" {
+			return errors.New("a member has an instance and an address")
+		}
+		if instances[m.Instance] || addresses[m.Address] {
+			return fmt.Errorf("instance %q is named twice", m.Instance)
+		}
+		instances[m.Instance], addresses[m.Address] = true, true
+		if m.Fabric != g.Fabric {
+			return fmt.Errorf("instance %q is in fabric domain %q, the group in %q", m.Instance, m.Fabric, g.Fabric)
+		}
+		if holder, taken := b.owner[m.Instance]; taken && holder != g.ID {
+			return fmt.Errorf("instance %q is in group %q", m.Instance, holder)
+		}
+	}
+	return nil
+}
+
+// checkExclusive asserts over a whole view that no instance is in two groups
+// and that the index by instance agrees with the groups.
+func checkExclusive(v *View) {
+	places := 0
+	for id, g := range v.Groups {
+		for m := range g.All() {
+			places++
+			invariant.Check(v.ByInstance[m.Instance] == id, InvariantExclusive,
+				"instance %s of group %s is also in group %s", m.Instance, id, v.ByInstance[m.Instance])
+		}
+	}
+	invariant.Check(places == len(v.ByInstance), InvariantExclusive,
+		"%d places in groups for %d instances", places, len(v.ByInstance))
+}
--- a/internal/group/types.go
+++ b/internal/group/types.go
@@ -22,39 +22,43 @@
 
 // Member is one instance of a group.
 type Member struct {
-	Instance      fleet.InstanceID
-	Address       string // "ip:port"
-	Zone          fleet.Zone
-	Accelerators  uint32
-	ChecksFencing bool
+	Instance      fleet.InstanceID   `cbor:"1,keyasint"`
+	Address       string             `cbor:"2,keyasint"` // "ip:port"
+	Zone          fleet.Zone         `cbor:"3,keyasint,omitempty"`
+	Accelerators  uint32             `cbor:"4,keyasint,omitempty"`
+	ChecksFencing bool               `cbor:"5,keyasint,omitempty"`
+	Fabric        fleet.FabricDomain `cbor:"6,keyasint,omitempty"`
 }
 
 // Group is one replica group as the control stream has it. Values are
 // immutable once they are in a View.
 type Group struct {
-	ID       fleet.GroupID
-	Epoch    fleet.Epoch
-	Service  fleet.ServiceName
-	Model    string
-	Version  fleet.Version
-	Adapters []fleet.Adapter
-	Role     fleet.Role
-	Fabric   fleet.FabricDomain
-	Members  []Member // in rank order
-	// Spares are reserved for this group and idle until a repair.
-	Spares []Member
-	Phase  Phase
+	ID       fleet.GroupID      `cbor:"1,keyasint"`
+	Epoch    fleet.Epoch        `cbor:"2,keyasint"`
+	Service  fleet.ServiceName  `cbor:"3,keyasint"`
+	Model    string             `cbor:"4,keyasint,omitempty"`
+	Version  fleet.Version      `cbor:"5,keyasint,omitempty"`
+	Adapters []fleet.Adapter    `cbor:"6,keyasint,omitempty"`
+	Role     fleet.Role         `cbor:"7,keyasint,omitempty"`
+	Fabric   fleet.FabricDomain `cbor:"8,keyasint,omitempty"`
+	Members  []Member           `cbor:"9,keyasint"` // in rank order
+	// Spares are reserved for this group and idle until a repair. There are
+	// fewer spares than members.
+	Spares []Member `cbor:"10,keyasint,omitempty"`
+	Phase  Phase    `cbor:"11,keyasint"`
 	// Scope and Term are those of the lease the record was written under.
-	Scope lease.Scope
-	Term  lease.Term
+	Scope lease.Scope `cbor:"12,keyasint"`
+	Term  lease.Term  `cbor:"13,keyasint"`
 	// ServiceRevision is the service's revision the group was planned for.
-	ServiceRevision uint64
+	ServiceRevision uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // View is an immutable state of all groups.
 type View struct {
 	Groups     map[fleet.GroupID]*Group
 	ByInstance map[fleet.InstanceID]fleet.GroupID // members and spares
+	// Issued has the last group id given out in each scope.
+	Issued map[lease.Scope]IDMark
 }
 
 // Reports gives the latest report of an instance.
