Add routing and admission, thin but whole

Decisions list the four cheapest groups not chosen, since copies of all candidates would cost 67 KB a decision at 225 groups. Admission keeps a fair share for each workspace under a learned limit, never queues, and gives each refused request of a workspace the next turn of its drain rate as time to come back.

--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,113 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/invariant"
+)
+
+// shardCount is the number of shards of a controller.
+const shardCount = 16
+
+// Config holds a controller's settings. The zero value is usable.
+type Config struct {
+	// Seed starts the random numbers that spread callers' returns.
+	Seed uint64
+	// NewLimiter makes the limiter of one service, NewAIMD with its defaults
+	// when nil.
+	NewLimiter func() Limiter
+}
+
+// Ticket is an admitted request's place; it is returned exactly once.
+type Ticket interface {
+	// Release gives the place back and tells what became of the request.
+	Release(now time.Time, res Result)
+}
+
+// Controller decides whether requests may start. It never queues: a request
+// is admitted or refused at once. Its state is sharded by service, each shard
+// under its own lock; it is safe for concurrent use.
+type Controller struct {
+	cfg    Config
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu       sync.Mutex
+	services map[fleet.ServiceName]*service
+}
+
+// NewController returns a controller without any request in flight.
+func NewController(cfg Config) *Controller {
+	if cfg.NewLimiter == nil {
+		cfg.NewLimiter = func() Limiter { return NewAIMD(AIMDConfig{}) }
+	}
+	c := &Controller{cfg: cfg}
+	for i := range c.shards {
+		c.shards[i].services = map[fleet.ServiceName]*service{}
+	}
+	return c
+}
+
+// Admit lets the request start or refuses it at once. A refusal is NOT_RUN
+// with reason deadline or overloaded, and tells when to come back.
+func (c *Controller) Admit(now time.Time, req Request) (Ticket, *fleet.Failure) {
+	hash := xxhash.Sum64String(string(req.Service))
+	sh := &c.shards[hash%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.services[req.Service]
+	if s == nil {
+		s = newService(c.cfg.NewLimiter(), rand.New(rand.NewPCG(c.cfg.Seed, hash)))
+		sh.services[req.Service] = s
+	}
+	w, failure := s.admit(now, req)
+	if failure != nil {
+		return nil, failure
+	}
+	return &ticket{shard: sh, service: s, workspace: w}, nil
+}
+
+// Status is what a controller holds of one service.
+type Status struct {
+	Limit         float64 // learned, before the capacity bounds it
+	InFlight      int
+	EndsPerSecond float64
+}
+
+// Status returns what is held of a service, the zero value when nothing is.
+func (c *Controller) Status(now time.Time, name fleet.ServiceName) Status {
+	sh := &c.shards[xxhash.Sum64String(string(name))%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.services[name]
+	if s == nil {
+		return Status{}
+	}
+	return Status{Limit: s.limiter.Limit(), InFlight: s.inFlight, EndsPerSecond: s.drain.perSecond(now)}
+}
+
+// ticket is a place in a service's and a workspace's requests in flight.
+type ticket struct {
+	shard     *shard
+	service   *service
+	workspace *workspace
+	released  bool // under the shard's lock
+}
+
+// Release implements Ticket.
+func (t *ticket) Release(now time.Time, res Result) {
+	t.shard.mu.Lock()
+	defer t.shard.mu.Unlock()
+	invariant.Check(!t.released, "admission.released_once", "ticket of workspace %s released twice", t.workspace.name)
+	if t.released {
+		return
+	}
+	t.released = true
+	t.service.release(now, t.workspace, res)
+}
--- /dev/null
+++ b/internal/routing/policy_test.go
@@ -0,0 +1,131 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+const model fleet.ServiceName = "drafting"
+
+// whole returns n idle, whole groups of the service model.
+func whole(n int) []Candidate {
+	candidates := make([]Candidate, n)
+	for i := range candidates {
+		candidates[i] = Candidate{
+			Group: fleet.GroupID(fmt.Sprintf("g%d", i)), Service: model, Version: "v1",
+			Adapters: []fleet.Adapter{"nepali"}, Zone: "a", Fabric: fleet.FabricDomain(fmt.Sprintf("f%d", i%4)),
+			Whole: true, MaxRunning: 40, TokensPerSecond: 1500,
+		}
+	}
+	return candidates
+}
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+func TestFilters(t *testing.T) {
+	ask := Request{Service: model, Version: "v1", Adapter: "nepali", Zone: "a"}
+	for _, test := range []struct {
+		name   string
+		change func(r *Request, c *Candidate)
+		filter string
+		reason string
+	}{
+		{"other service", func(_ *Request, c *Candidate) { c.Service = "booking" }, "service", "other service"},
+		{"other version", func(_ *Request, c *Candidate) { c.Version = "v2" }, "service", "other version"},
+		{"other adapter", func(r *Request, _ *Candidate) { r.Adapter = "english" }, "service", "adapter not loaded"},
+		{"other role", func(_ *Request, c *Candidate) { c.Role = "prefill" }, "service", "other role"},
+		{"not whole", func(_ *Request, c *Candidate) { c.Whole = false }, "whole", "not whole"},
+		{"reason of wholeness", func(_ *Request, c *Candidate) { c.Whole, c.WholeReason = false, "rank 2 missing" }, "whole", "rank 2 missing"},
+		{"draining", func(_ *Request, c *Candidate) { c.Draining = true }, "staying", "draining"},
+		{"leaving", func(_ *Request, c *Candidate) { c.Leaving = true }, "staying", "a member is leaving"},
+		{"alone, own", func(r *Request, c *Candidate) { r.Alone, c.OwnInFlight = true, 1 }, "alone", "others in flight"},
+		{"alone, peer", func(r *Request, c *Candidate) { r.Alone, c.PeerInFlight = true, 1 }, "alone", "others in flight"},
+		{"alone, reported", func(r *Request, c *Candidate) { r.Alone, c.Queued = true, 1 }, "alone", "others in flight"},
+		{"limit", func(_ *Request, c *Candidate) { c.Limit, c.OwnInFlight = 3, 3 }, "limit", "at its limit"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			req, candidates := ask, whole(1)
+			d := DefaultPolicy().Choose(req, candidates, seeded(1))
+			assert.Equal(t, d.Chosen.Group, fleet.GroupID("g0"))
+
+			test.change(&req, &candidates[0])
+			d = DefaultPolicy().Choose(req, candidates, seeded(1))
+			assert.Assert(t, d.Chosen == nil)
+			assert.DeepEqual(t, d.Rejected, []Rejected{{Group: "g0", Filter: test.filter, Reason: test.reason}})
+		})
+	}
+}
+
+func TestTriedGroupIsUsedOnlyWhenNothingElseExists(t *testing.T) {
+	candidates := whole(3)
+	candidates[2].Whole = false
+	req := Request{Service: model, Tried: []fleet.GroupID{"g0"}}
+	for seed := range uint64(50) {
+		d := DefaultPolicy().Choose(req, candidates, seeded(seed))
+		assert.Equal(t, d.Chosen.Group, fleet.GroupID("g1"))
+	}
+	req.Tried = []fleet.GroupID{"g0", "g1"}
+	d := DefaultPolicy().Choose(req, candidates, seeded(1))
+	assert.Assert(t, d.Chosen != nil && d.Chosen.Group != "g2", "a group that is not whole is never used")
+	assert.Equal(t, len(d.Rejected), 3)
+}
+
+func TestAvoidedFabricIsLeftWhileAnotherExists(t *testing.T) {
+	candidates := whole(8)
+	req := Request{Service: model, AvoidFabric: []fleet.FabricDomain{"f0", "f1", "f2"}}
+	for seed := range uint64(50) {
+		d := DefaultPolicy().Choose(req, candidates, seeded(seed))
+		assert.Equal(t, d.Chosen.Fabric, fleet.FabricDomain("f3"))
+	}
+	req.AvoidFabric = append(req.AvoidFabric, "f3")
+	assert.Assert(t, DefaultPolicy().Choose(req, candidates, seeded(1)).Chosen != nil)
+}
+
+func TestOthersAreTheCheapestInOrder(t *testing.T) {
+	candidates := whole(10)
+	for i := range candidates {
+		candidates[i].OwnInFlight = uint32(40 + (i*7)%10)
+	}
+	d := Policy{Filters: DefaultFilters(), Scorers: []Scorer{OwnInFlight{}}, Picker: Cheapest{}}.
+		Choose(Request{Service: model}, candidates, seeded(1))
+	assert.Equal(t, d.Cost, 40.0)
+	assert.Equal(t, len(d.Others), listedOthers)
+	for i, o := range d.Others {
+		assert.Equal(t, o.Cost, float64(41+i))
+	}
+}
+
+func TestPrefixes(t *testing.T) {
+	assert.Equal(t, len(Prefixes(strings.Repeat("x", PrefixBlock-1))), 0)
+	a := Prefixes(strings.Repeat("x", 3*PrefixBlock+17))
+	b := Prefixes(strings.Repeat("x", 2*PrefixBlock) + strings.Repeat("y", PrefixBlock))
+	assert.Equal(t, len(a), 3)
+	assert.DeepEqual(t, a[:2], b[:2])
+	assert.Assert(t, a[2] != b[2])
+}
+
+func TestPrefixIndex(t *testing.T) {
+	x := NewPrefixIndex(4)
+	p := []uint64{1, 2, 3, 4, 5, 6}
+	assert.Equal(t, x.Match("g", p), 0)
+	x.Observe("g", 1, false)
+	x.Observe("g", 3, false) // the event of 2 was lost
+	assert.Equal(t, x.Match("g", p), 3)
+	assert.Equal(t, x.Match("h", p), 0)
+	x.Observe("g", 3, true)
+	assert.Equal(t, x.Match("g", p), 1)
+	x.Observe("g", 3, false)
+	for _, prefix := range []uint64{10, 11, 12} {
+		x.Observe("g", prefix, false)
+	}
+	assert.Equal(t, x.Match("g", p), 3, "an old place of a prefix does not evict its new one")
+	assert.Equal(t, len(x.shard("g").groups["g"].known), 4)
+	x.Forget("g")
+	assert.Equal(t, x.Match("g", p), 0)
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -59,6 +59,11 @@
 	AvoidFabric []fleet.FabricDomain
 	// Alone asks for a group with nothing in flight.
 	Alone bool
+	// Role is what the group must do, RoleServe when empty.
+	Role fleet.Role
+
+	// meanInFlight is set by Choose: the mean over the groups left.
+	meanInFlight float64
 }
 
 // Scored is a candidate with its cost, lower is better.
@@ -78,7 +83,7 @@
 type Decision struct {
 	Chosen   *Candidate // nil when no candidate is left
 	Cost     float64
-	Others   []Scored // those not chosen, best first
+	Others   []Scored // the cheapest few not chosen, best first
 	Rejected []Rejected
 	// Wait is the predicted time to the first token at the chosen group.
 	Wait time.Duration
