membership: mesh of heartbeats, relay, news, registry, readiness

First working version of the seams that the daemon is wired against. Links are WebSockets with CBOR messages; the dialer speaks first, because both ends of an unbuffered pipe would otherwise wait for each other. A heartbeat echoes what its sender last heard of the receiver and for how long it held it, so that the receiver knows by its own monotonic clock a moment before which the heartbeat was not sent; confirmations of the log rest on that bound and not on the time of arrival, which a frozen receiver would misread.

--- /dev/null
+++ b/internal/membership/connect.go
@@ -0,0 +1,297 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// PeerPath is the path at which a daemon accepts links.
+const PeerPath = "/peer"
+
+// maxHelloBytes bounds the first message of a link.
+const maxHelloBytes = 4 << 10
+
+// Reasons for ending a link.
+var (
+	errReplaced  = errors.New("replaced by another link to the same peer")
+	errSurplus   = errors.New("the pair has another link")
+	errOwnLink   = errors.New("the address is the daemon's own")
+	errNotHello  = errors.New("the first message is not a hello")
+	errStopped   = errors.New("stopped")
+	errManyLinks = errors.New("too many links")
+)
+
+func isUnknownType(err error) bool { return errors.Is(err, errUnknownType) }
+
+// Handler accepts peers' links at PeerPath. It refuses them while the mesh is
+// not running.
+func (m *Mesh) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PeerPath, m.accept)
+	return mux
+}
+
+func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
+	if !m.enter() {
+		http.Error(w, "not running", http.StatusServiceUnavailable)
+		return
+	}
+	defer m.tasks.Done()
+	ctx := m.runContext()
+	if ctx == nil || m.full() {
+		http.Error(w, errManyLinks.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered
+	}
+	m.runLink(ctx, conn, false)
+}
+
+func (m *Mesh) runContext() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.running
+}
+
+func (m *Mesh) full() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links) >= m.cfg.MaxLinks
+}
+
+// runDialers keeps one dialer for each chosen address until ctx ends.
+func (m *Mesh) runDialers(ctx context.Context) {
+	stops := map[string]context.CancelFunc{}
+	defer func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}()
+	tick := time.NewTicker(redialMax)
+	defer tick.Stop()
+	for {
+		m.mu.Lock()
+		chosen := m.chosen()
+		m.mu.Unlock()
+		m.adjustDialers(ctx, stops, chosen)
+		select {
+		case <-m.wanted:
+		case <-tick.C: // zones may have become known
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Mesh) adjustDialers(ctx context.Context, stops map[string]context.CancelFunc, chosen []string) {
+	wanted := make(map[string]bool, len(chosen))
+	for _, address := range chosen {
+		wanted[address] = true
+		if stops[address] != nil {
+			continue
+		}
+		dialCtx, stop := context.WithCancel(ctx)
+		stops[address] = stop
+		if !m.spawn(func() { m.runDialer(ctx, dialCtx, address) }) {
+			stop()
+		}
+	}
+	for address, stop := range stops {
+		if !wanted[address] {
+			stop()
+			delete(stops, address)
+		}
+	}
+}
+
+// runDialer keeps a link to an address until dialing ends. An open link lasts
+// until ctx ends: a place that is no longer chosen keeps it while it works.
+func (m *Mesh) runDialer(ctx, dialing context.Context, address string) {
+	pause := redialMin
+	if m.cfg.Address > address {
+		// The pair's other daemon dials first.
+		sleep(dialing, 2*redialMin)
+	}
+	for dialing.Err() == nil {
+		if m.linkedTo(address) {
+			sleep(dialing, m.cfg.Beat)
+			continue
+		}
+		conn, err := m.dial(dialing, address)
+		if err != nil {
+			m.cfg.Events.Emit(eventDialFailed, "address", address, "err", err)
+			sleep(dialing, pause)
+			pause = min(2*pause, redialMax)
+			continue
+		}
+		started := time.Now()
+		err = m.runLink(ctx, conn, true)
+		if errors.Is(err, errOwnLink) {
+			<-dialing.Done()
+			return
+		}
+		if time.Since(started) > redialMax {
+			pause = redialMin
+		}
+		sleep(dialing, pause)
+		pause = min(2*pause, redialMax)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, address string) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+PeerPath, &websocket.DialOptions{HTTPClient: m.client})
+	return conn, errors.Wrap(err, "dial")
+}
+
+func (m *Mesh) linkedTo(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.peer.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// runLink carries a connection from the hello to its end and returns why it
+// ended.
+func (m *Mesh) runLink(ctx context.Context, conn *websocket.Conn, dialed bool) error {
+	defer conn.CloseNow()
+	peer, err := m.greet(ctx, conn, dialed)
+	if err != nil {
+		return err
+	}
+	l := newLink(conn, *peer, dialed, &m.meters)
+	ctx, l.cancel = context.WithCancelCause(ctx)
+	defer l.cancel(nil)
+	if err := m.register(l); err != nil {
+		return err
+	}
+	defer m.unregister(l)
+	m.cfg.Events.Emit(eventLinkUp, "peer", peer.From, "address", peer.Address, "dialed", dialed)
+	err = m.carry(ctx, l)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	m.cfg.Events.Emit(eventLinkDown, "peer", peer.From, "address", peer.Address, "err", err)
+	return err
+}
+
+// greet exchanges hellos. The dialer speaks first.
+func (m *Mesh) greet(ctx context.Context, conn *websocket.Conn, dialed bool) (*helloMessage, error) {
+	conn.SetReadLimit(maxHelloBytes)
+	if dialed {
+		if err := m.sayHello(ctx, conn); err != nil {
+			return nil, err
+		}
+	}
+	frame, err := readFrame(ctx, conn, dialTimeout, &m.meters)
+	if err != nil {
+		return nil, err
+	}
+	body, err := decode(frame)
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", "unknown", "err", err)
+		return nil, err
+	}
+	hello, ok := body.(*helloMessage)
+	if !ok {
+		return nil, errNotHello
+	}
+	if !dialed {
+		if err := m.sayHello(ctx, conn); err != nil {
+			return nil, err
+		}
+	}
+	if hello.From == m.cfg.Self {
+		return nil, errOwnLink
+	}
+	conn.SetReadLimit(maxMessageBytes)
+	return hello, nil
+}
+
+func (m *Mesh) sayHello(ctx context.Context, conn *websocket.Conn) error {
+	frame, err := encode(&helloMessage{
+		From: m.cfg.Self, Address: m.cfg.Address, Zone: m.cfg.Zone, Incarnation: m.cfg.Incarnation,
+	})
+	if err != nil {
+		return err
+	}
+	return writeFrame(ctx, conn, frame, &m.meters)
+}
+
+// carry sends and receives until either fails or ctx ends.
+func (m *Mesh) carry(ctx context.Context, l *link) error {
+	written := make(chan error, 1)
+	go func() {
+		err := l.write(ctx)
+		l.cancel(err)
+		written <- err
+	}()
+	err := l.read(ctx, 2*m.cfg.AliveFor, func(frame []byte) error { return m.handle(l, frame) })
+	l.cancel(err)
+	<-written
+	return err
+}
+
+// register makes l the link to its peer, unless the pair has a better one.
+func (m *Mesh) register(l *link) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.running == nil {
+		return errStopped
+	}
+	if len(m.links) >= m.cfg.MaxLinks {
+		return errManyLinks
+	}
+	old := m.links[l.peer.From]
+	if old != nil {
+		if m.keeps(old, l) {
+			return errSurplus
+		}
+		old.cancel(errReplaced)
+	}
+	m.links[l.peer.From] = l
+	return nil
+}
+
+// keeps reports whether an open link is kept in favour of a new one: of two
+// that cross, both ends keep the one that the lower id dialed.
+func (m *Mesh) keeps(old, l *link) bool {
+	if old.dialed == l.dialed || old.silentFor(time.Now()) > 2*m.cfg.Beat {
+		return false
+	}
+	return old.dialed == (m.cfg.Self < old.peer.From)
+}
+
+func (m *Mesh) unregister(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.peer.From] != l {
+		return
+	}
+	delete(m.links, l.peer.From)
+	now := time.Now()
+	if m.table.linkLost(now, l.peer.From) {
+		m.cfg.Events.Emit(eventPeerGone, "peer", l.peer.From, "reason", "goodbye")
+	}
+	m.publish(now)
+}
--- /dev/null
+++ b/internal/membership/link.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+const (
+	// linkQueue bounds the messages that wait to be sent on a link.
+	linkQueue = 64
+	// sentKept is how many of the last heartbeats' times a link remembers,
+	// to read echoes.
+	sentKept = 64
+)
+
+// link is an open connection to one peer.
+type link struct {
+	conn   *websocket.Conn
+	peer   helloMessage
+	dialed bool // by this daemon
+	out    chan []byte
+	cancel context.CancelCauseFunc
+	meters *meters
+
+	mu       sync.Mutex
+	heardAt  time.Time
+	heardSeq uint64
+	sent     [sentKept]sentBeat
+	newsSent uint64 // number of the last item sent
+}
+
+type sentBeat struct {
+	sequence uint64
+	at       time.Time
+}
+
+func newLink(conn *websocket.Conn, peer helloMessage, dialed bool, meters *meters) *link {
+	return &link{
+		conn: conn, peer: peer, dialed: dialed, meters: meters,
+		out:     make(chan []byte, linkQueue),
+		heardAt: time.Now(),
+	}
+}
+
+// send queues a message; it reports whether there was room.
+func (l *link) send(frame []byte) bool {
+	select {
+	case l.out <- frame:
+		return true
+	default:
+		l.meters.dropped.Inc(1)
+		return false
+	}
+}
+
+// sendBeat queues a heartbeat with the link's echo.
+func (l *link) sendBeat(now time.Time, b beatMessage) error {
+	b.Echo = l.echo(now)
+	frame, err := encode(&b)
+	if err != nil {
+		return err
+	}
+	l.noteSent(now, b.Sequence)
+	l.send(frame)
+	return nil
+}
+
+func (l *link) echo(now time.Time) Echo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heardSeq == 0 {
+		return Echo{}
+	}
+	// Rounded down, so that the receiver's bound stays a lower one.
+	return Echo{Sequence: l.heardSeq, HeldMilli: uint64(now.Sub(l.heardAt) / time.Millisecond)}
+}
+
+func (l *link) noteSent(now time.Time, sequence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[sequence%sentKept] = sentBeat{sequence: sequence, at: now}
+}
+
+// heard notes a heartbeat and returns the moment before which it was surely
+// not sent, zero if its echo tells nothing.
+func (l *link) heard(now time.Time, b *beatMessage) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardAt = now
+	l.heardSeq = b.Sequence
+	s := l.sent[b.Echo.Sequence%sentKept]
+	if b.Echo.Sequence == 0 || s.sequence != b.Echo.Sequence {
+		return time.Time{}
+	}
+	sentAt := s.at.Add(duration(b.Echo.HeldMilli))
+	if sentAt.After(now) {
+		return now
+	}
+	return sentAt
+}
+
+func (l *link) silentFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.heardAt)
+}
+
+// write sends what is queued until ctx ends.
+func (l *link) write(ctx context.Context) error {
+	for {
+		select {
+		case frame := <-l.out:
+			if err := writeFrame(ctx, l.conn, frame, l.meters); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// read hands each message to handle until one fails or the peer is silent
+// for longer than idle.
+func (l *link) read(ctx context.Context, idle time.Duration, handle func([]byte) error) error {
+	for {
+		frame, err := readFrame(ctx, l.conn, idle, l.meters)
+		if err != nil {
+			return err
+		}
+		if err := handle(frame); err != nil {
+			return err
+		}
+	}
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, frame []byte, m *meters) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
+		return errors.Wrap(err, "send")
+	}
+	m.bytesSent.Inc(int64(len(frame)))
+	m.messagesSent.Inc(1)
+	return nil
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn, idle time.Duration, m *meters) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, idle)
+	defer cancel()
+	kind, frame, err := conn.Read(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "receive")
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("receive: not a binary frame")
+	}
+	m.bytesReceived.Inc(int64(len(frame)))
+	m.messagesReceived.Inc(1)
+	return frame, nil
+}
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -11,7 +11,10 @@
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
-// Heartbeat is what a daemon tells each linked peer at every beat.
+// Heartbeat is what a daemon tells each linked peer at every beat. From,
+// Address, Zone and Incarnation cross a link once, Leaving and Sightings once
+// for each item; the receiver fills in the former and hands the latter to
+// Config.OnLeaving and Config.OnSightings.
 type Heartbeat struct {
 	From           fleet.DaemonID                    `cbor:"1,keyasint"`
 	Address        string                            `cbor:"2,keyasint"` // of its peer listener
@@ -38,16 +41,56 @@
 	ConfirmedAgeMilli int64 `cbor:"2,keyasint"`
 }
 
+// Echo tells the receiver of a heartbeat which of its own heartbeats the
+// sender heard last on the same link. It bounds from below when the heartbeat
+// was sent, however long it lay in a buffer, and it shows that the sender
+// hears the receiver.
+type Echo struct {
+	Sequence  uint64 `cbor:"1,keyasint,omitempty"` // zero for none yet
+	HeldMilli uint64 `cbor:"2,keyasint,omitempty"` // since it was heard
+}
+
 // Peer is another daemon as this one sees it.
 type Peer struct {
 	Heartbeat Heartbeat
 	HeardAt   time.Time // local, monotonic
-	Alive     bool      // heard within the bound
+	// SentAt is a moment on the local clock before which the heartbeat was
+	// surely not sent. Zero until the peer has shown that it hears us.
+	SentAt time.Time
+	// Alive: at the time of the view, SentAt was within the bound.
+	Alive bool
+	// Departing: the peer has told of its planned stop.
+	Departing bool
 }
 
 // View is an immutable state of the membership.
 type View struct {
+	At    time.Time // when it was made
 	Peers map[fleet.DaemonID]Peer
+	// ResumedAt is when the daemon last found that it had stood still for
+	// longer than a peer's heartbeat counts. Zero for never.
+	ResumedAt time.Time
+	// Wanted is how many links the daemon would have if every daemon that it
+	// knows of were there.
+	Wanted int
+	// Leaving lists instances that peers lately told to be leaving.
+	Leaving []fleet.InstanceID
+}
+
+// AliveAt returns how many peers have shown within bound before now that they
+// hear this daemon. It does not trust the view's own age.
+func (v View) AliveAt(now time.Time, bound time.Duration) int {
+	n := 0
+	for _, p := range v.Peers {
+		if p.freshAt(now, bound) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p Peer) freshAt(now time.Time, bound time.Duration) bool {
+	return !p.SentAt.IsZero() && now.Sub(p.SentAt) <= bound
 }
 
 // Source gives what the next heartbeat tells.
