--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -1,8 +1,12 @@
-// Command carawayctl is the tool of operators.
+// Command carawayctl is the operators' tool.
 package main
 
-import "os"
+import (
+	"os"
+
+	"carawayproxy.example/caraway/internal/ctl"
+)
 
 func main() {
-	os.Exit(1)
+	os.Exit(int(ctl.Run(os.Args[1:], os.Stdout, os.Stderr)))
 }
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,89 @@
+package ctl
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
+)
+
+// callTimeout bounds one call to a daemon.
+const callTimeout = 10 * time.Second
+
+// admin returns a client of the daemon's admin service.
+func (c *command) admin() (carawayv1connect.AdminServiceClient, error) {
+	if c.CA == "" {
+		return carawayv1connect.NewAdminServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+c.Admin), nil
+	}
+	pem, err := os.ReadFile(c.CA)
+	if err != nil {
+		return nil, fail(ExitMistake, "--ca: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fail(ExitMistake, "--ca: %s holds no PEM certificate", c.CA)
+	}
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12},
+		ForceAttemptHTTP2: true,
+	}}
+	return carawayv1connect.NewAdminServiceClient(client, "https://"+c.Admin), nil
+}
+
+// call makes one call with a bounded time and sorts its error.
+func call[Req, Resp any](f func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error), req *Req) (*Resp, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := f(ctx, connect.NewRequest(req))
+	if err == nil {
+		return resp.Msg, nil
+	}
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil, fail(ExitFailed, "%v", err)
+	}
+	switch {
+	case !connect.IsWireError(err):
+		return nil, fail(ExitUnreachable, "the daemon does not answer: %s", ce.Message())
+	case ce.Code() == connect.CodeInvalidArgument:
+		return nil, fail(ExitMistake, "%s", ce.Message())
+	default:
+		return nil, fail(ExitFailed, "%s: %s", ce.Code(), ce.Message())
+	}
+}
+
+// show prints v as JSON, or rows as a table with a heading.
+func (c *command) show(v any, heading []string, rows [][]string) error {
+	if c.Output == "json" {
+		enc := json.NewEncoder(c.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.stdout, 0, 4, 2, ' ', 0)
+	printRow(w, heading)
+	for _, row := range rows {
+		printRow(w, row)
+	}
+	return w.Flush()
+}
+
+func printRow(w *tabwriter.Writer, cells []string) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, cell)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,116 @@
+// Package ctl is the operators' command line: it checks and publishes service
+// files and shows what a daemon knows.
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// ExitCode is what a run tells its shell.
+type ExitCode int
+
+// Exit codes.
+const (
+	ExitOK ExitCode = iota
+	// ExitFailed: the call was made and did not succeed.
+	ExitFailed
+	// ExitMistake: the command line or a file is wrong; nothing was sent.
+	ExitMistake
+	// ExitConflict: a publication lost to another; nothing of it is in force.
+	ExitConflict
+	// ExitUnreachable: the daemon did not answer.
+	ExitUnreachable
+	// ExitTimeout: what was waited for did not come in time.
+	ExitTimeout
+)
+
+// exitError carries the code that an error ends the run with.
+type exitError struct {
+	code ExitCode
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func fail(code ExitCode, format string, args ...any) error {
+	return &exitError{code: code, err: errors.Errorf(format, args...)}
+}
+
+// options are those of every command.
+type options struct {
+	Admin  string `long:"admin" env:"CARAWAY_ADMIN" description:"ip:port of a daemon's admin listener" default:"127.0.0.1:7401"`
+	CA     string `long:"ca" env:"CARAWAY_ADMIN_CA" description:"PEM file of the authority of the admin listener's certificate; clear text when empty"`
+	Output string `short:"o" long:"output" description:"output format" choice:"table" choice:"json" default:"table"`
+}
+
+// command is what one run works with.
+type command struct {
+	options
+	stdout, stderr io.Writer
+}
+
+// Run carries out one command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) ExitCode {
+	c := &command{stdout: stdout, stderr: stderr}
+	p := flags.NewNamedParser("carawayctl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Connection", "", &c.options); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitMistake
+	}
+	for _, sub := range c.commands() {
+		if _, err := p.AddCommand(sub.name, sub.short, sub.long, sub.run); err != nil {
+			fmt.Fprintln(stderr, err)
+			return ExitMistake
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return c.finish(err)
+}
+
+// finish prints what went wrong and chooses the exit code.
+func (c *command) finish(err error) ExitCode {
+	var flagErr *flags.Error
+	var exit *exitError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(c.stdout, flagErr.Message)
+		return ExitOK
+	case errors.As(err, &flagErr):
+		fmt.Fprintln(c.stderr, flagErr.Message)
+		return ExitMistake
+	case errors.As(err, &exit):
+		fmt.Fprintln(c.stderr, exit.Error())
+		return exit.code
+	default:
+		fmt.Fprintln(c.stderr, err)
+		return ExitFailed
+	}
+}
+
+type subcommand struct {
+	name, short, long string
+	run               flags.Commander
+}
+
+func (c *command) commands() []subcommand {
+	return []subcommand{
+		{"validate", "check service files", "Checks service files without a daemon and prints every mistake with its line and column.", &validateCommand{ctl: c}},
+		{"publish", "put service files into force", "Puts all services of the given files into force together, or none of them.", &publishCommand{ctl: c}},
+		{"diff", "compare service files with what is in force", "Prints how each file differs from the service in force.", &diffCommand{ctl: c}},
+		{"sync", "note the revisions in force", "Writes the revisions in force to the revisions file, after you have taken in what others published.", &syncCommand{ctl: c}},
+		{"history", "who changed a service, and when", "Lists the accepted changes of a service, newest first.", &historyCommand{ctl: c}},
+		{"rollback", "publish an older revision again", "Puts an older body of a service into force as a new revision.", &rollbackCommand{ctl: c}},
+		{"status", "a daemon, its peers, streams and leases", "Shows a daemon's state; with --watch again every second.", &statusCommand{ctl: c}},
+		{"services", "services in force", "Lists the services in force with their groups.", &servicesCommand{ctl: c}},
+		{"groups", "replica groups", "Lists the replica groups and whether they are whole.", &groupsCommand{ctl: c}},
+		{"explain", "decisions about a request or a group", "Shows the decisions that the daemon made about a request or a group.", &explainCommand{ctl: c}},
+		{"drain", "begin the daemon's planned stop", "Begins the planned stop of the daemon at --admin.", &drainCommand{ctl: c}},
+		{"version", "version of carawayctl", "Prints the version.", &versionCommand{ctl: c}},
+	}
+}
--- /dev/null
+++ b/internal/ctl/show.go
@@ -0,0 +1,183 @@
+package ctl
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+)
+
+// Version is the version of carawayctl.
+const Version = "0.1.0"
+
+type statusCommand struct {
+	ctl   *command
+	Watch bool `long:"watch" description:"show again every second until interrupted"`
+}
+
+// Execute implements flags.Commander.
+func (s *statusCommand) Execute([]string) error {
+	for {
+		if err := s.once(); err != nil || !s.Watch {
+			return err
+		}
+		fmt.Fprintln(s.ctl.stdout)
+		time.Sleep(time.Second)
+	}
+}
+
+func (s *statusCommand) once() error {
+	client, err := s.ctl.admin()
+	if err != nil {
+		return err
+	}
+	st, err := call(client.GetStatus, &carawayv1.GetStatusRequest{})
+	if err != nil {
+		return err
+	}
+	if s.ctl.Output == "json" {
+		return s.ctl.show(st, nil, nil)
+	}
+	fmt.Fprintf(s.ctl.stdout, "daemon %s in %s: ready %s%s, configuration revision %d, log reachable %s, %d in flight\n\n",
+		st.Daemon, st.AvailabilityZone, yes(st.Ready), because(st.Reason), st.ConfigRevision, yes(st.LogReachable), st.InFlight)
+	var rows [][]string
+	for _, p := range st.Peers {
+		rows = append(rows, []string{p.Daemon, p.Address, yes(p.Alive), yes(p.Ready), strconv.FormatUint(p.ConfigRevision, 10), ago(p.HeardAgo)})
+	}
+	if err := s.ctl.show(nil, []string{"PEER", "ADDRESS", "ALIVE", "READY", "REVISION", "HEARD"}, rows); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.ctl.stdout)
+	rows = nil
+	for _, x := range st.Streams {
+		rows = append(rows, []string{x.Stream, strconv.FormatUint(x.Next, 10), ago(x.ConfirmedAgo), x.Problem})
+	}
+	if err := s.ctl.show(nil, []string{"STREAM", "NEXT", "CONFIRMED", "PROBLEM"}, rows); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.ctl.stdout)
+	rows = nil
+	for _, l := range st.Leases {
+		rows = append(rows, []string{l.Scope, strconv.FormatUint(l.Term, 10), l.Holder})
+	}
+	return s.ctl.show(nil, []string{"LEASE", "TERM", "HOLDER"}, rows)
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func because(reason string) string {
+	if reason == "" {
+		return ""
+	}
+	return " (" + reason + ")"
+}
+
+func ago(d *durationpb.Duration) string {
+	if d == nil {
+		return "never"
+	}
+	return d.AsDuration().Round(10*time.Millisecond).String() + " ago"
+}
+
+type servicesCommand struct{ ctl *command }
+
+// Execute implements flags.Commander.
+func (s *servicesCommand) Execute([]string) error {
+	client, err := s.ctl.admin()
+	if err != nil {
+		return err
+	}
+	resp, err := call(client.ListServices, &carawayv1.ListServicesRequest{})
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, x := range resp.Services {
+		rows = append(rows, []string{x.Service, x.Kind, strconv.FormatUint(x.Revision, 10), x.Author, x.Owner,
+			fmt.Sprintf("%d/%d", x.GroupsWhole, x.GroupsWanted)})
+	}
+	return s.ctl.show(resp, []string{"SERVICE", "KIND", "REVISION", "AUTHOR", "OWNER", "WHOLE"}, rows)
+}
+
+type groupsCommand struct {
+	ctl     *command
+	Service string `long:"service" description:"only the groups of this service"`
+}
+
+// Execute implements flags.Commander.
+func (g *groupsCommand) Execute([]string) error {
+	client, err := g.ctl.admin()
+	if err != nil {
+		return err
+	}
+	resp, err := call(client.ListGroups, &carawayv1.ListGroupsRequest{Service: g.Service})
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, x := range resp.Groups {
+		rows = append(rows, []string{x.Group, x.Service, x.Version, strconv.FormatUint(x.Epoch, 10), x.State, yes(x.Whole) + because(strings.TrimPrefix(x.Reason, "whole")),
+			x.FabricDomain, strings.Join(x.Members, ","), strings.Join(x.Spares, ","), strconv.Itoa(int(x.InFlight))})
+	}
+	return g.ctl.show(resp, []string{"GROUP", "SERVICE", "VERSION", "EPOCH", "STATE", "WHOLE", "FABRIC", "MEMBERS", "SPARES", "IN FLIGHT"}, rows)
+}
+
+type explainCommand struct {
+	ctl  *command
+	Args struct {
+		ID string `positional-arg-name:"REQUEST" description:"request id or group id" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (e *explainCommand) Execute([]string) error {
+	client, err := e.ctl.admin()
+	if err != nil {
+		return err
+	}
+	resp, err := call(client.Explain, &carawayv1.ExplainRequest{RequestId: e.Args.ID})
+	if err != nil {
+		return err
+	}
+	if len(resp.Decisions) == 0 {
+		return fail(ExitFailed, "this daemon keeps no decision about %q; ask the daemon that served it", e.Args.ID)
+	}
+	var rows [][]string
+	for _, d := range resp.Decisions {
+		rows = append(rows, []string{d.Time, strconv.Itoa(int(d.Event)), d.Text})
+	}
+	return e.ctl.show(resp, []string{"TIME", "EVENT", "DECISION"}, rows)
+}
+
+type drainCommand struct{ ctl *command }
+
+// Execute implements flags.Commander.
+func (d *drainCommand) Execute([]string) error {
+	client, err := d.ctl.admin()
+	if err != nil {
+		return err
+	}
+	resp, err := call(client.Drain, &carawayv1.DrainRequest{})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.ctl.stdout, "draining, %d in flight\n", resp.InFlight)
+	return nil
+}
+
+type versionCommand struct{ ctl *command }
+
+// Execute implements flags.Commander.
+func (v *versionCommand) Execute([]string) error {
+	fmt.Fprintln(v.ctl.stdout, Version)
+	return nil
+}
--- a/internal/datastore/lapse.go
+++ b/internal/datastore/lapse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
 )
 
 // lapseEvery is the time between two looks at the groups that are waited on.
@@ -113,7 +114,7 @@
 	if !ok {
 		return "", 0
 	}
-	id := l.store.leader(g).Instance
+	id := group.Compose(g, l.store.cfg.Reports)[0].Instance
 	r, _ := l.store.cfg.Reports.Report(id)
 	return id, r.Incarnation
 }
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -160,7 +160,8 @@
 
 func (s *Store) groupCandidate(g *group.Group, now time.Time) routing.Candidate {
 	w := group.Whole(g, s.cfg.Reports, now, Freshness)
-	leader := s.leader(g)
+	members := group.Compose(g, s.cfg.Reports)
+	leader := members[0]
 	c := routing.Candidate{
 		Group:       g.ID,
 		Epoch:       g.Epoch,
@@ -175,26 +176,14 @@
 		Whole:       w.Whole,
 		WholeReason: w.Reason,
 		Draining:    g.Phase == group.PhaseDraining,
-		Leaving:     s.anyLeaving(g),
+		Leaving:     s.anyLeaving(members),
 	}
 	s.fillLoad(&c, now)
 	return c
 }
 
-// leader returns the member that holds rank zero: by its report, when a spare
-// took the place, and by the record otherwise.
-func (s *Store) leader(g *group.Group) group.Member {
-	for _, m := range append(append([]group.Member{}, g.Members...), g.Spares...) {
-		r, ok := s.cfg.Reports.Report(m.Instance)
-		if ok && !r.Failed && r.Assignment != nil && r.Assignment.Group == g.ID && r.Assignment.Epoch == g.Epoch && r.Assignment.Rank == 0 {
-			return m
-		}
-	}
-	return g.Members[0]
-}
-
-func (s *Store) anyLeaving(g *group.Group) bool {
-	for _, m := range g.Members {
+func (s *Store) anyLeaving(members []group.Member) bool {
+	for _, m := range members {
 		if s.cfg.Leaving(m.Instance) {
 			return true
 		}
@@ -272,7 +261,7 @@
 func (s *Store) Recheck(c routing.Candidate) bool {
 	now := time.Now()
 	if g, ok := s.cfg.Groups().Groups[c.Group]; ok {
-		return g.Epoch == c.Epoch && g.Phase == group.PhaseActive && !s.anyLeaving(g) &&
+		return g.Epoch == c.Epoch && g.Phase == group.PhaseActive && !s.anyLeaving(group.Compose(g, s.cfg.Reports)) &&
 			group.Whole(g, s.cfg.Reports, now, Freshness).Whole
 	}
 	if c.Group != PlainGroup(c.Leader) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -119,3 +119,13 @@
 	}
 	return b.String()
 }
+
+// Value returns the value of a key as text, "" when it is not there.
+func Value(keyvals []any, key string) string {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if k, ok := keyvals[i].(string); ok && k == key {
+			return fmt.Sprint(keyvals[i+1])
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,127 @@
+// Package settings holds the daemon's static settings: flags and environment
+// variables, checked together before anything starts. What may change while
+// the daemon runs is published as service files instead.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// Settings are the static settings of one daemon.
+type Settings struct {
+	Name             string        `long:"name" env:"CARAWAY_NAME" description:"name of this daemon; a random suffix is added, so that a restarted daemon is a new one" default:"carawayd"`
+	Zone             string        `long:"availability-zone" env:"CARAWAY_AVAILABILITY_ZONE" description:"availability zone this instance is in"`
+	CallersListen    string        `long:"callers-listen" env:"CARAWAY_CALLERS_LISTEN" description:"ip:port for callers and the balancer's checks" default:"127.0.0.1:7400"`
+	AdminListen      string        `long:"admin-listen" env:"CARAWAY_ADMIN_LISTEN" description:"ip:port for operators and metrics" default:"127.0.0.1:7401"`
+	PeersListen      string        `long:"peers-listen" env:"CARAWAY_PEERS_LISTEN" description:"ip:port for other daemons" default:"127.0.0.1:7402"`
+	PeersAdvertise   string        `long:"peers-advertise" env:"CARAWAY_PEERS_ADVERTISE" description:"ip:port other daemons dial; the peers listener's address when empty"`
+	Platform         string        `long:"platform" env:"CARAWAY_PLATFORM" description:"ip:port of the platform's services"`
+	LedgerShards     int           `long:"ledger-shards" env:"CARAWAY_LEDGER_SHARDS" description:"ledger streams, 1 to 64, the same at every daemon" default:"4"`
+	PlacementScopes  int           `long:"placement-scopes" env:"CARAWAY_PLACEMENT_SCOPES" description:"lease scopes of placement, 1 to 64, the same at every daemon" default:"8"`
+	KeyWindow        time.Duration `long:"key-window" env:"CARAWAY_KEY_WINDOW" description:"how long idempotency keys are kept, 1m to 168h, the same at every daemon" default:"24h"`
+	AppendRate       float64       `long:"append-rate" env:"CARAWAY_APPEND_RATE" description:"appends a second this daemon may make, 1 to 1000" default:"30"`
+	SnapshotEvery    time.Duration `long:"snapshot-every" env:"CARAWAY_SNAPSHOT_EVERY" description:"time between snapshots of a stream, 1s to 24h, well below the log's retention" default:"10m"`
+	DrainGrace       time.Duration `long:"drain-grace" env:"CARAWAY_DRAIN_GRACE" description:"how long a stopping daemon still accepts requests after it turned unready, 0s to 60s" default:"5s"`
+	DrainTimeout     time.Duration `long:"drain-timeout" env:"CARAWAY_DRAIN_TIMEOUT" description:"how long a stopping daemon waits for requests in flight, 1s to 1h" default:"150s"`
+	MaxBodyBytes     int           `long:"max-body-bytes" env:"CARAWAY_MAX_BODY_BYTES" description:"largest request a listener reads, 1024 to 67108864 bytes" default:"4194304"`
+	MaxConnections   int           `long:"max-connections" env:"CARAWAY_MAX_CONNECTIONS" description:"connections at each listener, 1 to 100000" default:"4096"`
+	LogLevel         string        `long:"log-level" env:"CARAWAY_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
+	TLSCertificate   string        `long:"tls-certificate" env:"CARAWAY_TLS_CERTIFICATE" description:"PEM file for the callers' and admin listeners; clear text when empty"`
+	TLSKey           string        `long:"tls-key" env:"CARAWAY_TLS_KEY" description:"PEM file of the certificate's key"`
+	ExplainDecisions int           `long:"explain-decisions" env:"CARAWAY_EXPLAIN_DECISIONS" description:"decisions kept in memory for carawayctl explain, 0 to 1000000" default:"20000"`
+}
+
+// Mistakes are all that is wrong with the settings.
+type Mistakes []error
+
+// Error lists the mistakes, a line each.
+func (m Mistakes) Error() string {
+	lines := make([]string, len(m))
+	for i, err := range m {
+		lines[i] = err.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads arguments and environment, and checks them together. The error
+// is Mistakes, or a *flags.Error.
+func Parse(args []string) (*Settings, error) {
+	var s Settings
+	p := flags.NewNamedParser("carawayd", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Settings", "", &s); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	rest, err := p.ParseArgs(args)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, Mistakes{errors.Errorf("unexpected argument %q", rest[0])}
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Validate checks every setting and returns Mistakes if any is wrong.
+func (s *Settings) Validate() error {
+	var m Mistakes
+	check := func(ok bool, flag, allowed string, value any) {
+		if !ok {
+			m = append(m, errors.Errorf("--%s: %v is not allowed, want %s", flag, value, allowed))
+		}
+	}
+	check(s.Name != "" && !strings.ContainsAny(s.Name, " \t\n"), "name", "a word without spaces", strconv.Quote(s.Name))
+	check(s.Zone != "", "availability-zone", "the name of an availability zone", strconv.Quote(s.Zone))
+	check(isAddress(s.CallersListen), "callers-listen", "ip:port", strconv.Quote(s.CallersListen))
+	check(isAddress(s.AdminListen), "admin-listen", "ip:port", strconv.Quote(s.AdminListen))
+	check(isAddress(s.PeersListen), "peers-listen", "ip:port", strconv.Quote(s.PeersListen))
+	check(s.PeersAdvertise == "" || isAddress(s.PeersAdvertise), "peers-advertise", "ip:port", strconv.Quote(s.PeersAdvertise))
+	check(isAddress(s.Platform), "platform", "ip:port", strconv.Quote(s.Platform))
+	check(within(s.LedgerShards, 1, 64), "ledger-shards", "1 to 64", s.LedgerShards)
+	check(within(s.PlacementScopes, 1, 64), "placement-scopes", "1 to 64", s.PlacementScopes)
+	check(within(s.KeyWindow, time.Minute, 168*time.Hour), "key-window", "1m to 168h", s.KeyWindow)
+	check(within(s.AppendRate, 1, 1000), "append-rate", "1 to 1000", s.AppendRate)
+	check(within(s.SnapshotEvery, time.Second, 24*time.Hour), "snapshot-every", "1s to 24h", s.SnapshotEvery)
+	check(within(s.DrainGrace, 0, time.Minute), "drain-grace", "0s to 60s", s.DrainGrace)
+	check(within(s.DrainTimeout, time.Second, time.Hour), "drain-timeout", "1s to 1h", s.DrainTimeout)
+	check(within(s.MaxBodyBytes, 1<<10, 64<<20), "max-body-bytes", "1024 to 67108864", s.MaxBodyBytes)
+	check(within(s.MaxConnections, 1, 100_000), "max-connections", "1 to 100000", s.MaxConnections)
+	check(within(s.ExplainDecisions, 0, 1_000_000), "explain-decisions", "0 to 1000000", s.ExplainDecisions)
+	_, err := log.ParseLevel(s.LogLevel)
+	check(err == nil, "log-level", "debug, info, warn or error", strconv.Quote(s.LogLevel))
+	check((s.TLSCertificate == "") == (s.TLSKey == ""), "tls-key", "both tls-certificate and tls-key, or neither", strconv.Quote(s.TLSKey))
+	if len(m) > 0 {
+		return m
+	}
+	return nil
+}
+
+func within[T int | float64 | time.Duration](v, low, high T) bool { return v >= low && v <= high }
+
+// isAddress reports whether s is a numeric address and a port.
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= 0 && n <= 65535
+}
+
+// DaemonID makes the id of a daemon that starts now under these settings.
+func (s *Settings) DaemonID() fleet.DaemonID {
+	return fleet.DaemonID(fmt.Sprintf("%s-%s", s.Name, uuid.NewString()[:8]))
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestParseReportsEachMistakeAtOnce(t *testing.T) {
+	_, err := Parse([]string{"--ledger-shards=0", "--platform=localhost:1", "--drain-grace=2m", "--log-level=loud"})
+	var got []string
+	for _, line := range strings.Split(err.Error(), "\n") {
+		got = append(got, strings.SplitN(line, ":", 2)[0])
+	}
+	assert.DeepEqual(t, got, []string{"--availability-zone", "--platform", "--ledger-shards", "--drain-grace", "--log-level"})
+}
+
+func TestParse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		args []string
+		want string // part of the error, none when empty
+	}{
+		"minimal":       {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9"}},
+		"unknown flag":  {args: []string{"--no-such-flag"}, want: "no-such-flag"},
+		"host name":     {args: []string{"--availability-zone=a", "--platform=db:9"}, want: "--platform"},
+		"half of TLS":   {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--tls-key=k"}, want: "--tls-key"},
+		"stray word":    {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "serve"}, want: "serve"},
+		"not a number":  {args: []string{"--ledger-shards=many"}, want: "ledger-shards"},
+		"out of bounds": {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--append-rate=0"}, want: "1 to 1000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse(tc.args)
+			if tc.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
+
+func TestEnvironmentGivesSettings(t *testing.T) {
+	t.Setenv("CARAWAY_AVAILABILITY_ZONE", "pokhara-a")
+	t.Setenv("CARAWAY_PLATFORM", "127.0.0.1:9")
+	s, err := Parse(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Zone, "pokhara-a")
+	assert.Assert(t, s.DaemonID() != s.DaemonID())
+}
--- /dev/null
+++ b/standin/process/process.go
@@ -0,0 +1,165 @@
+// Package process runs the stand-ins as processes of their own.
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/standin/engine"
+	"carawayproxy.example/caraway/standin/plain"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+// registerEvery is the time between two registrations with the platform.
+const registerEvery = time.Second
+
+// crashExit is the exit code of a stand-in that crashed on purpose.
+const crashExit = 3
+
+// Platform is the platform as a process.
+type Platform struct {
+	Listen     string        `long:"listen" description:"ip:port" default:"127.0.0.1:7300"`
+	Lag        time.Duration `long:"lag" description:"how late the list shows a change" default:"500ms"`
+	DropAfter  time.Duration `long:"drop-after" description:"how long a silent instance stays listed" default:"10s"`
+	Appends    float64       `long:"appends" description:"appends a second" default:"300"`
+	Retention  time.Duration `long:"retention" description:"how long records are kept" default:"1h"`
+	WeightRate float64       `long:"weight-rate" description:"bytes a second of the weight store, 0 for its default"`
+}
+
+// Execute implements flags.Commander.
+func (p *Platform) Execute([]string) error {
+	standin := &platform.Platform{
+		Log:       platform.NewLog(platform.LogConfig{AppendsPerSecond: p.Appends, Retention: p.Retention}),
+		Instances: platform.NewInstances(platform.InstancesConfig{Lag: p.Lag, DropAfter: p.DropAfter}),
+		Weights:   platform.NewWeights(platform.WeightsConfig{BytesPerSecond: p.WeightRate}),
+	}
+	return serve(p.Listen, standin.Handler(), nil)
+}
+
+// Place is where a backend server stands.
+type Place struct {
+	ID           string `long:"id" description:"instance id" required:"yes"`
+	Listen       string `long:"listen" description:"ip:port" required:"yes"`
+	Platform     string `long:"platform" description:"ip:port of the platform" required:"yes"`
+	Zone         string `long:"availability-zone" description:"availability zone" default:"a"`
+	Fabric       string `long:"fabric" description:"fabric domain" default:"f1"`
+	Pool         string `long:"pool" description:"pool" required:"yes"`
+	Accelerators uint32 `long:"accelerators" description:"accelerators" default:"8"`
+}
+
+func (p Place) listed(kind fleet.InstanceKind, checksFencing bool) platform.Listed {
+	return platform.Listed{
+		ID:            fleet.InstanceID(p.ID),
+		Address:       p.Listen,
+		Zone:          fleet.Zone(p.Zone),
+		Fabric:        fleet.FabricDomain(p.Fabric),
+		Pool:          fleet.Pool(p.Pool),
+		Kind:          kind,
+		Accelerators:  p.Accelerators,
+		ChecksFencing: checksFencing,
+	}
+}
+
+// Engine is a model engine as a process.
+type Engine struct {
+	Place
+	TokenInterval time.Duration `long:"token-interval" description:"between tokens of one stream" default:"10ms"`
+	LoadTime      time.Duration `long:"load-time" description:"to load weights" default:"1s"`
+	MaxRunning    int           `long:"max-running" description:"requests in one batch" default:"16"`
+	ChecksFencing bool          `long:"checks-fencing" description:"refuse orders with an old fencing token"`
+}
+
+// Execute implements flags.Commander.
+func (e *Engine) Execute([]string) error {
+	client := httpx.NewClient(httpx.Dialer())
+	weights := carawayv1connect.NewWeightServiceClient(client, "http://"+e.Platform)
+	standin := engine.New(engine.Config{
+		ID:            e.ID,
+		Address:       e.Listen,
+		TokenInterval: e.TokenInterval,
+		LoadTime:      e.LoadTime,
+		MaxRunning:    e.MaxRunning,
+		ChecksFencing: e.ChecksFencing,
+		Fetch: func(ctx context.Context, model, version, adapter string) error {
+			_, err := weights.Fetch(ctx, connect.NewRequest(&carawayv1.FetchRequest{Model: model, Version: version, Adapter: adapter}))
+			return err
+		},
+		Member: func(address string) carawayv1connect.EngineServiceClient {
+			return carawayv1connect.NewEngineServiceClient(client, "http://"+address)
+		},
+		Crashed: func() { os.Exit(crashExit) },
+	})
+	return serve(e.Listen, standin.Handler(), func(ctx context.Context) {
+		go standin.Watch(ctx)
+		register(ctx, e.Platform, e.listed(fleet.KindEngine, e.ChecksFencing))
+	})
+}
+
+// Plain is a backend server of a plain service as a process.
+type Plain struct {
+	Place
+	Latency time.Duration `long:"latency" description:"of one call" default:"5ms"`
+}
+
+// Execute implements flags.Commander.
+func (p *Plain) Execute([]string) error {
+	standin := plain.New(plain.Config{ID: p.ID, Latency: p.Latency, Crashed: func() { os.Exit(crashExit) }})
+	return serve(p.Listen, standin.Handler(), func(ctx context.Context) {
+		register(ctx, p.Platform, p.listed(fleet.KindPlain, false))
+	})
+}
+
+// serve listens until SIGTERM or SIGINT, with beside running next to it.
+func serve(address string, h http.Handler, beside func(context.Context)) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if beside != nil {
+		go beside(ctx)
+	}
+	server := httpx.NewServer(h, nil)
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// register tells the platform again and again that the instance lives.
+func register(ctx context.Context, address string, l platform.Listed) {
+	body, err := json.Marshal(l)
+	if err != nil {
+		return
+	}
+	client := &http.Client{Timeout: registerEvery}
+	for ctx.Err() == nil {
+		resp, err := client.Post("http://"+address+"/standin/instances", "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-time.After(registerEvery):
+		case <-ctx.Done():
+		}
+	}
+}
