--- /dev/null
+++ b/internal/ledger/client_test.go
@@ -0,0 +1,184 @@
+package ledger_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/ledger"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+// inBubble runs a test with two daemons over one log in virtual time.
+func inBubble(t *testing.T, run func(t *testing.T, log *platform.Log, a, b *daemon)) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platform.NewLog(platform.LogConfig{})
+		a, b := newDaemon(log, "a", 0), newDaemon(log, "b", 0)
+		time.Sleep(time.Second)
+		run(t, log, a, b)
+		a.stop()
+		b.stop()
+	})
+}
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+func TestLogDownIsNotRunAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, log *platform.Log, a, _ *daemon) {
+		log.SetFaults(platform.LogFaults{Down: true})
+		ctx, cancel := within(10 * time.Second)
+		defer cancel()
+		began := time.Now()
+		g := a.client.Begin(ctx, key("k"), 1)
+		assert.Equal(t, g.Failure.State, fleet.NotRun)
+		assert.Equal(t, g.Failure.Reason, fleet.ReasonLogDown)
+		assert.Assert(t, g.Failure.RetryAfter > 0)
+		assert.Assert(t, time.Since(began) < time.Second, "held back for %s", time.Since(began))
+	})
+}
+
+// TestGivenUpIntentFreesTheKey: an intent whose append got no answer in time
+// is never run and does not block the key for good.
+func TestGivenUpIntentFreesTheKey(t *testing.T) {
+	inBubble(t, func(t *testing.T, log *platform.Log, a, b *daemon) {
+		log.SetFaults(platform.LogFaults{Delay: 3 * time.Second})
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		g := a.client.Begin(ctx, key("k"), 1)
+		assert.Equal(t, g.Failure.State, fleet.NotRun)
+		assert.Equal(t, a.client.Pending(), 1)
+		log.SetFaults(platform.LogFaults{})
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, a.client.Pending(), 0)
+		ctx2, cancel2 := within(5 * time.Second)
+		defer cancel2()
+		assert.Equal(t, b.client.Begin(ctx2, key("k"), 1).Decision, ledger.Run)
+	})
+}
+
+func TestRepeatsElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *platform.Log, a, b *daemon) {
+		ctx, cancel := within(20 * time.Second)
+		defer cancel()
+		g := a.client.Begin(ctx, key("k"), 1)
+		assert.Equal(t, g.Decision, ledger.Run)
+		assert.Assert(t, a.client.Holds(g.Token))
+
+		short, cancelShort := within(2 * time.Second)
+		defer cancelShort()
+		open := b.client.Begin(short, key("k"), 1)
+		assert.NilError(t, short.Err(), "the answer came after the caller's time")
+		assert.Equal(t, open.Failure.State, fleet.MayHaveRun)
+		assert.Equal(t, open.Failure.Reason, fleet.ReasonKeyInUse)
+		known, found := b.client.Lookup(key("k"), 1)
+		assert.Assert(t, found)
+		assert.Equal(t, known.Decision, ledger.Await)
+
+		other := b.client.Begin(ctx, key("k"), 2)
+		assert.Equal(t, other.Failure.State, fleet.NotRun)
+		assert.Equal(t, other.Failure.Reason, fleet.ReasonKeyMismatch)
+
+		waiting := make(chan ledger.Grant)
+		go func() { waiting <- b.client.Begin(ctx, key("k"), 1) }()
+		time.Sleep(time.Second)
+		a.client.Finish(ctx, g.Token, ledger.AnswerOf([]byte("entry 12")))
+		got := <-waiting
+		assert.Equal(t, got.Decision, ledger.Replay)
+		assert.Equal(t, string(got.Answer.Body), "entry 12")
+	})
+}
+
+// TestLargeAnswers: an answer over the inline limit is replayed where it is
+// held, and is a clear failure in state DONE elsewhere.
+func TestLargeAnswers(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *platform.Log, a, b *daemon) {
+		ctx, cancel := within(20 * time.Second)
+		defer cancel()
+		body := strings.Repeat("x", 5000)
+		g := a.client.Begin(ctx, key("k"), 1)
+		a.client.Finish(ctx, g.Token, ledger.AnswerOf([]byte(body)))
+		assert.Equal(t, string(a.client.Begin(ctx, key("k"), 1).Answer.Body), body)
+		time.Sleep(time.Second)
+		elsewhere := b.client.Begin(ctx, key("k"), 1)
+		assert.Equal(t, elsewhere.Failure.State, fleet.Done)
+		e, _ := b.book.Lookup(key("k"))
+		assert.Equal(t, e.Answer.Size, 5000)
+		assert.Equal(t, e.Answer.Digest, ledger.AnswerOf([]byte(body)).Digest)
+	})
+}
+
+// TestOutcomeSurvivesOutage: an outcome that the log did not take is answered
+// here at once and recorded when the log is back.
+func TestOutcomeSurvivesOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, log *platform.Log, a, b *daemon) {
+		ctx, cancel := within(200 * time.Second)
+		defer cancel()
+		g := a.client.Begin(ctx, key("k"), 1)
+		log.SetFaults(platform.LogFaults{Down: true})
+		began := time.Now()
+		a.client.Finish(ctx, g.Token, ledger.AnswerOf([]byte("done")))
+		assert.Assert(t, time.Since(began) <= 500*time.Millisecond)
+		assert.Equal(t, a.client.Pending(), 1)
+		assert.Equal(t, a.client.Begin(ctx, key("k"), 1).Decision, ledger.Replay)
+		time.Sleep(time.Minute)
+		log.SetFaults(platform.LogFaults{})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, a.client.Pending(), 0)
+		assert.Equal(t, string(b.client.Begin(ctx, key("k"), 1).Answer.Body), "done")
+	})
+}
+
+// TestDoubtAnswersRepeatsAtOnce: a request that got no trusted answer needs
+// no waiting repeat, and a late outcome still counts.
+func TestDoubtAnswersRepeatsAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *platform.Log, a, b *daemon) {
+		ctx, cancel := within(20 * time.Second)
+		defer cancel()
+		g := a.client.Begin(ctx, key("k"), 1)
+		a.client.Doubt(ctx, g.Token)
+		time.Sleep(time.Second)
+		began := time.Now()
+		assert.Equal(t, b.client.Begin(ctx, key("k"), 1).Failure.State, fleet.MayHaveRun)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+		a.client.Finish(ctx, g.Token, ledger.AnswerOf([]byte("late")))
+		time.Sleep(time.Second)
+		assert.Equal(t, string(b.client.Begin(ctx, key("k"), 1).Answer.Body), "late")
+	})
+}
+
+// TestPausedGrantLapses: a process that was paused for hours must not send.
+func TestPausedGrantLapses(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *platform.Log, a, _ *daemon) {
+		ctx, cancel := within(24 * time.Hour)
+		defer cancel()
+		g := a.client.Begin(ctx, key("k"), 1)
+		time.Sleep(7 * time.Hour)
+		assert.Assert(t, !a.client.Holds(g.Token))
+	})
+}
+
+// TestAppendsPerRequest bounds the log's share of a non-idempotent request:
+// an intent and an outcome, and none for a repeat.
+func TestAppendsPerRequest(t *testing.T) {
+	inBubble(t, func(t *testing.T, log *platform.Log, a, b *daemon) {
+		ctx, cancel := within(time.Hour)
+		defer cancel()
+		before := log.Stats().Records
+		const requests = 50
+		for n := range requests {
+			k := key(callID("k", n))
+			g := a.client.Begin(ctx, k, 1)
+			a.client.Finish(ctx, g.Token, ledger.AnswerOf([]byte("ok")))
+			time.Sleep(time.Second)
+			assert.Equal(t, b.client.Begin(ctx, k, 1).Decision, ledger.Replay)
+		}
+		assert.Equal(t, log.Stats().Records-before, uint64(2*requests))
+	})
+}
