Show each guard of dispatch failing when it is off

Cause: three guards could be taken out without a red test: the version of an end, the ids of a plain answer, and the wait of a repeat whose earlier call is open. The property now compares the version, the crossed plain answer carries another caller's body, and the repeat finds no group at all.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -212,7 +212,7 @@
 		go func() { _, _ = b.Invoke(t.Context(), call) }()
 		time.Sleep(time.Second)
 		b.router.mu.Lock()
-		b.router.shut["g0"] = true
+		b.router.groups = nil
 		b.router.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -321,7 +321,7 @@
 	case "broken_after":
 		return backend.CallAnswer{}, errors.New("connection reset")
 	case "crossed":
-		ans.Attempt = "attempt"
+		ans.Attempt, ans.Body = "attempt", []byte("another caller's")
 	case "answer_error":
 		return backend.CallAnswer{}, &backend.AnswerError{Message: "no such plant"}
 	case "slow":
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -78,8 +78,8 @@
 	}
 	if f == nil {
 		seen[fleet.Done]++
-		if end.TokenCount != 20 || c.next != 20 {
-			return errors.Errorf("a whole answer of %d tokens, given %d", end.TokenCount, c.next)
+		if end.TokenCount != 20 || c.next != 20 || end.Version != "v2" {
+			return errors.Errorf("a whole answer of %d tokens, given %d, version %s", end.TokenCount, c.next, end.Version)
 		}
 	} else {
 		seen[f.State]++
