Add the planner and executor of replica groups

The planner weighs for each broken group repair, move, dissolution and waiting by expected cost: waiting is priced over a mixture of exponential returns whose shares follow what was observed, and for several limits after which the best other way is paid. The executor proposes the plan's records without blocking its loop and keeps ordering engines into the records, checking the lease immediately before each order. While the log is down the last holder may go on within the records, which needs no agreement.

--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,100 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// never is the cost of a way that is not open.
+var never = math.Inf(1)
+
+// waitLimits are the times that a wait is weighed for before it is given up.
+var waitLimits = []time.Duration{
+	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second,
+	32 * time.Second, 64 * time.Second, 128 * time.Second, 256 * time.Second, 512 * time.Second,
+}
+
+// outlook is what is expected of the return of a group's lost members.
+type outlook struct {
+	classes []ReturnClass
+	elapsed time.Duration // since the loss
+}
+
+// posterior returns the classes with their shares given that nothing has
+// returned until now.
+func (o outlook) posterior() []ReturnClass {
+	classes := slices.Clone(o.classes)
+	total := 0.0
+	for i, c := range classes {
+		classes[i].Share = c.Share * math.Exp(-ratio(o.elapsed, c.Mean))
+		total += classes[i].Share
+	}
+	if total < 1e-12 {
+		return []ReturnClass{{Share: 1, Mean: max(o.elapsed, longest(classes)), Reload: true}}
+	}
+	for i := range classes {
+		classes[i].Share /= total
+	}
+	return classes
+}
+
+// mean returns the expected time until the return.
+func (o outlook) mean() time.Duration {
+	m := 0.0
+	for _, c := range o.posterior() {
+		m += c.Share * float64(c.Mean)
+	}
+	return time.Duration(m)
+}
+
+// wait returns the least expected cost of waiting: for some limit and then
+// paying fallback, or without limit. rate is the cost of one second of
+// waiting, reload that of loading the weights again after the return.
+func (o outlook) wait(rate, reload, fallback float64) float64 {
+	classes := o.posterior()
+	best := endless(classes, rate, reload)
+	if math.IsInf(fallback, 1) {
+		return best
+	}
+	for _, limit := range waitLimits {
+		best = min(best, limited(classes, limit, rate, reload, fallback))
+	}
+	return best
+}
+
+func endless(classes []ReturnClass, rate, reload float64) float64 {
+	cost := 0.0
+	for _, c := range classes {
+		cost += c.Share * (rate*c.Mean.Seconds() + c.after(reload))
+	}
+	return cost
+}
+
+func limited(classes []ReturnClass, limit time.Duration, rate, reload, fallback float64) float64 {
+	cost := 0.0
+	for _, c := range classes {
+		late := math.Exp(-ratio(limit, c.Mean))
+		waiting := rate * c.Mean.Seconds() * (1 - late)
+		cost += c.Share * (waiting + (1-late)*c.after(reload) + late*fallback)
+	}
+	return cost
+}
+
+// after is what a return of this class still costs.
+func (c ReturnClass) after(reload float64) float64 {
+	if c.Reload {
+		return reload
+	}
+	return 0
+}
+
+func longest(classes []ReturnClass) time.Duration {
+	m := time.Second
+	for _, c := range classes {
+		m = max(m, c.Mean)
+	}
+	return m
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, time.Millisecond)) }
--- /dev/null
+++ b/internal/placement/formation.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// formMissing forms the groups that are wanted and missing.
+func (r *round) formMissing() {
+	for i := range r.snap.Wanted {
+		w := &r.snap.Wanted[i]
+		if r.halted(w) {
+			r.halt(w)
+			continue
+		}
+		for n := r.standing(w); n < w.Groups && !r.held(w) && r.canLoad(); n++ {
+			domains := r.domainsWithRoom(w)
+			if len(domains) == 0 {
+				break
+			}
+			r.form(w, domains[0], "the service wants more groups")
+		}
+	}
+}
+
+// standing counts the groups that are as wanted and shall stay.
+func (r *round) standing(w *Wanted) int {
+	n := 0
+	for _, c := range r.groups {
+		if c.want == w && r.stays(c) {
+			n++
+		}
+	}
+	for _, a := range r.actions {
+		switch {
+		case a.Kind == ActionForm && matches(a.Group, w):
+			n++
+		case a.Kind == ActionDissolve && matches(a.Group, w) && a.Group.Phase == group.PhaseActive:
+			n--
+		}
+	}
+	return n
+}
+
+func matches(g *group.Group, w *Wanted) bool {
+	return g.Service == w.Service && g.Version == w.Version && g.Role == w.Role && sameAdapters(g.Adapters, w.Adapters)
+}
+
+// domainsWithRoom lists the fabric domains that have room for one group, the
+// fullest first, so that large rooms are kept for later.
+func (r *round) domainsWithRoom(w *Wanted) []fleet.FabricDomain {
+	room := r.freeByDomain(w.Pool)
+	maps.DeleteFunc(room, func(_ fleet.FabricDomain, n int) bool { return n < w.Size })
+	domains := slices.Collect(maps.Keys(room))
+	slices.SortFunc(domains, func(a, b fleet.FabricDomain) int {
+		return cmp.Or(cmp.Compare(room[a], room[b]), cmp.Compare(a, b))
+	})
+	return domains
+}
+
+// freeByDomain counts the free instances of a pool.
+func (r *round) freeByDomain(pool fleet.Pool) map[fleet.FabricDomain]int {
+	room := map[fleet.FabricDomain]int{}
+	for id := range r.free {
+		if in := r.snap.Instances[id].Instance; in.Pool == pool {
+			room[in.Fabric]++
+		}
+	}
+	return room
+}
+
+// form adds a new group in a fabric domain that has room for it.
+func (r *round) form(w *Wanted, f fleet.FabricDomain, reason string) {
+	ids := r.freeIn(w.Pool, f)
+	mark := r.snap.Groups.NextID(r.snap.Scope, r.snap.Term)
+	mark.Counter += uint64(r.forms)
+	g := &group.Group{
+		ID:              group.FormatID(r.snap.Scope, mark),
+		Epoch:           1,
+		Service:         w.Service,
+		Model:           w.Model,
+		Version:         w.Version,
+		Adapters:        w.Adapters,
+		Role:            w.Role,
+		Fabric:          f,
+		Phase:           group.PhaseActive,
+		Scope:           r.snap.Scope,
+		Term:            r.snap.Term,
+		ServiceRevision: w.Revision,
+	}
+	g.Members = r.take(ids[:w.Size])
+	g.Spares = r.take(ids[w.Size : w.Size+r.sparesFor(w, len(ids))])
+	r.forms++
+	r.startLoad()
+	weights := r.weights(w)
+	cost := (weights.Downtime + weights.Stranded*float64(accelerators(g.Members))) * r.loadTime(w).Seconds()
+	r.add(Action{Kind: ActionForm, Service: w.Service, Group: g, Reason: reason, Cost: cost})
+}
+
+// sparesFor is how many of the free instances of a domain a new group may
+// reserve without taking the room of a further group.
+func (r *round) sparesFor(w *Wanted, free int) int {
+	spares := min(w.Spares, w.Size-1, free-w.Size)
+	if further := w.Groups - r.standing(w) - 1; further > 0 {
+		fit := min(further, (free-w.Size)/w.Size)
+		spares = min(spares, free-w.Size-fit*w.Size)
+	}
+	return max(spares, 0)
+}
+
+// take gives free instances a place.
+func (r *round) take(ids []fleet.InstanceID) []group.Member {
+	var members []group.Member
+	for _, id := range ids {
+		delete(r.free, id)
+		members = append(members, r.member(id))
+	}
+	return members
+}
--- /dev/null
+++ b/internal/placement/history.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+const (
+	// maxLosses bounds the losses remembered of one instance.
+	maxLosses = 8
+	// priorReturns is how many observed returns the prior is worth.
+	priorReturns = 20
+	// forgetAfter is how long an instance is remembered that is seen no more.
+	forgetAfter = time.Hour
+)
+
+// instanceHistory is what the planner remembers of one instance.
+type instanceHistory struct {
+	seen        time.Time
+	lostSince   time.Time // zero while alive
+	incarnation uint64
+	losses      []time.Time
+	slowSince   time.Time // zero while not slow
+	slowSeen    time.Time // last time it had been slow for long enough
+}
+
+// history is the planner's bounded memory.
+type history struct {
+	instances map[fleet.InstanceID]*instanceHistory
+	groups    map[fleet.GroupID]*groupHistory
+	versions  map[versionKey]*versionHistory
+	returns   []float64 // observed returns of each class
+}
+
+func newHistory(classes int) *history {
+	return &history{
+		instances: map[fleet.InstanceID]*instanceHistory{},
+		groups:    map[fleet.GroupID]*groupHistory{},
+		versions:  map[versionKey]*versionHistory{},
+		returns:   make([]float64, classes),
+	}
+}
+
+// observe takes the state of all instances in.
+func (h *history) observe(p Policy, s Snapshot, now time.Time) {
+	for id, st := range s.Instances {
+		ih := h.instance(id, now)
+		ih.seen = now
+		if st.Alive {
+			h.alive(p, ih, st, now)
+		} else if ih.lostSince.IsZero() {
+			ih.lose(now)
+		}
+	}
+	for id, ih := range h.instances {
+		if _, listed := s.Instances[id]; listed {
+			continue
+		}
+		if ih.lostSince.IsZero() {
+			ih.lose(now)
+		}
+		if now.Sub(ih.seen) > forgetAfter {
+			delete(h.instances, id)
+		}
+	}
+}
+
+func (h *history) instance(id fleet.InstanceID, now time.Time) *instanceHistory {
+	ih := h.instances[id]
+	if ih == nil {
+		ih = &instanceHistory{seen: now}
+		h.instances[id] = ih
+	}
+	return ih
+}
+
+func (h *history) alive(p Policy, ih *instanceHistory, st InstanceState, now time.Time) {
+	restarted := ih.incarnation != 0 && ih.incarnation != st.Report.Incarnation
+	if !ih.lostSince.IsZero() && ih.incarnation != 0 {
+		h.learn(p, now.Sub(ih.lostSince), restarted)
+	} else if restarted {
+		ih.lose(now)
+	}
+	ih.lostSince = time.Time{}
+	ih.incarnation = st.Report.Incarnation
+}
+
+// learn counts a return for the class that explains it best.
+func (h *history) learn(p Policy, after time.Duration, reload bool) {
+	best, likelihood := -1, 0.0
+	for i, c := range p.Returns {
+		l := c.Share * math.Exp(-ratio(after, c.Mean)) / c.Mean.Seconds()
+		if c.Reload == reload && l > likelihood {
+			best, likelihood = i, l
+		}
+	}
+	if best >= 0 {
+		h.returns[best]++
+	}
+}
+
+// classes returns the classes of return with shares that weigh the prior
+// against what was observed.
+func (h *history) classes(p Policy) []ReturnClass {
+	classes := slices.Clone(p.Returns)
+	total := float64(priorReturns)
+	for _, n := range h.returns {
+		total += n
+	}
+	for i := range classes {
+		classes[i].Share = (classes[i].Share*priorReturns + h.returns[i]) / total
+	}
+	return classes
+}
+
+func (ih *instanceHistory) lose(now time.Time) {
+	ih.lostSince = now
+	ih.losses = append(ih.losses, now)
+	if len(ih.losses) > maxLosses {
+		ih.losses = ih.losses[1:]
+	}
+}
+
+// recentLosses counts the losses within the window.
+func (ih *instanceHistory) recentLosses(window time.Duration, now time.Time) int {
+	n := 0
+	for _, at := range ih.losses {
+		if now.Sub(at) <= window {
+			n++
+		}
+	}
+	return n
+}
+
+// markSlow notes whether the instance is slow now.
+func (ih *instanceHistory) markSlow(p Policy, slow bool, now time.Time) {
+	switch {
+	case !slow:
+		ih.slowSince = time.Time{}
+	case ih.slowSince.IsZero():
+		ih.slowSince = now
+	case now.Sub(ih.slowSince) >= p.StragglerAfter:
+		ih.slowSeen = now
+	}
+}
+
+// isSlow reports whether the instance has been slow for long enough.
+func (ih *instanceHistory) isSlow(p Policy, now time.Time) bool {
+	return !ih.slowSince.IsZero() && now.Sub(ih.slowSince) >= p.StragglerAfter
+}
+
+// shunned reports whether the instance gets no new place.
+func (ih *instanceHistory) shunned(p Policy, now time.Time) bool {
+	if ih.recentLosses(p.FlapWindow, now) >= p.FlapCount {
+		return true
+	}
+	return !ih.slowSeen.IsZero() && now.Sub(ih.slowSeen) < p.StragglerStay
+}
--- /dev/null
+++ b/internal/placement/orders.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// orderBook remembers the orders under way and the last one answered.
+type orderBook struct {
+	mu       sync.Mutex
+	underWay map[fleet.InstanceID]bool
+	accepted map[fleet.InstanceID]acceptedOrder
+}
+
+type acceptedOrder struct {
+	assign *fleet.Assignment // nil for a release
+	at     time.Time
+}
+
+func newOrderBook() *orderBook {
+	return &orderBook{underWay: map[fleet.InstanceID]bool{}, accepted: map[fleet.InstanceID]acceptedOrder{}}
+}
+
+// begin reports whether an order may be sent: none is under way to the
+// instance, there are fewer than most, and the same order was not accepted so
+// lately that the instance's report can't show it yet.
+func (b *orderBook) begin(o order, most int, patience time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.underWay[o.instance] || len(b.underWay) >= most {
+		return false
+	}
+	last, ok := b.accepted[o.instance]
+	if ok && sameAssignment(last.assign, o.assign) && !o.reportedAt.After(last.at) && now.Sub(last.at) < patience {
+		return false
+	}
+	b.underWay[o.instance] = true
+	return true
+}
+
+// end notes that an order was answered or given up.
+func (b *orderBook) end(o order, accepted bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.underWay, o.instance)
+	delete(b.accepted, o.instance)
+	if accepted {
+		b.accepted[o.instance] = acceptedOrder{assign: o.assign, at: now}
+	}
+}
+
+// order is one order that is due.
+type order struct {
+	instance   fleet.InstanceID
+	address    string
+	assign     *fleet.Assignment // nil for a release
+	reportedAt time.Time
+}
+
+// order sends the orders that are due, in parallel.
+func (e *Executor) order(ctx context.Context, run *scopeRun, s Snapshot, now time.Time) {
+	for _, o := range e.due(run, s, now) {
+		if !e.orders.begin(o, e.cfg.MaxOrders, 2*e.cfg.OrderTimeout, now) {
+			continue
+		}
+		e.running.Go(func() {
+			accepted := e.send(ctx, run.permit(e), run, o)
+			e.orders.end(o, accepted, time.Now())
+		})
+	}
+}
+
+// due lists the orders to instances whose report differs from the records.
+func (e *Executor) due(run *scopeRun, s Snapshot, now time.Time) []order {
+	var due []order
+	settled := now.Sub(run.since) >= e.cfg.OrderTimeout+e.cfg.Every
+	for id, st := range s.Instances {
+		if !st.Alive || st.Instance.Kind != fleet.KindEngine {
+			continue
+		}
+		if !st.Instance.ChecksFencing && !settled {
+			continue
+		}
+		assign, mine := e.wantedAssignment(run, s, id, st)
+		if mine && !sameAssignment(assign, st.Report.Assignment) {
+			due = append(due, order{instance: id, address: st.Instance.Address, assign: assign, reportedAt: st.Report.ReceivedAt})
+		}
+	}
+	return due
+}
+
+// wantedAssignment returns what an instance is to report, nil for nothing, and
+// whether this scope is to see to it.
+func (e *Executor) wantedAssignment(run *scopeRun, s Snapshot, id fleet.InstanceID, st InstanceState) (*fleet.Assignment, bool) {
+	g := s.Groups.Groups[s.Groups.ByInstance[id]]
+	reported := st.Report.Assignment
+	if g == nil {
+		stray := reported != nil && e.cfg.ScopeOf(reported.Service) == run.scope
+		return nil, stray && !run.outage
+	}
+	if g.Scope != run.scope || superseded(g, reported) {
+		return nil, false
+	}
+	c := e.target(run, g, s)
+	rank := slices.IndexFunc(c, func(m group.Member) bool { return m.Instance == id })
+	if rank < 0 {
+		return nil, !run.outage
+	}
+	a := group.AssignmentOf(g, c, fleet.Rank(rank))
+	return &a, true
+}
+
+// superseded reports whether an instance shows that a newer record of its
+// group exists than this daemon knows.
+func superseded(g *group.Group, reported *fleet.Assignment) bool {
+	return reported != nil && reported.Group == g.ID && reported.Epoch > g.Epoch
+}
+
+// target is the composition that a group's engines are to be in.
+func (e *Executor) target(run *scopeRun, g *group.Group, s Snapshot) []group.Member {
+	if p, ok := run.promoted[g.ID]; ok {
+		if p.epoch == g.Epoch {
+			return p.members
+		}
+		delete(run.promoted, g.ID)
+	}
+	return group.Compose(g, aliveReports(s.Instances))
+}
+
+func sameAssignment(a, b *fleet.Assignment) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank &&
+		a.Service == b.Service && a.Model == b.Model && a.Version == b.Version && a.Role == b.Role &&
+		sameAdapters(a.Adapters, b.Adapters) && slices.Equal(a.Members, b.Members)
+}
+
+// permit returns a check whether an order may be written at a moment, and for
+// how long it is valid. It is called immediately before the order is written.
+func (run *scopeRun) permit(e *Executor) func(now time.Time) (time.Duration, bool) {
+	if run.outage {
+		return func(time.Time) (time.Duration, bool) {
+			return e.cfg.OrderTimeout, e.lastHolder(run, e.cfg.Snapshot(run.scope))
+		}
+	}
+	return func(now time.Time) (time.Duration, bool) {
+		hold, ok := e.cfg.Leases.Held(run.scope)
+		if !ok || hold.Term != run.term || !hold.Valid(now) {
+			return 0, false
+		}
+		return min(e.cfg.OrderTimeout, hold.ValidUntil.Sub(now)), true
+	}
+}
+
+// send writes one order and reports whether it was accepted.
+func (e *Executor) send(ctx context.Context, permit func(time.Time) (time.Duration, bool), run *scopeRun, o order) bool {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.OrderTimeout)
+	defer cancel()
+	id := uuid.NewString()
+	validFor, ok := permit(time.Now())
+	if !ok {
+		e.cfg.Events.Emit(eventOrderDropped, "instance", o.instance, "scope", run.scope, "term", run.term)
+		return false
+	}
+	res, err := e.cfg.Engines.Apply(ctx, o.address, backend.Order{
+		ID:           id,
+		Scope:        string(run.scope),
+		FencingToken: uint64(run.term),
+		Assign:       o.assign,
+		ValidFor:     validFor,
+	})
+	switch {
+	case err != nil:
+		e.cfg.Events.Emit(eventOrderFailed, "instance", o.instance, "order", id, "error", err)
+	case !res.Accepted:
+		e.cfg.Events.Emit(eventOrderRefused, "instance", o.instance, "order", id, "reason", res.Reason, "highest_token", res.HighestToken)
+	}
+	return err == nil && res.Accepted
+}
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"time"
+
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// Planner plans the groups of a scope. It keeps a bounded history of
+// instances, groups and versions: the same snapshots in the same order give
+// the same plans. It is not safe for concurrent use.
+type Planner struct {
+	policy Policy
+	hist   *history
+	// tokens of the weight store's rate, refilled since tokensAt.
+	tokens   float64
+	tokensAt time.Time
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner(policy Policy) *Planner {
+	policy = policy.WithDefaults()
+	return &Planner{policy: policy, hist: newHistory(len(policy.Returns)), tokens: float64(policy.MaxLoads)}
+}
+
+// Plan returns what is to be done now, in the order in which it is to be
+// done. Every broken group gets an action, if only ActionWait with its reason.
+func (p *Planner) Plan(s Snapshot, now time.Time) []Action {
+	if s.Groups == nil {
+		s.Groups = &group.View{}
+	}
+	p.hist.observe(p.policy, s, now)
+	p.refill(now)
+	before := int(p.tokens)
+	r := newRound(p.policy, p.hist, s, now, before)
+	r.repairBroken()
+	if !s.LogDown {
+		r.checkLoads()
+		r.endDrained()
+		r.drainLeaving()
+		r.formMissing()
+		r.turnOver()
+	}
+	p.tokens -= float64(before - r.starts)
+	p.hist.forgetGroups(now)
+	p.hist.forgetVersions(s.Wanted)
+	return r.actions
+}
+
+// refill adds the starts that the weight store's rate has allowed since.
+func (p *Planner) refill(now time.Time) {
+	if !p.tokensAt.IsZero() {
+		p.tokens += now.Sub(p.tokensAt).Seconds() * p.policy.StoreRate
+	}
+	p.tokens = min(p.tokens, float64(p.policy.MaxLoads))
+	p.tokensAt = now
+}
+
+// Fork returns a planner of the same policy without history, for one scope.
+func (p *Planner) Fork() *Planner { return NewPlanner(p.policy) }
--- /dev/null
+++ b/internal/placement/round.go
@@ -0,0 +1,226 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// condition is what the planner finds about one group.
+type condition struct {
+	group       *group.Group
+	composition []group.Member
+	hist        *groupHistory
+	whole       bool
+	lost        []int // ranks of the composition whose instance is lost
+	leaving     bool  // a member is leaving
+	slow        bool  // a member is a straggler
+	want        *Wanted
+	healthy     uint32 // accelerators of the members that are not lost
+}
+
+func (c *condition) broken() bool   { return len(c.lost) > 0 }
+func (c *condition) draining() bool { return c.group.Phase == group.PhaseDraining }
+
+// loading reports whether the group only waits for its engines.
+func (c *condition) loading() bool { return !c.whole && !c.broken() }
+
+// round is one run of the planner over one snapshot.
+type round struct {
+	policy  Policy
+	hist    *history
+	snap    Snapshot
+	now     time.Time
+	groups  []*condition // of the scope, by id
+	free    map[fleet.InstanceID]bool
+	dark    map[fleet.FabricDomain]bool
+	loads   int // groups that load now or by this plan
+	starts  int // loads that this plan may still begin
+	forms   int // groups formed by this plan
+	actions []Action
+}
+
+// Report implements group.Reports over the instances that are alive.
+func (r *round) Report(id fleet.InstanceID) (fleet.Report, bool) {
+	st, ok := r.snap.Instances[id]
+	return st.Report, ok && st.Alive
+}
+
+func newRound(p Policy, h *history, s Snapshot, now time.Time, starts int) *round {
+	r := &round{policy: p, hist: h, snap: s, now: now, starts: starts}
+	r.free = map[fleet.InstanceID]bool{}
+	r.findDark()
+	for _, id := range slices.Sorted(maps.Keys(s.Groups.Groups)) {
+		g := s.Groups.Groups[id]
+		if g.Scope == s.Scope {
+			r.groups = append(r.groups, r.examine(g))
+		}
+	}
+	r.findFree()
+	for _, c := range r.groups {
+		if c.loading() && !c.draining() {
+			r.loads++
+		}
+	}
+	r.loads = max(r.loads, s.LoadsRunning)
+	return r
+}
+
+// examine finds out how a group is.
+func (r *round) examine(g *group.Group) *condition {
+	c := &condition{group: g, composition: group.Compose(g, r), want: r.wantedOf(g)}
+	c.whole = group.Whole(g, r, r.now, r.policy.Freshness).Whole
+	for rank, m := range c.composition {
+		st, known := r.snap.Instances[m.Instance]
+		if !known || !st.Alive {
+			c.lost = append(c.lost, rank)
+			continue
+		}
+		c.healthy += m.Accelerators
+		c.leaving = c.leaving || st.Instance.Leaving || st.Report.Leaving
+	}
+	c.slow = r.markSlow(c)
+	c.hist = r.hist.observeGroup(c, r.now)
+	return c
+}
+
+// markSlow compares the rates of a group's members and reports whether one is
+// a straggler.
+func (r *round) markSlow(c *condition) bool {
+	var rates []float64
+	for _, m := range c.composition {
+		rep, _ := r.Report(m.Instance)
+		rates = append(rates, rep.TokensPerSecond)
+	}
+	sorted := slices.Sorted(slices.Values(rates))
+	bound := sorted[len(sorted)/2] * r.policy.StragglerShare
+	slow := false
+	for i, m := range c.composition {
+		ih := r.hist.instance(m.Instance, r.now)
+		ih.markSlow(r.policy, c.whole && rates[i] < bound, r.now)
+		slow = slow || ih.isSlow(r.policy, r.now)
+	}
+	return slow
+}
+
+// wantedOf returns what the group is for, nil when nothing wants it as it is.
+func (r *round) wantedOf(g *group.Group) *Wanted {
+	for i := range r.snap.Wanted {
+		w := &r.snap.Wanted[i]
+		same := w.Service == g.Service && w.Model == g.Model && w.Version == g.Version && w.Role == g.Role
+		if same && w.Size == len(g.Members) && sameAdapters(w.Adapters, g.Adapters) {
+			return w
+		}
+	}
+	return nil
+}
+
+func sameAdapters(a, b []fleet.Adapter) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// findDark notes the fabric domains of which nearly all instances are lost.
+func (r *round) findDark() {
+	all := map[fleet.FabricDomain]int{}
+	lost := map[fleet.FabricDomain]int{}
+	for _, st := range r.snap.Instances {
+		if !st.Listed || st.Instance.Kind != fleet.KindEngine {
+			continue
+		}
+		all[st.Instance.Fabric]++
+		if !st.Alive {
+			lost[st.Instance.Fabric]++
+		}
+	}
+	r.dark = map[fleet.FabricDomain]bool{}
+	for f, n := range all {
+		r.dark[f] = n > 1 && float64(lost[f]) >= r.policy.DarkShare*float64(n)
+	}
+}
+
+// findFree notes the instances that may be given a place.
+func (r *round) findFree() {
+	for id, st := range r.snap.Instances {
+		if _, taken := r.snap.Groups.ByInstance[id]; taken {
+			continue
+		}
+		if r.usable(id, st) {
+			r.free[id] = true
+		}
+	}
+}
+
+// usable reports whether an instance may take a place in a group.
+func (r *round) usable(id fleet.InstanceID, st InstanceState) bool {
+	in := st.Instance
+	if in.Kind != fleet.KindEngine || !st.Listed || !st.Alive || in.Leaving || st.Report.Leaving {
+		return false
+	}
+	return !r.hist.instance(id, r.now).shunned(r.policy, r.now)
+}
+
+// freeIn returns the free instances of a pool and fabric domain, steady ones
+// first.
+func (r *round) freeIn(pool fleet.Pool, f fleet.FabricDomain) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for id := range r.free {
+		in := r.snap.Instances[id].Instance
+		if in.Pool == pool && in.Fabric == f {
+			ids = append(ids, id)
+		}
+	}
+	losses := func(id fleet.InstanceID) int {
+		return r.hist.instance(id, r.now).recentLosses(r.policy.FlapWindow, r.now)
+	}
+	slices.SortFunc(ids, func(a, b fleet.InstanceID) int {
+		return cmp.Or(cmp.Compare(losses(a), losses(b)), cmp.Compare(a, b))
+	})
+	return ids
+}
+
+// member makes the group member of an instance.
+func (r *round) member(id fleet.InstanceID) group.Member {
+	in := r.snap.Instances[id].Instance
+	return group.Member{
+		Instance:      id,
+		Address:       in.Address,
+		Zone:          in.Zone,
+		Accelerators:  in.Accelerators,
+		ChecksFencing: in.ChecksFencing,
+		Fabric:        in.Fabric,
+	}
+}
+
+// canLoad reports whether the weight store has room for one more load.
+func (r *round) canLoad() bool { return r.loads < r.policy.MaxLoads && r.starts > 0 }
+
+// startLoad takes one place at the weight store.
+func (r *round) startLoad() {
+	r.loads++
+	r.starts--
+}
+
+// loadTime is how long a load would take that is asked for now.
+func (r *round) loadTime(w *Wanted) time.Duration {
+	turns := 1 + r.loads/r.policy.MaxLoads
+	return time.Duration(turns) * w.LoadTime
+}
+
+func (r *round) weights(w *Wanted) Weights {
+	if w == nil || w.Weights == (Weights{}) {
+		return r.policy.Weights
+	}
+	return w.Weights
+}
+
+func (r *round) add(a Action) { r.actions = append(r.actions, a) }
+
+// wait adds the decision to leave a group as it is.
+func (r *round) wait(c *condition, reason string, args ...any) {
+	r.add(Action{Kind: ActionWait, Service: c.group.Service, Group: c.group, Reason: fmt.Sprintf(reason, args...)})
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -8,6 +8,7 @@
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
 )
 
 // Weights price the two measures against each other.
@@ -47,6 +48,14 @@
 
 // Snapshot is all that one round of planning rests on.
 type Snapshot struct {
+	// Scope and Term are those of the lease that the plan is made under. The
+	// planner touches only groups of this scope.
+	Scope lease.Scope
+	Term  lease.Term
+	// Revision is that of the configuration in force, zero when it is not
+	// known. Groups of a service that is not wanted are ended only when it
+	// is known.
+	Revision  uint64
 	Wanted    []Wanted
 	Groups    *group.View
 	Instances map[fleet.InstanceID]InstanceState
@@ -69,12 +78,16 @@
 	ActionDissolve ActionKind = "dissolve" // free the instances
 	ActionWait     ActionKind = "wait"     // do nothing, for a stated reason
 	ActionPromote  ActionKind = "promote"  // use a reserved spare, no agreement
+	ActionHalt     ActionKind = "halt"     // stop a rollout that fails
 )
 
 // Action is one step of a plan.
 type Action struct {
-	Kind  ActionKind
-	Group *group.Group // the group as it shall be; as it is for drain, dissolve, wait
+	Kind    ActionKind
+	Service fleet.ServiceName
+	// Replaces lists the members that a repair or promotion leaves out.
+	Replaces []fleet.InstanceID
+	Group    *group.Group // the group as it shall be; as it is for drain, dissolve, wait
 	// Reason says why, and Cost what it is expected to cost.
 	Reason string
 	Cost   float64
