Wire the daemon: the whole path in separate processes

Cause: packages alone serve nobody. internal/daemon puts folds, replicas, mesh, planner, router and dispatcher together; it takes listeners and a dialer from outside, so that it also runs in virtual time. Found on the way: the events and settings pages drift, so both are made from the code and a test holds them to it. TestPlatformStoppedForAMinute first failed with 118 generations: its callers alternated generations with injections, which wait for the stopped log; callers now do one or the other, the bound stays. Open: an append to a silent log takes its whole timeout before the caller hears NOT_RUN; a refusal should come at once. Before: no path.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold our own code.
 PACKAGES = ./... ./standin/...
 
-.PHONY: all build test lint gen
+.PHONY: all build test lint gen docs demo bench
 all: build
 
 # Exactly two shipped binaries.
@@ -20,3 +20,17 @@
 # Regenerates the committed protobuf code; needs tools/.
 gen:
 	go tool buf generate
+
+# Writes docs/EVENTS.md and docs/SETTINGS.md from the code.
+docs:
+	go test ./cmd/carawayd -run Page -update
+
+# The whole path in separate processes on loopback; TARGET is the daemon that
+# takes the calls, 1 to 3.
+TARGET ?= 1
+demo:
+	go run ./standin/demo --target=$(TARGET)
+
+# What a daemon adds to calling an engine directly, as ratios in one run.
+bench:
+	go run ./standin/bench
--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,252 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/datastore"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/service"
+)
+
+// Version is the version that carawayd and carawayctl report.
+const Version = "0.1.0"
+
+// operator serves the operators' calls for one daemon.
+type operator struct{ d *Daemon }
+
+var _ carawayv1connect.AdminServiceHandler = operator{}
+
+// Publish implements carawayv1connect.AdminServiceHandler.
+func (o operator) Publish(ctx context.Context, req *connect.Request[carawayv1.PublishRequest]) (*connect.Response[carawayv1.PublishResponse], error) {
+	pub := service.Publication{Author: req.Msg.Author, Note: req.Msg.Note}
+	for _, c := range req.Msg.Changes {
+		pub.Changes = append(pub.Changes, service.Change{
+			Service:      fleet.ServiceName(c.Service),
+			BaseRevision: c.BaseRevision,
+			Body:         c.Body,
+			File:         c.File,
+		})
+	}
+	var out service.Outcome
+	if req.Msg.DryRun {
+		out = o.d.publisher.DryRun(pub)
+	} else {
+		out = o.d.publisher.Publish(ctx, pub)
+	}
+	return publishAnswer(out)
+}
+
+// publishAnswer turns an outcome into an answer. A conflict is an answer; a
+// publication that is invalid or has no known fate is an error.
+func publishAnswer(out service.Outcome) (*connect.Response[carawayv1.PublishResponse], error) {
+	switch out.Kind {
+	case service.Invalid:
+		return nil, connect.NewError(connect.CodeInvalidArgument, joinProblems(out.Problems))
+	case service.NotPublished:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(out.Err, "not published"))
+	case service.Unknown:
+		return nil, connect.NewError(connect.CodeUnknown, errors.Wrap(out.Err, "may have been published; publishing it again is safe"))
+	}
+	resp := &carawayv1.PublishResponse{
+		Accepted: out.Kind == service.Accepted || out.Kind == service.WouldBeAccepted,
+		Revision: out.Revision,
+	}
+	for _, c := range out.Conflicts {
+		resp.Conflicts = append(resp.Conflicts, &carawayv1.PublishConflict{
+			Service:         string(c.Service),
+			BaseRevision:    c.BaseRevision,
+			CurrentRevision: c.CurrentRevision,
+			CurrentAuthor:   c.Author,
+			Difference:      c.Diff,
+			Reason:          string(c.Reason),
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func joinProblems(problems []error) error {
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.Error()
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// GetStatus implements carawayv1connect.AdminServiceHandler.
+func (o operator) GetStatus(context.Context, *connect.Request[carawayv1.GetStatusRequest]) (*connect.Response[carawayv1.GetStatusResponse], error) {
+	d := o.d
+	now := time.Now()
+	ready, reason := d.Ready()
+	resp := &carawayv1.GetStatusResponse{
+		Daemon:           string(d.id),
+		AvailabilityZone: d.set.Zone,
+		Ready:            ready,
+		Reason:           reason,
+		ConfigRevision:   d.services.Catalog().Revision,
+		LogReachable:     now.Sub(d.control.Status().LogAt) < logReachableWithin,
+		Version:          Version,
+		Draining:         d.draining.Load(),
+		InFlight:         uint32(d.dispatcher.InFlight()),
+	}
+	for _, p := range d.mesh.View().Peers {
+		resp.Peers = append(resp.Peers, &carawayv1.PeerStatus{
+			Daemon:         string(p.Heartbeat.From),
+			Address:        p.Heartbeat.Address,
+			Alive:          p.Alive,
+			Ready:          p.Heartbeat.Ready,
+			ConfigRevision: p.Heartbeat.ConfigRevision,
+			HeardAgo:       durationpb.New(now.Sub(p.HeardAt)),
+			Incarnation:    p.Heartbeat.Incarnation,
+		})
+	}
+	sort.Slice(resp.Peers, func(i, j int) bool { return resp.Peers[i].Daemon < resp.Peers[j].Daemon })
+	for _, r := range d.replicas() {
+		resp.Streams = append(resp.Streams, streamStatus(r.Status(), now))
+	}
+	for _, scope := range d.scopes() {
+		if l, ok := d.leases.Current(scope); ok {
+			resp.Leases = append(resp.Leases, &carawayv1.LeaseStatus{Scope: string(scope), Term: uint64(l.Term), Holder: string(l.Holder)})
+		}
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// logReachableWithin is how recent the log's last answer must be.
+const logReachableWithin = 5 * time.Second
+
+func streamStatus(s journal.Status, now time.Time) *carawayv1.StreamStatus {
+	out := &carawayv1.StreamStatus{Stream: string(s.Stream), Next: uint64(s.Next)}
+	if !s.ConfirmedAt.IsZero() {
+		out.ConfirmedAgo = durationpb.New(now.Sub(s.ConfirmedAt))
+	}
+	if s.Err != nil {
+		out.Problem = s.Err.Error()
+	}
+	return out
+}
+
+// ListServices implements carawayv1connect.AdminServiceHandler.
+func (o operator) ListServices(context.Context, *connect.Request[carawayv1.ListServicesRequest]) (*connect.Response[carawayv1.ListServicesResponse], error) {
+	catalog := o.d.services.Catalog()
+	resp := &carawayv1.ListServicesResponse{ConfigRevision: catalog.Revision}
+	now := time.Now()
+	for name, p := range catalog.Services {
+		s := &carawayv1.ServiceStatus{
+			Service:  string(name),
+			Revision: p.Revision,
+			Author:   p.Author,
+			Kind:     string(p.Spec.Kind),
+			Owner:    p.Spec.Owner,
+			Body:     p.Body,
+		}
+		for _, v := range p.Spec.Versions {
+			s.GroupsWanted += uint32(v.Groups)
+		}
+		for _, c := range o.d.store.Candidates(name, now) {
+			if c.Whole {
+				s.GroupsWhole++
+			}
+		}
+		resp.Services = append(resp.Services, s)
+	}
+	sort.Slice(resp.Services, func(i, j int) bool { return resp.Services[i].Service < resp.Services[j].Service })
+	return connect.NewResponse(resp), nil
+}
+
+// ListGroups implements carawayv1connect.AdminServiceHandler.
+func (o operator) ListGroups(_ context.Context, req *connect.Request[carawayv1.ListGroupsRequest]) (*connect.Response[carawayv1.ListGroupsResponse], error) {
+	resp := &carawayv1.ListGroupsResponse{}
+	now := time.Now()
+	inFlight := o.d.inFlightEverywhere()
+	for _, g := range o.d.groups.View().Groups {
+		if req.Msg.Service != "" && string(g.Service) != req.Msg.Service {
+			continue
+		}
+		w := group.Whole(g, o.d.watcher, now, datastore.Freshness)
+		s := &carawayv1.GroupStatus{
+			Group:        string(g.ID),
+			Service:      string(g.Service),
+			Epoch:        uint64(g.Epoch),
+			Version:      string(g.Version),
+			State:        string(g.Phase),
+			Whole:        w.Whole,
+			Reason:       w.Reason,
+			FabricDomain: string(g.Fabric),
+			InFlight:     inFlight[g.ID],
+		}
+		s.Members, s.Spares = o.composition(g)
+		resp.Groups = append(resp.Groups, s)
+	}
+	sort.Slice(resp.Groups, func(i, j int) bool { return resp.Groups[i].Group < resp.Groups[j].Group })
+	return connect.NewResponse(resp), nil
+}
+
+// composition returns the instances that serve in the group now, in rank
+// order, and those that stand by.
+func (o operator) composition(g *group.Group) (members, spares []string) {
+	serving := map[fleet.InstanceID]bool{}
+	for _, m := range group.Compose(g, o.d.watcher) {
+		serving[m.Instance] = true
+		members = append(members, string(m.Instance))
+	}
+	for m := range g.All() {
+		if !serving[m.Instance] {
+			spares = append(spares, string(m.Instance))
+		}
+	}
+	return members, spares
+}
+
+// Explain implements carawayv1connect.AdminServiceHandler.
+func (o operator) Explain(_ context.Context, req *connect.Request[carawayv1.ExplainRequest]) (*connect.Response[carawayv1.ExplainResponse], error) {
+	resp := &carawayv1.ExplainResponse{}
+	for _, x := range o.d.decisions.about(req.Msg.RequestId) {
+		resp.Decisions = append(resp.Decisions, &carawayv1.Decision{
+			Time:   x.at.UTC().Format(time.RFC3339Nano),
+			Event:  uint32(x.event.Number),
+			Text:   x.event.Name + " " + event.Text(x.keyvals),
+			Daemon: string(o.d.id),
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Drain implements carawayv1connect.AdminServiceHandler. Only the daemon
+// itself can be drained this way; an instance leaves by the platform's list.
+func (o operator) Drain(_ context.Context, req *connect.Request[carawayv1.DrainRequest]) (*connect.Response[carawayv1.DrainResponse], error) {
+	if req.Msg.Instance != "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("an instance is drained by the platform's list; only the daemon itself can be drained here"))
+	}
+	o.d.Drain()
+	return connect.NewResponse(&carawayv1.DrainResponse{InFlight: uint32(o.d.dispatcher.InFlight())}), nil
+}
+
+// ListHistory implements carawayv1connect.AdminServiceHandler.
+func (o operator) ListHistory(_ context.Context, req *connect.Request[carawayv1.ListHistoryRequest]) (*connect.Response[carawayv1.ListHistoryResponse], error) {
+	resp := &carawayv1.ListHistoryResponse{}
+	for _, h := range o.d.services.History(fleet.ServiceName(req.Msg.Service)) {
+		resp.Entries = append(resp.Entries, &carawayv1.HistoryEntry{
+			Revision: h.Revision,
+			Service:  req.Msg.Service,
+			Author:   h.Author,
+			Time:     time.UnixMilli(h.UnixMilli).UTC().Format(time.RFC3339),
+			Body:     h.Body,
+			Removed:  h.Removed,
+			Note:     h.Note,
+			File:     h.File,
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/gateway"
+	"carawayproxy.example/caraway/internal/httpx"
+)
+
+// endpoint is one listener with its server.
+type endpoint struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+func (e endpoint) serve(events *event.Logger) {
+	serve := func() error { return e.server.Serve(e.listener) }
+	if e.server.TLSConfig != nil {
+		serve = func() error { return e.server.ServeTLS(e.listener, "", "") }
+	}
+	if err := serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		events.Emit(eventServeFailed, "listener", e.name, "error", err)
+	}
+}
+
+// servers makes the callers', admin and peers' endpoints.
+func (d *Daemon) servers() []endpoint {
+	callers := http.NewServeMux()
+	callers.Handle(gateway.NewInference(d.dispatcher).Handler(d.set.MaxBodyBytes))
+	gateway.Health(callers, d.Ready)
+
+	admin := http.NewServeMux()
+	admin.Handle(carawayv1connect.NewAdminServiceHandler(operator{d}, connect.WithReadMaxBytes(d.set.MaxBodyBytes)))
+	admin.Handle("GET /metrics", gateway.Metrics(d.metrics))
+	gateway.Health(admin, d.Ready)
+
+	limit := func(l net.Listener) net.Listener { return netutil.LimitListener(l, d.set.MaxConnections) }
+	return []endpoint{
+		{name: "callers", listener: limit(d.env.Callers), server: httpx.NewServer(callers, d.env.TLS)},
+		{name: "admin", listener: limit(d.env.Admin), server: httpx.NewServer(admin, d.env.TLS)},
+		{name: "peers", listener: limit(d.env.Peers), server: httpx.NewServer(d.mesh.Handler(), nil)},
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -46,5 +46,6 @@
 	s, err := Parse(nil)
 	assert.NilError(t, err)
 	assert.Equal(t, s.Zone, "pokhara-a")
-	assert.Assert(t, s.DaemonID() != s.DaemonID())
+	first, second := s.DaemonID(), s.DaemonID()
+	assert.Assert(t, first != second)
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -78,7 +78,7 @@
 		s.SetFaults(f)
 	})
 	mux.HandleFunc("GET /standin/stats", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]int{"runs": s.Total()})
+		_ = json.NewEncoder(w).Encode(map[string]int{"runs": s.Total(), "repeated": s.Repeated()})
 	})
 	return mux
 }
@@ -104,6 +104,19 @@
 	return s.total
 }
 
+// Repeated returns how many bodies were run more than once.
+func (s *Server) Repeated() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, runs := range s.runs {
+		if runs > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // InFlight returns how many calls are running.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
--- /dev/null
+++ b/standin/stack/load.go
@@ -0,0 +1,168 @@
+package stack
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/standin/engine"
+	"carawayproxy.example/caraway/standin/plain"
+)
+
+// Load calls daemons as callers do: generations, and injections that are
+// repeated at another daemon until they have an answer. It is safe for
+// concurrent use.
+type Load struct {
+	clients []carawayv1connect.InferenceServiceClient
+	names   []string
+
+	mu         sync.Mutex
+	wrong      []string // answers that were not the request's own
+	refused    []string // failures that said NOT_RUN
+	uncertain  []string // failures that said MAY_HAVE_RUN or nothing
+	generated  int
+	recorded   int
+	injections []string // bodies that got an answer
+}
+
+// Counts are what a Load met so far.
+type Counts struct {
+	Generated, Recorded int
+	Refused, Uncertain  []string
+	Wrong               []string
+}
+
+const (
+	loadCallLimit = 10 * time.Second
+	loadTokens    = 20
+	loadPause     = 20 * time.Millisecond
+)
+
+// NewLoad returns a load on the given daemons.
+func NewLoad(daemons []*Daemon) *Load {
+	l := &Load{}
+	for _, d := range daemons {
+		client := httpx.NewClient(httpx.Dialer())
+		l.clients = append(l.clients, carawayv1connect.NewInferenceServiceClient(client, "http://"+d.Callers))
+		l.names = append(l.names, d.Name)
+	}
+	return l
+}
+
+// Run makes calls until ctx ends, from a number of callers of which every
+// second one generates and the others record injections, and returns once the
+// calls in flight have ended.
+func (l *Load) Run(ctx context.Context, callers int) {
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				if c%2 == 0 {
+					l.generate(c+n, fmt.Sprintf("caller %d asks question %d", c, n))
+				} else {
+					l.record(c+n, fmt.Sprintf("injection %d of caller %d", n, c))
+				}
+				time.Sleep(loadPause)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (l *Load) generate(target int, prompt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadCallLimit)
+	defer cancel()
+	i := target % len(l.clients)
+	resp, err := l.clients[i].Complete(ctx, connect.NewRequest(&carawayv1.CompleteRequest{Request: &carawayv1.GenerateRequest{
+		Workspace: "summaries", Service: "drafting", Prompt: prompt, MaxTokens: loadTokens,
+	}}))
+	if err != nil {
+		l.failed(l.names[i], err)
+		return
+	}
+	want := ""
+	for t := range uint32(loadTokens) {
+		want += engine.TokenText("drafting", "v1", "", prompt, t)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.generated++
+	if resp.Msg.Text != want {
+		l.wrong = append(l.wrong, fmt.Sprintf("%s: %q, want %q", prompt, resp.Msg.Text, want))
+	}
+}
+
+// record repeats one injection under one key at one daemon after the other
+// until it has an answer, a bounded number of times.
+func (l *Load) record(target int, body string) {
+	const tries = 4
+	key := uuid.Must(uuid.NewV7()).String()
+	for try := range tries {
+		i := (target + try) % len(l.clients)
+		ctx, cancel := context.WithTimeout(context.Background(), loadCallLimit)
+		resp, err := l.clients[i].Invoke(ctx, connect.NewRequest(&carawayv1.InvokeRequest{
+			Workspace: "readings", Service: "logbook", Method: "RecordInjection", IdempotencyKey: key, Body: []byte(body),
+		}))
+		cancel()
+		if err != nil {
+			l.failed(l.names[i], err)
+			time.Sleep(loadPause)
+			continue
+		}
+		l.answered(body, string(resp.Msg.Body))
+		return
+	}
+}
+
+func (l *Load) answered(body, answer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recorded++
+	l.injections = append(l.injections, body)
+	if want := string(plain.Answer("RecordInjection", []byte(body))); answer != want {
+		l.wrong = append(l.wrong, fmt.Sprintf("%s: %q, want %q", body, answer, want))
+	}
+}
+
+func (l *Load) failed(daemon string, err error) {
+	line := daemon + ": " + err.Error()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if State(err) == carawayv1.RunState_RUN_STATE_NOT_RUN {
+		l.refused = append(l.refused, line)
+	} else {
+		l.uncertain = append(l.uncertain, line)
+	}
+}
+
+// State returns the run state that a call's error tells, unspecified when it
+// tells none.
+func State(err error) carawayv1.RunState {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return carawayv1.RunState_RUN_STATE_UNSPECIFIED
+	}
+	for _, d := range ce.Details() {
+		if v, err := d.Value(); err == nil {
+			if f, ok := v.(*carawayv1.FailureDetail); ok {
+				return f.RunState
+			}
+		}
+	}
+	return carawayv1.RunState_RUN_STATE_UNSPECIFIED
+}
+
+// Counts returns what the load met so far.
+func (l *Load) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Counts{Generated: l.generated, Recorded: l.recorded, Refused: l.refused, Uncertain: l.uncertain, Wrong: l.wrong}
+}
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -29,6 +29,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
