--- a/internal/group/book.go
+++ b/internal/group/book.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -79,11 +78,12 @@
 	return journal.Verdict{}, errors.Errorf("group: record kind %q is unknown", r.Kind)
 }
 
-// apply decodes the body and runs the rule on it.
+// apply decodes the body and runs the rule on it. A body that can't be decoded
+// does not count; a body of a new shape gets a new kind.
 func apply[T any](r journal.Record, rule func(fleet.DaemonID, *T) error) (journal.Verdict, error) {
 	var body T
-	if err := cbor.Unmarshal(r.Body, &body); err != nil {
-		return journal.Verdict{}, errors.Wrapf(err, "group: body of %s", r.Kind)
+	if err := journal.Decode(r.Body, &body); err != nil {
+		return journal.Reject("malformed body"), nil
 	}
 	if err := rule(r.Author, &body); err != nil {
 		return journal.Reject(err.Error()), nil
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -4,10 +4,10 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/lease"
 )
 
@@ -37,7 +37,7 @@
 	for _, scope := range slices.Sorted(maps.Keys(b.issued)) {
 		s.Issued = append(s.Issued, issued{Scope: scope, Mark: b.issued[scope]})
 	}
-	data, err := cbor.Marshal(s)
+	data, err := journal.Encode(s)
 	return data, errors.Wrap(err, "group: snapshot")
 }
 
@@ -45,7 +45,7 @@
 // fold is refused and leaves the state as it was.
 func (b *Book) Restore(data []byte) error {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := journal.Decode(data, &s); err != nil {
 		return errors.Wrap(err, "group: restore")
 	}
 	if s.Format != snapshotFormat {
