membership: cluster tests over the in-memory network; a heard peer must hear us

Cause: the first run of TestOneWayCutEndsTheLinkOnBothSides failed: 2.5 s after a one-way cut the daemon that still hears its peer counted it alive, because an echo that is held longer still bounds when the heartbeat was sent. Freshness and being heard are two things: SentAt bounds the former, HeardUsAt the latter, Alive needs both, confirmations only the former. Guards off, each caught: confirmations by time of arrival (TestHeldHeartbeatsConfirmNothing), no HeardUsAt (TestOneWayCut...), one peer enough for an outage (TestMinorityWithoutTheLogTurnsUnready), no relay (TestRelayReachesDaemonsWithoutTheLogInTime).

--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -85,22 +85,27 @@
 	l.sent[sequence%sentKept] = sentBeat{sequence: sequence, at: now}
 }
 
-// heard notes a heartbeat and returns the moment before which it was surely
-// not sent, zero if its echo tells nothing.
-func (l *link) heard(now time.Time, b *beatMessage) time.Time {
+// evidence is what the echo of a heartbeat shows, both zero for nothing.
+type evidence struct {
+	sentAt    time.Time // the heartbeat was not sent before
+	heardUsAt time.Time // the one of ours that it echoes did not arrive before
+}
+
+// heard notes a heartbeat and returns what its echo shows.
+func (l *link) heard(now time.Time, b *beatMessage) evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heardAt = now
 	l.heardSeq = b.Sequence
 	s := l.sent[b.Echo.Sequence%sentKept]
 	if b.Echo.Sequence == 0 || s.sequence != b.Echo.Sequence {
-		return time.Time{}
+		return evidence{}
 	}
 	sentAt := s.at.Add(duration(b.Echo.HeldMilli))
 	if sentAt.After(now) {
-		return now
+		sentAt = now
 	}
-	return sentAt
+	return evidence{sentAt: sentAt, heardUsAt: s.at}
 }
 
 func (l *link) silentFor(now time.Time) time.Duration {
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -318,9 +318,9 @@
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
 		ConfigRevision: b.ConfigRevision, Streams: b.Streams, InFlight: b.InFlight,
 	}
-	sentAt := l.heard(now, b)
+	shown := l.heard(now, b)
 	m.mu.Lock()
-	taken := m.table.observe(now, h, sentAt)
+	taken := m.table.observe(now, h, shown)
 	p := m.table.peers[h.From]
 	m.dirty = true
 	m.mu.Unlock()
--- /dev/null
+++ b/internal/membership/mesh_test.go
@@ -0,0 +1,269 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+// configBound is the stated time within which a configuration is in force.
+const configBound = 7 * time.Second
+
+// leavingBound is the stated time after which a leaving instance gets no work.
+const leavingBound = 3 * time.Second
+
+func alive(m *member) int { return m.View().AliveAt(time.Now(), m.cfg.AliveFor) }
+
+func TestNineDaemonsHearEachOther(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		time.Sleep(time.Minute)
+		for _, m := range c.members {
+			assert.Equal(t, alive(m), 8)
+			assert.Equal(t, m.View().Wanted, 8)
+			ok, why := m.ready(time.Now())
+			assert.Assert(t, ok, why)
+		}
+	})
+}
+
+func TestRelayReachesDaemonsWithoutTheLogInTime(t *testing.T) {
+	tests := map[string]struct {
+		members int
+		prepare func(c *cluster)
+	}{
+		"only one has the log":       {9, func(c *cluster) {}},
+		"three hops":                 {4, (*cluster).chain},
+		"eight hops":                 {9, (*cluster).chain},
+		"one peer left of eight":     {9, func(c *cluster) { c.isolate(c.members[8]); c.net.Heal(c.members[8].ip, c.members[0].ip) }},
+		"peer that has it freezes":   {9, func(c *cluster) { c.net.Freeze(c.members[1].ip); c.members[1].noLog = false }},
+		"one-way cut from the first": {9, func(c *cluster) { c.net.Cut(c.members[0].ip, c.members[3].ip) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, test.members, func(t *testing.T, c *cluster) {
+				for _, m := range c.members[1:] {
+					m.set(func(m *member) { m.noLog = true })
+				}
+				test.prepare(c)
+				time.Sleep(20 * time.Second)
+				c.log.append("config", "revision 1")
+				took := c.within(configBound, name, func(m *member) bool { return m.next("config") == 1 })
+				t.Logf("in force everywhere after %v", took)
+			})
+		})
+	}
+}
+
+func TestConfirmationsCrossTheMesh(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		for _, m := range c.members[1:] {
+			m.set(func(m *member) { m.noLog = true })
+		}
+		for range 60 {
+			time.Sleep(time.Second)
+			for _, m := range c.members {
+				ok, why := m.ready(time.Now())
+				assert.Assert(t, ok, why)
+			}
+		}
+	})
+}
+
+func TestCutOffDaemonTurnsUnreadyAndReturns(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		lost := c.members[4]
+		lost.set(func(m *member) { m.noLog = true })
+		c.isolate(lost)
+		time.Sleep(configBound)
+		ok, why := lost.ready(time.Now())
+		assert.Assert(t, !ok)
+		t.Log(why)
+		c.heal(lost)
+		c.within(configBound, "ready again", func(m *member) bool { ok, _ := m.ready(time.Now()); return ok })
+	})
+}
+
+func TestOutageOfTheLogKeepsAllReady(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		c.log.append("config", "revision 1")
+		time.Sleep(time.Second)
+		for _, m := range c.members {
+			m.set(func(m *member) { m.noLog = true })
+		}
+		for range 120 {
+			time.Sleep(time.Second)
+			for _, m := range c.members {
+				ok, why := m.ready(time.Now())
+				assert.Assert(t, ok, why)
+			}
+		}
+	})
+}
+
+func TestMinorityWithoutTheLogTurnsUnready(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		for _, a := range c.members[:4] {
+			a.set(func(m *member) { m.noLog = true })
+			for _, b := range c.members[4:] {
+				c.net.CutBoth(a.ip, b.ip)
+			}
+		}
+		time.Sleep(configBound)
+		for i, m := range c.members {
+			ok, why := m.ready(time.Now())
+			assert.Equal(t, ok, i >= 4, why)
+		}
+	})
+}
+
+// A daemon that was frozen for an hour finds an hour's old heartbeats in its
+// buffers when it wakes. They must not pass for news.
+func TestHeldHeartbeatsConfirmNothing(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		frozen := c.members[0]
+		frozen.set(func(m *member) { m.noLog = true })
+		time.Sleep(time.Second)
+		before := time.Now()
+		c.net.Freeze(frozen.ip)
+		time.Sleep(3500 * time.Millisecond)
+		c.log.append("config", "revision 1")
+		c.isolate(frozen) // what was under way before still arrives
+		c.net.Thaw(frozen.ip)
+		time.Sleep(10 * time.Millisecond)
+		got := frozen.replicas["config"].Status().ConfirmedAt
+		assert.Assert(t, !got.After(before.Add(DefaultBeat)), "confirmed %v after the freeze began", got.Sub(before))
+	})
+}
+
+func TestFrozenDaemonIsUnreadyUntilItCaughtUp(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		frozen := c.members[0]
+		frozen.set(func(m *member) { m.noLog = true })
+		c.net.Freeze(frozen.ip)
+		time.Sleep(time.Hour)
+		c.log.append("config", "revision 1")
+		time.Sleep(time.Second)
+		c.net.Thaw(frozen.ip)
+		for frozen.next("config") == 0 {
+			ok, _ := frozen.ready(time.Now())
+			assert.Assert(t, !ok)
+			time.Sleep(time.Millisecond)
+		}
+		c.within(configBound, "ready again", func(m *member) bool { ok, _ := m.ready(time.Now()); return ok })
+	})
+}
+
+func TestOneWayCutEndsTheLinkOnBothSides(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		a, b := c.members[0], c.members[1]
+		c.net.Cut(a.ip, b.ip)
+		time.Sleep(DefaultAliveFor + DefaultBeat)
+		assert.Assert(t, !b.View().Peers[a.cfg.Self].Alive, "b no longer hears a")
+		assert.Assert(t, !a.View().Peers[b.cfg.Self].Alive, "a knows that b does not hear it")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, alive(a), 1)
+		assert.Equal(t, alive(b), 1)
+		c.net.Heal(a.ip, b.ip)
+		c.within(2*redialMax, "linked again", func(m *member) bool { return alive(m) == 2 })
+	})
+}
+
+func TestGoodbyeIsKnownAtOnce(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		gone := c.members[8]
+		gone.Goodbye()
+		time.Sleep(10 * time.Millisecond)
+		for _, m := range c.members[:8] {
+			assert.Assert(t, m.View().Peers[gone.cfg.Self].Departing)
+		}
+		gone.stop()
+		time.Sleep(10 * time.Millisecond)
+		for _, m := range c.members[:8] {
+			_, known := m.View().Peers[gone.cfg.Self]
+			assert.Assert(t, !known)
+		}
+	})
+}
+
+func TestReplacedDaemonTakesItsPlace(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		old := c.members[2]
+		old.host.Kill()
+		old.stop()
+		c.members[2] = c.start(2, 2)
+		c.setAddresses()
+		c.within(2*redialMax, "linked", func(m *member) bool { return alive(m) == 8 })
+		for _, m := range c.members {
+			_, known := m.View().Peers[old.cfg.Self]
+			assert.Assert(t, !known)
+		}
+	})
+}
+
+func TestNewsReachesEveryDaemonOnce(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		c.chain()
+		time.Sleep(20 * time.Second)
+		died := suspect.Sighting{ID: [16]byte{1}, Group: "g-1", InFlight: []suspect.Fingerprint{7}, At: time.Now()}
+		c.members[0].set(func(m *member) {
+			m.heartbeat = Heartbeat{Leaving: []fleet.InstanceID{"i-1"}, Sightings: []suspect.Sighting{died}}
+		})
+		c.members[0].leaving = []fleet.InstanceID{"i-1"}
+		c.members[0].sightings = []suspect.Sighting{died}
+		told := func(m *member) bool {
+			return m.get(func(m *member) int { return len(m.leaving) }) == 1 &&
+				m.get(func(m *member) int { return len(m.sightings) }) == 1
+		}
+		took := c.within(leavingBound, "news", told)
+		t.Logf("eight hops took %v", took)
+		time.Sleep(2 * newsFor)
+		c.within(0, "told once", told)
+		got := c.members[8].sightings[0]
+		assert.Equal(t, got.Group, died.Group)
+		late := got.At.Sub(died.At)
+		assert.Assert(t, late >= 0 && late < leavingBound, "a sighting's age crosses the hops")
+		assert.Equal(t, len(c.members[8].View().Leaving), 0)
+	})
+}
+
+func TestFetchTakesFromThePeerThatHasComeFurthest(t *testing.T) {
+	runCluster(t, 9, func(t *testing.T, c *cluster) {
+		for _, m := range c.members[2:] {
+			m.set(func(m *member) { m.noLog = true })
+		}
+		c.isolate(c.members[0])
+		c.net.Heal(c.members[0].ip, c.members[1].ip)
+		c.members[0].set(func(m *member) { m.noLog = true })
+		for range 300 {
+			c.log.append("config", "x")
+		}
+		time.Sleep(2 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		state, err := c.members[0].FetchState(ctx, "config")
+		assert.NilError(t, err)
+		assert.Equal(t, state.Next, journal.Offset(300))
+		entries, err := c.members[0].FetchEntries(ctx, "config", 10, 5)
+		assert.NilError(t, err)
+		assert.Equal(t, len(entries), 5)
+		assert.Equal(t, entries[4].Offset, journal.Offset(14))
+		none, err := c.members[0].FetchEntries(ctx, "config", 300, 5)
+		assert.NilError(t, err)
+		assert.Equal(t, len(none), 0)
+	})
+}
+
+func TestFetchWithoutPeersEndsWithItsContext(t *testing.T) {
+	runCluster(t, 1, func(t *testing.T, c *cluster) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.members[0].FetchState(ctx, "config")
+		assert.ErrorIs(t, err, ErrNoPeer)
+	})
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -22,8 +22,8 @@
 }
 
 // observe takes a heartbeat in unless a newer one is known, and reports
-// whether it did. sentAt is zero if the sender has not shown that it hears us.
-func (t *table) observe(now time.Time, h Heartbeat, sentAt time.Time) bool {
+// whether it did. What older heartbeats have shown stays true of a newer one.
+func (t *table) observe(now time.Time, h Heartbeat, e evidence) bool {
 	if _, gone := t.departed[h.From]; gone {
 		return false
 	}
@@ -34,14 +34,20 @@
 	if t.superseded(now, h) {
 		return false
 	}
-	if sentAt.Before(old.SentAt) && h.Incarnation == old.Heartbeat.Incarnation {
-		sentAt = old.SentAt
+	t.peers[h.From] = Peer{
+		Heartbeat: h, HeardAt: now, SentAt: e.sentAt, HeardUsAt: e.heardUsAt, Departing: old.Departing,
 	}
-	t.peers[h.From] = Peer{Heartbeat: h, HeardAt: now, SentAt: sentAt, Departing: old.Departing}
 	t.everHad = true
 	return true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // newer orders heartbeats of one daemon.
 func newer(a, b Heartbeat) bool {
 	if a.Incarnation != b.Incarnation {
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -55,9 +55,13 @@
 	Heartbeat Heartbeat
 	HeardAt   time.Time // local, monotonic
 	// SentAt is a moment on the local clock before which the heartbeat was
-	// surely not sent. Zero until the peer has shown that it hears us.
+	// surely not sent. Zero until the peer has echoed a heartbeat of ours.
 	SentAt time.Time
-	// Alive: at the time of the view, SentAt was within the bound.
+	// HeardUsAt is when the heartbeat that the peer last heard of us reached
+	// it at the earliest, on the local clock.
+	HeardUsAt time.Time
+	// Alive: at the time of the view, SentAt and HeardUsAt were within the
+	// bound.
 	Alive bool
 	// Departing: the peer has told of its planned stop.
 	Departing bool
@@ -77,8 +81,8 @@
 	Leaving []fleet.InstanceID
 }
 
-// AliveAt returns how many peers have shown within bound before now that they
-// hear this daemon. It does not trust the view's own age.
+// AliveAt returns how many peers were heard, and have shown that they hear this
+// daemon, within bound before now. It does not trust the view's own age.
 func (v View) AliveAt(now time.Time, bound time.Duration) int {
 	n := 0
 	for _, p := range v.Peers {
@@ -90,7 +94,7 @@
 }
 
 func (p Peer) freshAt(now time.Time, bound time.Duration) bool {
-	return !p.SentAt.IsZero() && now.Sub(p.SentAt) <= bound
+	return !p.HeardUsAt.IsZero() && now.Sub(p.SentAt) <= bound && now.Sub(p.HeardUsAt) <= bound
 }
 
 // Source gives what the next heartbeat tells.
