--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -8,7 +8,7 @@
 
 // DefaultSlack is how much dearer than the cheapest a group may be to stand
 // among the better ones.
-const DefaultSlack = 20 * time.Millisecond
+const DefaultSlack = 5 * time.Millisecond
 
 // PowerOfTwo picks the cheaper of two random ones of the better candidates,
 // which cost at most Slack more than the cheapest. Daemons that share the
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -13,6 +13,8 @@
 	DefaultTokenInterval = 38 * time.Millisecond
 	// DefaultZonePenalty is the cost of leaving the availability zone.
 	DefaultZonePenalty = 5 * time.Millisecond
+	// DispatchCost is the cost of an own dispatch that no report shows yet.
+	DispatchCost = 10 * time.Millisecond
 	// DefaultFabricPenalty is the cost of a fabric domain to avoid.
 	DefaultFabricPenalty = 5 * time.Second
 	// DefaultLoadBound is how far above the mean a group's load may be for
@@ -70,7 +72,9 @@
 }
 
 // Wait costs the predicted time to the first token from the lagging report,
-// corrected by own and peers' dispatches since.
+// corrected by own and peers' dispatches since. Each own dispatch since the
+// report adds DispatchCost: prompts that arrive together are read one after
+// the other, and only the daemon's own are known without a lag.
 type Wait struct{}
 
 // Name implements Scorer.
@@ -78,9 +82,8 @@
 
 // Cost implements Scorer.
 func (Wait) Cost(req Request, c Candidate) float64 {
-	share := InFlight(c) / float64(max(c.MaxRunning, 1))
 	prefill := float64(req.PromptTokens) / DefaultPrefillRate
-	return queueSeconds(c) + prefill*(1+share)
+	return queueSeconds(c) + prefill + float64(c.SinceReport)*DispatchCost.Seconds()
 }
 
 // TokenInterval costs the predicted time between tokens, weighted by how many
--- /dev/null
+++ b/standin/experiment/main.go
@@ -0,0 +1,125 @@
+// Command experiment runs the decision packages in small discrete runs in
+// virtual time and prints the tables of the design notes.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/standin/experiment/serving"
+)
+
+// options are the command's flags.
+type options struct {
+	Suite    string `long:"suite" env:"CARAWAY_EXPERIMENT_SUITE" default:"all" description:"suite to run: all, routing, admission, flood or retries"`
+	Seeds    int    `long:"seeds" env:"CARAWAY_EXPERIMENT_SEEDS" default:"3" description:"runs of each case, with the seeds 1 and up"`
+	Scenario string `long:"scenario" env:"CARAWAY_EXPERIMENT_SCENARIO" description:"only the cases whose name contains this"`
+	Policy   string `long:"policy" env:"CARAWAY_EXPERIMENT_POLICY" description:"only the policies whose name contains this"`
+	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table; none are written without it"`
+}
+
+// suite is one table, made by run or written by write.
+type suite struct {
+	name  string
+	table func(o options) *serving.Table
+}
+
+func suites() []suite {
+	return []suite{
+		{name: "routing", table: routing},
+		{name: "admission", table: admission},
+		{name: "flood", table: flood},
+		{name: "retries", table: retries},
+	}
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+}
+
+// run writes the tables that the options name.
+func run(o options, w io.Writer) error {
+	if o.Seeds < 1 {
+		return errors.Errorf("--seeds: %d is not at least 1", o.Seeds)
+	}
+	found := false
+	for _, s := range suites() {
+		if o.Suite != "all" && o.Suite != s.name {
+			continue
+		}
+		found = true
+		if err := write(s.table(o), o.Out, w); err != nil {
+			return errors.Wrap(err, s.name)
+		}
+	}
+	if !found {
+		return errors.Errorf("--suite: no suite %q", o.Suite)
+	}
+	return nil
+}
+
+// write prints a table and saves its files.
+func write(t *serving.Table, out string, w io.Writer) error {
+	if err := t.WriteText(w); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	if out == "" || len(t.Rows) == 0 {
+		return nil
+	}
+	return t.Save(out)
+}
+
+func routing(o options) *serving.Table {
+	cases := only(serving.RoutingCases(), o.Scenario, func(c serving.RoutingCase) string { return c.Name })
+	policies := only(serving.Policies(), o.Policy, func(p serving.NamedPolicy) string { return p.Name })
+	return serving.RoutingTable(cases, policies, o.Seeds)
+}
+
+func admission(o options) *serving.Table {
+	loads := only([]float64{1, 2, 5}, o.Scenario, func(l float64) string { return fmt.Sprintf("%gx", l) })
+	return serving.AdmissionTable(limits(o), loads, o.Seeds)
+}
+
+func flood(o options) *serving.Table {
+	loads := only([]float64{0.7, 1}, o.Scenario, func(l float64) string { return fmt.Sprint(l) })
+	return serving.FloodTable(limits(o), loads, o.Seeds)
+}
+
+func retries(o options) *serving.Table {
+	cases := only(serving.RetryCases(), o.Scenario, func(c serving.RetryCase) string { return c.Name })
+	variants := only(serving.RetryVariants(), o.Policy, func(v serving.NamedRetries) string { return v.Name })
+	return serving.RetriesTable(cases, variants, o.Seeds)
+}
+
+func limits(o options) []serving.NamedLimit {
+	return only(serving.Limits(), o.Policy, func(l serving.NamedLimit) string { return l.Name })
+}
+
+// only returns the items whose name contains part.
+func only[T any](items []T, part string, name func(T) string) []T {
+	var kept []T
+	for _, item := range items {
+		if strings.Contains(name(item), part) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/standin/experiment/serving/admission_suite.go
@@ -0,0 +1,198 @@
+package serving
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"carawayproxy.example/caraway/internal/admission"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/routing"
+)
+
+const (
+	largeShare     = 0.3 // of the load, each of two workspaces
+	smallCount     = 8
+	smallShare     = 0.05
+	floodFactor    = 10
+	shortQueue     = 200 * time.Millisecond
+	perDaemonSlots = fleetGroups * maxRunning / fleetDaemons
+)
+
+// NamedLimit is a way of admission under test.
+type NamedLimit struct {
+	Name    string
+	Limiter func() admission.Limiter
+	// Plain limits know neither capacity nor deadline.
+	Plain      bool
+	NoCapacity bool
+	QueueFor   time.Duration
+}
+
+// Limits returns the ways of admission, the daemons' own first.
+func Limits() []NamedLimit {
+	learned := func() admission.Limiter { return admission.NewAIMD(admission.AIMDConfig{}) }
+	return []NamedLimit{
+		{Name: "learned", Limiter: learned},
+		{Name: "learned, capacity unknown", Limiter: learned, NoCapacity: true},
+		{Name: "learned, queue 200 ms", Limiter: learned, QueueFor: shortQueue},
+		{Name: "fixed, right", Limiter: fixedLimit(perDaemonSlots), Plain: true},
+		{Name: "fixed, three times too high", Limiter: fixedLimit(3 * perDaemonSlots), Plain: true},
+		{Name: "none"},
+	}
+}
+
+func fixedLimit(n int) func() admission.Limiter {
+	return func() admission.Limiter { return admission.Fixed(n) }
+}
+
+// sources are two large workspaces and eight small ones.
+func sources(rate float64) []Source {
+	all := []Source{
+		{Workspace: "large-0", Weight: 1, Rate: largeShare * rate},
+		{Workspace: "large-1", Weight: 1, Rate: largeShare * rate},
+	}
+	for i := range smallCount {
+		name := fleet.Workspace(fmt.Sprintf("small-%d", i))
+		all = append(all, Source{Workspace: name, Weight: 1, Rate: smallShare * rate})
+	}
+	return all
+}
+
+// limited is a scenario with a way of admission.
+func limited(l NamedLimit, seed uint64, from []Source) Scenario {
+	return Scenario{
+		Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons, Sources: from,
+		Warmup: 20 * time.Second, Duration: 30 * time.Second,
+		Policy: routing.DefaultPolicy, Prefixes: true,
+		Limiter: l.Limiter, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
+	}
+}
+
+// AdmissionTable compares goodput under load.
+func AdmissionTable(limits []NamedLimit, loads []float64, seeds int) *Table {
+	t := &Table{
+		Name:   "admission",
+		Title:  "Admission: answers a second within 15 s, and the first token for 95 in 100 of the admitted",
+		Header: []string{"load", "limit", "goodput", "late", "refused", "first token ms", "between tokens ms"},
+		Value:  2,
+	}
+	capacity := Capacity(fleetGroups)
+	for _, load := range loads {
+		for _, l := range limits {
+			t.Add(admissionRow(l, load, capacity, seeds)...)
+		}
+	}
+	return t
+}
+
+func admissionRow(l NamedLimit, load, capacity float64, seeds int) []string {
+	first, interval := newLatency(), newLatency()
+	answered, late, refused := 0, 0, 0
+	var seconds float64
+	for seed := range uint64(seeds) {
+		scenario := limited(l, seed+1, sources(load*capacity))
+		s := Run(scenario)
+		first.Merge(s.FirstToken)
+		interval.Merge(s.Interval)
+		answered += s.Answered
+		late += s.Late
+		refused += s.Refused
+		seconds += scenario.Duration.Seconds()
+	}
+	return []string{
+		fmt.Sprintf("%gx", load), l.Name, rate(answered, seconds), rate(late, seconds), rate(refused, seconds),
+		millis(first.At(95)), millis(interval.At(95)),
+	}
+}
+
+// rate writes a number a second.
+func rate(n int, seconds float64) string {
+	return strconv.FormatFloat(float64(n)/seconds, 'f', 1, 64)
+}
+
+// Flood is what a large workspace's flood did to the small ones.
+type Flood struct {
+	CalmFirst, FloodFirst *Latency // small ones' time to first token
+	CalmTotal, FloodTotal *Latency // and to the end
+	CalmRefused           int      // of small ones
+	FloodRefused          int
+	SmallAnswered         int
+	Recovery              time.Duration
+	Recovered             bool
+}
+
+// RunFlood compares a run with a flood of one large workspace to one without,
+// on the same seeds.
+func RunFlood(l NamedLimit, load, capacity float64, seeds int) Flood {
+	f := Flood{
+		CalmFirst: newLatency(), FloodFirst: newLatency(), CalmTotal: newLatency(), FloodTotal: newLatency(),
+		Recovered: true,
+	}
+	for seed := range uint64(seeds) {
+		calm := limited(l, seed+1, sources(load*capacity))
+		flooded := limited(l, seed+1, sources(load*capacity))
+		end := calm.Warmup + calm.Duration
+		flooded.Sources[0].Flood = floodFactor
+		flooded.Sources[0].FloodFrom, flooded.Sources[0].FloodTo = calm.Warmup, end
+		c, s := Run(calm), Run(flooded)
+		f.CalmRefused += c.small(f.CalmFirst, f.CalmTotal, c.RefusedOf)
+		f.FloodRefused += s.small(f.FloodFirst, f.FloodTotal, s.RefusedOf)
+		f.SmallAnswered += int(f.FloodTotal.Count())
+
+		flooded.Duration += 60 * time.Second
+		recovery, ok := RunRecovery(flooded, end)
+		f.Recovery = max(f.Recovery, recovery)
+		f.Recovered = f.Recovered && ok
+	}
+	return f
+}
+
+// RunRecovery returns how long after a moment first tokens are in time.
+func RunRecovery(s Scenario, end time.Duration) (time.Duration, bool) {
+	st := Run(s)
+	return st.Recovery(end, st.FirstTokensInTime)
+}
+
+// small merges the small workspaces' times and sums a count of theirs.
+func (s *Stats) small(first, total *Latency, counts map[fleet.Workspace]int) int {
+	sum := 0
+	for i := range smallCount {
+		name := fleet.Workspace(fmt.Sprintf("small-%d", i))
+		first.Merge(s.ByWorkspace[name])
+		total.Merge(s.TotalOf[name])
+		sum += counts[name]
+	}
+	return sum
+}
+
+// FloodTable shows what a large workspace's flood does to small ones.
+func FloodTable(limits []NamedLimit, loads []float64, seeds int) *Table {
+	t := &Table{
+		Name:  "flood",
+		Title: "A large workspace asks for ten times its load: small ones, 95 in 100, against the same seeds without",
+		Header: []string{"load before", "limit", "first token ms, calm", "flood", "moved %",
+			"total ms, calm", "flood", "moved %", "refused, calm", "flood", "recovery s"},
+		Value: 4,
+	}
+	capacity := Capacity(fleetGroups)
+	for _, load := range loads {
+		for _, l := range limits {
+			f := RunFlood(l, load, capacity, seeds)
+			recovery := "never"
+			if f.Recovered {
+				recovery = strconv.Itoa(int(f.Recovery.Seconds()))
+			}
+			t.Add(fmt.Sprintf("%g", load), l.Name,
+				millis(f.CalmFirst.At(95)), millis(f.FloodFirst.At(95)), moved(f.CalmFirst, f.FloodFirst),
+				millis(f.CalmTotal.At(95)), millis(f.FloodTotal.At(95)), moved(f.CalmTotal, f.FloodTotal),
+				strconv.Itoa(f.CalmRefused), strconv.Itoa(f.FloodRefused), recovery)
+		}
+	}
+	return t
+}
+
+// moved writes by how much the 95th percentile differs.
+func moved(calm, flood *Latency) string {
+	return percent(float64(flood.At(95))/float64(calm.At(95)) - 1)
+}
--- /dev/null
+++ b/standin/experiment/serving/retries_suite.go
@@ -0,0 +1,152 @@
+package serving
+
+import (
+	"strconv"
+	"time"
+
+	"carawayproxy.example/caraway/internal/admission"
+	"carawayproxy.example/caraway/internal/routing"
+)
+
+// The runs with faults: a fault from faultFrom to faultTo, then time to
+// recover.
+const (
+	faultFrom   = 30 * time.Second
+	faultTo     = 60 * time.Second
+	faultsEnd   = 105 * time.Second
+	recoverIn   = 0.95 // of the goodput before the fault
+	budgetRatio = 0.1
+	budgetBurst = 10
+	slowStore   = 8 * time.Second
+	keyedShare  = 0.2
+)
+
+// NamedRetries is a way of retrying under test.
+type NamedRetries struct {
+	Name    string
+	Retries Retries
+	Limiter func() admission.Limiter
+}
+
+// RetryVariants returns the ways of retrying, the daemons' own first.
+func RetryVariants() []NamedRetries {
+	learned := func() admission.Limiter { return admission.NewAIMD(admission.AIMDConfig{}) }
+	budget := Retries{
+		Most: 3, AvoidFabric: true,
+		Budget: func() *admission.RetryBudget { return admission.NewRetryBudget(budgetRatio, budgetBurst) },
+	}
+	naive := Retries{Most: 3, FirstToken: 2 * time.Second}
+	return []NamedRetries{
+		{Name: "budget, limit", Retries: budget, Limiter: learned},
+		{Name: "budget, no limit", Retries: budget},
+		{Name: "naive 3, limit", Retries: naive, Limiter: learned},
+		{Name: "naive 3, no limit", Retries: naive},
+		{Name: "no retries, limit", Limiter: learned},
+	}
+}
+
+// RetryCase is one fault.
+type RetryCase struct {
+	Name string
+	Load float64
+	Dark bool
+	Slow bool
+}
+
+// RetryCases returns the faults.
+func RetryCases() []RetryCase {
+	return []RetryCase{
+		{Name: "dark domain at 60%", Load: 0.6, Dark: true},
+		{Name: "dark domain at 90%", Load: 0.9, Dark: true},
+		{Name: "slow store at 90%", Load: 0.9, Slow: true},
+	}
+}
+
+// retryScenario is one run of a way of retrying under a fault.
+func retryScenario(c RetryCase, v NamedRetries, capacity float64, seed uint64) Scenario {
+	s := Scenario{
+		Name: c.Name, Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons,
+		Warmup: 15 * time.Second, Duration: faultsEnd - 15*time.Second,
+		Sources: sources(c.Load * capacity), Policy: routing.DefaultPolicy, Prefixes: true,
+		Limiter: v.Limiter, Retries: v.Retries,
+	}
+	for i := range s.Sources {
+		s.Sources[i].Repeats = 3
+		s.Sources[i].Impatient = true
+		s.Sources[i].Keyed = keyedShare
+	}
+	if c.Dark {
+		s.DarkFrom, s.DarkTo = faultFrom, faultTo
+	}
+	if c.Slow {
+		s.SlowStoreFrom, s.SlowStoreTo, s.SlowStore = faultFrom, faultTo, slowStore
+	}
+	return s
+}
+
+// FaultOutcome is what a fault did to a run.
+type FaultOutcome struct {
+	Before, During float64 // answers a second
+	Extra          float64 // attempts during the fault over those before
+	Retried        int
+	Recovery       time.Duration
+	Recovered      bool
+}
+
+// RunFault carries out one run with a fault.
+func RunFault(c RetryCase, v NamedRetries, capacity float64, seed uint64) FaultOutcome {
+	s := Run(retryScenario(c, v, capacity, seed))
+	before := s.Goodput(15*time.Second, faultFrom)
+	o := FaultOutcome{
+		Before: before,
+		During: s.Goodput(faultFrom, faultTo),
+		Extra:  s.AttemptRate(faultFrom, faultTo)/s.AttemptRate(15*time.Second, faultFrom) - 1,
+	}
+	for _, second := range s.Seconds {
+		o.Retried += second.Retries
+	}
+	o.Recovery, o.Recovered = s.Recovery(faultTo, func(from, to time.Duration) bool {
+		return s.Goodput(from, to) >= recoverIn*before
+	})
+	return o
+}
+
+// RetriesTable compares the ways of retrying under each fault.
+func RetriesTable(cases []RetryCase, variants []NamedRetries, seeds int) *Table {
+	t := &Table{
+		Name:   "retries",
+		Title:  "Retries: a fault of 30 s, callers who repeat thrice after a second; recovery is the slowest seed's",
+		Header: []string{"fault", "retries", "goodput before", "during", "extra attempts %", "retried", "recovery s"},
+		Value:  3,
+	}
+	capacity := Capacity(fleetGroups)
+	for _, c := range cases {
+		for _, v := range variants {
+			t.Add(retriesRow(c, v, capacity, seeds)...)
+		}
+	}
+	return t
+}
+
+func retriesRow(c RetryCase, v NamedRetries, capacity float64, seeds int) []string {
+	var sum FaultOutcome
+	recovered := true
+	for seed := range uint64(seeds) {
+		o := RunFault(c, v, capacity, seed+1)
+		sum.Before += o.Before
+		sum.During += o.During
+		sum.Extra += o.Extra
+		sum.Retried += o.Retried
+		sum.Recovery = max(sum.Recovery, o.Recovery)
+		recovered = recovered && o.Recovered
+	}
+	n := float64(seeds)
+	recovery := "never"
+	if recovered {
+		recovery = strconv.Itoa(int(sum.Recovery.Seconds()))
+	}
+	return []string{
+		c.Name, v.Name, strconv.FormatFloat(sum.Before/n, 'f', 1, 64), strconv.FormatFloat(sum.During/n, 'f', 1, 64),
+		percent(sum.Extra / n), strconv.Itoa(sum.Retried), recovery,
+	}
+}
