Start the learned limit from what the groups can run

Ruled out: a larger fixed start, wrong for a small service. Conclusion: latency still has the last word, capacity only the first.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -12,6 +12,9 @@
 	// Observe tells of a request's end while inFlight, itself included, were
 	// in flight.
 	Observe(now time.Time, inFlight int, res Result)
+	// Expect tells how many the service's groups say they can run at once,
+	// zero when they do not say.
+	Expect(capacity float64)
 }
 
 // Fixed is the baseline limiter that never learns.
@@ -23,12 +26,16 @@
 // Observe implements Limiter.
 func (Fixed) Observe(time.Time, int, Result) {}
 
+// Expect implements Limiter.
+func (Fixed) Expect(float64) {}
+
 // Defaults of the limiters.
 const (
 	// DefaultTarget is the time to the first token that users ask for, for
 	// 95 in 100.
 	DefaultTarget = 770 * time.Millisecond
-	// DefaultInitial is the limit before anything is learned.
+	// DefaultInitial is the limit before anything is learned of a service
+	// whose capacity is not known.
 	DefaultInitial = 16.0
 	// DefaultMin and DefaultMax bound what is learned.
 	DefaultMin = 1.0
@@ -46,6 +53,10 @@
 	busyShare = 0.8
 	// decreaseTo is the factor of a decrease.
 	decreaseTo = 0.9
+	// growth is the factor of an increase, by one at least, and firstGrowth
+	// that before the first decrease.
+	growth      = 1.05
+	firstGrowth = 2.0
 	// floorTolerance is how far above its lowest a latency beyond the target
 	// may be to count as on time, for services that are slow when idle.
 	floorTolerance = 2.0
@@ -63,11 +74,14 @@
 	Initial float64
 }
 
-// AIMD adds to the limit while the target is kept and the limit is used, and
-// multiplies it down when more than 5 in 100 of a window miss the target.
+// AIMD raises the limit while the target is kept and the limit is used, and
+// lowers it, from what was really in flight, when more than 5 in 100 of a
+// window miss the target. Until the first such window it starts from the
+// service's capacity, or doubles.
 type AIMD struct {
-	cfg   AIMDConfig
-	limit float64
+	cfg     AIMDConfig
+	limit   float64
+	lowered bool // once a window has missed the target
 	floor time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
@@ -91,6 +105,13 @@
 // Limit implements Limiter.
 func (a *AIMD) Limit() float64 { return a.limit }
 
+// Expect implements Limiter.
+func (a *AIMD) Expect(capacity float64) {
+	if !a.lowered {
+		a.limit = min(max(a.limit, capacity), DefaultMax)
+	}
+}
+
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
 	if res.Failed {
@@ -122,9 +143,13 @@
 	mean := a.sum / time.Duration(a.seen)
 	switch {
 	case float64(a.late) > lateShare*float64(a.seen):
-		a.limit = max(a.limit*decreaseTo, DefaultMin)
-	case float64(a.busiest) >= busyShare*a.limit:
-		a.limit = min(a.limit+1, DefaultMax)
+		a.limit = max(min(a.limit, float64(a.busiest))*decreaseTo, DefaultMin)
+		a.lowered = true
+	case float64(a.busiest) < busyShare*a.limit:
+	case a.lowered:
+		a.limit = min(max(a.limit*growth, a.limit+1), DefaultMax)
+	default:
+		a.limit = min(a.limit*firstGrowth, DefaultMax)
 	}
 	if a.floor == 0 || mean < a.floor {
 		a.floor = mean
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -103,6 +103,7 @@
 
 // limit is the number of requests that may be in flight.
 func (s *service) limit(req Request) float64 {
+	s.limiter.Expect(float64(req.Capacity))
 	limit := s.limiter.Limit()
 	if req.Capacity > 0 {
 		limit = min(limit, float64(req.Capacity))
