Refuse a proposal at once while the log does not answer

Cause: with the platform stopped (SIGSTOP) each non-idempotent call waited for the append's whole timeout before it heard NOT_RUN; a refusal is due at once. Ruled out: a shorter append timeout, which makes a slow log look lost, and a check in the ledger alone, since leases and groups propose as well. Proposals that were queued and never sent are settled as not appended when the log is found silent. Conclusion: the tail alone judges whether the log answers.

--- a/internal/journal/propose.go
+++ b/internal/journal/propose.go
@@ -80,8 +80,8 @@
 		return ErrClosed
 	case r.err != nil:
 		return r.err
-	case !r.started && r.logDown:
-		return errors.Wrap(ErrNotAppended, "the log does not answer and there is no state yet")
+	case r.logDown:
+		return errors.Wrap(ErrNotAppended, "the log does not answer")
 	}
 	r.pending[p.record.ID] = p
 	r.queue = append(r.queue, p)
@@ -135,6 +135,21 @@
 	r.queue = nil
 }
 
+// settleUnsent settles the proposals that wait for a log which does not
+// answer. The caller holds mu.
+func (r *Replica) settleUnsent(cause error) {
+	kept := r.queue[:0]
+	for _, p := range r.queue {
+		if p.attempts > 0 {
+			kept = append(kept, p)
+			continue
+		}
+		r.settleOpen(p, cause)
+	}
+	clear(r.queue[len(kept):])
+	r.queue = kept
+}
+
 // settleSeen settles proposals whose verdict came with an adopted state. The
 // caller holds mu.
 func (r *Replica) settleSeen() {
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -164,7 +164,10 @@
 		r.events.Emit(eventLogDown, "next", r.next, "err", err)
 		r.notify()
 	}
+	cause := errors.Wrap(ErrNotAppended, err.Error())
 	if !r.started {
-		r.settleAll(errors.Wrap(ErrNotAppended, err.Error()))
+		r.settleAll(cause)
+		return
 	}
+	r.settleUnsent(cause)
 }
