--- /dev/null
+++ b/standin/experiment/placement/world.go
@@ -0,0 +1,329 @@
+package placementexp
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
+	"carawayproxy.example/caraway/internal/placement"
+)
+
+const (
+	scope      lease.Scope       = "placement/00"
+	service    fleet.ServiceName = "drafting"
+	holder     fleet.DaemonID    = "d1"
+	reformTime                   = 2 * time.Second
+	// detectAfter is how long an instance is gone before the planner knows.
+	detectAfter = 2 * time.Second
+	// unlistAfter is how long a replaced instance stays on the list.
+	unlistAfter = time.Minute
+	// requestTime is how long a request runs at most.
+	requestTime = 20 * time.Second
+	// requestsOfGroup is how many requests a serving group has in flight.
+	requestsOfGroup = 8
+	rateOfEngine    = 1000.0
+)
+
+// oneLease is the lease of the only holder.
+type oneLease struct{}
+
+func (oneLease) Current(lease.Scope) (lease.Lease, bool) {
+	return lease.Lease{Scope: scope, Term: 1, Holder: holder}, true
+}
+
+// engine is one instance of the fleet.
+type engine struct {
+	instance    fleet.Instance
+	slot        int
+	incarnation uint64
+	down        bool
+	downAt      time.Time
+	dropped     bool    // replaced for good
+	speed       float64 // share of its rate
+	assigned    *fleet.Assignment
+	loaded      string
+	left        time.Duration // of loading or reforming
+	ready       bool
+}
+
+// world is the fleet of one run.
+type world struct {
+	scenario Scenario
+	now      time.Time
+	engines  map[fleet.InstanceID]*engine
+	bySlot   []*engine
+	book     *group.Book
+	promoted map[fleet.GroupID]*group.Group
+	version  fleet.Version
+	drained  map[fleet.GroupID]time.Time
+	cut      int
+	loads    int
+}
+
+func newWorld(s Scenario, start time.Time) *world {
+	w := &world{
+		scenario: s,
+		now:      start,
+		engines:  map[fleet.InstanceID]*engine{},
+		bySlot:   make([]*engine, s.slots()),
+		book:     group.NewBook(oneLease{}),
+		promoted: map[fleet.GroupID]*group.Group{},
+		version:  "v1",
+		drained:  map[fleet.GroupID]time.Time{},
+	}
+	for slot := range w.bySlot {
+		w.place(slot, 0)
+	}
+	return w
+}
+
+// place puts a new instance into a slot.
+func (w *world) place(slot, generation int) {
+	id := fleet.InstanceID(fmt.Sprintf("e%02d-%d", slot, generation))
+	e := &engine{slot: slot, incarnation: 1, speed: 1, instance: fleet.Instance{
+		ID:           id,
+		Address:      string(id) + ":7000",
+		Zone:         "zone-a",
+		Fabric:       fleet.FabricDomain(fmt.Sprintf("f%d", slot/w.scenario.Domain)),
+		Pool:         "engines",
+		Kind:         fleet.KindEngine,
+		Accelerators: accelerators,
+	}}
+	w.engines[id] = e
+	w.bySlot[slot] = e
+}
+
+// begin starts a loss.
+func (w *world) begin(l loss) {
+	e := w.bySlot[l.slot]
+	if l.slow > 0 {
+		e.speed = l.slow
+		return
+	}
+	e.down, e.downAt, e.dropped = true, w.now, l.replaced
+}
+
+// end ends a loss.
+func (w *world) end(l loss, generation int) {
+	e := w.bySlot[l.slot]
+	switch {
+	case l.slow > 0:
+		e.speed = 1
+	case l.replaced:
+		w.place(l.slot, generation)
+	default:
+		e.down = false
+		if l.reload {
+			e.incarnation++
+			e.assigned, e.loaded, e.ready, e.left = nil, "", false, 0
+		}
+	}
+}
+
+// wanted is what the service asks for now.
+func (w *world) wanted(weights placement.Weights) placement.Wanted {
+	revision := uint64(1)
+	if w.version != "v1" {
+		revision = 2
+	}
+	return placement.Wanted{
+		Service: service, Revision: revision, Pool: "engines", Model: "m", Version: w.version, Role: "serve",
+		Groups: wantedGroups, Size: groupSize, Spares: w.scenario.Spares, LoadTime: loadTime, Weights: weights,
+	}
+}
+
+// snapshot is the fleet as the planner sees it, or as it is when truth is set.
+func (w *world) snapshot(weights placement.Weights, logDown, truth bool) placement.Snapshot {
+	s := placement.Snapshot{
+		Scope: scope, Term: 1, Revision: 1, Groups: w.book.View(), LogDown: logDown,
+		Wanted:    []placement.Wanted{w.wanted(weights)},
+		Instances: make(map[fleet.InstanceID]placement.InstanceState, len(w.engines)),
+	}
+	for id, e := range w.engines {
+		seen := w.now.Sub(e.downAt) >= detectAfter || truth
+		s.Instances[id] = placement.InstanceState{
+			Instance: e.instance,
+			Report:   w.report(e),
+			Listed:   !e.dropped || w.now.Sub(e.downAt) < unlistAfter,
+			Alive:    !e.down || !seen,
+		}
+	}
+	return s
+}
+
+// inFlights counts the requests on each group.
+func (w *world) inFlights(truth placement.Snapshot) map[fleet.GroupID]uint32 {
+	all := map[fleet.GroupID]uint32{}
+	for id, g := range truth.Groups.Groups {
+		all[id] = uint32(w.inFlight(g, truth))
+	}
+	return all
+}
+
+func (w *world) report(e *engine) fleet.Report {
+	r := fleet.Report{
+		Instance: e.instance.ID, Incarnation: e.incarnation, Assignment: e.assigned, Ready: e.ready,
+		TokensPerSecond: rateOfEngine * e.speed, ReceivedAt: w.now,
+	}
+	if e.left > 0 && e.left < loadTime {
+		r.LoadProgress = 1 - float64(e.left)/float64(loadTime)
+	}
+	return r
+}
+
+// inFlight counts the requests on a group.
+func (w *world) inFlight(g *group.Group, s placement.Snapshot) int {
+	if !group.Whole(g, reports(s.Instances), w.now, 0).Whole {
+		return 0
+	}
+	if g.Phase == group.PhaseActive {
+		return requestsOfGroup
+	}
+	left := requestTime - w.now.Sub(w.drained[g.ID])
+	return max(0, int(requestsOfGroup*left/requestTime))
+}
+
+type reports map[fleet.InstanceID]placement.InstanceState
+
+// Report implements group.Reports.
+func (r reports) Report(id fleet.InstanceID) (fleet.Report, bool) {
+	st, ok := r[id]
+	return st.Report, ok && st.Alive
+}
+
+// take carries an action out, as the executor does.
+func (w *world) take(a placement.Action, truth placement.Snapshot) {
+	g := a.Group
+	switch a.Kind {
+	case placement.ActionForm:
+		w.propose(group.KindForm, group.FormRecord{Group: *g})
+	case placement.ActionRepair:
+		w.cutRequests(g.ID, truth)
+		w.propose(group.KindRepair, group.RepairRecord{Scope: scope, Term: 1, Group: g.ID, Epoch: g.Epoch, Members: g.Members, Spares: g.Spares})
+	case placement.ActionDrain:
+		w.drained[g.ID] = w.now
+		w.propose(group.KindDrain, group.DrainRecord{Scope: scope, Term: 1, Group: g.ID, Epoch: g.Epoch})
+	case placement.ActionDissolve:
+		w.cutRequests(g.ID, truth)
+		delete(w.drained, g.ID)
+		w.propose(group.KindDissolve, group.DissolveRecord{Scope: scope, Term: 1, Group: g.ID, Epoch: g.Epoch})
+	case placement.ActionPromote:
+		w.promoted[g.ID] = g
+	}
+}
+
+// cutRequests counts the requests that the end of a group cuts.
+func (w *world) cutRequests(id fleet.GroupID, truth placement.Snapshot) {
+	if g := truth.Groups.Groups[id]; g != nil {
+		w.cut += w.inFlight(g, truth)
+	}
+}
+
+func (w *world) propose(kind journal.Kind, body any) {
+	data, err := journal.Encode(body)
+	if err != nil {
+		panic(err)
+	}
+	v, err := w.book.Apply(0, journal.Record{Kind: kind, Author: holder, Body: data})
+	if err != nil || !v.Accepted {
+		panic(fmt.Sprintf("%s: %v %v", kind, v.Reason, err))
+	}
+}
+
+// order gives each engine its assignment.
+func (w *world) order(seen placement.Snapshot) {
+	v := w.book.View()
+	placed := map[fleet.InstanceID]*fleet.Assignment{}
+	for id, g := range v.Groups {
+		c := group.Compose(g, reports(seen.Instances))
+		if p := w.promoted[id]; p != nil && p.Epoch == g.Epoch {
+			c = p.Members
+		}
+		for rank, m := range c {
+			a := group.AssignmentOf(g, c, fleet.Rank(rank))
+			placed[m.Instance] = &a
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		e := w.engines[id]
+		if !e.down && !sameAssignment(e.assigned, placed[id]) {
+			w.assign(e, placed[id])
+		}
+	}
+}
+
+func sameAssignment(a, b *fleet.Assignment) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank && slices.Equal(a.Members, b.Members)
+}
+
+func (w *world) assign(e *engine, a *fleet.Assignment) {
+	e.assigned, e.ready = a, false
+	switch {
+	case a == nil:
+		e.loaded, e.left = "", 0
+	case e.loaded == string(a.Version):
+		e.left = reformTime
+	default:
+		e.left = loadTime
+		w.loads++
+	}
+}
+
+// load lets the engines load for some time at the weight store's rate.
+func (w *world) load(past time.Duration) {
+	loading := 0
+	for _, e := range w.engines {
+		if e.assigned != nil && !e.ready && e.loaded != string(e.assigned.Version) {
+			loading++
+		}
+	}
+	share := min(1, float64(w.scenario.MaxLoads*groupSize)/float64(max(loading, 1)))
+	for _, e := range w.engines {
+		if e.down || e.assigned == nil || e.ready {
+			continue
+		}
+		if w.scenario.BadVersion && e.assigned.Version != "v1" {
+			continue
+		}
+		e.left -= time.Duration(float64(past) * share)
+		if e.left <= 0 {
+			e.left, e.ready, e.loaded = 0, true, string(e.assigned.Version)
+		}
+	}
+}
+
+// slow sums, over the groups that serve, the share of their rate that a
+// straggler takes.
+func (w *world) slow(truth placement.Snapshot) float64 {
+	sum := 0.0
+	for _, g := range truth.Groups.Groups {
+		if !group.Whole(g, reports(truth.Instances), w.now, 0).Whole {
+			continue
+		}
+		least := 1.0
+		for _, m := range group.Compose(g, reports(truth.Instances)) {
+			least = min(least, w.engines[m.Instance].speed)
+		}
+		sum += 1 - least
+	}
+	return sum
+}
+
+// forget drops the instances that are replaced and unlisted.
+func (w *world) forget() {
+	v := w.book.View()
+	for id, e := range w.engines {
+		_, inGroup := v.ByInstance[id]
+		if e.dropped && !inGroup && w.bySlot[e.slot] != e {
+			delete(w.engines, id)
+		}
+	}
+}
