Admit loads by turns and prove a version by one group first

Groups that return together after a dark domain shared the weight store and were all late; now as many load as the store serves at full rate.

--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -81,6 +81,7 @@
 // due lists the orders to instances whose report differs from the records.
 func (e *Executor) due(run *scopeRun, s Snapshot, now time.Time) []order {
 	var due []order
+	admitted := AdmitOrders(s, run.planner.policy.MaxLoads)
 	settled := now.Sub(run.since) >= e.cfg.OrderTimeout+e.cfg.Every
 	for id, st := range s.Instances {
 		if !st.Alive || st.Instance.Kind != fleet.KindEngine {
@@ -90,6 +91,9 @@
 			continue
 		}
 		assign, mine := e.wantedAssignment(run, s, id, st)
+		if assign != nil && !admitted[assign.Group] {
+			continue
+		}
 		if mine && !sameAssignment(assign, st.Report.Assignment) {
 			due = append(due, order{instance: id, address: st.Instance.Address, assign: assign, reportedAt: st.Report.ReceivedAt})
 		}
--- a/internal/placement/progress.go
+++ b/internal/placement/progress.go
@@ -7,6 +7,10 @@
 	"carawayproxy.example/caraway/internal/fleet"
 )
 
+// orderPatience is how many times longer a group may wait for its members to
+// be ordered than for a load to go on.
+const orderPatience = 10
+
 // groupHistory is what the planner remembers of one group.
 type groupHistory struct {
 	seen        time.Time
@@ -120,9 +124,10 @@
 
 // stuck reports whether a loading group has made no progress for too long.
 func (r *round) stuck(c *condition) bool {
-	progress := 0.0
+	progress, ordered := 0.0, true
 	for _, m := range c.composition {
 		rep, _ := r.Report(m.Instance)
+		ordered = ordered && rep.Assignment != nil && rep.Assignment.Group == c.group.ID
 		progress += rep.LoadProgress
 		if rep.Ready {
 			progress++
@@ -132,6 +137,9 @@
 		c.hist.progress, c.hist.progressAt = progress, r.now
 	}
 	patience := time.Duration(r.policy.StuckLoads * float64(c.want.LoadTime))
+	if !ordered {
+		patience *= orderPatience
+	}
 	return r.now.Sub(c.hist.progressAt) > max(patience, 30*time.Second)
 }
 
--- a/internal/placement/turnover.go
+++ b/internal/placement/turnover.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
@@ -87,7 +88,7 @@
 		return
 	}
 	out, spare := r.unavailable(s), r.wholeGroups(s)-wanted
-	room := int(math.Ceil(r.policy.MaxUnavailable*float64(wanted))) - out
+	room := r.mayBeOut(s, wanted) - out
 	for _, c := range r.leastUseful(s) {
 		switch {
 		case wanted == 0:
@@ -104,6 +105,19 @@
 	}
 }
 
+// mayBeOut is how many groups of a service a rollout may take out at once: one
+// until the first group of each version wanted has become whole.
+func (r *round) mayBeOut(s fleet.ServiceName, wanted int) int {
+	for i := range r.snap.Wanted {
+		w := &r.snap.Wanted[i]
+		proved := func(c *condition) bool { return c.want == w && c.whole }
+		if w.Service == s && w.Groups > 0 && !slices.ContainsFunc(r.groups, proved) {
+			return 1
+		}
+	}
+	return int(math.Ceil(r.policy.MaxUnavailable * float64(wanted)))
+}
+
 // wantedGroups counts the groups that a service wants in all.
 func (r *round) wantedGroups(s fleet.ServiceName) int {
 	n := 0
--- a/standin/experiment/placement/run.go
+++ b/standin/experiment/placement/run.go
@@ -12,11 +12,8 @@
 	step = time.Second
 	// stir is how long steps are short after something happened, changing the
 	// longest step while a group is down or a loss lasts.
-	stir     = 15 * time.Second
-	changing = 4 * time.Second
-	// settle is how long the first groups may take to form and load; the
-	// measures begin after it.
-	settle = 30 * time.Minute
+	stir     = 6 * time.Second
+	changing = 5 * time.Second
 )
 
 // Result is what one run measured after the first groups had loaded.
@@ -90,8 +87,9 @@
 
 func (r *runner) past() time.Duration { return r.world.now.Sub(r.start) }
 
+// warmUp lets the first groups form and load; the measures begin after it.
 func (r *runner) warmUp() {
-	for range int(settle / step) {
+	for r.now.Whole < wantedGroups || r.busy {
 		r.plan(false)
 		r.world.now = r.world.now.Add(step)
 		r.world.load(step)
@@ -160,6 +158,7 @@
 	truth := r.world.snapshot(r.weights, logDown, true)
 	seen := r.world.snapshot(r.weights, logDown, false)
 	seen.InFlight = r.world.inFlights(truth)
+	r.world.releaseStrays(seen)
 	actions := r.planner.Plan(seen, r.world.now)
 	for _, a := range actions {
 		r.result.Halted = r.result.Halted || a.Kind == placement.ActionHalt
--- a/standin/experiment/placement/world.go
+++ b/standin/experiment/placement/world.go
@@ -235,11 +235,24 @@
 	}
 }
 
+// releaseStrays releases the engines that report a group and are in none. It
+// comes before the plan, as the executor's orders overtake its proposals.
+func (w *world) releaseStrays(seen placement.Snapshot) {
+	for id, e := range w.engines {
+		_, placed := seen.Groups.ByInstance[id]
+		if !placed && !e.down && e.assigned != nil {
+			w.assign(e, nil)
+		}
+	}
+}
+
 // order gives each engine its assignment.
 func (w *world) order(seen placement.Snapshot) {
-	v := w.book.View()
+	seen.Groups = w.book.View()
+	admitted := placement.AdmitOrders(seen, w.scenario.MaxLoads)
 	placed := map[fleet.InstanceID]*fleet.Assignment{}
-	for id, g := range v.Groups {
+	held := map[fleet.InstanceID]bool{}
+	for id, g := range seen.Groups.Groups {
 		c := group.Compose(g, reports(seen.Instances))
 		if p := w.promoted[id]; p != nil && p.Epoch == g.Epoch {
 			c = p.Members
@@ -247,11 +260,12 @@
 		for rank, m := range c {
 			a := group.AssignmentOf(g, c, fleet.Rank(rank))
 			placed[m.Instance] = &a
+			held[m.Instance] = !admitted[id]
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
 		e := w.engines[id]
-		if !e.down && !sameAssignment(e.assigned, placed[id]) {
+		if !e.down && !held[id] && !sameAssignment(e.assigned, placed[id]) {
 			w.assign(e, placed[id])
 		}
 	}
