Weigh deaths against the least affected domains, and measure it

Ruled out: a higher prior alone, for the hazard dominates the ratio.

Now deaths explained by a convicted request and the suspect's own are left out of the hazard, a burst is a good part of the death's own fabric domain within 10 s, and domains with one group fall back on all groups.

Guards off, each put back: the burst or the repeat rule: TestDarkDomainConvictsNobody; survivals: TestSurvivalsSpeakForARequest; one death counted twice: TestRepeatElsewhereIsFound; clearance: TestLogDownStillRefuses.

--- a/internal/suspect/hazard.go
+++ b/internal/suspect/hazard.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,25 +20,17 @@
 
 func (x exposure) rate() float64 { return x.deaths / x.seconds }
 
-// hazard returns the deaths per group-second that groups show anyhow. Deaths
-// of one domain close in time are one cause and count once. With least set it
-// rests on the fabric domains with the lowest rates, up to half of the whole
-// exposure, for the others' rates may come from crashing requests.
-// The deaths with the fingerprint itself are left out: they are what is to be
-// explained.
-func (h *History) hazard(f Fingerprint, now time.Time, least bool) float64 {
+// hazards returns the deaths per group-second that groups show anyhow, first
+// over the least affected fabric domains and then over all. Deaths of one
+// domain close in time are one cause and count once. The least affected
+// domains are those with the lowest rates, up to half of the whole exposure,
+// for the others' rates may come from crashing requests. The deaths with the
+// fingerprint itself are left out, for they are what is to be explained, and
+// those that a convicted request explains.
+func (h *History) hazards(f Fingerprint, now time.Time) (least, overall float64) {
 	span := min(max(now.Sub(h.since), time.Minute), memory).Seconds()
 	all := h.exposures(f, span)
-	slices.SortFunc(all, func(a, b exposure) int {
-		switch {
-		case a.rate() < b.rate():
-			return -1
-		case a.rate() > b.rate():
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(all, func(a, b exposure) int { return cmp.Compare(a.rate(), b.rate()) })
 	total := 0.0
 	for _, x := range all {
 		total += x.seconds
@@ -45,14 +38,18 @@
 	pooled := exposure{deaths: 1, seconds: hazardPrior.Seconds()}
 	taken := 0.0
 	for _, x := range all {
-		if least && taken >= minExposure*total {
-			break
+		if least == 0 && taken >= minExposure*total {
+			least = pooled.rate()
 		}
 		pooled.deaths += x.deaths
 		pooled.seconds += x.seconds
 		taken += x.seconds
 	}
-	return pooled.rate()
+	overall = pooled.rate()
+	if least == 0 {
+		least = overall
+	}
+	return least, overall
 }
 
 // exposures returns each known fabric domain's deaths without the fingerprint
@@ -61,7 +58,7 @@
 	causes := map[fleet.FabricDomain]float64{}
 	last := map[fleet.FabricDomain]time.Time{}
 	for _, d := range h.order {
-		if _, with := d.inFlight[f]; with {
+		if _, with := d.inFlight[f]; with || h.explained(d) {
 			continue
 		}
 		if at, ok := last[d.fabric]; !ok || d.at.Sub(at) > burstSpan {
--- a/internal/suspect/history.go
+++ b/internal/suspect/history.go
@@ -15,7 +15,11 @@
 	// maxInFlight bounds the fingerprints kept of one death.
 	maxInFlight = 256
 	// burstSpan is how close in time deaths count as of one cause.
-	burstSpan = 30 * time.Second
+	burstSpan = 10 * time.Second
+	// minBurst deaths besides one, or as many as leave half of the groups or
+	// fewer, and minBurstShare of the groups, make a burst.
+	minBurst      = 3
+	minBurstShare = 0.05
 	// generation bounds each half of the survival counts.
 	generation = 8192
 	// hazardPrior is one death for this much time of one group, from before
@@ -56,6 +60,8 @@
 	since        time.Time
 	// groups counts the groups of each fabric domain.
 	groups map[fleet.FabricDomain]int
+	// convicted requests explain the deaths at which they were in flight.
+	convicted map[Fingerprint]struct{}
 }
 
 type flight struct {
@@ -66,11 +72,14 @@
 // NewHistory returns an empty history that starts now.
 func NewHistory(now time.Time) *History {
 	return &History{
-		flight:  map[groupEpoch]map[Fingerprint]*flight{},
-		deaths:  map[groupEpoch]*death{},
-		of:      map[Fingerprint][]*death{},
-		newer:   map[Fingerprint]uint32{},
-		older:   map[Fingerprint]uint32{},
+		flight: map[groupEpoch]map[Fingerprint]*flight{},
+		deaths: map[groupEpoch]*death{},
+		of:     map[Fingerprint][]*death{},
+		newer:  map[Fingerprint]uint32{},
+		older:  map[Fingerprint]uint32{},
+
+		convicted: map[Fingerprint]struct{}{},
+
 		runTime: firstRunTime,
 		since:   now,
 	}
@@ -79,6 +88,27 @@
 // SetGroups tells how many groups each fabric domain has.
 func (h *History) SetGroups(groups map[fleet.FabricDomain]int) { h.groups = groups }
 
+// SetConvicted tells whether a request is held to crash groups. The deaths at
+// which a convicted one was in flight say nothing of the others.
+func (h *History) SetConvicted(f Fingerprint, convicted bool) {
+	if !convicted {
+		delete(h.convicted, f)
+		return
+	}
+	h.convicted[f] = struct{}{}
+}
+
+// explained reports whether a death needs no cause besides a convicted
+// request.
+func (h *History) explained(d *death) bool {
+	for f := range h.convicted {
+		if _, with := d.inFlight[f]; with {
+			return true
+		}
+	}
+	return false
+}
+
 // Started notes a run on a group.
 func (h *History) Started(g fleet.GroupID, e fleet.Epoch, f Fingerprint, now time.Time) {
 	ge := groupEpoch{g, e}
@@ -190,6 +220,7 @@
 		h.of[f] = slices.DeleteFunc(h.of[f], func(x *death) bool { return x == d })
 		if len(h.of[f]) == 0 {
 			delete(h.of, f)
+			delete(h.convicted, f)
 		}
 	}
 }
@@ -197,6 +228,9 @@
 // Touched reports whether a fingerprint was in flight at any death.
 func (h *History) Touched(f Fingerprint) bool { return len(h.of[f]) > 0 }
 
+// Deaths counts the deaths at which a fingerprint was in flight.
+func (h *History) Deaths(f Fingerprint) int { return len(h.of[f]) }
+
 // Fingerprints lists the fingerprints that were in flight at a death.
 func (h *History) Fingerprints() []Fingerprint {
 	all := make([]Fingerprint, 0, len(h.of))
@@ -219,12 +253,8 @@
 // Evidence gathers what is known of a fingerprint.
 func (h *History) Evidence(f Fingerprint, now time.Time) Evidence {
 	h.forget(now)
-	e := Evidence{
-		Survivals:     int(h.newer[f] + h.older[f]),
-		RunTime:       h.runTime,
-		Hazard:        h.hazard(f, now, true),
-		HazardOverall: h.hazard(f, now, false),
-	}
+	e := Evidence{Survivals: int(h.newer[f] + h.older[f]), RunTime: h.runTime}
+	e.Hazard, e.HazardOverall = h.hazards(f, now)
 	mine := slices.Clone(h.of[f])
 	slices.SortFunc(mine, func(a, b *death) int { return a.at.Compare(b.at) })
 	for i, d := range mine {
@@ -247,12 +277,14 @@
 
 func near(a, b *death) bool { return a.at.Sub(b.at).Abs() <= burstSpan }
 
-// burst returns the share of groups, of the death's fabric domain or of all,
-// that died close to it without the fingerprint.
+// burst returns the share of the fabric domain's groups that died close to a
+// death without the fingerprint. Where the domain has a single group, which
+// can't show that the domain went dark, all groups count. It is zero unless a
+// good part of them did: single deaths are in the hazard.
 func (h *History) burst(f Fingerprint, of *death) float64 {
 	domain, all := 0, 0
 	for _, d := range h.order {
-		if _, with := d.inFlight[f]; with || !near(d, of) {
+		if _, with := d.inFlight[f]; with || !near(d, of) || h.explained(d) {
 			continue
 		}
 		all++
@@ -260,17 +292,22 @@
 			domain++
 		}
 	}
-	if all == 0 {
-		return 0
+	if h.groups[of.fabric] > 1 {
+		return share(domain, h.groups[of.fabric])
 	}
-	return max(share(domain, h.groups[of.fabric]), share(all, h.groupCount()))
+	return share(all, h.groupCount())
 }
 
-func share(part, whole int) float64 {
-	if part == 0 {
+// share returns which part of whole groups died besides one, zero for too
+// small a part to be of one cause.
+func share(others, whole int) float64 {
+	if others == 0 || (others < minBurst && 2*(others+1) <= whole) {
+		return 0
+	}
+	if float64(others) < minBurstShare*float64(whole) {
 		return 0
 	}
-	return min(float64(part)/float64(max(whole, part)), 1)
+	return min(float64(others)/float64(max(whole, others)), 1)
 }
 
 func (h *History) groupCount() int {
--- a/internal/suspect/policy.go
+++ b/internal/suspect/policy.go
@@ -23,8 +23,8 @@
 type DeathEvidence struct {
 	// InFlight counts the distinct fingerprints there, this one included.
 	InFlight int
-	// Burst is the greater share of groups, of its fabric domain or of all,
-	// that died close in time without this fingerprint.
+	// Burst is the share of the groups around that died close in time
+	// without this fingerprint.
 	Burst float64
 	// Repeat is set when an earlier death of the same fabric domain, close
 	// in time, is in the evidence: one cause may have done both.
@@ -60,7 +60,7 @@
 // Odds weighs each death by how likely it was without this request: prior
 // odds times likelihood ratios.
 type Odds struct {
-	// Prior is the share of distinct requests that crash groups, 1e-6 when
+	// Prior is the share of distinct requests that crash groups, 1e-5 when
 	// zero.
 	Prior float64
 	// Crash is the chance that such a request crashes a group that runs it,
@@ -75,7 +75,7 @@
 }
 
 const (
-	defaultPrior     = 1e-6
+	defaultPrior     = 1e-5
 	defaultCrash     = 0.9
 	defaultConvictAt = 20
 	defaultAloneAt   = 0.5
--- /dev/null
+++ b/internal/suspect/suspect_test.go
@@ -0,0 +1,191 @@
+package suspect
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+// fakeLog folds a proposal into all books at once, or is down.
+type fakeLog struct {
+	books []*Book
+	next  journal.Offset
+	mu    sync.Mutex
+	down  atomic.Bool
+}
+
+func (l *fakeLog) Propose(_ context.Context, kind journal.Kind, body any) journal.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down.Load() {
+		return journal.Result{Fate: journal.FateNotAppended}
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return journal.Result{Err: err}
+	}
+	l.next++
+	var v journal.Verdict
+	for _, b := range l.books {
+		v, _ = b.Apply(l.next, journal.Record{Kind: kind, Author: "d", UnixMilli: time.Now().UnixMilli(), Body: data})
+	}
+	if v.Accepted {
+		return journal.Result{Fate: journal.FateAccepted}
+	}
+	return journal.Result{Fate: journal.FateRejected, Verdict: v}
+}
+
+func (l *fakeLog) Status() journal.Status { return journal.Status{} }
+
+// pair is two daemons' trackers over one log.
+func pair(t *testing.T, run func(t *testing.T, log *fakeLog, a, b *Tracker)) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		var trackers []*Tracker
+		for range 2 {
+			book := NewBook()
+			log.books = append(log.books, book)
+			trackers = append(trackers, NewTracker(TrackerConfig{Book: book, Proposer: log, Groups: func() map[fleet.FabricDomain]int {
+				return map[fleet.FabricDomain]int{"f0": 4, "f1": 4, "f2": 4}
+			}}))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, tr := range trackers {
+			go tr.Run(ctx)
+		}
+		run(t, log, trackers[0], trackers[1])
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// crash lets a group die with the fingerprints in flight.
+func crash(tr *Tracker, group, fabric string, in ...Fingerprint) {
+	for _, f := range in {
+		tr.Started(fleet.GroupID(group), 1, f)
+	}
+	tr.Died(fleet.GroupID(group), 1, fleet.FabricDomain(fabric), "svc")
+	for _, f := range in {
+		tr.Ended(fleet.GroupID(group), 1, f)
+	}
+}
+
+// TestRepeatElsewhereIsFound: two deaths seen by different daemons convict,
+// at once by sightings and then by the log.
+func TestRepeatElsewhereIsFound(t *testing.T) {
+	pair(t, func(t *testing.T, log *fakeLog, a, b *Tracker) {
+		crash(a, "g0", "f0", 7, 1, 2)
+		assert.Equal(t, a.Standing(7), Clear)
+		b.Observe(a.Sightings())
+		b.Observe(a.Sightings())
+		assert.Equal(t, b.history.Deaths(7), 1, "a sighting counted twice")
+		crash(b, "g0", "f0", 7, 5)
+		assert.Equal(t, b.history.Deaths(7), 1, "one death seen by two daemons counted twice")
+		crash(b, "g4", "f1", 7, 3, 4)
+		assert.Equal(t, b.Standing(7), Convicted)
+		assert.Equal(t, b.Standing(3), Clear)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, a.Standing(7), Convicted, "the verdict is not in the log")
+		assert.Equal(t, len(log.books[0].Verdicts()), 1)
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, a.Standing(7), Clear, "the verdict does not end")
+	})
+}
+
+// TestDarkDomainConvictsNobody: groups of one fabric domain that die together
+// are one cause, also for a request that was retried into it.
+func TestDarkDomainConvictsNobody(t *testing.T) {
+	pair(t, func(t *testing.T, log *fakeLog, a, _ *Tracker) {
+		for i := range 4 {
+			crash(a, fmt.Sprint("g", i), "f0", 7, Fingerprint(100+i))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, a.Standing(7), Clear)
+		for i := range 4 {
+			crash(a, fmt.Sprint("h", i), "f1", Fingerprint(200+i), Fingerprint(100+i))
+		}
+		time.Sleep(20 * time.Second)
+		for i := range 4 {
+			assert.Equal(t, a.Standing(Fingerprint(100+i)), Clear)
+		}
+		assert.Equal(t, len(log.books[0].Verdicts()), 0)
+	})
+}
+
+// TestSurvivalsSpeakForARequest: a body that runs all the time is in flight
+// at many deaths and causes none.
+func TestSurvivalsSpeakForARequest(t *testing.T) {
+	pair(t, func(t *testing.T, _ *fakeLog, a, _ *Tracker) {
+		for range 20 {
+			a.Started("g9", 1, 7)
+			time.Sleep(5 * time.Second)
+			a.Ended("g9", 1, 7)
+		}
+		crash(a, "g0", "f0", 7, 1)
+		time.Sleep(time.Minute)
+		crash(a, "g4", "f1", 7, 2)
+		assert.Equal(t, a.Standing(7), Clear)
+	})
+}
+
+// TestLogDownStillRefuses and a verdict lifted by an operator holds.
+func TestLogDownStillRefuses(t *testing.T) {
+	pair(t, func(t *testing.T, log *fakeLog, a, b *Tracker) {
+		log.down.Store(true)
+		crash(a, "g0", "f0", 7)
+		crash(a, "g4", "f1", 7)
+		b.Observe(a.Sightings())
+		assert.Equal(t, b.Standing(7), Convicted)
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(log.books[0].Verdicts()), 0)
+		log.down.Store(false)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(log.books[0].Verdicts()), 1)
+		assert.Equal(t, a.Clear(t.Context(), 7).Fate, journal.FateAccepted)
+		time.Sleep(time.Minute)
+		assert.Equal(t, a.Standing(7), Clear)
+		assert.Equal(t, b.Standing(7), Clear)
+	})
+}
+
+// TestBookIsBoundedAndSnapshots: the fold keeps a bounded number of verdicts
+// and the same bytes for the same state, and a wrong clock's has no force.
+func TestBookIsBoundedAndSnapshots(t *testing.T) {
+	at := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := NewBook()
+	convict := func(f Fingerprint, at time.Time) {
+		data, err := cbor.Marshal(convictRecord{Fingerprint: f, Term: time.Hour.Milliseconds()})
+		assert.NilError(t, err)
+		_, err = a.Apply(0, journal.Record{Kind: KindConvict, Author: "d", UnixMilli: at.UnixMilli(), Body: data})
+		assert.NilError(t, err)
+	}
+	for i := range maxVerdicts + 10 {
+		convict(Fingerprint(i), at.Add(time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, len(a.Verdicts()), maxVerdicts)
+	_, ok := a.Verdict(0, at)
+	assert.Assert(t, !ok, "the oldest verdict was kept")
+	_, ok = a.Verdict(maxVerdicts, at.Add(10*time.Second))
+	assert.Assert(t, ok)
+	convict(77777, at.Add(10000*time.Hour))
+	_, ok = a.Verdict(77777, at)
+	assert.Assert(t, !ok, "a verdict by a wrong clock has force")
+	data, err := a.Snapshot()
+	assert.NilError(t, err)
+	b := NewBook()
+	assert.NilError(t, b.Restore(data))
+	again, err := b.Snapshot()
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), string(again))
+}
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -102,7 +102,14 @@
 	if !t.history.Touched(f) {
 		return Clear
 	}
-	return t.cfg.Policy.Assess(t.history.Evidence(f, now)).Standing
+	return t.assess(f, now).Standing
+}
+
+// assess judges a request and remembers whether it explains deaths.
+func (t *Tracker) assess(f Fingerprint, now time.Time) Assessment {
+	a := t.cfg.Policy.Assess(t.history.Evidence(f, now))
+	t.history.SetConvicted(f, a.Standing == Convicted)
+	return a
 }
 
 // Started notes an attempt on a group.
@@ -246,18 +253,18 @@
 	defer t.mu.Unlock()
 	var due []convictRecord
 	for _, f := range t.history.Fingerprints() {
-		if _, decided := t.cfg.Book.Verdict(f, now); decided {
+		if v, decided := t.cfg.Book.Verdict(f, now); decided {
+			t.history.SetConvicted(f, !v.Cleared)
 			continue
 		}
-		e := t.history.Evidence(f, now)
-		if t.cfg.Policy.Assess(e).Standing != Convicted {
+		if t.assess(f, now).Standing != Convicted {
 			continue
 		}
 		due = append(due, convictRecord{
 			Fingerprint: f,
 			Service:     t.history.Service(f),
 			Term:        t.cfg.Term.Milliseconds(),
-			Deaths:      len(e.Deaths),
+			Deaths:      t.history.Deaths(f),
 		})
 	}
 	return due
--- /dev/null
+++ b/standin/experiment/suspects/table.go
@@ -0,0 +1,73 @@
+package suspects
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Row is one scenario under one policy, over all seeds.
+type Row struct {
+	Scenario Scenario
+	Policy   string
+	Seeds    int
+	Outcome  Outcome
+}
+
+// LostPerCrasher is how many groups each crashing request cost.
+func (r Row) LostPerCrasher() float64 {
+	if r.Scenario.Crashers == 0 {
+		return 0
+	}
+	return float64(r.Outcome.Crashed) / float64(r.Scenario.Crashers*r.Seeds)
+}
+
+// Rows runs every scenario under every policy with seeds 1 to seeds.
+func Rows(seeds int) []Row {
+	var rows []Row
+	for _, s := range Scenarios() {
+		for _, p := range Policies() {
+			rows = append(rows, rowOf(s, p, seeds))
+		}
+	}
+	return rows
+}
+
+func rowOf(s Scenario, p NamedPolicy, seeds int) Row {
+	row := Row{Scenario: s, Policy: p.Name, Seeds: seeds}
+	for seed := range seeds {
+		row.Outcome.add(Run(s, p.Policy, uint64(seed+1)))
+	}
+	return row
+}
+
+// Table writes the comparison for people.
+func Table(w io.Writer, seeds int) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "scenario\tpolicy\tgroups lost per crashing request\tinnocents refused\tno idle group\tinnocents failed\tgroups lost\trequests\t")
+	for _, r := range Rows(seeds) {
+		o := r.Outcome
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t\n",
+			r.Scenario.Name, r.Policy, r.LostPerCrasher(), o.Refused, o.NoIdle, o.Failed, o.Lost, o.Requests)
+	}
+	return errors.WithStack(t.Flush())
+}
+
+// CSV writes the comparison for programs.
+func CSV(w io.Writer, seeds int) error {
+	c := csv.NewWriter(w)
+	_ = c.Write([]string{"scenario", "policy", "seeds", "lost_per_crasher", "innocents_refused", "no_idle_group", "innocents_failed", "groups_lost", "requests"})
+	for _, r := range Rows(seeds) {
+		o := r.Outcome
+		_ = c.Write([]string{
+			r.Scenario.Name, r.Policy, strconv.Itoa(seeds), strconv.FormatFloat(r.LostPerCrasher(), 'f', 3, 64),
+			strconv.Itoa(o.Refused), strconv.Itoa(o.NoIdle), strconv.Itoa(o.Failed), strconv.Itoa(o.Lost), strconv.Itoa(o.Requests),
+		})
+	}
+	c.Flush()
+	return errors.WithStack(c.Error())
+}
