membership: names cross a link once; bounded links; cost, fuzz and fold tests

Cause: with 20 busy groups and 10 streams nine daemons spent 17,453 B/s each (both directions, with 52 B of headers for each message and its acknowledgement) against the budget of 13,000: the names of groups and streams were most of each heartbeat. TestNineDaemonsStayWithinTheBudget failed first with 17,453, TestCostGrowsWithLinksNotWithDaemons with 14,924.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -281,3 +281,11 @@
 }
 
 func (m *member) next(s journal.Stream) journal.Offset { return m.replicas[s].Status().Next }
+
+func fakePositions() map[journal.Stream]StreamPosition {
+	out := map[journal.Stream]StreamPosition{}
+	for _, s := range testStreams {
+		out[s] = StreamPosition{Next: 70_000, ConfirmedAgeMilli: 700}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/cost_test.go
@@ -0,0 +1,192 @@
+package membership
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+const (
+	// budget is what a daemon may spend on control, in bytes a second.
+	budget = 13_000
+	// packetOverhead is the size of the IP and TCP headers with timestamps.
+	packetOverhead = 52
+)
+
+// wireRate is a member's traffic in bytes a second, both directions, with a
+// packet and its acknowledgement for each message.
+func (c *cluster) wireRate(m *member, over time.Duration) float64 {
+	bytes, messages := c.traffic(m)
+	time.Sleep(over)
+	moreBytes, moreMessages := c.traffic(m)
+	total := float64(moreBytes-bytes) + 2*packetOverhead*float64(moreMessages-messages)
+	return total / over.Seconds()
+}
+
+func (c *cluster) traffic(m *member) (bytes uint64, messages int64) {
+	s := c.net.Stats(m.ip)
+	return s.BytesSent + s.BytesReceived, m.meters.messagesSent.Count() + m.meters.messagesReceived.Count()
+}
+
+// busy is a heartbeat of a daemon at work.
+func busy() Heartbeat {
+	h := Heartbeat{Ready: true, ConfigRevision: 4711, InFlight: map[fleet.GroupID]uint32{}}
+	for i := range 20 {
+		h.InFlight[fleet.GroupID(fmt.Sprintf("drafting-%02d", i))] = 12
+	}
+	return h
+}
+
+func TestNineDaemonsStayWithinTheBudget(t *testing.T) {
+	t.Parallel()
+	tests := map[string]Heartbeat{"idle": {}, "busy": busy()}
+	for name, h := range tests {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 9, func(t *testing.T, c *cluster) {
+				for _, m := range c.members {
+					m.set(func(m *member) { m.heartbeat = h })
+				}
+				time.Sleep(time.Second)
+				rate := c.wireRate(c.members[0], time.Minute)
+				t.Logf("%.0f bytes a second with %d streams", rate, len(testStreams))
+				assert.Assert(t, rate < budget, "%.0f", rate)
+			})
+		})
+	}
+}
+
+// fakePeer links to a mesh and beats, no more.
+func fakePeer(ctx context.Context, c *cluster, i int, to string) {
+	host := c.net.Host(fmt.Sprintf("10.1.%d.%d", i/250, i%250))
+	client := &http.Client{Transport: &http.Transport{DialContext: host.Dial, DisableKeepAlives: true}}
+	conn, _, err := websocket.Dial(ctx, "ws://"+to+PeerPath, &websocket.DialOptions{HTTPClient: client})
+	if err != nil {
+		return
+	}
+	defer conn.CloseNow()
+	idle := newMeters(metrics.NewRegistry())
+	self := helloMessage{From: fleet.DaemonID(fmt.Sprintf("fake-%04d", i)), Address: host.Addr("7000"), Zone: "z", Incarnation: 1}
+	frame, _ := encode(&self)
+	if writeFrame(ctx, conn, frame, &idle) != nil {
+		return
+	}
+	l := newLink(conn, self, true, &idle)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { l.write(ctx) })
+	tasks.Go(func() { beatAsFake(ctx, l) })
+	l.read(ctx, time.Minute, func(frame []byte) error {
+		if body, err := decode(frame); err == nil {
+			if b, ok := body.(*beatMessage); ok {
+				l.heard(time.Now(), b)
+			}
+		}
+		return nil
+	})
+	cancel()
+	tasks.Wait()
+}
+
+func beatAsFake(ctx context.Context, l *link) {
+	h := busy()
+	tick := time.NewTicker(DefaultBeat)
+	defer tick.Stop()
+	h.Streams = fakePositions()
+	for {
+		h.Sequence++
+		if l.sendBeat(time.Now(), h) != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// linksAt returns the most links that a policy gives a daemon among n in 8
+// availability zones, its own choices and the others' together.
+func linksAt(p LinkPolicy, n int) int {
+	places := manyPlaces(n, 8)
+	degree := map[string]map[string]bool{}
+	for _, place := range places {
+		degree[place.Address] = map[string]bool{}
+	}
+	for _, place := range places {
+		for _, other := range p.Choose(place, places) {
+			degree[place.Address][other] = true
+			degree[other][place.Address] = true
+		}
+	}
+	most := 0
+	for _, links := range degree {
+		most = max(most, len(links))
+	}
+	return most
+}
+
+var largeMesh = flag.Bool("large-mesh", false, "measure the full mesh of 400 and 1,200 daemons as well")
+
+// mostFullLinks is how many links of a full mesh are driven without large-mesh.
+const mostFullLinks = 100
+
+// TestCostGrowsWithLinksNotWithDaemons prints the slopes that the design note
+// quotes and asserts that bounded links fit the budget at the size to come.
+func TestCostGrowsWithLinksNotWithDaemons(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{9, 100, 400, 1200} {
+		full, bounded := linksAt(FullMesh{}, n), linksAt(Bounded{}, n)
+		if full <= mostFullLinks || *largeMesh {
+			rate, cpu := costOf(t, full)
+			t.Logf("%4d daemons, full mesh: %4d links %7.0f B/s %6.2f ms CPU a second", n, full, rate, cpu)
+		}
+		rate, cpu := costOf(t, bounded)
+		t.Logf("%4d daemons, bounded:   %4d links %7.0f B/s %6.2f ms CPU a second", n, bounded, rate, cpu)
+		assert.Assert(t, rate < budget, "bounded links at %d daemons: %.0f bytes a second", n, rate)
+	}
+}
+
+// costOf drives one mesh with the heartbeats of so many peers and returns its
+// bytes a second and the processor time of mesh and peers together, in
+// milliseconds a second.
+func costOf(t *testing.T, links int) (rate, cpu float64) {
+	const span = 10 * time.Second
+	runCluster(t, 1, func(t *testing.T, c *cluster) {
+		m := c.members[0]
+		m.set(func(m *member) { m.heartbeat = busy() })
+		ctx, cancel := context.WithCancel(context.Background())
+		var tasks sync.WaitGroup
+		for i := range links {
+			tasks.Go(func() { fakePeer(ctx, c, i, m.cfg.Address) })
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		before := processorTime()
+		rate = c.wireRate(m, span)
+		cpu = float64(processorTime()-before) / float64(time.Millisecond) / span.Seconds()
+		assert.Equal(t, alive(m), links)
+		cancel()
+		tasks.Wait()
+	})
+	return rate, cpu
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -31,8 +31,14 @@
 	heardSeq uint64
 	sent     [sentKept]sentBeat
 	newsSent uint64 // number of the last item sent
+
+	numbering *numbering // of names sent, used by one goroutine at a time
+	names     names      // received, used by the reader only
 }
 
+// errCongested ends a link whose peer does not read.
+var errCongested = errors.New("too many messages wait for the peer")
+
 type sentBeat struct {
 	sequence uint64
 	at       time.Time
@@ -43,6 +49,8 @@
 		conn: conn, peer: peer, dialed: dialed, meters: meters,
 		out:     make(chan []byte, linkQueue),
 		heardAt: time.Now(),
+
+		numbering: newNumbering(),
 	}
 }
 
@@ -57,15 +65,22 @@
 	}
 }
 
-// sendBeat queues a heartbeat with the link's echo.
-func (l *link) sendBeat(now time.Time, b beatMessage) error {
-	b.Echo = l.echo(now)
+// sendBeat queues a heartbeat with the link's echo. After an error the link is
+// no longer of use: the peer would miss names.
+func (l *link) sendBeat(now time.Time, h Heartbeat) error {
+	b := beatMessage{
+		Echo: l.echo(now), Sequence: h.Sequence, Ready: h.Ready, Draining: h.Draining,
+		ConfigRevision: h.ConfigRevision,
+	}
+	l.numbering.pack(&b, h.Streams, h.InFlight)
 	frame, err := encode(&b)
 	if err != nil {
 		return err
 	}
 	l.noteSent(now, b.Sequence)
-	l.send(frame)
+	if !l.send(frame) {
+		return errCongested
+	}
 	return nil
 }
 
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -213,18 +213,15 @@
 func (m *Mesh) beat() {
 	h := m.cfg.Source.Heartbeat()
 	now := time.Now()
-	positions := m.positions(now)
+	h.Streams = m.positions(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.news.takeOwn(now, h.Leaving, h.Sightings)
 	m.sequence++
-	message := beatMessage{
-		Sequence: m.sequence, Ready: h.Ready, Draining: h.Draining,
-		ConfigRevision: h.ConfigRevision, Streams: positions, InFlight: h.InFlight,
-	}
+	h.Sequence = m.sequence
 	for _, l := range m.links {
-		if err := l.sendBeat(now, message); err != nil {
-			m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		if err := l.sendBeat(now, h); err != nil {
+			l.cancel(err)
 		}
 	}
 }
@@ -298,7 +295,7 @@
 	}
 	switch b := body.(type) {
 	case *beatMessage:
-		m.handleBeat(l, b)
+		return m.handleBeat(l, b)
 	case *newsMessage:
 		m.handleNews(l, b)
 	case *goodbyeMessage:
@@ -311,12 +308,17 @@
 	return nil
 }
 
-func (m *Mesh) handleBeat(l *link, b *beatMessage) {
+func (m *Mesh) handleBeat(l *link, b *beatMessage) error {
 	now := time.Now()
+	streams, inFlight, err := l.names.unpack(b)
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
 	h := Heartbeat{
 		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
-		ConfigRevision: b.ConfigRevision, Streams: b.Streams, InFlight: b.InFlight,
+		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
 	}
 	shown := l.heard(now, b)
 	m.mu.Lock()
@@ -324,11 +326,11 @@
 	p := m.table.peers[h.From]
 	m.dirty = true
 	m.mu.Unlock()
-	if !taken {
-		return
+	if taken {
+		m.confirm(p)
+		wake(m.heard)
 	}
-	m.confirm(p)
-	wake(m.heard)
+	return nil
 }
 
 func (m *Mesh) handleNews(l *link, b *newsMessage) {
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -61,6 +61,7 @@
 }
 
 func TestConfirmationsCrossTheMesh(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 9, func(t *testing.T, c *cluster) {
 		for _, m := range c.members[1:] {
 			m.set(func(m *member) { m.noLog = true })
@@ -90,7 +91,7 @@
 }
 
 func TestOutageOfTheLogKeepsAllReady(t *testing.T) {
-	runCluster(t, 9, func(t *testing.T, c *cluster) {
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
 		c.log.append("config", "revision 1")
 		time.Sleep(time.Second)
 		for _, m := range c.members {
@@ -144,6 +145,7 @@
 }
 
 func TestFrozenDaemonIsUnreadyUntilItCaughtUp(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 3, func(t *testing.T, c *cluster) {
 		frozen := c.members[0]
 		frozen.set(func(m *member) { m.noLog = true })
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -63,13 +63,16 @@
 
 // beatMessage is a heartbeat without what the hello and the news carry.
 type beatMessage struct {
-	Echo           Echo                              `cbor:"1,keyasint"`
-	Sequence       uint64                            `cbor:"2,keyasint"`
-	Ready          bool                              `cbor:"3,keyasint,omitempty"`
-	Draining       bool                              `cbor:"4,keyasint,omitempty"`
-	ConfigRevision uint64                            `cbor:"5,keyasint,omitempty"`
-	Streams        map[journal.Stream]StreamPosition `cbor:"6,keyasint,omitempty"`
-	InFlight       map[fleet.GroupID]uint32          `cbor:"7,keyasint,omitempty"`
+	Echo           Echo   `cbor:"1,keyasint"`
+	Sequence       uint64 `cbor:"2,keyasint"`
+	Ready          bool   `cbor:"3,keyasint,omitempty"`
+	Draining       bool   `cbor:"4,keyasint,omitempty"`
+	ConfigRevision uint64 `cbor:"5,keyasint,omitempty"`
+	// Names are new on this link and get the next numbers.
+	Names   []string       `cbor:"6,keyasint,omitempty"`
+	Streams []wirePosition `cbor:"7,keyasint,omitempty"`
+	// InFlight alternates a group's number and its count.
+	InFlight []uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
--- /dev/null
+++ b/internal/membership/message_test.go
@@ -0,0 +1,163 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+func sampleMessages() []any {
+	return []any{
+		&helloMessage{From: "d", Address: "10.0.0.1:7000", Zone: "z", Incarnation: 3},
+		&beatMessage{
+			Echo: Echo{Sequence: 8, HeldMilli: 250}, Sequence: 9, Ready: true, ConfigRevision: 4,
+			Names: []string{"config", "g-1"}, Streams: []wirePosition{{Stream: 0, Next: 12, AgeMilli: -1}}, InFlight: []uint32{1, 5},
+		},
+		&newsMessage{
+			Leaving:   []leavingNews{{Instance: "i", AgeMilli: 5}},
+			Sightings: []sightingNews{{ID: [16]byte{1}, Group: "g", Epoch: 2, InFlight: []suspect.Fingerprint{3}}},
+		},
+		&goodbyeMessage{Sequence: 7},
+		&requestMessage{ID: 1, Kind: requestEntries, Stream: "config", From: 3, Limit: 10},
+		&responseMessage{ID: 1, State: &journal.State{Stream: "config", Data: []byte("x")}, Payloads: [][]byte{{1}, {2}}},
+	}
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	for _, m := range sampleMessages() {
+		frame, err := encode(m)
+		assert.NilError(t, err)
+		got, err := decode(frame)
+		assert.NilError(t, err)
+		assert.Assert(t, reflect.DeepEqual(got, m), "%#v", got)
+	}
+}
+
+func TestDecodeRefusesWhatMakesNoSense(t *testing.T) {
+	beat, _ := encode(&beatMessage{Sequence: 1})
+	tests := map[string]struct {
+		frame []byte
+		err   error
+	}{
+		"empty":            {nil, errTooShort},
+		"other version":    {[]byte{9, byte(typeBeat), 0xa0}, errVersion},
+		"unknown type":     {[]byte{wireVersion, 200, 0xa0}, errUnknownType},
+		"beat w/o number":  {[]byte{wireVersion, byte(typeBeat), 0xa0}, errMissingField},
+		"hello w/o sender": {[]byte{wireVersion, byte(typeHello), 0xa0}, errMissingField},
+		"request w/o id":   {[]byte{wireVersion, byte(typeRequest), 0xa0}, errMissingField},
+		"response w/o id":  {[]byte{wireVersion, byte(typeResponse), 0xa0}, errMissingField},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := decode(test.frame)
+			assert.ErrorIs(t, err, test.err)
+		})
+	}
+	_, err := decode(beat[:len(beat)-1])
+	assert.ErrorContains(t, err, "decode message")
+}
+
+func TestNamesAreToldOnceAndUnknownOnesRefused(t *testing.T) {
+	out, in := newNumbering(), names{}
+	streams := map[journal.Stream]StreamPosition{"config": {Next: 4, ConfirmedAgeMilli: 9}}
+	loads := map[fleet.GroupID]uint32{"g-1": 2}
+	for i := range 3 {
+		var b beatMessage
+		out.pack(&b, streams, loads)
+		assert.Equal(t, len(b.Names), map[int]int{0: 2}[i])
+		gotStreams, gotLoads, err := in.unpack(&b)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, gotStreams, streams)
+		assert.DeepEqual(t, gotLoads, loads)
+	}
+	_, _, err := in.unpack(&beatMessage{InFlight: []uint32{99, 1}})
+	assert.ErrorIs(t, err, errUnknownName)
+	_, _, err = in.unpack(&beatMessage{InFlight: []uint32{0}})
+	assert.ErrorIs(t, err, errUnpairedLoad)
+	_, _, err = in.unpack(&beatMessage{Names: make([]string, maxNames)})
+	assert.ErrorIs(t, err, errManyNames)
+}
+
+func FuzzMessage(f *testing.F) {
+	for _, m := range sampleMessages() {
+		frame, err := encode(m)
+		assert.NilError(f, err)
+		f.Add(frame)
+		f.Add(frame[:len(frame)/2])
+	}
+	f.Add([]byte{wireVersion, byte(typeBeat), 0xbf, 0xff})
+	f.Add([]byte{wireVersion, byte(typeResponse), 0x9a, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		body, err := decode(frame)
+		if err != nil {
+			return
+		}
+		if b, ok := body.(*beatMessage); ok {
+			var n names
+			_, _, _ = n.unpack(b)
+		}
+		again, err := encode(body)
+		assert.NilError(t, err)
+		_, err = decode(again)
+		assert.NilError(t, err)
+	})
+}
+
+// TestBadMessagesOfAPeer speaks to a mesh as a peer would.
+func TestBadMessagesOfAPeer(t *testing.T) {
+	tests := map[string]struct {
+		frame []byte
+		drops bool
+	}{
+		"unknown type is ignored":      {[]byte{wireVersion, 99}, false},
+		"malformed body drops":         {[]byte{wireVersion, byte(typeBeat), 0xff}, true},
+		"other version drops":          {[]byte{7, byte(typeBeat), 0xa0}, true},
+		"unknown stream is answered":   {mustEncode(&requestMessage{ID: 1, Kind: requestState, Stream: "no"}), false},
+		"response to no one is unread": {mustEncode(&responseMessage{ID: 77}), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 1, func(t *testing.T, c *cluster) {
+				conn := c.dialAs(t, "10.9.9.9", helloMessage{From: "stranger", Address: "10.9.9.9:7000", Incarnation: 1})
+				defer conn.CloseNow()
+				m := newMeters(metrics.NewRegistry())
+				assert.NilError(t, writeFrame(t.Context(), conn, test.frame, &m))
+				time.Sleep(100 * time.Millisecond)
+				linked := c.members[0].linkedTo("10.9.9.9:7000")
+				assert.Equal(t, !linked, test.drops)
+			})
+		})
+	}
+}
+
+func mustEncode(body any) []byte {
+	frame, err := encode(body)
+	if err != nil {
+		panic(err)
+	}
+	return frame
+}
+
+// dialAs links to the first member from another host.
+func (c *cluster) dialAs(t *testing.T, ip string, hello helloMessage) *websocket.Conn {
+	client := &http.Client{Transport: &http.Transport{DialContext: c.net.Host(ip).Dial, DisableKeepAlives: true}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	conn, _, err := websocket.Dial(ctx, "ws://"+c.members[0].cfg.Address+PeerPath, &websocket.DialOptions{HTTPClient: client})
+	assert.NilError(t, err)
+	m := newMeters(metrics.NewRegistry())
+	assert.NilError(t, writeFrame(t.Context(), conn, mustEncode(&hello), &m))
+	_, err = readFrame(t.Context(), conn, time.Second, &m)
+	assert.NilError(t, err)
+	return conn
+}
--- a/internal/membership/policy.go
+++ b/internal/membership/policy.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,14 +38,19 @@
 
 // Bounded links a daemon to a few of its availability zone and fewer outside.
 // Daemons of a zone stand on a ring in the order of a hash; each dials those
-// 1, 2, 4, 8 ... places on, so that any two are a few hops apart, and the
+// 1, 4, 16, 64 ... places on, so that any two are a few hops apart, and the
 // daemons at like places of some other zones.
 type Bounded struct {
-	// Outside is how many other zones to dial into, 2 when zero.
+	// Outside is how many other zones to dial into, 1 when zero.
 	Outside int
+	// Stride is the ratio of one place dialed to the next, 4 when zero.
+	Stride int
 }
 
-const defaultOutside = 2
+const (
+	defaultOutside = 1
+	defaultStride  = 4
+)
 
 // Choose implements LinkPolicy.
 func (b Bounded) Choose(self Place, known []Place) []string {
@@ -52,7 +58,11 @@
 	own := rings[self.Zone]
 	at := indexOf(own, self.Address)
 	chosen := map[string]bool{}
-	for step := 1; step < len(own); step *= 2 {
+	stride := max(b.Stride, 2)
+	if b.Stride == 0 {
+		stride = defaultStride
+	}
+	for step := 1; step < len(own); step *= stride {
 		chosen[own[(at+step)%len(own)]] = true
 	}
 	for _, address := range b.outside(self, rings, at) {
@@ -67,8 +77,9 @@
 	return out
 }
 
-// outside picks one daemon in each of a few other zones; which zones depends
-// on the place in the own ring, so that together a zone reaches all.
+// outside picks one daemon in each of a few other zones. Which zones depends on
+// the place in the own ring, so that together a zone reaches all; counted from
+// the own zone, so that no daemon is picked by more than its share.
 func (b Bounded) outside(self Place, rings map[fleet.Zone][]string, at int) []string {
 	want := b.Outside
 	if want == 0 {
@@ -76,14 +87,15 @@
 	}
 	zones := make([]fleet.Zone, 0, len(rings))
 	for z := range rings {
-		if z != self.Zone {
-			zones = append(zones, z)
-		}
+		zones = append(zones, z)
 	}
 	sort.Slice(zones, func(i, j int) bool { return zones[i] < zones[j] })
+	own := sort.Search(len(zones), func(i int) bool { return zones[i] >= self.Zone })
+	others := len(zones) - 1
 	var out []string
-	for i := 0; i < min(want, len(zones)); i++ {
-		ring := rings[zones[(at+i)%len(zones)]]
+	for i := range min(want, others) {
+		away := 1 + (at+i)%others
+		ring := rings[zones[(own+away)%len(zones)]]
 		out = append(out, ring[at%len(ring)])
 	}
 	return out
@@ -91,18 +103,17 @@
 
 // ringsOf returns each zone's addresses in the order of their hashes.
 func ringsOf(self Place, known []Place) map[fleet.Zone][]string {
+	hashes := map[string]uint64{}
 	rings := map[fleet.Zone][]string{}
-	seen := map[string]bool{}
 	for _, p := range append([]Place{self}, known...) {
-		if !seen[p.Address] {
-			seen[p.Address] = true
+		if _, seen := hashes[p.Address]; !seen {
+			hashes[p.Address] = xxhash.Sum64String(p.Address)
 			rings[p.Zone] = append(rings[p.Zone], p.Address)
 		}
 	}
 	for _, ring := range rings {
 		sort.Slice(ring, func(i, j int) bool {
-			a, b := xxhash.Sum64String(ring[i]), xxhash.Sum64String(ring[j])
-			if a != b {
+			if a, b := hashes[ring[i]], hashes[ring[j]]; a != b {
 				return a < b
 			}
 			return ring[i] < ring[j]
@@ -112,10 +123,5 @@
 }
 
 func indexOf(ring []string, address string) int {
-	for i, a := range ring {
-		if a == address {
-			return i
-		}
-	}
-	return 0
+	return max(slices.Index(ring, address), 0)
 }
--- /dev/null
+++ b/internal/membership/policy_test.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+func manyPlaces(n, zones int) []Place {
+	places := make([]Place, n)
+	for i := range places {
+		places[i] = Place{
+			Address: fmt.Sprintf("10.2.%d.%d:7000", i/250, i%250),
+			Zone:    fleet.Zone(fmt.Sprintf("zone-%d", i%zones)),
+		}
+	}
+	return places
+}
+
+// hops returns the most hops between any daemon and the first, and how many
+// daemons the first reaches. Dead daemons take part in the choice only.
+func hops(p LinkPolicy, places []Place, dead map[string]bool) (most, reached int) {
+	links := map[string][]string{}
+	for _, place := range places {
+		for _, other := range p.Choose(place, places) {
+			if !dead[place.Address] && !dead[other] {
+				links[place.Address] = append(links[place.Address], other)
+				links[other] = append(links[other], place.Address)
+			}
+		}
+	}
+	first := ""
+	for _, place := range places {
+		if !dead[place.Address] {
+			first = place.Address
+			break
+		}
+	}
+	distance := map[string]int{first: 0}
+	for queue := []string{first}; len(queue) > 0; queue = queue[1:] {
+		at := queue[0]
+		for _, next := range links[at] {
+			if _, seen := distance[next]; !seen {
+				distance[next] = distance[at] + 1
+				most = max(most, distance[next])
+				queue = append(queue, next)
+			}
+		}
+	}
+	return most, len(distance)
+}
+
+func TestBoundedLinksReachAllInFewHops(t *testing.T) {
+	t.Parallel()
+	// A hop costs at most a beat; two seconds of the bound are the log's.
+	mostHops := int((configBound - 2e9) / DefaultBeat)
+	for _, n := range []int{2, 9, 50, 400, 1200} {
+		places := manyPlaces(n, 8)
+		most, reached := hops(Bounded{}, places, nil)
+		assert.Equal(t, reached, n)
+		assert.Assert(t, most <= mostHops, "%d daemons: %d hops", n, most)
+		t.Logf("%d daemons: %d hops", n, most)
+	}
+}
+
+func TestBoundedLinksSurviveADarkZoneAndScatteredDeaths(t *testing.T) {
+	t.Parallel()
+	places := manyPlaces(1200, 8)
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 2 {
+		dead := map[string]bool{}
+		for _, p := range places {
+			dead[p.Address] = p.Zone == "zone-3" || r.IntN(20) == 0
+		}
+		alive := 0
+		for _, p := range places {
+			if !dead[p.Address] {
+				alive++
+			}
+		}
+		most, reached := hops(Bounded{}, places, dead)
+		assert.Equal(t, reached, alive)
+		t.Logf("%d of 1200 alive: %d hops", alive, most)
+	}
+}
+
+func TestPoliciesNeverChooseSelf(t *testing.T) {
+	places := manyPlaces(20, 3)
+	for _, p := range []LinkPolicy{FullMesh{}, Bounded{}} {
+		for _, chosen := range p.Choose(places[0], places) {
+			assert.Assert(t, chosen != places[0].Address)
+		}
+		assert.Equal(t, len(p.Choose(places[0], nil)), 0)
+	}
+}
--- /dev/null
+++ b/internal/membership/state_test.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func beatOf(id fleet.DaemonID, address string, incarnation, sequence uint64) Heartbeat {
+	return Heartbeat{From: id, Address: address, Incarnation: incarnation, Sequence: sequence}
+}
+
+func TestTableKeepsTheNewestHeartbeat(t *testing.T) {
+	tests := map[string]struct {
+		h     Heartbeat
+		taken bool
+	}{
+		"newer sequence":                  {beatOf("a", "x:1", 2, 11), true},
+		"same sequence":                   {beatOf("a", "x:1", 2, 10), false},
+		"older sequence":                  {beatOf("a", "x:1", 2, 9), false},
+		"older incarnation, new sequence": {beatOf("a", "x:1", 1, 99), false},
+		"newer incarnation":               {beatOf("a", "x:1", 3, 1), true},
+		"predecessor at the address":      {beatOf("old", "x:1", 1, 99), false},
+		"successor at the address":        {beatOf("new", "x:1", 3, 1), true},
+		"another daemon":                  {beatOf("b", "y:1", 1, 1), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := newTable()
+			assert.Assert(t, table.observe(epoch, beatOf("a", "x:1", 2, 10), evidence{}))
+			assert.Equal(t, table.observe(epoch, test.h, evidence{}), test.taken)
+		})
+	}
+}
+
+func TestDepartedPeerDoesNotComeBackByALateHeartbeat(t *testing.T) {
+	table := newTable()
+	table.observe(epoch, beatOf("a", "x:1", 2, 10), evidence{})
+	assert.Assert(t, !table.linkLost(epoch, "a"), "silent peers stay in the view")
+	table.depart("a")
+	assert.Assert(t, table.linkLost(epoch, "a"))
+	assert.Assert(t, !table.observe(epoch, beatOf("a", "x:1", 2, 11), evidence{}))
+	assert.Equal(t, len(table.peers), 0)
+}
+
+func TestReadiness(t *testing.T) {
+	now := epoch.Add(time.Hour)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	peer := func(sent, heardUs, confirmed time.Duration, next journal.Offset) Peer {
+		return Peer{SentAt: ago(sent), HeardUsAt: ago(heardUs), Heartbeat: Heartbeat{Streams: map[journal.Stream]StreamPosition{
+			"config": {Next: next, ConfirmedAgeMilli: confirmed.Milliseconds()},
+		}}}
+	}
+	const s = time.Second
+	old := journal.Status{Stream: "config", Next: 5, ConfirmedAt: ago(60 * s), LogAt: ago(60 * s)}
+	fresh := journal.Status{Stream: "config", Next: 5, ConfirmedAt: ago(s)}
+	broken := fresh
+	broken.Err = errors.New("unknown kind")
+	silent := peer(0, 0, time.Minute, 5)
+	tests := map[string]struct {
+		view   View
+		status journal.Status
+		alone  bool
+		ready  bool
+	}{
+		"fresh":                              {View{At: now}, fresh, false, true},
+		"fresh but the fold is broken":       {View{At: now}, broken, false, false},
+		"never confirmed":                    {View{At: now}, journal.Status{Stream: "config"}, true, false},
+		"fresh but the view is old":          {View{At: ago(3 * s)}, fresh, false, false},
+		"no log, no peer":                    {View{At: now}, old, false, false},
+		"no log, never a peer":               {View{At: now}, old, true, true},
+		"alone, has just stood still":        {View{At: now, ResumedAt: ago(s)}, old, true, false},
+		"alone, stood still, log still away": {View{At: now, ResumedAt: ago(6 * s)}, old, true, true},
+		"outage, all of one peer":            {View{At: now, Wanted: 1, Peers: map[fleet.DaemonID]Peer{"a": silent}}, old, false, true},
+		"outage, minority":                   {View{At: now, Wanted: 4, Peers: map[fleet.DaemonID]Peer{"a": silent}}, old, false, false},
+		"outage, half of the daemons":        {View{At: now, Wanted: 3, Peers: map[fleet.DaemonID]Peer{"a": silent}}, old, false, false},
+		"a peer is ahead":                    {View{At: now, Wanted: 1, Peers: map[fleet.DaemonID]Peer{"a": peer(0, 0, time.Minute, 6)}}, old, false, false},
+		"a peer has the log":                 {View{At: now, Wanted: 1, Peers: map[fleet.DaemonID]Peer{"a": peer(0, 0, s, 5)}}, old, false, false},
+		"peer's heartbeat is old":            {View{At: now, Wanted: 1, Peers: map[fleet.DaemonID]Peer{"a": peer(3*s, 3*s, time.Minute, 5)}}, old, false, false},
+		"peer does not hear us":              {View{At: now, Wanted: 1, Peers: map[fleet.DaemonID]Peer{"a": peer(0, 3*s, time.Minute, 5)}}, old, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ready, reason := Readiness(now, test.view, []journal.Status{test.status}, !test.alone, ReadinessPolicy{})
+			assert.Equal(t, ready, test.ready, reason)
+			assert.Equal(t, reason == "", ready)
+		})
+	}
+}
+
+func apply(t *testing.T, r *Registry, at journal.Offset, kind journal.Kind, body any) journal.Verdict {
+	data, err := wire.enc.Marshal(body)
+	assert.NilError(t, err)
+	v, err := r.Apply(at, journal.Record{Kind: kind, Body: data})
+	assert.NilError(t, err)
+	return v
+}
+
+func TestRegistry(t *testing.T) {
+	r := NewRegistry()
+	hello := func(at journal.Offset, id fleet.DaemonID, address string, inc uint64) bool {
+		return apply(t, r, at, KindHello, Hello{Daemon: id, Address: address, Zone: "z", Incarnation: inc}).Accepted
+	}
+	assert.Assert(t, hello(1, "a", "x:1", 1))
+	assert.Assert(t, hello(2, "b", "y:1", 1))
+	assert.Assert(t, hello(3, "a2", "x:1", 2), "a successor takes the address")
+	assert.Assert(t, !hello(4, "a", "x:1", 1), "a predecessor does not get it back")
+	assert.Assert(t, !hello(5, "", "x:1", 9))
+	assert.Equal(t, len(r.Daemons()), 2)
+	assert.Assert(t, apply(t, r, 6, KindGoodbye, Goodbye{Daemon: "b"}).Accepted)
+	assert.Assert(t, !apply(t, r, 7, KindGoodbye, Goodbye{Daemon: "b"}).Accepted)
+	v, err := r.Apply(8, journal.Record{Kind: KindHello, Body: []byte{0xff}})
+	assert.NilError(t, err)
+	assert.Assert(t, !v.Accepted, "a malformed record stops nobody")
+
+	data, err := r.Snapshot()
+	assert.NilError(t, err)
+	other := NewRegistry()
+	assert.NilError(t, other.Restore(data))
+	again, err := other.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(data, again))
+	assert.Assert(t, other.Restore([]byte("no")) != nil)
+	assert.DeepEqual(t, other.Daemons(), r.Daemons())
+
+	assert.Assert(t, hello(3+maxHelloAge+1, "c", "z:1", 1), "the rest has aged out")
+	assert.Equal(t, len(r.Daemons()), 1)
+}
+
+func TestRegistryIsBounded(t *testing.T) {
+	t.Parallel()
+	r := NewRegistry()
+	for i := range maxHellos + 10 {
+		id := fleet.DaemonID(string(rune('a'+i%26)) + time.Duration(i).String())
+		apply(t, r, journal.Offset(i), KindHello, Hello{Daemon: id, Address: string(id), Incarnation: 1})
+	}
+	assert.Equal(t, len(r.Daemons()), maxHellos)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -35,7 +35,11 @@
 		return false
 	}
 	t.peers[h.From] = Peer{
-		Heartbeat: h, HeardAt: now, SentAt: e.sentAt, HeardUsAt: e.heardUsAt, Departing: old.Departing,
+		Heartbeat: h,
+		HeardAt:   now,
+		SentAt:    later(e.sentAt, old.SentAt),
+		HeardUsAt: later(e.heardUsAt, old.HeardUsAt),
+		Departing: old.Departing,
 	}
 	t.everHad = true
 	return true
--- a/standin/runs/network/network.go
+++ b/standin/runs/network/network.go
@@ -158,6 +158,9 @@
 	killed  chan struct{}
 }
 
+// Addr returns "ip:port" for a port of the host.
+func (h *Host) Addr(port string) string { return net.JoinHostPort(h.ip, port) }
+
 // Kill closes all of the host's connections and listeners. Peers see a reset
 // as soon as no fault holds it back. The ip is free for a new host.
 func (h *Host) Kill() {
