Take back the announcement of daemons that ended without a goodbye

Cause: a silent log counts as an outage only while more than half of the known daemons are heard. Daemons that were killed stay announced for 100,000 records, so after three replacements of nine by kill -9 no majority could be left and an outage would have turned every daemon unready. Ruled out: ageing by clock inside the fold, which must not depend on one. Before: announcements of killed daemons stayed. Conclusion: the roster heals from both sides.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -27,4 +27,6 @@
 		"A listener ended with an error.", "Restart the daemon; look for the address being in use.")
 	eventHelloFailed = event.Define(1010, "daemon.hello_failed", log.WarnLevel,
 		"The daemon could not announce itself in the log; it tries again.", "Nothing unless it repeats: see whether the log answers.")
+	eventTakenBack = event.Define(1011, "daemon.taken_back", log.InfoLevel,
+		"The announcement of a daemon that has long been unheard was taken back.", "Nothing, if that instance is gone; otherwise look for a cut between the two.")
 )
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -9,7 +9,6 @@
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
-	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/service"
 )
 
@@ -77,90 +76,3 @@
 func (p peerSource) FetchEntries(ctx context.Context, stream journal.Stream, from journal.Offset, limit int) ([]journal.Entry, error) {
 	return p.d.mesh.FetchEntries(ctx, stream, from, limit)
 }
-
-// greet announces the daemon in the control stream, again well before the
-// announcement ages out, and keeps the mesh's addresses in step with the
-// announcements and the platform's list.
-func (d *Daemon) greet(ctx context.Context) {
-	for {
-		d.sayHello(ctx)
-		d.mesh.SetPlaces(d.places())
-		select {
-		case <-time.After(greetEvery):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-const (
-	greetEvery   = time.Second
-	helloTimeout = 5 * time.Second
-)
-
-func (d *Daemon) sayHello(ctx context.Context) {
-	if d.draining.Load() {
-		return
-	}
-	at, known := d.registry.AnnouncedAt(d.id)
-	if known && d.control.Status().Next-at < membership.HelloEvery {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	res := d.control.Propose(ctx, membership.KindHello, membership.Hello{
-		Daemon:      d.id,
-		Address:     d.peerAddress(),
-		Zone:        fleet.Zone(d.set.Zone),
-		Incarnation: uint64(d.started.UnixNano()),
-	})
-	if res.Fate != journal.FateAccepted && ctx.Err() == nil {
-		d.events.Emit(eventHelloFailed, "error", res.Err, "reason", res.Verdict.Reason)
-	}
-}
-
-// places are the daemons known from the log and from the platform's list.
-func (d *Daemon) places() []membership.Place {
-	seen := map[string]bool{d.peerAddress(): true}
-	var out []membership.Place
-	add := func(p membership.Place) {
-		if !seen[p.Address] {
-			seen[p.Address] = true
-			out = append(out, p)
-		}
-	}
-	for _, h := range d.registry.Daemons() {
-		add(membership.Place{Address: h.Address, Zone: h.Zone})
-	}
-	for _, i := range d.instances() {
-		if i.Kind == fleet.KindDaemon {
-			add(membership.Place{Address: i.Address, Zone: i.Zone})
-		}
-	}
-	return out
-}
-
-// readinessEvery is the time between two looks at the daemon's readiness.
-const readinessEvery = 200 * time.Millisecond
-
-// tellReadiness emits an event whenever the daemon turns ready or unready.
-func (d *Daemon) tellReadiness(ctx context.Context) {
-	tick := time.NewTicker(readinessEvery)
-	defer tick.Stop()
-	was := false
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-		ok, reason := d.Ready()
-		switch {
-		case ok && !was:
-			d.events.Emit(eventReady, "revision", d.services.Catalog().Revision)
-		case !ok && was:
-			d.events.Emit(eventUnready, "reason", reason)
-		}
-		was = ok
-	}
-}
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -9,7 +9,6 @@
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
-	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/placement"
@@ -263,22 +262,3 @@
 	}
 	return d.env.Peers.Addr().String()
 }
-
-// statuses are those of the streams that every request rests on.
-func (d *Daemon) statuses() []journal.Status {
-	return []journal.Status{d.config.Status(), d.control.Status()}
-}
-
-// Ready reports whether the daemon takes requests from the balancer, and why
-// not.
-func (d *Daemon) Ready() (bool, string) {
-	if d.draining.Load() {
-		return false, "draining"
-	}
-	return d.informed()
-}
-
-// informed reports whether the daemon knows enough of the present to act.
-func (d *Daemon) informed() (bool, string) {
-	return membership.Readiness(time.Now(), d.mesh.View(), d.statuses(), d.mesh.EverHadPeers(), membership.ReadinessPolicy{})
-}
