--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -53,7 +53,8 @@
 }
 
 // choose picks the group of the next attempt and asks the gate immediately
-// before it is used.
+// before it is used. What the daemon knows is checked again last, for the
+// process may have been paused since.
 func (a *attempts) choose(ctx context.Context) (target, *fleet.Failure) {
 	for range maxRechecks {
 		if f := a.stale(ctx); f != nil {
@@ -66,7 +67,7 @@
 		t := target{Candidate: *dec.Chosen, attempt: id}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
 		if t.rechecked {
-			return t, nil
+			return t, a.stale(ctx)
 		}
 		a.avoid(t.Candidate)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -240,3 +240,44 @@
 		assert.Equal(t, breaches, 0)
 	})
 }
+
+// TestStragglerIsLeft: tokens that come too slowly go on elsewhere when there
+// is another group, and to the end where they are when there is none.
+func TestStragglerIsLeft(t *testing.T) {
+	for groups, most := range map[int]time.Duration{1: time.Minute, 2: 30 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(groups, behaviour{Fault: "slow"})
+			defer b.Close()
+			b.servers.tokens = 40
+			c := &caller{id: "r1"}
+			began := time.Now()
+			end, f := b.Generate(t.Context(), generation(), c.sink)
+			assert.Assert(t, f == nil, "%v", f)
+			assert.NilError(t, c.wrong)
+			assert.Equal(t, end.TokenCount, uint32(40))
+			took := time.Since(began)
+			assert.Assert(t, took < most, "%d groups: %s", groups, took)
+			assert.Equal(t, b.servers.ran["r1"], groups)
+		})
+	}
+}
+
+// TestPausedProcessSendsNothing: a process that was paused at the gate until
+// after the deadline sends neither a generation nor a booking.
+func TestPausedProcessSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.Close()
+		b.router.pause = time.Hour
+		_, f := b.Generate(context.WithoutCancel(t.Context()), generation(), discard)
+		assert.Equal(t, f.Reason, fleet.ReasonDeadline)
+		assert.Equal(t, f.State, fleet.NotRun)
+		_, f = b.Invoke(t.Context(), dispatch.Invocation{ID: "r2", Workspace: "w", Service: "book", Method: "add", IdempotencyKey: "k", Body: []byte("x")})
+		assert.Equal(t, f.Reason, fleet.ReasonDeadline)
+		assert.Equal(t, f.State, fleet.NotRun)
+		assert.Equal(t, len(b.servers.ran), 0)
+		b.router.pause = 0
+		_, f = b.Invoke(t.Context(), dispatch.Invocation{ID: "r3", Workspace: "w", Service: "book", Method: "add", IdempotencyKey: "k", Body: []byte("x")})
+		assert.Assert(t, f == nil, "the key was not given back: %v", f)
+	})
+}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -27,6 +27,7 @@
 	lapsed map[fleet.GroupID]chan struct{}
 	shut   map[fleet.GroupID]bool // the gate is closed
 	open   int                    // Started without Ended
+	pause  time.Duration          // of the process, at the gate
 }
 
 func newRouter(n int) *router {
@@ -75,6 +76,7 @@
 func (r *router) Ended(fleet.GroupID, uint32)   { r.mu.Lock(); r.open--; r.mu.Unlock() }
 
 func (r *router) Recheck(c routing.Candidate) bool {
+	time.Sleep(r.pause)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.shut[c.Group]
@@ -271,6 +273,8 @@
 		return errors.New("connection reset")
 	case "truncated":
 		return io.EOF
+	case "slow":
+		return wait(st.ctx, 2*time.Second)
 	case "gap":
 		st.at++
 	case "duplicate":
