Name prompt prefixes as the router's index does

Cause: dispatch hashed prefixes with the service and adapter in front, the router's index and the engines without, so no cached prefix was ever found. TestRouterLearnsTheRequest compares what the router is asked with routing.Prefixes; with the old function it fails on the first hash. The copy in dispatch is gone.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/routing"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -76,6 +77,23 @@
 	assert.Equal(t, f.State, fleet.NotRun)
 }
 
+// TestRouterLearnsTheRequest: the router is told what it routes by, with the
+// prompt's prefixes named as its index names them.
+func TestRouterLearnsTheRequest(t *testing.T) {
+	b := newBench(1)
+	defer b.Close()
+	g := generation()
+	g.Prompt = strings.Repeat("reading ", 100)
+	_, f := b.Generate(t.Context(), g, discard)
+	assert.Assert(t, f == nil)
+	asked := b.router.asked[0]
+	assert.DeepEqual(t, asked.Prefixes, routing.Prefixes(g.Prompt))
+	assert.Equal(t, len(asked.Prefixes), 3)
+	assert.Equal(t, asked.Version, fleet.Version("v2"))
+	assert.Equal(t, asked.MaxTokens, uint32(64))
+	assert.Assert(t, asked.PromptTokens > 100)
+}
+
 // TestNoAttemptPassesAClosedGate: a group that is no longer whole when the
 // attempt is to be sent gets none.
 func TestNoAttemptPassesAClosedGate(t *testing.T) {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -28,6 +28,7 @@
 	shut   map[fleet.GroupID]bool // the gate is closed
 	open   int                    // Started without Ended
 	pause  time.Duration          // of the process, at the gate
+	asked  []routing.Request
 }
 
 func newRouter(n int) *router {
@@ -46,6 +47,7 @@
 func (r *router) Route(req routing.Request) routing.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.asked = append(r.asked, req)
 	var dec routing.Decision
 	for pass := range 2 {
 		for _, c := range r.groups {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/admission"
@@ -19,10 +18,6 @@
 const (
 	// bytesPerToken is a rough size of a prompt's token.
 	bytesPerToken = 4
-	// prefixBlock is the length in bytes of the prompt's prefixes that are
-	// hashed; maxPrefixes bounds how many are.
-	prefixBlock = 256
-	maxPrefixes = 32
 	// stragglerTokens is how many tokens are seen before a group can be
 	// called a straggler.
 	stragglerTokens = 16
@@ -102,32 +97,12 @@
 		Zone:         d.cfg.Zone,
 		PromptTokens: uint32(len(g.Prompt)/bytesPerToken + 1),
 		MaxTokens:    g.MaxTokens,
-		Prefixes:     Prefixes(g.Service, g.Adapter, g.Prompt),
+		Prefixes:     routing.Prefixes(g.Prompt),
 		Alone:        alone,
 	}
 	return r, nil
 }
 
-// Prefixes returns the hashes of a prompt's prefixes, longest last, as engines
-// name them in their cache events.
-func Prefixes(s fleet.ServiceName, adapter fleet.Adapter, prompt string) []uint64 {
-	n := min(len(prompt)/prefixBlock, maxPrefixes)
-	if n == 0 {
-		return nil
-	}
-	hashes := make([]uint64, n)
-	h := xxhash.New()
-	_, _ = h.WriteString(string(s))
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(string(adapter))
-	_, _ = h.WriteString("\x00")
-	for i := range hashes {
-		_, _ = h.WriteString(prompt[i*prefixBlock : (i+1)*prefixBlock])
-		hashes[i] = h.Sum64()
-	}
-	return hashes
-}
-
 // admitted routes, asks admission and runs the attempts.
 func (r *generation) admitted(ctx context.Context, ws service.WorkspaceSpec) (backend.End, *fleet.Failure) {
 	dec := r.routeNow("")
