--- /dev/null
+++ b/standin/runs/backends.go
@@ -0,0 +1,233 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/standin/engine"
+	"carawayproxy.example/caraway/standin/plain"
+	"carawayproxy.example/caraway/standin/platform"
+	"carawayproxy.example/caraway/standin/runs/network"
+)
+
+const (
+	enginePool = "engines"
+	plainPool  = "desk"
+	// crashMarker in a prompt crashes every engine that runs it.
+	crashMarker = "CRASH-THE-ENGINE"
+	// returnAfterCrash is when a crashed backend server is up again.
+	returnAfterCrash = 3 * time.Second
+)
+
+// engineHost is a place where one engine after another runs.
+type engineHost struct {
+	world  *World
+	number int
+	ip     string
+	fabric fleet.FabricDomain
+
+	mu      sync.Mutex
+	running *engine.Engine
+	host    *network.Host
+	cancel  context.CancelFunc
+	// leavingSince is when the engine began to say that it is leaving.
+	leavingSince time.Time
+}
+
+func newEngineHost(w *World, i int, fabric fleet.FabricDomain) *engineHost {
+	return &engineHost{world: w, number: i, ip: fmt.Sprintf("10.2.0.%d", i+1), fabric: fabric}
+}
+
+func (e *engineHost) id() string      { return fmt.Sprintf("engine-%d", e.number) }
+func (e *engineHost) address() string { return e.ip + ":" + backendPort }
+
+// checksFencing is so for every other engine.
+func (e *engineHost) checksFencing() bool { return e.number%2 == 0 }
+
+func (e *engineHost) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running != nil {
+		return nil
+	}
+	w := e.world
+	e.host = w.net.Host(e.ip)
+	ctx, cancel := context.WithCancel(w.ctx)
+	e.cancel = cancel
+	client := httpx.NewClient(e.host.Dial)
+	e.running = engine.New(engine.Config{
+		ID: e.id(), Address: e.address(), ChecksFencing: e.checksFencing(), TokenInterval: 20 * time.Millisecond,
+		Fetch: func(ctx context.Context, _, _, _ string) error { _, err := w.platform.Weights.Fetch(ctx); return err },
+		Member: func(address string) carawayv1connect.EngineServiceClient {
+			return carawayv1connect.NewEngineServiceClient(client, "http://"+address)
+		},
+		Crashed: func() { w.tasks.Go(func() { e.crashed() }) },
+		Observe: func(en *engine.Engine, req *carawayv1.RunRequest) { w.watch.engineRun(e, req) },
+	})
+	running := e.running
+	e.leavingSince = time.Time{}
+	running.SetFaults(engine.Faults{CrashMarker: crashMarker})
+	w.tasks.Go(func() {
+		running.Watch(ctx)
+		client.CloseIdleConnections()
+	})
+	w.tasks.Go(func() {
+		w.register(ctx, platform.Listed{
+			ID: fleet.InstanceID(e.id()), Address: e.address(), Zone: zoneOf(e.number), Fabric: e.fabric,
+			Pool: enginePool, Kind: fleet.KindEngine, Accelerators: 8, ChecksFencing: e.checksFencing(),
+		})
+	})
+	return w.serve(ctx, e.host, backendPort, running.Handler())
+}
+
+// kill ends the engine and all that it holds.
+func (e *engineHost) kill() {
+	e.mu.Lock()
+	running, host, cancel := e.running, e.host, e.cancel
+	e.running = nil
+	e.leavingSince = time.Time{}
+	e.mu.Unlock()
+	if running == nil {
+		return
+	}
+	host.Kill()
+	running.SetFaults(engine.Faults{}) // a frozen one could not end
+	running.Crash()
+	cancel()
+}
+
+// crashed follows a crash of the engine by itself.
+func (e *engineHost) crashed() {
+	e.mu.Lock()
+	own := e.running != nil
+	e.mu.Unlock()
+	if !own {
+		return
+	}
+	e.kill()
+	select {
+	case <-time.After(returnAfterCrash):
+		_ = e.start()
+	case <-e.world.ctx.Done():
+	}
+}
+
+// set changes the engine's fault switches.
+func (e *engineHost) set(change func(f *engine.Faults)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		return
+	}
+	f := e.running.Faults()
+	change(&f)
+	if f.Leaving && e.leavingSince.IsZero() {
+		e.leavingSince = time.Now()
+	}
+	e.running.SetFaults(f)
+}
+
+// state returns the assignment of a running engine and since when it leaves.
+func (e *engineHost) state() (alive bool, a *carawayv1.Assignment, leavingSince time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		return false, nil, time.Time{}
+	}
+	a, _ = e.running.Assignment()
+	return true, a, e.leavingSince
+}
+
+// plainHost is a place where one plain backend server after another runs.
+type plainHost struct {
+	world  *World
+	number int
+	ip     string
+
+	mu           sync.Mutex
+	running      *plain.Server
+	host         *network.Host
+	cancel       context.CancelFunc
+	leavingSince time.Time
+}
+
+func newPlainHost(w *World, i int) *plainHost {
+	return &plainHost{world: w, number: i, ip: fmt.Sprintf("10.3.0.%d", i+1)}
+}
+
+func (p *plainHost) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running != nil {
+		return nil
+	}
+	w := p.world
+	p.host = w.net.Host(p.ip)
+	ctx, cancel := context.WithCancel(w.ctx)
+	p.cancel = cancel
+	p.leavingSince = time.Time{}
+	id := fmt.Sprintf("plain-%d", p.number)
+	p.running = plain.New(plain.Config{
+		ID: id, Latency: 20 * time.Millisecond,
+		Observe: func(call *carawayv1.CallRequest) { w.watch.plainRun(p, call) },
+	})
+	w.tasks.Go(func() {
+		w.register(ctx, platform.Listed{
+			ID: fleet.InstanceID(id), Address: p.ip + ":" + backendPort, Zone: zoneOf(p.number),
+			Pool: plainPool, Kind: fleet.KindPlain,
+		})
+	})
+	return w.serve(ctx, p.host, backendPort, p.running.Handler())
+}
+
+func (p *plainHost) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		return
+	}
+	p.host.Kill()
+	p.cancel()
+	p.running = nil
+	p.leavingSince = time.Time{}
+}
+
+func (p *plainHost) set(f plain.Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		return
+	}
+	if f.Leaving && p.leavingSince.IsZero() {
+		p.leavingSince = time.Now()
+	}
+	p.running.SetFaults(f)
+}
+
+func (p *plainHost) leaving() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leavingSince
+}
+
+// straightToEngine sends an attempt past all daemons, as a fault of a guard
+// would.
+func (w *World) straightToEngine(ctx context.Context, e *engineHost, req *carawayv1.RunRequest) error {
+	client := carawayv1connect.NewEngineServiceClient(w.client, "http://"+e.address())
+	stream, err := client.Run(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+	}
+	return stream.Err()
+}
--- /dev/null
+++ b/standin/runs/operators.go
@@ -0,0 +1,137 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+)
+
+const (
+	publishTimeout = 10 * time.Second
+	groupSize      = 2
+)
+
+// modelFile is the model's service file. share is what operators change.
+func modelFile(groups, share int) string {
+	return fmt.Sprintf(`service: %s
+kind: engine
+pool: %s
+model: biogas-70b
+versions:
+  - name: v1
+    groups: %d
+adapters: [%s]
+workspaces:
+  - name: %s
+    share: %d
+replicas:
+  instances: %d
+  spares: 1
+  load_time: 2s
+limits:
+  max_tokens: 256
+  default_deadline: 20s
+`, modelService, enginePool, groups, adapter, workspace, share, groupSize)
+}
+
+func plainFile(share int) string {
+	return fmt.Sprintf(`service: %s
+kind: plain
+pool: %s
+workspaces:
+  - name: %s
+    share: %d
+methods:
+  - name: %s
+    idempotent: false
+  - name: %s
+    idempotent: true
+limits:
+  default_deadline: 10s
+`, plainService, plainPool, workspace, share, methodBook, methodLook)
+}
+
+// operators publish changes, now and then two at the same time.
+type operators struct {
+	world  *World
+	watch  *watch
+	groups int
+}
+
+func (o *operators) client(d *daemonHost) carawayv1connect.AdminServiceClient {
+	return carawayv1connect.NewAdminServiceClient(o.world.client, "http://"+d.ip+":"+adminPort)
+}
+
+// publishFirst puts both services into force.
+func (o *operators) publishFirst(ctx context.Context) bool {
+	return o.publish(ctx, o.world.daemons[0], "trust", []*carawayv1.ServiceChange{
+		{Service: modelService, Body: modelFile(o.groups, 1), File: "drafting.yaml"},
+		{Service: plainService, Body: plainFile(1), File: "bookings.yaml"},
+	})
+}
+
+func (o *operators) publish(ctx context.Context, d *daemonHost, author string, changes []*carawayv1.ServiceChange) bool {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	resp, err := o.client(d).Publish(ctx, connect.NewRequest(&carawayv1.PublishRequest{Author: author, Changes: changes}))
+	switch {
+	case err != nil:
+		o.watch.count("publications without an answer")
+		return false
+	case !resp.Msg.Accepted:
+		o.watch.count("publications refused")
+		return false
+	}
+	o.watch.accept(resp.Msg.Revision)
+	return true
+}
+
+// race lets two operators change one service from the same base at two
+// daemons.
+func (o *operators) race(ctx context.Context, r *rand.Rand) {
+	a := o.world.daemons[r.IntN(len(o.world.daemons))]
+	b := o.world.daemons[r.IntN(len(o.world.daemons))]
+	base, ok := o.base(ctx, a)
+	if !ok {
+		return
+	}
+	change := func(share int) []*carawayv1.ServiceChange {
+		return []*carawayv1.ServiceChange{{
+			Service: modelService, BaseRevision: base, Body: modelFile(o.groups, share), File: "drafting.yaml",
+		}}
+	}
+	share := 2 + 2*r.IntN(1000)
+	var wonA, wonB bool
+	var both sync.WaitGroup
+	both.Go(func() { wonA = o.publish(ctx, a, "trust", change(share)) })
+	both.Go(func() { wonB = o.publish(ctx, b, "council", change(share+1)) })
+	both.Wait()
+	o.watch.count("publication races")
+	if wonA && wonB {
+		o.watch.find(CheckRace, "two publications against revision %d of %s were both accepted", base, modelService)
+	}
+}
+
+// base returns the model's revision as a daemon knows it.
+func (o *operators) base(ctx context.Context, d *daemonHost) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	resp, err := o.client(d).ListServices(ctx, connect.NewRequest(&carawayv1.ListServicesRequest{}))
+	if err != nil {
+		return 0, false
+	}
+	for _, s := range resp.Msg.Services {
+		if strings.EqualFold(s.Service, modelService) {
+			return s.Revision, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/standin/runs/run.go
@@ -0,0 +1,149 @@
+package runs
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Phases of a run.
+const (
+	warmUp     = 40 * time.Second // until the first fault
+	quietPause = 45 * time.Second // between the two halves of the faults
+	// recoveryBound is how long after the last fault all must be well again.
+	recoveryBound = 60 * time.Second
+	goodputWindow = 30 * time.Second
+	callerPause   = 3 * time.Second
+)
+
+// Options of one run.
+type Options struct {
+	Seed uint64
+	// Length in virtual time, 10 minutes when zero.
+	Length time.Duration
+	// tamper seeds a fault that a checker must report; nil for none.
+	tamper func(*tampering)
+	// faults off leaves only what tamper does.
+	calm bool
+}
+
+// tampering is what a seeded fault can touch.
+type tampering struct {
+	ctx     context.Context
+	world   *World
+	watch   *watch
+	callers *callers
+	ops     *operators
+}
+
+// Report is what a run met and found.
+type Report struct {
+	Seed     uint64
+	Findings []Finding
+	Counts   map[string]int
+	Summary  string
+}
+
+// Run drives one system through a seeded schedule and returns what it met.
+// It must be called inside a synctest bubble.
+func Run(o Options) (*Report, error) {
+	if o.Length == 0 {
+		o.Length = 10 * time.Minute
+	}
+	r := rand.New(rand.NewPCG(o.Seed, 1))
+	watch := newWatch()
+	world, err := newWorld(o.Seed, Size{Daemons: 7 + int(o.Seed%3), Fabrics: 2, Engines: 4, Plains: 2}, watch)
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d", o.Seed)
+	}
+	defer world.close()
+	err = drive(o, r, world)
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return &Report{Seed: o.Seed, Findings: watch.findings, Counts: watch.counts}, err
+}
+
+func drive(o Options, r *rand.Rand, w *World) error {
+	ctx, stop := context.WithCancel(w.ctx)
+	ops := &operators{world: w, watch: w.watch, groups: 2}
+	c := &callers{world: w, watch: w.watch, every: callerPause}
+	s := newSchedule(ctx, w, c, ops)
+	end := time.Now().Add(o.Length)
+
+	w.tasks.Go(func() { sampleWhile(ctx, s) })
+	pause(ctx, 10*time.Second)
+	if !ops.publishFirst(ctx) {
+		stop()
+		return errors.Errorf("seed %d: the first publication was not accepted", o.Seed)
+	}
+	pause(ctx, warmUp/2)
+	requests := []func(context.Context, *rand.Rand){c.generate, c.generate, c.generate, c.book, c.book, c.look}
+	for i, request := range requests {
+		source := rand.New(rand.NewPCG(o.Seed, uint64(100+i)))
+		w.tasks.Go(func() { c.run(ctx, source, request) })
+	}
+	pause(ctx, warmUp/2)
+	if o.tamper != nil {
+		o.tamper(&tampering{ctx: ctx, world: w, watch: w.watch, callers: c, ops: ops})
+	}
+	stopped := s.faultsWithAPlannedStop(o, r, end)
+	pause(ctx, time.Until(end))
+	stop()
+	c.checkRecovery(end.Add(-goodputWindow))
+	c.checkRefusals()
+	for d, sp := range stopped {
+		c.checkPlannedStop(d, sp)
+	}
+	return nil
+}
+
+// faultsWithAPlannedStop injects faults, with a pause in the middle in which
+// nothing but a planned stop happens.
+func (s *schedule) faultsWithAPlannedStop(o Options, r *rand.Rand, end time.Time) map[*daemonHost]span {
+	faultsEnd := end.Add(-recoveryBound - goodputWindow)
+	half := time.Until(faultsEnd)/2 - quietPause/2
+	if !o.calm {
+		s.run(r, time.Now().Add(half-faultLastMax))
+	}
+	pause(s.ctx, quietPause)
+	d := s.daemon(r)
+	stop := span{from: time.Now()}
+	d.drain()
+	stop.to = time.Now()
+	s.watch.count("planned stops while quiet")
+	_ = d.start()
+	pause(s.ctx, quietPause/4)
+	if !o.calm {
+		s.run(r, faultsEnd.Add(-faultLastMax))
+	}
+	return map[*daemonHost]span{d: stop}
+}
+
+// sampleWhile looks at engines and daemons again and again.
+func sampleWhile(ctx context.Context, s *schedule) {
+	for n := 0; ; n++ {
+		s.watch.sample(s.world)
+		if n%10 == 0 {
+			s.sampleDaemons()
+		}
+		select {
+		case <-time.After(sampleEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *schedule) sampleDaemons() {
+	for _, d := range s.world.daemons {
+		running, _ := d.daemon()
+		since, reachable := s.reachableSince(d)
+		if running == nil || !reachable {
+			continue
+		}
+		ready, _ := running.Ready()
+		s.watch.sampleConfig(running.ID(), running.Heartbeat().ConfigRevision, ready, since)
+	}
+}
--- /dev/null
+++ b/standin/runs/world.go
@@ -0,0 +1,301 @@
+// Package runs drives whole systems in virtual time: the real daemons over
+// stand-ins and an in-memory network, under a seeded schedule of faults, with
+// callers that check every answer. A run belongs inside testing/synctest.
+package runs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/daemon"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/internal/settings"
+	"carawayproxy.example/caraway/standin/platform"
+	"carawayproxy.example/caraway/standin/runs/network"
+)
+
+// Places of the in-memory network.
+const (
+	platformIP  = "10.0.0.1"
+	callersIP   = "10.9.0.1"
+	operatorsIP = "10.9.0.2"
+
+	platformPort = "7300"
+	callersPort  = "7400"
+	adminPort    = "7401"
+	peersPort    = "7402"
+	backendPort  = "8000"
+)
+
+// Delays of the network, one way.
+const (
+	zoneDelay   = 1500 * time.Microsecond
+	callerDelay = 3 * time.Millisecond
+)
+
+// registerEvery is the time between two registrations with the platform.
+const registerEvery = time.Second
+
+// Size is how large a world is.
+type Size struct {
+	Daemons int
+	Fabrics int // fabric domains
+	Engines int // in each fabric domain
+	Plains  int
+}
+
+// World is a whole system. Its methods are safe for concurrent use.
+type World struct {
+	seed     uint64
+	net      *network.Network
+	platform *platform.Platform
+	daemons  []*daemonHost
+	engines  []*engineHost
+	plains   []*plainHost
+	client   *http.Client // of callers and operators
+	ctx      context.Context
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
+	watch    *watch
+}
+
+// newWorld starts the platform, the backend servers and the daemons.
+func newWorld(seed uint64, size Size, watch *watch) (*World, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &World{
+		seed:  seed,
+		net:   network.New(delay),
+		ctx:   ctx,
+		stop:  stop,
+		watch: watch,
+		platform: &platform.Platform{
+			Log:       platform.NewLog(platform.LogConfig{}),
+			Instances: platform.NewInstances(platform.InstancesConfig{}),
+			Weights:   platform.NewWeights(platform.WeightsConfig{}),
+		},
+	}
+	w.client = httpx.NewClient(w.net.Host(callersIP).Dial)
+	if err := w.serve(ctx, w.net.Host(platformIP), platformPort, w.platform.Handler()); err != nil {
+		return nil, err
+	}
+	for i := range size.Fabrics * size.Engines {
+		fabric := fleet.FabricDomain(fmt.Sprintf("fabric-%d", i%size.Fabrics))
+		w.engines = append(w.engines, newEngineHost(w, i, fabric))
+	}
+	for i := range size.Plains {
+		w.plains = append(w.plains, newPlainHost(w, i))
+	}
+	for i := range size.Daemons {
+		w.daemons = append(w.daemons, newDaemonHost(w, i))
+	}
+	return w, w.start()
+}
+
+func (w *World) start() error {
+	for _, e := range w.engines {
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range w.plains {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, d := range w.daemons {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close ends everything and waits for it.
+func (w *World) close() {
+	for _, d := range w.daemons {
+		d.kill()
+	}
+	for _, e := range w.engines {
+		e.kill()
+	}
+	for _, p := range w.plains {
+		p.kill()
+	}
+	w.stop()
+	w.client.CloseIdleConnections()
+	w.tasks.Wait()
+	w.client.CloseIdleConnections()
+}
+
+// serve runs an HTTP server on a host until ctx ends.
+func (w *World) serve(ctx context.Context, h *network.Host, port string, handler http.Handler) error {
+	l, err := h.Listen(port)
+	if err != nil {
+		return err
+	}
+	server := httpx.NewServer(handler, nil)
+	w.tasks.Go(func() { _ = server.Serve(l) })
+	w.tasks.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	return nil
+}
+
+// register tells the platform again and again that an instance lives.
+func (w *World) register(ctx context.Context, l platform.Listed) {
+	for {
+		w.platform.Instances.Register(l)
+		select {
+		case <-time.After(registerEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func delay(from, to string) time.Duration {
+	if from == callersIP || to == callersIP {
+		return callerDelay
+	}
+	return zoneDelay
+}
+
+// zoneOf spreads instances over the availability zones.
+func zoneOf(i int) fleet.Zone {
+	return fleet.Zone([]string{"pokhara-a", "pokhara-b", "syangja"}[i%3])
+}
+
+// daemonHost is a place where one daemon after another runs.
+type daemonHost struct {
+	world  *World
+	number int
+	ip     string
+
+	mu      sync.Mutex
+	running *daemon.Daemon // nil when none
+	host    *network.Host
+	cancel  context.CancelFunc
+	ended   chan struct{} // closed when Run has returned
+	starts  int
+	upSince time.Time
+}
+
+func newDaemonHost(w *World, i int) *daemonHost {
+	return &daemonHost{world: w, number: i, ip: fmt.Sprintf("10.1.0.%d", i+1)}
+}
+
+func (d *daemonHost) settings() *settings.Settings {
+	return &settings.Settings{
+		Name:             fmt.Sprintf("s%d-d%d", d.world.seed, d.number),
+		Zone:             string(zoneOf(d.number)),
+		CallersListen:    d.ip + ":" + callersPort,
+		AdminListen:      d.ip + ":" + adminPort,
+		PeersListen:      d.ip + ":" + peersPort,
+		Platform:         platformIP + ":" + platformPort,
+		LedgerShards:     2,
+		PlacementScopes:  2,
+		KeyWindow:        24 * time.Hour,
+		AppendRate:       30,
+		SnapshotEvery:    time.Minute,
+		DrainGrace:       time.Second,
+		DrainTimeout:     30 * time.Second,
+		MaxBodyBytes:     1 << 20,
+		MaxConnections:   4096,
+		LogLevel:         "error",
+		ExplainDecisions: 0,
+	}
+}
+
+// start runs a new daemon unless one runs.
+func (d *daemonHost) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running != nil {
+		return nil
+	}
+	d.host = d.world.net.Host(d.ip)
+	env := daemon.Env{Dial: d.host.Dial, Log: io.Discard, Seed: d.world.seed*1000 + uint64(d.number*50+d.starts) + 1}
+	for port, into := range map[string]*net.Listener{callersPort: &env.Callers, adminPort: &env.Admin, peersPort: &env.Peers} {
+		l, err := d.host.Listen(port)
+		if err != nil {
+			return err
+		}
+		*into = l
+	}
+	running, err := daemon.New(d.settings(), env)
+	if err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
+	ctx, cancel := context.WithCancel(d.world.ctx)
+	d.running, d.cancel, d.ended = running, cancel, make(chan struct{})
+	d.starts++
+	d.upSince = time.Now()
+	ended, host := d.ended, d.host
+	d.world.tasks.Go(func() {
+		_ = running.Run(ctx)
+		host.Kill()
+		close(ended)
+	})
+	d.world.tasks.Go(func() { d.registerWhile(ctx, ended) })
+	return nil
+}
+
+func (d *daemonHost) registerWhile(ctx context.Context, ended <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.world.tasks.Go(func() {
+		d.world.register(ctx, platform.Listed{
+			ID: fleet.InstanceID("daemon-" + d.ip), Address: d.ip + ":" + peersPort,
+			Zone: zoneOf(d.number), Kind: fleet.KindDaemon,
+		})
+	})
+	<-ended
+}
+
+// kill ends the daemon as kill -9 would.
+func (d *daemonHost) kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == nil {
+		return
+	}
+	d.host.Kill()
+	d.cancel()
+	<-d.ended
+	d.running = nil
+}
+
+// drain stops the daemon as planned and waits until it has ended.
+func (d *daemonHost) drain() {
+	running, _ := d.daemon()
+	if running == nil {
+		return
+	}
+	running.Drain()
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	<-ended
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == running {
+		d.cancel()
+		d.running = nil
+	}
+}
+
+// daemon returns the running daemon, nil for none, and since when it runs.
+func (d *daemonHost) daemon() (*daemon.Daemon, time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.running, d.upSince
+}
