--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold our own code.
 PACKAGES = ./... ./standin/...
 
-.PHONY: all build test lint gen docs demo bench
+.PHONY: all build test lint gen docs demo play bench
 all: build
 
 # Exactly two shipped binaries.
@@ -31,6 +31,10 @@
 demo:
 	go run ./standin/demo --target=$(TARGET)
 
+# The same system kept running for trying things out; see docs/OPERATIONS.md.
+play:
+	go run ./standin/demo --hold --target=$(TARGET)
+
 # What a daemon adds to calling an engine directly, as ratios in one run.
 bench:
 	go run ./standin/bench
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -81,8 +81,8 @@
 type AIMD struct {
 	cfg     AIMDConfig
 	limit   float64
-	lowered bool // once a window has missed the target
-	floor time.Duration // lowest mean of a window, slowly rising
+	lowered bool          // once a window has missed the target
+	floor   time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
 	seen    int
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -19,6 +19,9 @@
 const (
 	waitPoll    = 200 * time.Millisecond
 	waitTimeout = 30 * time.Second
+	// unheardWait is how long daemons that are announced and not heard are
+	// waited for.
+	unheardWait = 5 * time.Second
 )
 
 // file is one service file as read.
@@ -250,20 +253,22 @@
 }
 
 // wait polls the daemon until it and all its live peers report the revision.
+// Daemons that are announced and not yet heard are waited for as well, for a
+// while: they may be starting, or gone.
 func (p *publishCommand) wait(client carawayv1connect.AdminServiceClient, revision uint64) error {
-	deadline := time.Now().Add(waitTimeout)
+	began := time.Now()
 	last := ""
-	for time.Now().Before(deadline) {
+	for time.Since(began) < waitTimeout {
 		st, err := call(client.GetStatus, &carawayv1.GetStatusRequest{})
 		if err != nil {
 			return err
 		}
-		have, live := takenUp(st, revision)
-		if line := fmt.Sprintf("%d of %d daemons have revision %d", have, live, revision); line != last {
+		up := takenUp(st, revision)
+		if line := up.String(); line != last {
 			fmt.Fprintln(p.ctl.stdout, line)
 			last = line
 		}
-		if have == live {
+		if up.have == up.live && (up.unheard == 0 || time.Since(began) > unheardWait) {
 			return nil
 		}
 		time.Sleep(waitPoll)
@@ -271,18 +276,36 @@
 	return fail(ExitTimeout, "not in force everywhere after %s", waitTimeout)
 }
 
-func takenUp(st *carawayv1.GetStatusResponse, revision uint64) (have, live int) {
+// uptake is how many daemons have a revision.
+type uptake struct {
+	revision            uint64
+	have, live, unheard int
+}
+
+// String tells the uptake in one line.
+func (u uptake) String() string {
+	line := fmt.Sprintf("%d of %d daemons have revision %d", u.have, u.live, u.revision)
+	if u.unheard > 0 {
+		line += fmt.Sprintf(", %d announced and not heard", u.unheard)
+	}
+	return line
+}
+
+func takenUp(st *carawayv1.GetStatusResponse, revision uint64) uptake {
+	u := uptake{revision: revision}
 	count := func(r uint64) {
-		live++
+		u.live++
 		if r >= revision {
-			have++
+			u.have++
 		}
 	}
 	count(st.ConfigRevision)
 	for _, peer := range st.Peers {
 		if peer.Alive {
 			count(peer.ConfigRevision)
+		} else {
+			u.unheard++
 		}
 	}
-	return have, live
+	return u
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -111,6 +111,7 @@
 			Incarnation:    p.Heartbeat.Incarnation,
 		})
 	}
+	resp.Peers = append(resp.Peers, o.unheard()...)
 	sort.Slice(resp.Peers, func(i, j int) bool { return resp.Peers[i].Daemon < resp.Peers[j].Daemon })
 	for _, r := range d.replicas() {
 		resp.Streams = append(resp.Streams, streamStatus(r.Status(), now))
@@ -123,6 +124,19 @@
 	return connect.NewResponse(resp), nil
 }
 
+// unheard are the daemons that are announced in the log and that this one has
+// not heard yet.
+func (o operator) unheard() []*carawayv1.PeerStatus {
+	peers := o.d.mesh.View().Peers
+	var out []*carawayv1.PeerStatus
+	for _, h := range o.d.registry.Daemons() {
+		if _, heard := peers[h.Daemon]; !heard && h.Daemon != o.d.id {
+			out = append(out, &carawayv1.PeerStatus{Daemon: string(h.Daemon), Address: h.Address, Incarnation: h.Incarnation})
+		}
+	}
+	return out
+}
+
 // logReachableWithin is how recent the log's last answer must be.
 const logReachableWithin = 5 * time.Second
 
@@ -155,6 +169,9 @@
 			s.GroupsWanted += uint32(v.Groups)
 		}
 		for _, c := range o.d.store.Candidates(name, now) {
+			if p.Spec.Kind == fleet.KindPlain {
+				s.GroupsWanted++
+			}
 			if c.Whole {
 				s.GroupsWhole++
 			}
@@ -236,7 +253,9 @@
 // ListHistory implements carawayv1connect.AdminServiceHandler.
 func (o operator) ListHistory(_ context.Context, req *connect.Request[carawayv1.ListHistoryRequest]) (*connect.Response[carawayv1.ListHistoryResponse], error) {
 	resp := &carawayv1.ListHistoryResponse{}
-	for _, h := range o.d.services.History(fleet.ServiceName(req.Msg.Service)) {
+	history := o.d.services.History(fleet.ServiceName(req.Msg.Service))
+	for i := range history {
+		h := history[len(history)-1-i] // newest first
 		resp.Entries = append(resp.Entries, &carawayv1.HistoryEntry{
 			Revision: h.Revision,
 			Service:  req.Msg.Service,
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -39,7 +39,8 @@
 )
 
 type options struct {
-	Target int `long:"target" description:"which daemon takes the calls, 1 to 3" default:"1"`
+	Target int  `long:"target" description:"which daemon takes the calls, 1 to 3" default:"1"`
+	Hold   bool `long:"hold" description:"publish, then keep everything running until interrupted, and write where to out/play.env"`
 }
 
 // demo is one run.
@@ -59,19 +60,19 @@
 		fmt.Fprintf(os.Stderr, "--target: %d is not allowed, want 1 to %d\n", opt.Target, daemonCount)
 		os.Exit(2)
 	}
-	if err := run(opt.Target); err != nil {
+	if err := run(opt); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run(target int) error {
+func run(opt options) error {
 	dir, err := os.MkdirTemp("", "caraway-demo-")
 	if err != nil {
 		return err
 	}
 	d := &demo{began: time.Now()}
-	err = d.steps(dir, target)
+	err = d.steps(dir, opt)
 	if d.stack != nil {
 		d.stack.Stop()
 	}
@@ -81,7 +82,7 @@
 	return os.RemoveAll(dir)
 }
 
-func (d *demo) steps(dir string, target int) error {
+func (d *demo) steps(dir string, opt options) error {
 	root, err := moduleRoot()
 	if err != nil {
 		return err
@@ -90,10 +91,14 @@
 		return err
 	}
 	d.say("built carawayd, carawayctl and the stand-ins")
-	if err := d.start(dir, target); err != nil {
+	if err := d.start(dir, opt.Target); err != nil {
 		return err
 	}
-	for _, step := range []func(root string) error{d.publish, d.generate, d.record, d.lose, d.stop} {
+	steps := []func(root string) error{d.publish, d.generate, d.record, d.lose, d.stop}
+	if opt.Hold {
+		steps = []func(root string) error{d.publish, d.hold}
+	}
+	for _, step := range steps {
 		if err := step(root); err != nil {
 			return err
 		}
