Refuse malformed calls with a run state; use the prefix index

Cause: the library answers a message that it can't decode, or that is too large, by itself: no run state, and an unknown JSON field was silently dropped (a misspelt workspace would have been an empty one). Ruled out: an interceptor, which runs after decoding; decoding twice. TestBadMessagesNeverReachDispatch failed first in all four cases; now each names the fault and says NOT_RUN, and dispatch is never called. A chunked body over the limit still gets the library's own answer, without a detail. Besides: the router's prefix index was fed and never asked; it is now a scorer, and forgets groups that are gone or have a new epoch. Conclusion: the codec leaves its error in the message and the handler refuses.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -203,7 +203,7 @@
 		Catalog:      d.services.Catalog,
 		Leaving:      d.leaving,
 		PeerInFlight: d.peerInFlight,
-		Policy:       routing.DefaultPolicy(),
+		Policy:       routing.DefaultPolicy().WithPrefixes(d.index),
 		Rand:         d.random(routingStream),
 	})
 	d.lapses = datastore.NewLapses(d.store)
@@ -264,7 +264,8 @@
 	admissionStream
 )
 
-const prefixCapacity = 1 << 16
+// prefixCapacity is how many cached prefixes are remembered of each group.
+const prefixCapacity = 1 << 12
 
 func (d *Daemon) random(stream uint64) *rand.Rand {
 	seed := d.env.Seed
@@ -325,6 +326,7 @@
 		d.records.Run,
 		d.greet,
 		d.tellReadiness,
+		d.forgetPrefixes,
 		func(ctx context.Context) { d.list.Run(ctx, listEvery, d.listFailed) },
 	}
 	for _, r := range d.replicas() {
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -131,6 +132,27 @@
 	}
 }
 
+// forgetEvery is the time between two looks for groups that are gone.
+const forgetEvery = time.Second
+
+// forgetPrefixes drops what was remembered of the caches of groups that are
+// gone or have another epoch, whose engines began with empty ones.
+func (d *Daemon) forgetPrefixes(ctx context.Context) {
+	known := map[fleet.GroupID]fleet.Epoch{}
+	for pause(ctx, forgetEvery) {
+		groups := d.groups.View().Groups
+		for id, epoch := range known {
+			if g, ok := groups[id]; !ok || g.Epoch != epoch {
+				d.index.Forget(id)
+				delete(known, id)
+			}
+		}
+		for id, g := range groups {
+			known[id] = g.Epoch
+		}
+	}
+}
+
 // planningSnapshot is what one round of planning of a scope rests on.
 func (d *Daemon) planningSnapshot(scope lease.Scope) placement.Snapshot {
 	now := time.Now()
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -40,11 +40,15 @@
 // Handler returns the path and handler of the service. Messages over
 // maxBytes are refused.
 func (s *Inference) Handler(maxBytes int) (string, http.Handler) {
-	return carawayv1connect.NewInferenceServiceHandler(s, connect.WithReadMaxBytes(maxBytes))
+	path, h := carawayv1connect.NewInferenceServiceHandler(s, connect.WithReadMaxBytes(maxBytes), strictCodecs())
+	return path, limitBody(h, maxBytes)
 }
 
 // Generate implements carawayv1connect.InferenceServiceHandler.
 func (s *Inference) Generate(ctx context.Context, req *connect.Request[carawayv1.GenerateRequest], stream *connect.ServerStream[carawayv1.GenerateResponse]) error {
+	if err := malformed(req.Msg); err != nil {
+		return err
+	}
 	g := generation(req.Msg)
 	sink := func(tokens []backend.Token) error {
 		m := &carawayv1.GenerateResponse{RequestId: string(g.ID), Tokens: make([]*carawayv1.Token, len(tokens))}
@@ -62,6 +66,9 @@
 
 // Complete implements carawayv1connect.InferenceServiceHandler.
 func (s *Inference) Complete(ctx context.Context, req *connect.Request[carawayv1.CompleteRequest]) (*connect.Response[carawayv1.CompleteResponse], error) {
+	if err := malformed(req.Msg); err != nil {
+		return nil, err
+	}
 	if req.Msg.Request == nil {
 		return nil, failureError("", fleet.RefuseField("request", "is missing"))
 	}
@@ -86,6 +93,9 @@
 
 // Invoke implements carawayv1connect.InferenceServiceHandler.
 func (s *Inference) Invoke(ctx context.Context, req *connect.Request[carawayv1.InvokeRequest]) (*connect.Response[carawayv1.InvokeResponse], error) {
+	if err := malformed(req.Msg); err != nil {
+		return nil, err
+	}
 	m := req.Msg
 	i := dispatch.Invocation{
 		ID:             requestID(m.RequestId),
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -3,29 +3,11 @@
 import (
 	"container/list"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// blockBytes is the size of one prompt block that the cache keeps.
-const blockBytes = 256
-
 // maxEvents bounds the cache events kept for readers.
 const maxEvents = 4096
 
-// Prefixes returns the hashes of the prompt's growing prefixes, block by
-// block, shortest first.
-func Prefixes(prompt string) []uint64 {
-	var out []uint64
-	d := xxhash.New()
-	for len(prompt) >= blockBytes {
-		_, _ = d.WriteString(prompt[:blockBytes])
-		out = append(out, d.Sum64())
-		prompt = prompt[blockBytes:]
-	}
-	return out
-}
-
 type cacheEvent struct {
 	sequence uint64
 	at       time.Time
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -15,6 +15,7 @@
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/routing"
 )
 
 var errBroken = errors.New("the group is not whole")
@@ -178,7 +179,7 @@
 // prefill takes the prompt into the cache and returns the time that takes.
 func (r *run) prefill() time.Duration {
 	e := r.e
-	prefixes := Prefixes(r.req.Prompt)
+	prefixes := routing.Prefixes(r.req.Prompt)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	hits := e.cache.use(prefixes, time.Now())
