Prove fencing, takeover, lost answers and promotion in virtual time

Real folds, leases and executors over the in-memory log, with engines that check or ignore fencing tokens. Found on the way: the permit was drawn in the order's goroutine and raced with the loop, caught by the race detector, now drawn before. A daemon that alone has lost the log must not take it for an outage: the frozen holder then went on ordering under its old term.

--- /dev/null
+++ b/internal/placement/executor_test.go
@@ -0,0 +1,222 @@
+package placement_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/lease"
+	"carawayproxy.example/caraway/standin/platform"
+)
+
+// inRig runs a test in virtual time and stops its daemons at the end.
+func inRig(t *testing.T, engines int, checksFencing bool, test func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, engines, checksFencing)
+		test(t, r)
+		t.Cleanup(r.running.Wait)
+	})
+}
+
+func isWhole(d *rigDaemon, groups int) func() bool { return func() bool { return d.whole() == groups } }
+
+func TestFormsAndRepairs(t *testing.T) {
+	inRig(t, 7, true, func(t *testing.T, r *rig) {
+		r.groups = 2
+		d := r.add("d1")
+		r.await("both groups whole", time.Minute, isWhole(d, 2))
+		var dead fleet.InstanceID
+		for _, g := range d.book.View().Groups {
+			dead = g.Members[1].Instance
+			r.engineOf(g.Members[1]).kill()
+			break
+		}
+		repaired := r.await("repaired", 2*time.Minute, func() bool {
+			_, placed := d.book.View().ByInstance[dead]
+			return !placed && d.whole() == 2
+		})
+		t.Logf("repaired after %s", repaired)
+		repairs := metrics.GetOrRegisterCounter("placement.repairs", d.metrics).Count()
+		assert.Equal(t, repairs, int64(1))
+		down := metrics.GetOrRegisterCounter("placement.group_downtime_ms.drafting", d.metrics).Count()
+		assert.Assert(t, down >= repaired.Milliseconds()-1000, "%d ms counted", down)
+		assert.Assert(t, metrics.GetOrRegisterCounter("placement.stranded_accelerator_ms.drafting", d.metrics).Count() > 0)
+	})
+}
+
+func TestStrayEngineIsReleased(t *testing.T) {
+	inRig(t, 4, true, func(t *testing.T, r *rig) {
+		d := r.add("d1")
+		r.await("whole", time.Minute, isWhole(d, 1))
+		stray := r.engines[3]
+		stray.mu.Lock()
+		stray.report.Assignment = &fleet.Assignment{Group: "old", Epoch: 3, Service: "drafting"}
+		stray.mu.Unlock()
+		r.await("released", 3*time.Second, func() bool { rep, _ := stray.state(); return rep.Assignment == nil })
+		assert.Equal(t, d.whole(), 1)
+	})
+}
+
+// TestHolderFrozenBeforeItsOrder freezes a holder between its plan and its
+// orders until another daemon has taken over: it writes no order on waking.
+func TestHolderFrozenBeforeItsOrder(t *testing.T) {
+	inRig(t, 4, false, func(t *testing.T, r *rig) {
+		var once sync.Once
+		wake := make(chan time.Time, 1)
+		freeze := func(_ time.Time, e *event.Event, _ []any) {
+			if e.Name != "placement.group_broken" {
+				return
+			}
+			once.Do(func() {
+				wake <- time.Now().Add(40 * time.Second)
+				time.Sleep(40 * time.Second)
+			})
+		}
+		d1 := r.add("d1", func(d *rigDaemon) { d.sink = freeze })
+		r.await("whole", time.Minute, isWhole(d1, 1))
+		d2 := r.add("d2")
+		time.Sleep(5 * time.Second)
+		d1.log.setCut(true)
+		r.engineOf(r.onlyGroup(d1).Members[0]).restart()
+		r.await("taken over", lease.TakeoverBound+time.Second, func() bool {
+			l, _ := d2.leases.Current(rigScope)
+			return l.Term == 2
+		})
+		r.await("whole under the new holder", time.Minute, isWhole(d2, 1))
+		r.engineOf(r.onlyGroup(d2).Members[0]).restart() // something to order for d1 as well
+		wakes := <-wake
+		time.Sleep(time.Until(wakes) + 10*time.Second)
+		for _, e := range r.engines {
+			assert.Equal(t, e.lateOrders(1, wakes.Add(-time.Second)), 0, "an order of the lapsed holder at %s", e.instance.ID)
+		}
+		d1.log.setCut(false)
+		r.await("whole again", time.Minute, isWhole(d2, 1))
+	})
+}
+
+// TestOrderOfAFrozenHolderArrivesLate lets orders that were checked in time
+// reach the engines only after a takeover and a repair.
+func TestOrderOfAFrozenHolderArrivesLate(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks fencing %t", checks), func(t *testing.T) {
+			inRig(t, 4, checks, func(t *testing.T, r *rig) { lateOrder(t, r, checks) })
+		})
+	}
+}
+
+func lateOrder(t *testing.T, r *rig, checks bool) {
+	thaw := make(chan struct{})
+	d1 := r.add("d1", func(d *rigDaemon) { d.hold = thaw })
+	r.await("formed", time.Minute, func() bool { return len(d1.book.View().Groups) == 1 })
+	time.Sleep(3 * time.Second) // d1 writes its orders, which hang
+	d1.log.setCut(true)
+	d2 := r.add("d2")
+	r.await("whole under the new holder", time.Minute, isWhole(d2, 1))
+	r.engineOf(r.onlyGroup(d2).Members[0]).kill()
+	r.await("repaired", 2*time.Minute, func() bool { return r.onlyGroup(d2).Epoch == 2 && d2.whole() == 1 })
+	close(thaw)
+	seenBroken := false
+	for range 600 {
+		time.Sleep(50 * time.Millisecond)
+		r.checkServing(d1, d2)
+		seenBroken = seenBroken || d2.whole() == 0
+	}
+	refused := 0
+	for _, e := range r.engines {
+		refused += e.refused
+	}
+	assert.Equal(t, refused > 0, checks, "%d late orders refused", refused)
+	assert.Equal(t, seenBroken, !checks, "a late order breaks the group only where fencing is ignored")
+	r.await("whole again", time.Minute, isWhole(d2, 1))
+}
+
+func TestNewHolderWaitsOutOrdersWhereFencingIsIgnored(t *testing.T) {
+	inRig(t, 4, false, func(t *testing.T, r *rig) {
+		d1 := r.add("d1")
+		r.await("whole", time.Minute, isWhole(d1, 1))
+		d2 := r.add("d2")
+		time.Sleep(5 * time.Second)
+		d1.stop()
+		time.Sleep(50 * time.Millisecond)
+		r.engineOf(r.onlyGroup(d2).Members[0]).restart()
+		var held time.Time
+		r.await("taken over", lease.TakeoverBound, func() bool {
+			_, ok := d2.keeper.Held(rigScope)
+			held = time.Now()
+			return ok
+		})
+		r.await("whole", time.Minute, isWhole(d2, 1))
+		first := time.Time{}
+		for _, e := range r.engines {
+			for _, o := range e.orders {
+				if o.token == 2 && (first.IsZero() || o.at.Before(first)) {
+					first = o.at
+				}
+			}
+		}
+		assert.Assert(t, !first.IsZero())
+		assert.Assert(t, first.Sub(held) >= 2*time.Second-200*time.Millisecond, "first order %s after the takeover", first.Sub(held))
+	})
+}
+
+func TestLostAnswersFormEachGroupOnce(t *testing.T) {
+	inRig(t, 7, true, func(t *testing.T, r *rig) {
+		r.groups = 2
+		d := r.add("d1")
+		r.await("held", time.Minute, func() bool { _, ok := d.keeper.Held(rigScope); return ok })
+		r.log.SetFaults(platform.LogFaults{LoseAnswers: 4})
+		r.await("both groups whole", time.Minute, isWhole(d, 2))
+		assert.Assert(t, r.log.Stats().Lost > 0)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(d.book.View().Groups), 2)
+		assert.Equal(t, len(d.book.View().ByInstance), 6)
+	})
+}
+
+func TestTakeoverRepairsWithinItsBound(t *testing.T) {
+	inRig(t, 4, true, func(t *testing.T, r *rig) {
+		d1 := r.add("d1")
+		r.await("whole", time.Minute, isWhole(d1, 1))
+		d2 := r.add("d2")
+		time.Sleep(5 * time.Second)
+		d1.stop()
+		time.Sleep(50 * time.Millisecond)
+		r.engineOf(r.onlyGroup(d2).Members[2]).restart()
+		took := r.await("whole", lease.TakeoverBound+rigLoad+2*time.Second, isWhole(d2, 1))
+		t.Logf("whole %s after the holder and a member died", took)
+	})
+}
+
+// TestPromotionWhileTheLogIsDown loses a member while the log is down for ten
+// minutes: the last holder promotes the reserved spare without a record.
+func TestPromotionWhileTheLogIsDown(t *testing.T) {
+	inRig(t, 4, true, func(t *testing.T, r *rig) {
+		r.spares = 1
+		d := r.add("d1")
+		r.await("whole", time.Minute, isWhole(d, 1))
+		time.Sleep(10 * time.Second)
+		r.log.SetFaults(platform.LogFaults{Down: true})
+		time.Sleep(30 * time.Second) // the hold lapses
+		_, held := d.keeper.Held(rigScope)
+		assert.Equal(t, held, false)
+		g := r.onlyGroup(d)
+		assert.Equal(t, len(g.Spares), 1)
+		r.engineOf(g.Members[1]).kill()
+		took := r.await("promoted", 2*time.Minute, isWhole(d, 1))
+		t.Logf("whole %s after the death", took)
+		time.Sleep(9 * time.Minute)
+		r.log.SetFaults(platform.LogFaults{})
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, d.whole(), 1, "the promoted group stays whole when the log is back")
+		}
+		assert.Equal(t, r.onlyGroup(d).Epoch, fleet.Epoch(1))
+	})
+}
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -67,12 +67,13 @@
 
 // order sends the orders that are due, in parallel.
 func (e *Executor) order(ctx context.Context, run *scopeRun, s Snapshot, now time.Time) {
+	permit := run.permit(e)
 	for _, o := range e.due(run, s, now) {
 		if !e.orders.begin(o, e.cfg.MaxOrders, 2*e.cfg.OrderTimeout, now) {
 			continue
 		}
 		e.running.Go(func() {
-			accepted := e.send(ctx, run.permit(e), run, o)
+			accepted := e.send(ctx, permit, run, o)
 			e.orders.end(o, accepted, time.Now())
 		})
 	}
