--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -121,6 +121,7 @@
 	r.await("whole under the new holder", time.Minute, isWhole(d2, 1))
 	r.engineOf(r.onlyGroup(d2).Members[0]).kill()
 	r.await("repaired", 2*time.Minute, func() bool { return r.onlyGroup(d2).Epoch == 2 && d2.whole() == 1 })
+	time.Sleep(30 * time.Millisecond) // between two rounds of d2
 	close(thaw)
 	seenBroken := false
 	for range 600 {
