Measure planning, the gate and the state of groups

BenchmarkWhole showed 4 us for a group of 16 without spares and 162 us with one: every member's list was looked up and counted against all. The test of the log outage now also wants a group that could be formed: with the planner's check of LogDown taken out it had passed, now it fails.

--- /dev/null
+++ b/internal/group/bench_test.go
@@ -0,0 +1,77 @@
+package group
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// benchBook has groups of 16, as the planner forms them.
+func benchBook(b *testing.B, groups int) *Book {
+	const size = 16
+	book := NewBook(testTerms{testScope: heldBy(testScope, 1, "d1")})
+	for n := range groups {
+		g := testGroup(uint64(n + 1))
+		for i := range size {
+			g.Members = append(g.Members, Member{
+				Instance: fleet.InstanceID(fmt.Sprintf("engine-%04d-%02d", n, i)), Address: fmt.Sprintf("10.1.%d.%d:7000", n, i),
+				Zone: "regina-a", Accelerators: 8, Fabric: "f1",
+			})
+		}
+		if v := applyTo(b, book, "d1", KindForm, FormRecord{Group: g}); !v.Accepted {
+			b.Fatal(v.Reason)
+		}
+	}
+	return book
+}
+
+// BenchmarkState measures the memory of the book with its view and the size of
+// a snapshot, for each group of 16.
+func BenchmarkState(b *testing.B) {
+	for _, groups := range []int{28, 56, 112, 225} {
+		b.Run(fmt.Sprintf("%d-groups", groups), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			book := benchBook(b, groups)
+			view := book.View()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			data, err := book.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if err := book.Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(groups), "memory-B/group")
+			b.ReportMetric(float64(len(data))/float64(groups), "snapshot-B/group")
+			runtime.KeepAlive(view)
+		})
+	}
+}
+
+// BenchmarkWhole measures the gate on a whole group of 16.
+func BenchmarkWhole(b *testing.B) {
+	for _, spares := range []int{0, 1} {
+		b.Run(fmt.Sprintf("%d-spares", spares), func(b *testing.B) {
+			book := benchBook(b, 1)
+			var g Group
+			for _, only := range book.View().Groups {
+				g = *only
+			}
+			r := reportsOf(&g, g.Members)
+			g.Spares = testMembers("f1", 99)[:spares]
+			b.ReportAllocs()
+			for b.Loop() {
+				if w := Whole(&g, r, testNow, 0); !w.Whole {
+					b.Fatal(w.Reason)
+				}
+			}
+		})
+	}
+}
--- a/internal/group/whole.go
+++ b/internal/group/whole.go
@@ -70,8 +70,12 @@
 	if len(g.Spares) == 0 {
 		return g.Members
 	}
+	all := len(g.Members) + len(g.Spares)
 	best, votes := g.Members, countVotes(g, g.Members, r)
 	for m := range g.All() {
+		if 2*votes > all {
+			return best // no other list can have as many
+		}
 		c, ok := reported(g, m, r)
 		if !ok {
 			continue
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -248,12 +248,13 @@
 }
 
 func TestOnlyPromotionWhileTheLogIsDown(t *testing.T) {
-	f := newFleet(placement.Policy{}, 1, 6, 0, 4)
+	f := newFleet(placement.Policy{}, 1, 10, 0, 4)
 	f.snap.Wanted[0].Groups, f.snap.Wanted[0].Spares = 1, 1
 	f.step(time.Second)
 	g := f.groupsOf()[0]
 	assert.Equal(t, len(g.Spares), 1)
 	f.snap.LogDown = true
+	f.snap.Wanted[0].Groups = 2 // there is room, but no agreement
 	f.lose(g.Members[2].Instance)
 	a, _ := f.until(time.Minute)
 	assert.Equal(t, a.Kind, placement.ActionPromote)
