Learn the limit from the capacity down and let only floods borrow

A cut was repeated while requests from before it still ended, and a wait for the store counted as load of the groups. After: until the first miss the capacity is the limit; ends of requests that started before the last cut are passed over; times run from the first attempt; a workspace that stays under its share may burst, one that fills it may not, and beyond the share it borrows up to a part of the limit.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -21,12 +21,23 @@
 	// NewLimiter makes the limiter of one service, NewAIMD with its defaults
 	// when nil.
 	NewLimiter func() Limiter
+	// BorrowShare is the part of the limit up to which workspaces beyond
+	// their fair share may fill it while others are active, 0 to 1;
+	// DefaultBorrowShare when zero.
+	BorrowShare float64
 }
 
+// DefaultBorrowShare is the part of a limit that borrowers may fill.
+const DefaultBorrowShare = 0.85
+
 // Ticket is an admitted request's place; it is returned exactly once.
 type Ticket interface {
 	// Release gives the place back and tells what became of the request.
 	Release(now time.Time, res Result)
+	// Borrowed reports whether the workspace was beyond its fair share. Such
+	// a request must go to engines with a lower priority than others, so
+	// that it uses idle capacity without delaying them.
+	Borrowed() bool
 }
 
 // Controller decides whether requests may start. It never queues: a request
@@ -47,6 +58,9 @@
 	if cfg.NewLimiter == nil {
 		cfg.NewLimiter = func() Limiter { return NewAIMD(AIMDConfig{}) }
 	}
+	if cfg.BorrowShare == 0 {
+		cfg.BorrowShare = DefaultBorrowShare
+	}
 	c := &Controller{cfg: cfg}
 	for i := range c.shards {
 		c.shards[i].services = map[fleet.ServiceName]*service{}
@@ -63,14 +77,14 @@
 	defer sh.mu.Unlock()
 	s := sh.services[req.Service]
 	if s == nil {
-		s = newService(c.cfg.NewLimiter(), rand.New(rand.NewPCG(c.cfg.Seed, hash)))
+		s = newService(c.cfg, rand.New(rand.NewPCG(c.cfg.Seed, hash)))
 		sh.services[req.Service] = s
 	}
-	w, failure := s.admit(now, req)
+	w, borrowed, failure := s.admit(now, req)
 	if failure != nil {
 		return nil, failure
 	}
-	return &ticket{shard: sh, service: s, workspace: w}, nil
+	return &ticket{shard: sh, service: s, workspace: w, borrowed: borrowed}, nil
 }
 
 // Status is what a controller holds of one service.
@@ -89,7 +103,7 @@
 	if s == nil {
 		return Status{}
 	}
-	return Status{Limit: s.limiter.Limit(), InFlight: s.inFlight, EndsPerSecond: s.drain.perSecond(now)}
+	return Status{Limit: s.limiter.Limit(0), InFlight: s.inFlight, EndsPerSecond: s.drain.perSecond(now)}
 }
 
 // ticket is a place in a service's and a workspace's requests in flight.
@@ -97,9 +111,13 @@
 	shard     *shard
 	service   *service
 	workspace *workspace
+	borrowed  bool
 	released  bool // under the shard's lock
 }
 
+// Borrowed implements Ticket.
+func (t *ticket) Borrowed() bool { return t.borrowed }
+
 // Release implements Ticket.
 func (t *ticket) Release(now time.Time, res Result) {
 	t.shard.mu.Lock()
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -7,8 +7,9 @@
 // Limiter learns how many requests may be in flight at once. It is used under
 // its service's lock.
 type Limiter interface {
-	// Limit returns the present limit, at least one.
-	Limit() float64
+	// Limit returns the present limit. The capacity is what can run at once,
+	// zero when it isn't known.
+	Limit(capacity float64) float64
 	// Observe tells of a request's end while inFlight, itself included, were
 	// in flight.
 	Observe(now time.Time, inFlight int, res Result)
@@ -18,7 +19,7 @@
 type Fixed float64
 
 // Limit implements Limiter.
-func (f Fixed) Limit() float64 { return float64(f) }
+func (f Fixed) Limit(capacity float64) float64 { return bounded(float64(f), capacity) }
 
 // Observe implements Limiter.
 func (Fixed) Observe(time.Time, int, Result) {}
@@ -28,7 +29,8 @@
 	// DefaultTarget is the time to the first token that users ask for, for
 	// 95 in 100.
 	DefaultTarget = 770 * time.Millisecond
-	// DefaultInitial is the limit before anything is learned.
+	// DefaultInitial is the limit before anything is learned, when the
+	// capacity isn't known.
 	DefaultInitial = 16.0
 	// DefaultMin and DefaultMax bound what is learned.
 	DefaultMin = 1.0
@@ -46,6 +48,10 @@
 	busyShare = 0.8
 	// decreaseTo is the factor of a decrease.
 	decreaseTo = 0.9
+	// growth is the part by which the limit grows a window, at least by one.
+	growth = 1.0 / 16
+	// startGrowth is the factor of growth until the first decrease.
+	startGrowth = 2.0
 	// floorTolerance is how far above its lowest a latency beyond the target
 	// may be to count as on time, for services that are slow when idle.
 	floorTolerance = 2.0
@@ -63,12 +69,18 @@
 	Initial float64
 }
 
-// AIMD adds to the limit while the target is kept and the limit is used, and
+// AIMD takes the limit up while the target is kept and the limit is used, and
 // multiplies it down when more than 5 in 100 of a window miss the target.
+// Requests that started before the last decrease tell nothing about it and
+// are passed over.
+// Until the first miss the capacity is the limit, or the limit doubles where
+// no capacity is known.
 type AIMD struct {
-	cfg   AIMDConfig
-	limit float64
-	floor time.Duration // lowest mean of a window, slowly rising
+	cfg     AIMDConfig
+	limit   float64
+	learned bool          // there was a decrease
+	cut     time.Time     // of the last decrease
+	floor   time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
 	seen    int
@@ -89,12 +101,25 @@
 }
 
 // Limit implements Limiter.
-func (a *AIMD) Limit() float64 { return a.limit }
+func (a *AIMD) Limit(capacity float64) float64 {
+	if !a.learned && capacity > 0 {
+		return capacity
+	}
+	return bounded(a.limit, capacity)
+}
+
+// bounded is the limit under a capacity that may be unknown.
+func bounded(limit, capacity float64) float64 {
+	if capacity > 0 {
+		return min(limit, capacity)
+	}
+	return limit
+}
 
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
-	if res.Failed {
-		return
+	if res.Failed || now.Add(-res.Total).Before(a.cut) {
+		return // tells nothing, or of the time before the last decrease
 	}
 	if a.start.IsZero() {
 		a.start = now
@@ -107,7 +132,7 @@
 		a.late++
 	}
 	if a.seen >= windowLeast && now.Sub(a.start) >= windowTime {
-		a.step()
+		a.step(now)
 		a.start = now
 	}
 }
@@ -118,13 +143,13 @@
 }
 
 // step ends a window.
-func (a *AIMD) step() {
+func (a *AIMD) step(now time.Time) {
 	mean := a.sum / time.Duration(a.seen)
 	switch {
 	case float64(a.late) > lateShare*float64(a.seen):
-		a.limit = max(a.limit*decreaseTo, DefaultMin)
+		a.decrease(now)
 	case float64(a.busiest) >= busyShare*a.limit:
-		a.limit = min(a.limit+1, DefaultMax)
+		a.increase()
 	}
 	if a.floor == 0 || mean < a.floor {
 		a.floor = mean
@@ -134,6 +159,26 @@
 	a.seen, a.late, a.busiest, a.sum = 0, 0, 0, 0
 }
 
+// decrease takes the limit down, the first time from what was in flight.
+func (a *AIMD) decrease(now time.Time) {
+	if !a.learned {
+		a.limit = float64(a.busiest)
+	}
+	a.learned = true
+	a.cut = now
+	a.limit = max(a.limit*decreaseTo, DefaultMin)
+}
+
+// increase takes the limit up.
+func (a *AIMD) increase() {
+	if a.learned {
+		a.limit += max(a.limit*growth, 1)
+	} else {
+		a.limit *= startGrowth
+	}
+	a.limit = min(a.limit, DefaultMax)
+}
+
 // latencyOf is the latency that limits are learned from: to the first token,
 // or to the end for answers that are not streams.
 func latencyOf(res Result) time.Duration {
--- a/internal/admission/retryafter.go
+++ b/internal/admission/retryafter.go
@@ -50,11 +50,7 @@
 // retryAfter gives each refused request of a workspace the next turn at the
 // rate at which its share drains, so that callers do not return together.
 func (s *service) retryAfter(now time.Time, w *workspace) time.Duration {
-	weights := 0.0
-	for _, other := range s.workspaces {
-		weights += other.weight
-	}
-	drain := max(s.drain.perSecond(now), minDrain) * w.weight / weights
+	drain := s.share(max(s.drain.perSecond(now), minDrain)) * w.weight
 	turn := time.Duration(float64(time.Second) / drain)
 	if w.nextReturn.Before(now) {
 		w.nextReturn = now
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -17,6 +18,15 @@
 	// overshootPart is the part of the limit by which a workspace under its
 	// fair share may go over the limit while others give back.
 	overshootPart = 8
+	// averageTime is the time over which a workspace's number in flight is
+	// averaged.
+	averageTime = 10 * time.Second
+	// modestPart is the part of its fair share that a modest workspace uses
+	// on average, at most.
+	modestPart = 0.8
+	// burstFactor is how far above its fair share a modest workspace may go
+	// for a while.
+	burstFactor = 2.0
 	// defaultWeight is the weight of a request that names none.
 	defaultWeight = 1.0
 )
@@ -24,6 +34,7 @@
 // service is the requests in flight of one service at this daemon.
 type service struct {
 	limiter    Limiter
+	borrow     float64 // part of the limit that borrowers may fill
 	rng        *rand.Rand
 	drain      rateMeter
 	inFlight   int
@@ -36,38 +47,43 @@
 	weight     float64
 	inFlight   int
 	demand     float64 // highest number in flight, fading
+	average    float64 // of the number in flight, at counted
+	counted    time.Time
 	seen       time.Time
 	nextReturn time.Time
 }
 
-func newService(limiter Limiter, rng *rand.Rand) *service {
-	return &service{limiter: limiter, rng: rng}
+func newService(cfg Config, rng *rand.Rand) *service {
+	return &service{limiter: cfg.NewLimiter(), borrow: cfg.BorrowShare, rng: rng}
 }
 
-// admit takes a place for the request or says why there is none.
-func (s *service) admit(now time.Time, req Request) (*workspace, *fleet.Failure) {
-	w := s.workspace(now, req)
+// admit takes a place for the request or says why there is none. The place
+// is borrowed when the workspace was at its fair share.
+func (s *service) admit(now time.Time, req Request) (w *workspace, borrowed bool, failure *fleet.Failure) {
+	w = s.workspace(now, req)
 	if failure := s.refuseLate(now, req); failure != nil {
-		return nil, failure
+		return nil, false, failure
 	}
 	if req.MaxInFlight > 0 && w.inFlight >= int(req.MaxInFlight) {
-		return nil, s.refuse(now, w, "workspace %s has %d requests in flight, its limit", w.name, w.inFlight)
+		return nil, false, s.refuse(now, w, "workspace %s has %d requests in flight, its limit", w.name, w.inFlight)
 	}
 	limit := s.limit(req)
-	if !s.hasRoom(w, limit) {
-		return nil, s.refuse(now, w, "service %s is over its limit of %.0f requests at once", req.Service, limit)
+	share := s.share(limit)
+	borrowed = w.borrows(now, share)
+	if !s.hasRoom(now, w, limit, share, borrowed) {
+		return nil, false, s.refuse(now, w, "service %s is over its limit of %.0f requests at once", req.Service, limit)
 	}
 	s.inFlight++
-	w.inFlight++
+	w.count(now, 1)
 	w.demand = max(w.demand, float64(w.inFlight))
-	return w, nil
+	return w, borrowed, nil
 }
 
 // release gives a place back.
 func (s *service) release(now time.Time, w *workspace, res Result) {
 	s.limiter.Observe(now, s.inFlight, res)
 	s.inFlight--
-	w.inFlight--
+	w.count(now, -1)
 	s.drain.add(now)
 	invariant.Check(s.inFlight >= 0 && w.inFlight >= 0, "admission.in_flight_not_negative",
 		"service has %d, workspace %s has %d in flight", s.inFlight, w.name, w.inFlight)
@@ -91,7 +107,7 @@
 	}
 	clear(s.workspaces[len(kept):])
 	if found == nil {
-		found = &workspace{name: req.Workspace, seen: now}
+		found = &workspace{name: req.Workspace, seen: now, counted: now}
 		kept = append(kept, found)
 	}
 	s.workspaces = kept
@@ -103,33 +119,73 @@
 
 // limit is the number of requests that may be in flight.
 func (s *service) limit(req Request) float64 {
-	limit := s.limiter.Limit()
-	if req.Capacity > 0 {
-		limit = min(limit, float64(req.Capacity))
-	}
-	return max(limit, 1)
+	return max(s.limiter.Limit(float64(req.Capacity)), 1)
 }
 
-// hasRoom reports whether w may start one more request. Within its fair share
-// it may, even a little over the limit; beyond, only in room that others are
-// not likely to want.
-func (s *service) hasRoom(w *workspace, limit float64) bool {
+// share is the fair share of the limit for each unit of weight.
+func (s *service) share(limit float64) float64 {
 	weights := 0.0
-	for _, other := range s.workspaces {
-		weights += other.weight
+	for _, w := range s.workspaces {
+		weights += w.weight
 	}
-	share := limit / weights
+	return limit / weights
+}
+
+// hasRoom reports whether w may start one more request. Beyond its fair share
+// it may fill the borrowed part of the limit, less what others are likely to
+// want of it. A workspace that stays under its share, and only such a one,
+// may go a little over the limit while others give back.
+func (s *service) hasRoom(now time.Time, w *workspace, limit, share float64, borrowed bool) bool {
 	after := float64(s.inFlight + 1)
-	if float64(w.inFlight+1) <= max(share*w.weight, 1) {
-		return after <= limit+max(limit/overshootPart, 1)
+	overshoot := max(limit/overshootPart, 1)
+	if !borrowed {
+		return after <= limit || after <= limit+overshoot && w.under(now, share)
 	}
-	reserved := 0.0
+	reserved := -overshoot
 	for _, other := range s.workspaces {
 		if other != w {
 			reserved += other.reserve(share)
 		}
 	}
-	return after+reserved <= limit
+	return after <= min(limit-reserved, limit*s.borrow)
+}
+
+// count changes the number in flight and keeps its average.
+func (w *workspace) count(now time.Time, change int) {
+	w.average = w.averageAt(now)
+	w.counted = now
+	w.inFlight += change
+}
+
+// averageAt is the average number in flight, recent times counting most.
+func (w *workspace) averageAt(now time.Time) float64 {
+	old := math.Exp(-now.Sub(w.counted).Seconds() / averageTime.Seconds())
+	return w.average*old + float64(w.inFlight)*(1-old)
+}
+
+// fair is the workspace's fair share, at least one request.
+func (w *workspace) fair(share float64) float64 { return max(share*w.weight, 1) }
+
+// modest reports whether the average is well within the fair share, so that
+// the workspace is not one that fills it all the time.
+func (w *workspace) modest(now time.Time, share float64) bool {
+	return w.averageAt(now) <= modestPart*w.fair(share)
+}
+
+// under reports whether one more request of a modest workspace is within its
+// fair share.
+func (w *workspace) under(now time.Time, share float64) bool {
+	return float64(w.inFlight+1) <= w.fair(share) && w.modest(now, share)
+}
+
+// borrows reports whether one more request is beyond the fair share. The
+// bursts of a modest workspace are not.
+func (w *workspace) borrows(now time.Time, share float64) bool {
+	after := float64(w.inFlight + 1)
+	if after <= w.fair(share) {
+		return false
+	}
+	return after > burstFactor*w.fair(share) || !w.modest(now, share)
 }
 
 // reserve is the room kept for the workspace: up to its recent demand and one
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -28,11 +28,13 @@
 	Capacity uint32
 }
 
-// Result is what became of an admitted request, for learning.
+// Result is what became of an admitted request, for learning. Times run from
+// admission, but for a request that first waits for a record in the log they
+// run from its first attempt: that wait says nothing of the groups' load.
 type Result struct {
-	// FirstToken is the time from admission to the first token.
+	// FirstToken is the time to the first token.
 	FirstToken time.Duration
-	// Total is the time from admission to the end.
+	// Total is the time to the end.
 	Total  time.Duration
 	Failed bool
 }
--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -12,6 +12,7 @@
 
 const (
 	largeShare     = 0.3 // of the load, each of two workspaces
+	largeWeight    = 6   // small ones have 1
 	smallCount     = 8
 	smallShare     = 0.05
 	floodFactor    = 10
@@ -23,6 +24,7 @@
 type NamedLimit struct {
 	Name    string
 	Limiter func() admission.Limiter
+	Borrow  float64
 	// Plain limits know neither capacity nor deadline.
 	Plain      bool
 	NoCapacity bool
@@ -34,6 +36,8 @@
 	learned := func() admission.Limiter { return admission.NewAIMD(admission.AIMDConfig{}) }
 	return []NamedLimit{
 		{Name: "learned", Limiter: learned},
+		{Name: "learned, borrow 0.7", Limiter: learned, Borrow: 0.7},
+		{Name: "learned, borrow all", Limiter: learned, Borrow: 1},
 		{Name: "learned, capacity unknown", Limiter: learned, NoCapacity: true},
 		{Name: "learned, queue 200 ms", Limiter: learned, QueueFor: shortQueue},
 		{Name: "fixed, right", Limiter: fixedLimit(perDaemonSlots), Plain: true},
@@ -49,8 +53,8 @@
 // sources are two large workspaces and eight small ones.
 func sources(rate float64) []Source {
 	all := []Source{
-		{Workspace: "large-0", Weight: 1, Rate: largeShare * rate},
-		{Workspace: "large-1", Weight: 1, Rate: largeShare * rate},
+		{Workspace: "large-0", Weight: largeWeight, Rate: largeShare * rate},
+		{Workspace: "large-1", Weight: largeWeight, Rate: largeShare * rate},
 	}
 	for i := range smallCount {
 		name := fleet.Workspace(fmt.Sprintf("small-%d", i))
@@ -65,7 +69,7 @@
 		Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons, Sources: from,
 		Warmup: 20 * time.Second, Duration: 30 * time.Second,
 		Policy: routing.DefaultPolicy, Prefixes: true,
-		Limiter: l.Limiter, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
+		Limiter: l.Limiter, BorrowShare: l.Borrow, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
 	}
 }
 
--- a/standin/experiment/serving/call.go
+++ b/standin/experiment/serving/call.go
@@ -29,6 +29,7 @@
 	keyed  bool
 
 	begun   time.Duration // when it asked this time
+	sent    time.Duration // when the first attempt was sent
 	repeats int
 	ended   bool
 
@@ -128,6 +129,9 @@
 	r := c.run
 	g := c.view(d.Chosen.Group)
 	c.group = g
+	if c.attempts == 0 {
+		c.sent = r.loop.now
+	}
 	c.attempts++
 	g.started(r.loop.now)
 	r.stats.attempt(r.loop.now)
@@ -161,7 +165,7 @@
 
 func (c *call) newJob() *job {
 	r := c.run
-	j := &job{prompt: c.prompt, outputLeft: c.left}
+	j := &job{prompt: c.prompt, outputLeft: c.left, low: c.ticket != nil && c.ticket.Borrowed()}
 	j.onCached = func(blocks int) { r.stats.cached(r.loop.now, blocks, len(c.prompt)) }
 	j.onToken = func(first bool, interval time.Duration) {
 		c.left--
@@ -235,9 +239,9 @@
 	if c.ticket == nil {
 		return
 	}
-	res := admission.Result{Total: c.run.loop.now - c.begun, Failed: failed}
+	res := admission.Result{Total: c.run.loop.now - c.sent, Failed: failed}
 	if c.token > 0 {
-		res.FirstToken = c.token - c.begun
+		res.FirstToken = c.token - c.sent
 	}
 	c.ticket.Release(c.run.at(), res)
 	c.ticket = nil
--- a/standin/experiment/serving/engine.go
+++ b/standin/experiment/serving/engine.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -27,6 +28,7 @@
 	produced   bool // a token was generated
 	last       time.Duration
 	canceled   bool
+	low        bool // priority
 
 	// onCached tells how many blocks of the prompt were cached.
 	onCached func(blocks int)
@@ -50,7 +52,6 @@
 	cache   *prefixCache
 	busy    bool
 	rate    float64 // tokens a second when busy
-	begun   int     // attempts that reached the engine
 	ended   int
 
 	// onCache tells of blocks that entered and left the cache.
@@ -59,8 +60,11 @@
 
 // submit queues a job.
 func (e *engine) submit(j *job) {
-	e.begun++
-	e.queue = append(e.queue, j)
+	at := len(e.queue)
+	for !j.low && at > 0 && e.queue[at-1].low {
+		at--
+	}
+	e.queue = slices.Insert(e.queue, at, j)
 	if !e.busy {
 		e.step()
 	}
@@ -94,17 +98,21 @@
 	}
 }
 
-// readPrompts reads one chunk and returns its tokens and the number of jobs
+// readPrompts reads one chunk, higher priority first, and returns its tokens and the number of jobs
 // that generate.
 func (e *engine) readPrompts() (read, generating int) {
-	for _, j := range e.running {
-		n := min(j.promptLeft, prefillChunk-read)
-		j.promptLeft -= n
-		read += n
-		if j.promptLeft > 0 {
-			continue
+	for _, low := range []bool{false, true} {
+		for _, j := range e.running {
+			if j.low != low {
+				continue
+			}
+			n := min(j.promptLeft, prefillChunk-read)
+			j.promptLeft -= n
+			read += n
+			if j.promptLeft == 0 {
+				generating++
+			}
 		}
-		generating++
 	}
 	return read, generating
 }
--- a/standin/experiment/serving/run.go
+++ b/standin/experiment/serving/run.go
@@ -55,6 +55,8 @@
 	Prefixes bool
 	// Limiter makes a daemon's limiter; without one nothing is refused.
 	Limiter func() admission.Limiter
+	// BorrowShare is admission's.
+	BorrowShare float64
 	// LimitOnly leaves the capacity and the deadline out of admission.
 	LimitOnly bool
 	// NoCapacity leaves the capacity out.
@@ -150,7 +152,7 @@
 			d.policy = d.policy.WithPrefixes(r.index)
 		}
 		if r.Limiter != nil {
-			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter})
+			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter, BorrowShare: r.BorrowShare})
 		}
 		if r.Retries.Budget != nil {
 			d.budget = r.Retries.Budget()
