Leave small messages uncompressed; profile the daemon in the bench

Ruled out: a faster compressor. Conclusion: compress from 1 KiB on; what remains is looked for in the profile.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -39,7 +39,7 @@
 	if v, ok := c.engines.Load(address); ok {
 		return v.(carawayv1connect.EngineServiceClient)
 	}
-	made := carawayv1connect.NewEngineServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	made := carawayv1connect.NewEngineServiceClient(c.http, "http://"+address, httpx.ClientOptions(maxMessageBytes))
 	v, _ := c.engines.LoadOrStore(address, made)
 	return v.(carawayv1connect.EngineServiceClient)
 }
@@ -48,7 +48,7 @@
 	if v, ok := c.plains.Load(address); ok {
 		return v.(carawayv1connect.PlainServiceClient)
 	}
-	made := carawayv1connect.NewPlainServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	made := carawayv1connect.NewPlainServiceClient(c.http, "http://"+address, httpx.ClientOptions(maxMessageBytes))
 	v, _ := c.plains.LoadOrStore(address, made)
 	return v.(carawayv1connect.PlainServiceClient)
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,8 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"net/http/pprof"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
@@ -38,8 +38,10 @@
 	gateway.Health(callers, d.Ready)
 
 	admin := http.NewServeMux()
-	admin.Handle(carawayv1connect.NewAdminServiceHandler(operator{d}, connect.WithReadMaxBytes(d.set.MaxBodyBytes)))
+	admin.Handle(carawayv1connect.NewAdminServiceHandler(operator{d}, httpx.HandlerOptions(d.set.MaxBodyBytes)))
 	admin.Handle("GET /metrics", gateway.Metrics(d.metrics))
+	admin.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	admin.HandleFunc("GET /debug/pprof/", pprof.Index)
 	gateway.Health(admin, d.Ready)
 
 	limit := func(l net.Listener) net.Listener { return netutil.LimitListener(l, d.set.MaxConnections) }
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -19,6 +19,7 @@
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
 )
 
 // Requests carries requests to their end; package dispatch implements it.
@@ -40,7 +41,7 @@
 // Handler returns the path and handler of the service. Messages over
 // maxBytes are refused.
 func (s *Inference) Handler(maxBytes int) (string, http.Handler) {
-	path, h := carawayv1connect.NewInferenceServiceHandler(s, connect.WithReadMaxBytes(maxBytes), strictCodecs())
+	path, h := carawayv1connect.NewInferenceServiceHandler(s, httpx.HandlerOptions(maxBytes), strictCodecs())
 	return path, limitBody(h, maxBytes)
 }
 
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 )
 
@@ -25,6 +26,28 @@
 	maxIdlePerHost    = 64
 )
 
+// compressMinBytes is the size from which messages to callers and operators
+// are compressed.
+const compressMinBytes = 1 << 10
+
+// ClientOptions are those of every connect client: answers of at most maxBytes,
+// without compression, which costs more than it saves within a zone.
+func ClientOptions(maxBytes int) connect.ClientOption {
+	return connect.WithClientOptions(
+		connect.WithReadMaxBytes(maxBytes),
+		connect.WithAcceptCompression("gzip", nil, nil),
+	)
+}
+
+// HandlerOptions are those of every connect handler: requests of at most
+// maxBytes, and compression of large answers only.
+func HandlerOptions(maxBytes int) connect.HandlerOption {
+	return connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(maxBytes),
+		connect.WithCompressMinBytes(compressMinBytes),
+	)
+}
+
 // ErrDial marks a request whose connection was never made.
 var ErrDial = errors.New("dial failed")
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -37,7 +37,7 @@
 
 // NewLog returns the log at an "ip:port" address.
 func NewLog(client *http.Client, address string) *Log {
-	return &Log{client: carawayv1connect.NewLogServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))}
+	return &Log{client: carawayv1connect.NewLogServiceClient(client, "http://"+address, httpx.ClientOptions(maxAnswerBytes))}
 }
 
 // Append implements journal.Log. Only a failed dial and the log's own refusal
@@ -97,7 +97,7 @@
 // NewList returns the list at an "ip:port" address; it is empty until Run has
 // read it.
 func NewList(client *http.Client, address string) *List {
-	return &List{client: carawayv1connect.NewInstanceServiceClient(client, "http://"+address)}
+	return &List{client: carawayv1connect.NewInstanceServiceClient(client, "http://"+address, httpx.ClientOptions(maxAnswerBytes))}
 }
 
 // Run reads the list again and again until ctx ends. While the platform does
--- a/standin/bench/cpu.go
+++ b/standin/bench/cpu.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -38,3 +40,23 @@
 	}
 	return time.Duration(u+s) * clockTick, nil
 }
+
+// profile writes a processor profile of the daemon, taken over half a phase.
+func profile(d *stack.Daemon, opt options) {
+	seconds := max(int(opt.Duration.Seconds()/2), 1)
+	resp, err := http.Get(fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%d", d.Admin, seconds))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "profile:", err)
+		return
+	}
+	defer resp.Body.Close()
+	out, err := os.Create(opt.Profile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "profile:", err)
+		return
+	}
+	defer out.Close()
+	if _, err := io.Copy(out, resp.Body); err != nil {
+		fmt.Fprintln(os.Stderr, "profile:", err)
+	}
+}
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -44,6 +44,7 @@
 	Tokens   uint32        `long:"tokens" description:"tokens of one request" default:"250"`
 	Interval time.Duration `long:"interval" description:"between tokens at the engine" default:"25ms"`
 	Engines  int           `long:"engines" description:"engines, each a group of one" default:"12"`
+	Profile  string        `long:"profile" description:"file for a processor profile of the daemon under full load"`
 	Duration time.Duration `long:"duration" description:"of each phase, 60s at most" default:"20s"`
 }
 
@@ -85,6 +86,9 @@
 		if err != nil {
 			return err
 		}
+		if phase.Rate == opt.Rate && opt.Profile != "" {
+			go profile(d, opt)
+		}
 		through := drive(phase, daemonCalls(d))
 		after, err := cpuTime(d)
 		if err != nil {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -15,9 +15,13 @@
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
 	"carawayproxy.example/caraway/internal/routing"
 )
 
+// maxBodyBytes bounds one request.
+const maxBodyBytes = 8 << 20
+
 var errBroken = errors.New("the group is not whole")
 
 var _ carawayv1connect.EngineServiceHandler = (*Engine)(nil)
@@ -25,7 +29,7 @@
 // Handler serves the engine, and its fault switches under /standin/.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(carawayv1connect.NewEngineServiceHandler(e))
+	mux.Handle(carawayv1connect.NewEngineServiceHandler(e, httpx.HandlerOptions(maxBodyBytes)))
 	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -16,6 +16,7 @@
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
 )
 
 // Config sets how a plain backend server behaves.
@@ -55,7 +56,11 @@
 
 var _ carawayv1connect.PlainServiceHandler = (*Server)(nil)
 
-const defaultLatency = 5 * time.Millisecond
+const (
+	defaultLatency = 5 * time.Millisecond
+	// maxBodyBytes bounds one request.
+	maxBodyBytes = 8 << 20
+)
 
 // New returns a server that has run nothing.
 func New(cfg Config) *Server {
@@ -68,7 +73,7 @@
 // Handler serves the calls, and the fault switches under /standin/.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(carawayv1connect.NewPlainServiceHandler(s))
+	mux.Handle(carawayv1connect.NewPlainServiceHandler(s, httpx.HandlerOptions(maxBodyBytes)))
 	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -12,6 +12,7 @@
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
 	"carawayproxy.example/caraway/internal/journal"
 )
 
@@ -35,9 +36,10 @@
 // Handler serves the three services, and the fault switches under /standin/.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(carawayv1connect.NewLogServiceHandler(logServer{p.Log}))
-	mux.Handle(carawayv1connect.NewInstanceServiceHandler(instanceServer{p.Instances}))
-	mux.Handle(carawayv1connect.NewWeightServiceHandler(weightServer{p.Weights}))
+	options := httpx.HandlerOptions(maxBodyBytes)
+	mux.Handle(carawayv1connect.NewLogServiceHandler(logServer{p.Log}, options))
+	mux.Handle(carawayv1connect.NewInstanceServiceHandler(instanceServer{p.Instances}, options))
+	mux.Handle(carawayv1connect.NewWeightServiceHandler(weightServer{p.Weights}, options))
 	mux.HandleFunc("POST /standin/instances", p.register)
 	mux.HandleFunc("POST /standin/leaving", p.leaving)
 	mux.HandleFunc("POST /standin/log", p.logFaults)
@@ -121,7 +123,11 @@
 	return connect.NewResponse(out), nil
 }
 
-const maxReadWait = 30 * time.Second
+const (
+	maxReadWait = 30 * time.Second
+	// maxBodyBytes bounds one request.
+	maxBodyBytes = 16 << 20
+)
 
 type instanceServer struct{ list *Instances }
 
