Keep a suspect's assessment for a second

Cause: a request that was in flight at some of 1024 deaths cost 16 ms each time it was routed (BenchmarkStanding/touched), for its evidence was gathered anew under the tracker's lock. An assessment now stands for a second or until the next death (0.16 us), deaths count their convicted requests instead of looking for them, and a burst is sought only around its death. Ruled out: keeping evidence incrementally, for the hazard changes with time.

Begin also stops trying once its context is over.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -117,7 +117,7 @@
 	}
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	for {
+	for ctx.Err() == nil {
 		changed, done := shard.Book.Watch(key)
 		e, ok := shard.Book.Lookup(key)
 		if !ok || e.Phase == PhaseAbandoned {
@@ -138,6 +138,7 @@
 			return c.uncertain(key, "an earlier call with this key has no outcome yet")
 		}
 	}
+	return Grant{Failure: fleet.Refuse(fleet.ReasonDeadline, spread(retryAfterIntent), "the request's time ended before it could be recorded")}
 }
 
 // settled returns the answer that an entry already has.
--- a/internal/suspect/hazard.go
+++ b/internal/suspect/hazard.go
@@ -58,7 +58,7 @@
 	causes := map[fleet.FabricDomain]float64{}
 	last := map[fleet.FabricDomain]time.Time{}
 	for _, d := range h.order {
-		if _, with := d.inFlight[f]; with || h.explained(d) {
+		if _, with := d.inFlight[f]; with || d.convicted > 0 {
 			continue
 		}
 		if at, ok := last[d.fabric]; !ok || d.at.Sub(at) > burstSpan {
--- a/internal/suspect/history.go
+++ b/internal/suspect/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -44,6 +45,9 @@
 	service  fleet.ServiceName
 	at       time.Time
 	inFlight map[Fingerprint]struct{}
+	// convicted counts those in flight that are held to crash groups; they
+	// explain the death.
+	convicted int
 }
 
 // History is what a daemon knows of runs and deaths. It is pure: it takes the
@@ -91,22 +95,18 @@
 // SetConvicted tells whether a request is held to crash groups. The deaths at
 // which a convicted one was in flight say nothing of the others.
 func (h *History) SetConvicted(f Fingerprint, convicted bool) {
-	if !convicted {
-		delete(h.convicted, f)
+	if _, was := h.convicted[f]; was == convicted {
 		return
 	}
-	h.convicted[f] = struct{}{}
-}
-
-// explained reports whether a death needs no cause besides a convicted
-// request.
-func (h *History) explained(d *death) bool {
-	for f := range h.convicted {
-		if _, with := d.inFlight[f]; with {
-			return true
-		}
+	change := -1
+	delete(h.convicted, f)
+	if convicted {
+		change = 1
+		h.convicted[f] = struct{}{}
+	}
+	for _, d := range h.of[f] {
+		d.convicted += change
 	}
-	return false
 }
 
 // Started notes a run on a group.
@@ -187,6 +187,9 @@
 			continue
 		}
 		d.inFlight[f] = struct{}{}
+		if _, convicted := h.convicted[f]; convicted {
+			d.convicted++
+		}
 		h.of[f] = append(h.of[f], d)
 		fresh = true
 	}
@@ -283,8 +286,12 @@
 // good part of them did: single deaths are in the hazard.
 func (h *History) burst(f Fingerprint, of *death) float64 {
 	domain, all := 0, 0
-	for _, d := range h.order {
-		if _, with := d.inFlight[f]; with || !near(d, of) || h.explained(d) {
+	first := sort.Search(len(h.order), func(i int) bool { return !h.order[i].at.Before(of.at.Add(-burstSpan)) })
+	for _, d := range h.order[first:] {
+		if !near(d, of) {
+			break
+		}
+		if _, with := d.inFlight[f]; with || d.convicted > 0 {
 			continue
 		}
 		all++
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -189,3 +189,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), string(again))
 }
+
+// BenchmarkStanding is the cost for each request: one that was at no death,
+// and one that was at some of the most deaths kept.
+func BenchmarkStanding(b *testing.B) {
+	t := NewTracker(TrackerConfig{Book: NewBook(), Proposer: &fakeLog{}})
+	for i := range maxDeaths {
+		t.Observe([]Sighting{{
+			ID: [16]byte{byte(i), byte(i >> 8)}, Group: fleet.GroupID(fmt.Sprint("g", i)), Fabric: "f0",
+			InFlight: []Fingerprint{Fingerprint(i % 50), 7, 8, 9}, At: time.Now(),
+		}})
+	}
+	for name, f := range map[string]Fingerprint{"clear": 1 << 40, "touched": 7} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				t.Standing(f)
+			}
+		})
+	}
+}
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -55,6 +55,7 @@
 
 	mu      sync.Mutex
 	history *History
+	judged  map[Fingerprint]judgement // since the last death
 	own     []Sighting
 	seen    map[[16]byte]struct{}
 	changed chan struct{}
@@ -62,6 +63,15 @@
 	deaths, convictions metrics.Counter
 }
 
+// judgement is an assessment that holds for a while if no group dies.
+type judgement struct {
+	standing Standing
+	at       time.Time
+}
+
+// judgementAge is how long an assessment is not made again.
+const judgementAge = time.Second
+
 // NewTracker returns a tracker. Run must run for verdicts to be recorded.
 func NewTracker(cfg TrackerConfig) *Tracker {
 	if cfg.Policy == nil {
@@ -79,6 +89,7 @@
 	return &Tracker{
 		cfg:         cfg,
 		history:     NewHistory(time.Now()),
+		judged:      map[Fingerprint]judgement{},
 		seen:        map[[16]byte]struct{}{},
 		changed:     make(chan struct{}, 1),
 		deaths:      metrics.GetOrRegisterCounter("suspect.deaths", cfg.Metrics),
@@ -102,6 +113,9 @@
 	if !t.history.Touched(f) {
 		return Clear
 	}
+	if j, ok := t.judged[f]; ok && now.Sub(j.at) < judgementAge {
+		return j.standing
+	}
 	return t.assess(f, now).Standing
 }
 
@@ -109,6 +123,7 @@
 func (t *Tracker) assess(f Fingerprint, now time.Time) Assessment {
 	a := t.cfg.Policy.Assess(t.history.Evidence(f, now))
 	t.history.SetConvicted(f, a.Standing == Convicted)
+	t.judged[f] = judgement{standing: a.Standing, at: now}
 	return a
 }
 
@@ -133,6 +148,7 @@
 	t.refreshGroups()
 	in, fresh := t.history.Died(group, epoch, fabric, name, now)
 	if fresh {
+		clear(t.judged)
 		t.keep(Sighting{
 			ID:       uuid.New(),
 			Group:    group,
@@ -191,6 +207,9 @@
 		}
 		fresh = t.history.Observe(s, now) || fresh
 	}
+	if fresh {
+		clear(t.judged)
+	}
 	t.mu.Unlock()
 	if fresh {
 		t.wake()
