Test the ledger over two shards and with a known dead owner

Cause: the faults ran over one shard only, and nothing tested that a repeat of a dead owner's key is answered without a wait. Odd seeds of TestOnceUnderFaults now have two shards; the end compares each shard's state at every daemon.

--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -18,7 +18,7 @@
 func inBubble(t *testing.T, run func(t *testing.T, log *platform.Log, a, b *daemon)) {
 	synctest.Test(t, func(t *testing.T) {
 		log := platform.NewLog(platform.LogConfig{})
-		a, b := newDaemon(log, "a", 0), newDaemon(log, "b", 0)
+		a, b := newDaemon(log, "a", 1), newDaemon(log, "b", 1)
 		time.Sleep(time.Second)
 		run(t, log, a, b)
 		a.stop()
@@ -108,7 +108,7 @@
 		time.Sleep(time.Second)
 		elsewhere := b.client.Begin(ctx, key("k"), 1)
 		assert.Equal(t, elsewhere.Failure.State, fleet.Done)
-		e, _ := b.book.Lookup(key("k"))
+		e, _ := b.books[0].Lookup(key("k"))
 		assert.Equal(t, e.Answer.Size, 5000)
 		assert.Equal(t, e.Answer.Digest, ledger.AnswerOf([]byte(body)).Digest)
 	})
@@ -182,3 +182,21 @@
 		assert.Equal(t, log.Stats().Records-before, uint64(2*requests))
 	})
 }
+
+// TestOwnerIsGone: an open key whose owner is known to have stopped needs no
+// wait, and is not run again.
+func TestOwnerIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, log *platform.Log, a, _ *daemon) {
+		ctx, cancel := within(time.Minute)
+		defer cancel()
+		owner := newDaemon(log, "gone", 1)
+		time.Sleep(time.Second)
+		assert.Equal(t, owner.client.Begin(ctx, key("k"), 1).Decision, ledger.Run)
+		owner.stop()
+		began := time.Now()
+		g := a.client.Begin(ctx, key("k"), 1)
+		assert.Equal(t, g.Decision, ledger.Refused)
+		assert.Equal(t, g.Failure.State, fleet.MayHaveRun)
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+	})
+}
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -18,25 +18,23 @@
 	id     fleet.DaemonID
 	ctx    context.Context
 	kill   context.CancelFunc
-	book   *ledger.Book
+	books  []*ledger.Book // of its shards
 	client *ledger.Client
 	done   sync.WaitGroup
 }
 
-func newDaemon(log journal.Log, id string, window time.Duration) *daemon {
+func newDaemon(log journal.Log, id string, shards int) *daemon {
 	ctx, kill := context.WithCancel(context.Background())
-	d := &daemon{id: fleet.DaemonID(id), ctx: ctx, kill: kill, book: ledger.NewBook(window)}
-	replica := journal.NewReplica(journal.Config{
-		Stream: journal.LedgerStream(0),
-		Self:   d.id,
-		Log:    log,
-		Fold:   d.book,
-	})
-	d.client = ledger.NewClient(ledger.ClientConfig{
-		Self:   d.id,
-		Shards: []ledger.Shard{{Proposer: replica, Book: d.book}},
-	})
-	d.done.Go(func() { replica.Run(ctx) })
+	d := &daemon{id: fleet.DaemonID(id), ctx: ctx, kill: kill}
+	cfg := ledger.ClientConfig{Self: d.id, Gone: func(id fleet.DaemonID) bool { return id == "gone" }}
+	for n := range shards {
+		book := ledger.NewBook(0)
+		replica := journal.NewReplica(journal.Config{Stream: journal.LedgerStream(n), Self: d.id, Log: log, Fold: book})
+		d.books = append(d.books, book)
+		cfg.Shards = append(cfg.Shards, ledger.Shard{Proposer: replica, Book: book})
+		d.done.Go(func() { replica.Run(ctx) })
+	}
+	d.client = ledger.NewClient(cfg)
 	d.done.Go(func() { d.client.Run(ctx) })
 	return d
 }
--- a/internal/ledger/once_test.go
+++ b/internal/ledger/once_test.go
@@ -88,7 +88,7 @@
 	var noise sync.WaitGroup
 	noise.Go(func() { disturb(faults, log, rand.New(rand.NewPCG(seed, 2))) })
 
-	fleetOf := &daemons{log: log}
+	fleetOf := &daemons{log: log, shards: 1 + int(seed%2)}
 	for range 3 {
 		fleetOf.add()
 	}
@@ -169,14 +169,15 @@
 
 // daemons is a fleet in which a killed daemon is replaced.
 type daemons struct {
-	log  *platform.Log
-	mu   sync.Mutex
-	all  []*daemon
-	live []*daemon
+	log    *platform.Log
+	shards int
+	mu     sync.Mutex
+	all    []*daemon
+	live   []*daemon
 }
 
 func (d *daemons) add() *daemon {
-	n := newDaemon(d.log, fmt.Sprintf("d%d", len(d.all)), 0)
+	n := newDaemon(d.log, fmt.Sprintf("d%d", len(d.all)), d.shards)
 	d.all = append(d.all, n)
 	d.live = append(d.live, n)
 	return n
@@ -199,18 +200,20 @@
 // living daemon has the same state.
 func (d *daemons) check(t *testing.T, seed uint64) {
 	t.Helper()
-	last := newDaemon(d.log, "reader", 0)
+	last := newDaemon(d.log, "reader", d.shards)
 	time.Sleep(5 * time.Second)
-	want, err := last.book.Snapshot()
-	assert.NilError(t, err)
 	for _, n := range d.live {
 		if n.dead() {
 			continue
 		}
 		assert.Equal(t, n.client.Pending(), 0, "seed %d: daemon %s", seed, n.id)
-		got, err := n.book.Snapshot()
-		assert.NilError(t, err)
-		assert.Assert(t, string(got) == string(want), "seed %d: daemon %s folds another state", seed, n.id)
+		for shard, book := range n.books {
+			got, err := book.Snapshot()
+			assert.NilError(t, err)
+			want, err := last.books[shard].Snapshot()
+			assert.NilError(t, err)
+			assert.Assert(t, string(got) == string(want), "seed %d: daemon %s folds another state of shard %d", seed, n.id, shard)
+		}
 	}
 	last.stop()
 }
