Leave a straggler only when the retry budget pays for it

Cause: a slow stream was given up before the budget was asked, so a spent budget turned it into a failure. TestStragglerIsKeptWithoutBudget failed with 'the service's retries are used up: tokens come too slowly (MAY_HAVE_RUN)' and passes now: the attempt is paid for before the stream is left, and once. Ruled out: letting stragglers go for free, for they come in numbers.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -50,6 +50,7 @@
 	made    int
 	mayHave bool // an attempt may have run
 	next    *routing.Decision
+	paid    bool // the next attempt is paid for
 }
 
 // choose picks the group of the next attempt and asks the gate immediately
@@ -195,8 +196,7 @@
 	if a.next.Chosen == nil {
 		return a.fail(fleet.ReasonBackendFailed, spread(retryAfterFailed), "the attempt failed and no other group is left: "+cause.Error())
 	}
-	if !a.d.budgets.spend(a.spec.Service) {
-		a.d.metrics.noBudget.Inc(1)
+	if !a.pay() {
 		return a.fail(fleet.ReasonBackendFailed, spread(retryAfterFailed), "the attempt failed and the service's retries are used up: "+cause.Error())
 	}
 	a.d.metrics.retries.Inc(1)
@@ -204,6 +204,17 @@
 	return nil
 }
 
+// pay takes another attempt from the service's retry budget, once for each.
+func (a *attempts) pay() bool {
+	if !a.paid {
+		a.paid = a.d.budgets.spend(a.spec.Service)
+	}
+	if !a.paid {
+		a.d.metrics.noBudget.Inc(1)
+	}
+	return a.paid
+}
+
 // failed notes a failed attempt.
 func (a *attempts) failed(t target, cause error) {
 	if !unsent(cause) {
@@ -263,6 +274,7 @@
 		invariant.Check(false, "dispatch-whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
 	}
 	a.made++
+	a.paid = false
 	a.d.metrics.attempts.Inc(1)
 	if a.route.Alone {
 		a.d.solo.add(t.Group)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -299,3 +299,28 @@
 		assert.Assert(t, f == nil, "the key was not given back: %v", f)
 	})
 }
+
+// TestStragglerIsKeptWithoutBudget: a slow stream is not given up for an
+// attempt that the retry budget would refuse.
+func TestStragglerIsKeptWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var script []behaviour
+		for range 200 {
+			script = append(script, behaviour{Fault: "broken_before"})
+		}
+		b := newBench(6, script...)
+		defer b.Close()
+		for len(b.servers.script) > 0 {
+			_, _ = b.Generate(t.Context(), generation(), discard)
+		}
+		b.servers.script = []behaviour{{Fault: "slow"}}
+		b.servers.tokens = 40
+		c := &caller{id: "r2"}
+		g := generation()
+		g.ID = "r2"
+		_, f := b.Generate(t.Context(), g, c.sink)
+		assert.Assert(t, f == nil, "%v", f)
+		assert.NilError(t, c.wrong)
+		assert.Equal(t, b.servers.ran["r2"], 1)
+	})
+}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -277,8 +277,9 @@
 	return nil
 }
 
-// leaveStraggler reports whether there is another group to go to, and keeps
-// that decision. A request moves once.
+// leaveStraggler reports whether there is another group to go to and the
+// retry budget lets the request go there, and keeps that decision. A request
+// moves once.
 func (r *generation) leaveStraggler(t target) bool {
 	if r.moved || r.made >= orDefault(r.spec.Limits.MaxAttempts, defaultMaxAttempts) {
 		return false
@@ -286,7 +287,7 @@
 	r.moved = true
 	r.avoid(t.Candidate)
 	dec := r.routeNow("")
-	if dec.Chosen == nil {
+	if dec.Chosen == nil || !r.pay() {
 		return false
 	}
 	r.next = &dec
