Say MAY_HAVE_RUN when time ends on an open key

Cause: Begin told NOT_RUN when the caller's time ended between two looks at the key, also while an earlier call held it. TestTimeEndsWithAnOpenKey failed with 'NOT_RUN != MAY_HAVE_RUN' before and passes after: the last answer comes from what the book has of the key.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -138,7 +138,20 @@
 			return c.uncertain(key, "an earlier call with this key has no outcome yet")
 		}
 	}
-	return Grant{Failure: fleet.Refuse(fleet.ReasonDeadline, spread(retryAfterIntent), "the request's time ended before it could be recorded")}
+	return c.outOfTime(key, digest)
+}
+
+// outOfTime is the answer when the caller's time ended between two looks.
+func (c *Client) outOfTime(key Key, digest uint64) Grant {
+	grant, found := c.Lookup(key, digest)
+	switch {
+	case !found:
+		return Grant{Failure: fleet.Refuse(fleet.ReasonDeadline, spread(retryAfterIntent), "the request's time ended before it could be recorded")}
+	case grant.Decision == Await:
+		return c.uncertain(key, "an earlier call with this key has no outcome yet")
+	default:
+		return grant
+	}
 }
 
 // settled returns the answer that an entry already has.
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -200,3 +200,18 @@
 		assert.Assert(t, time.Since(began) < 2*time.Second)
 	})
 }
+
+// TestTimeEndsWithAnOpenKey: a call without time left is told NOT_RUN only
+// when no earlier call holds the key.
+func TestTimeEndsWithAnOpenKey(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *platform.Log, a, b *daemon) {
+		ctx, cancel := within(time.Minute)
+		defer cancel()
+		over, end := context.WithCancel(ctx)
+		end()
+		assert.Equal(t, b.client.Begin(over, key("k"), 1).Failure.State, fleet.NotRun)
+		assert.Equal(t, a.client.Begin(ctx, key("k"), 1).Decision, ledger.Run)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.client.Begin(over, key("k"), 1).Failure.State, fleet.MayHaveRun)
+	})
+}
