--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -119,7 +119,12 @@
 
 // limit is the number of requests that may be in flight.
 func (s *service) limit(req Request) float64 {
-	return max(s.limiter.Limit(float64(req.Capacity)), 1)
+	s.limiter.Expect(float64(req.Capacity))
+	limit := s.limiter.Limit()
+	if req.Capacity > 0 {
+		limit = min(limit, float64(req.Capacity))
+	}
+	return max(limit, 1)
 }
 
 // share is the fair share of the limit for each unit of weight.
