Count a tail apart from the measured window and make rows side by side

Cause: the flood suite ran each flooded scenario twice to see the recovery. After: one run with a tail that only the figures by the second include; three rows are made at once, each run still in one goroutine.

--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -16,6 +16,7 @@
 	smallCount     = 8
 	smallShare     = 0.05
 	floodFactor    = 10
+	recoverFor     = 45 * time.Second // after a flood
 	shortQueue     = 200 * time.Millisecond
 	perDaemonSlots = fleetGroups * maxRunning / fleetDaemons
 )
@@ -82,11 +83,9 @@
 		Value:  2,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, load := range loads {
-		for _, l := range limits {
-			t.Add(admissionRow(l, load, capacity, seeds)...)
-		}
-	}
+	t.fill(len(loads)*len(limits), func(i int) []string {
+		return admissionRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
+	})
 	return t
 }
 
@@ -139,25 +138,19 @@
 		end := calm.Warmup + calm.Duration
 		flooded.Sources[0].Flood = floodFactor
 		flooded.Sources[0].FloodFrom, flooded.Sources[0].FloodTo = calm.Warmup, end
+		flooded.Tail = recoverFor
 		c, s := Run(calm), Run(flooded)
 		f.CalmRefused += c.small(f.CalmFirst, f.CalmTotal, c.RefusedOf)
 		f.FloodRefused += s.small(f.FloodFirst, f.FloodTotal, s.RefusedOf)
 		f.SmallAnswered += int(f.FloodTotal.Count())
 
-		flooded.Duration += 60 * time.Second
-		recovery, ok := RunRecovery(flooded, end)
+		recovery, ok := s.Recovery(end, s.FirstTokensInTime)
 		f.Recovery = max(f.Recovery, recovery)
 		f.Recovered = f.Recovered && ok
 	}
 	return f
 }
 
-// RunRecovery returns how long after a moment first tokens are in time.
-func RunRecovery(s Scenario, end time.Duration) (time.Duration, bool) {
-	st := Run(s)
-	return st.Recovery(end, st.FirstTokensInTime)
-}
-
 // small merges the small workspaces' times and sums a count of theirs.
 func (s *Stats) small(first, total *Latency, counts map[fleet.Workspace]int) int {
 	sum := 0
@@ -176,27 +169,36 @@
 		Name:  "flood",
 		Title: "A large workspace asks for ten times its load: small ones, 95 in 100, against the same seeds without",
 		Header: []string{"load before", "limit", "first token ms, calm", "flood", "moved %",
-			"total ms, calm", "flood", "moved %", "refused, calm", "flood", "recovery s"},
+			"total ms, calm", "flood", "moved %", "refused, calm", "flood", "answered", "recovery s"},
 		Value: 4,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, load := range loads {
-		for _, l := range limits {
-			f := RunFlood(l, load, capacity, seeds)
-			recovery := "never"
-			if f.Recovered {
-				recovery = strconv.Itoa(int(f.Recovery.Seconds()))
-			}
-			t.Add(fmt.Sprintf("%g", load), l.Name,
-				millis(f.CalmFirst.At(95)), millis(f.FloodFirst.At(95)), moved(f.CalmFirst, f.FloodFirst),
-				millis(f.CalmTotal.At(95)), millis(f.FloodTotal.At(95)), moved(f.CalmTotal, f.FloodTotal),
-				strconv.Itoa(f.CalmRefused), strconv.Itoa(f.FloodRefused), recovery)
-		}
-	}
+	t.fill(len(loads)*len(limits), func(i int) []string {
+		return floodRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
+	})
 	return t
 }
 
-// moved writes by how much the 95th percentile differs.
-func moved(calm, flood *Latency) string {
-	return percent(float64(flood.At(95))/float64(calm.At(95)) - 1)
+func floodRow(l NamedLimit, load, capacity float64, seeds int) []string {
+	f := RunFlood(l, load, capacity, seeds)
+	return []string{
+		fmt.Sprintf("%g", load), l.Name,
+		millis(f.CalmFirst.At(95)), millis(f.FloodFirst.At(95)), percent(Moved(f.CalmFirst, f.FloodFirst)),
+		millis(f.CalmTotal.At(95)), millis(f.FloodTotal.At(95)), percent(Moved(f.CalmTotal, f.FloodTotal)),
+		strconv.Itoa(f.CalmRefused), strconv.Itoa(f.FloodRefused), strconv.Itoa(f.SmallAnswered),
+		wholeSeconds(f.Recovery, f.Recovered),
+	}
+}
+
+// Moved is by which part the 95th percentile differs.
+func Moved(calm, flood *Latency) float64 {
+	return float64(flood.At(95))/float64(calm.At(95)) - 1
+}
+
+// wholeSeconds writes a recovery time.
+func wholeSeconds(d time.Duration, ok bool) string {
+	if !ok {
+		return "never"
+	}
+	return strconv.Itoa(int(d.Seconds()))
 }
--- a/standin/experiment/serving/retries_suite.go
+++ b/standin/experiment/serving/retries_suite.go
@@ -120,11 +120,9 @@
 		Value:  3,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, c := range cases {
-		for _, v := range variants {
-			t.Add(retriesRow(c, v, capacity, seeds)...)
-		}
-	}
+	t.fill(len(cases)*len(variants), func(i int) []string {
+		return retriesRow(cases[i/len(variants)], variants[i%len(variants)], capacity, seeds)
+	})
 	return t
 }
 
@@ -141,12 +139,8 @@
 		recovered = recovered && o.Recovered
 	}
 	n := float64(seeds)
-	recovery := "never"
-	if recovered {
-		recovery = strconv.Itoa(int(sum.Recovery.Seconds()))
-	}
 	return []string{
 		c.Name, v.Name, strconv.FormatFloat(sum.Before/n, 'f', 1, 64), strconv.FormatFloat(sum.During/n, 'f', 1, 64),
-		percent(sum.Extra / n), strconv.Itoa(sum.Retried), recovery,
+		percent(sum.Extra / n), strconv.Itoa(sum.Retried), wholeSeconds(sum.Recovery, recovered),
 	}
 }
--- a/standin/experiment/serving/routing_suite.go
+++ b/standin/experiment/serving/routing_suite.go
@@ -51,6 +51,7 @@
 	Name      string
 	Load      float64 // of Capacity
 	Straggler float64
+	Daemons   int // fleetDaemons when zero
 }
 
 // RoutingCases returns the loads.
@@ -60,13 +61,18 @@
 		{Name: "70%", Load: 0.70},
 		{Name: "95%", Load: 0.95},
 		{Name: "70% straggler", Load: 0.70, Straggler: 3},
+		{Name: "95% 60 daemons", Load: 0.95, Daemons: 60},
 	}
 }
 
 // routingScenario is one run of a policy under a load.
 func routingScenario(c RoutingCase, p NamedPolicy, capacity float64, seed uint64) Scenario {
+	daemons := c.Daemons
+	if daemons == 0 {
+		daemons = fleetDaemons
+	}
 	return Scenario{
-		Name: c.Name, Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons,
+		Name: c.Name, Seed: seed, Groups: fleetGroups, Daemons: daemons,
 		Warmup: 15 * time.Second, Duration: 30 * time.Second,
 		Sources:   []Source{{Workspace: "all", Rate: c.Load * capacity}},
 		Policy:    p.New,
@@ -96,11 +102,9 @@
 		Value:  2,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, c := range cases {
-		for _, p := range policies {
-			t.Add(routingRow(c, p, capacity, seeds)...)
-		}
-	}
+	t.fill(len(cases)*len(policies), func(i int) []string {
+		return routingRow(cases[i/len(policies)], policies[i%len(policies)], capacity, seeds)
+	})
 	return t
 }
 
--- a/standin/experiment/serving/run.go
+++ b/standin/experiment/serving/run.go
@@ -47,6 +47,7 @@
 	Daemons  int
 	Warmup   time.Duration // not counted
 	Duration time.Duration // counted
+	Tail     time.Duration // after it, not counted but in Seconds
 
 	Sources []Source
 	// Policy makes one daemon's routing policy; Prefixes adds what it knows
@@ -102,7 +103,7 @@
 	for i := range s.Sources {
 		r.arriveNext(&r.Sources[i], rand.New(rand.NewPCG(s.Seed, uint64(10+i))))
 	}
-	r.loop.runUntil(s.Warmup + s.Duration)
+	r.loop.runUntil(s.Warmup + s.Duration + s.Tail)
 	for _, e := range r.engines {
 		r.stats.Groups = append(r.stats.Groups, e.ended)
 	}
--- a/standin/experiment/serving/stats.go
+++ b/standin/experiment/serving/stats.go
@@ -50,7 +50,7 @@
 	First, FirstLate int
 }
 
-// Stats is what a run measured, without its warm-up but for Seconds.
+// Stats is what a run measured, without its warm-up and tail but for Seconds.
 type Stats struct {
 	FirstToken  *Latency                     // from the caller's last asking
 	Interval    *Latency                     // between tokens
@@ -64,14 +64,15 @@
 	Answered, Refused, Late int
 	CachedBlocks, Blocks    int
 
-	from  time.Duration
+	from  time.Duration // counted from here
+	to    time.Duration // and before here
 	apart fleet.Workspace
 }
 
 func newStats(s Scenario) *Stats {
-	seconds := int((s.Warmup+s.Duration)/time.Second) + 1
+	seconds := int((s.Warmup+s.Duration+s.Tail)/time.Second) + 1
 	st := &Stats{
-		FirstToken: newLatency(), Interval: newLatency(), Seconds: make([]Second, seconds), from: s.Warmup, apart: s.Sources[0].Workspace,
+		FirstToken: newLatency(), Interval: newLatency(), Seconds: make([]Second, seconds), from: s.Warmup, to: s.Warmup + s.Duration, apart: s.Sources[0].Workspace,
 		ByWorkspace: map[fleet.Workspace]*Latency{}, TotalOf: map[fleet.Workspace]*Latency{},
 		AnsweredOf: map[fleet.Workspace]int{}, RefusedOf: map[fleet.Workspace]int{},
 	}
@@ -82,6 +83,9 @@
 	return st
 }
 
+// counted reports whether a moment is within what is counted.
+func (s *Stats) counted(now time.Duration) bool { return now >= s.from && now < s.to }
+
 func (s *Stats) second(now time.Duration) *Second { return &s.Seconds[int(now/time.Second)] }
 
 func (s *Stats) offered(now time.Duration) { s.second(now).Offered++ }
@@ -89,7 +93,7 @@
 func (s *Stats) retry(now time.Duration)   { s.second(now).Retries++ }
 
 func (s *Stats) cached(now time.Duration, cached, blocks int) {
-	if now >= s.from {
+	if s.counted(now) {
 		s.CachedBlocks += cached
 		s.Blocks += blocks
 	}
@@ -102,21 +106,21 @@
 			s.second(now).FirstLate++
 		}
 	}
-	if now >= s.from {
+	if s.counted(now) {
 		s.FirstToken.record(sinceAsked)
 		s.ByWorkspace[source.Workspace].record(sinceAsked)
 	}
 }
 
 func (s *Stats) interval(now, d time.Duration) {
-	if now >= s.from {
+	if s.counted(now) {
 		s.Interval.record(d)
 	}
 }
 
 func (s *Stats) answered(source *Source, now, total time.Duration) {
 	s.second(now).Answered++
-	if now >= s.from {
+	if s.counted(now) {
 		s.Answered++
 		s.AnsweredOf[source.Workspace]++
 		s.TotalOf[source.Workspace].record(total)
@@ -125,7 +129,7 @@
 
 func (s *Stats) failed(source *Source, now time.Duration, refused bool) {
 	s.second(now).Failed++
-	if now < s.from {
+	if !s.counted(now) {
 		return
 	}
 	if refused {
--- a/standin/experiment/serving/table.go
+++ b/standin/experiment/serving/table.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -27,8 +28,24 @@
 	Value  int // column that is plotted
 }
 
-// Add appends a row.
-func (t *Table) Add(cells ...string) { t.Rows = append(t.Rows, cells) }
+// rowsAtOnce is how many rows are made at once; each run has one goroutine.
+const rowsAtOnce = 3
+
+// fill makes n rows and appends them in order.
+func (t *Table) fill(n int, row func(i int) []string) {
+	made := make([][]string, n)
+	places := make(chan struct{}, rowsAtOnce)
+	var wg sync.WaitGroup
+	for i := range n {
+		places <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-places }()
+			made[i] = row(i)
+		})
+	}
+	wg.Wait()
+	t.Rows = append(t.Rows, made...)
+}
 
 // WriteText writes the table for people.
 func (t *Table) WriteText(w io.Writer) error {
