--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -28,7 +28,7 @@
 }
 
 // DefaultBorrowShare is the part of a limit that borrowers may fill.
-const DefaultBorrowShare = 0.85
+const DefaultBorrowShare = 0.7
 
 // Ticket is an admitted request's place; it is returned exactly once.
 type Ticket interface {
@@ -103,7 +103,7 @@
 	if s == nil {
 		return Status{}
 	}
-	return Status{Limit: s.limiter.Limit(0), InFlight: s.inFlight, EndsPerSecond: s.drain.perSecond(now)}
+	return Status{Limit: s.limiter.Limit(), InFlight: s.inFlight, EndsPerSecond: s.drain.perSecond(now)}
 }
 
 // ticket is a place in a service's and a workspace's requests in flight.
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -7,9 +7,8 @@
 // Limiter learns how many requests may be in flight at once. It is used under
 // its service's lock.
 type Limiter interface {
-	// Limit returns the present limit. The capacity is what can run at once,
-	// zero when it isn't known.
-	Limit(capacity float64) float64
+	// Limit returns the present limit, at least one.
+	Limit() float64
 	// Observe tells of a request's end while inFlight, itself included, were
 	// in flight.
 	Observe(now time.Time, inFlight int, res Result)
@@ -19,7 +18,7 @@
 type Fixed float64
 
 // Limit implements Limiter.
-func (f Fixed) Limit(capacity float64) float64 { return bounded(float64(f), capacity) }
+func (f Fixed) Limit() float64 { return float64(f) }
 
 // Observe implements Limiter.
 func (Fixed) Observe(time.Time, int, Result) {}
@@ -29,8 +28,8 @@
 	// DefaultTarget is the time to the first token that users ask for, for
 	// 95 in 100.
 	DefaultTarget = 770 * time.Millisecond
-	// DefaultInitial is the limit before anything is learned, when the
-	// capacity isn't known.
+	// DefaultInitial is the limit before anything is learned of a service
+	// whose capacity is not known.
 	DefaultInitial = 16.0
 	// DefaultMin and DefaultMax bound what is learned.
 	DefaultMin = 1.0
@@ -48,10 +47,10 @@
 	busyShare = 0.8
 	// decreaseTo is the factor of a decrease.
 	decreaseTo = 0.9
-	// growth is the part by which the limit grows a window, at least by one.
-	growth = 1.0 / 16
-	// startGrowth is the factor of growth until the first decrease.
-	startGrowth = 2.0
+	// growth is the factor of an increase, by one at least, and firstGrowth
+	// that before the first decrease.
+	growth      = 1.05
+	firstGrowth = 2.0
 	// floorTolerance is how far above its lowest a latency beyond the target
 	// may be to count as on time, for services that are slow when idle.
 	floorTolerance = 2.0
@@ -69,17 +68,16 @@
 	Initial float64
 }
 
-// AIMD takes the limit up while the target is kept and the limit is used, and
-// multiplies it down when more than 5 in 100 of a window miss the target.
-// Requests that started before the last decrease tell nothing about it and
-// are passed over.
-// Until the first miss the capacity is the limit, or the limit doubles where
-// no capacity is known.
+// AIMD raises the limit while the target is kept and the limit is used, and
+// lowers it, from what was really in flight, when more than 5 in 100 of a
+// window miss the target. Until the first such window it starts from the
+// service's capacity, or doubles. Requests that started before the last
+// decrease tell nothing of it and are passed over.
 type AIMD struct {
 	cfg     AIMDConfig
 	limit   float64
-	learned bool          // there was a decrease
-	cut     time.Time     // of the last decrease
+	lowered bool          // once a window has missed the target
+	cut     time.Time     // of the last such window
 	floor   time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
@@ -101,20 +99,7 @@
 }
 
 // Limit implements Limiter.
-func (a *AIMD) Limit(capacity float64) float64 {
-	if !a.learned && capacity > 0 {
-		return capacity
-	}
-	return bounded(a.limit, capacity)
-}
-
-// bounded is the limit under a capacity that may be unknown.
-func bounded(limit, capacity float64) float64 {
-	if capacity > 0 {
-		return min(limit, capacity)
-	}
-	return limit
-}
+func (a *AIMD) Limit() float64 { return a.limit }
 
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
@@ -147,9 +132,14 @@
 	mean := a.sum / time.Duration(a.seen)
 	switch {
 	case float64(a.late) > lateShare*float64(a.seen):
-		a.decrease(now)
-	case float64(a.busiest) >= busyShare*a.limit:
-		a.increase()
+		a.limit = max(min(a.limit, float64(a.busiest))*decreaseTo, DefaultMin)
+		a.lowered = true
+		a.cut = now
+	case float64(a.busiest) < busyShare*a.limit:
+	case a.lowered:
+		a.limit = min(max(a.limit*growth, a.limit+1), DefaultMax)
+	default:
+		a.limit = min(a.limit*firstGrowth, DefaultMax)
 	}
 	if a.floor == 0 || mean < a.floor {
 		a.floor = mean
@@ -159,26 +149,6 @@
 	a.seen, a.late, a.busiest, a.sum = 0, 0, 0, 0
 }
 
-// decrease takes the limit down, the first time from what was in flight.
-func (a *AIMD) decrease(now time.Time) {
-	if !a.learned {
-		a.limit = float64(a.busiest)
-	}
-	a.learned = true
-	a.cut = now
-	a.limit = max(a.limit*decreaseTo, DefaultMin)
-}
-
-// increase takes the limit up.
-func (a *AIMD) increase() {
-	if a.learned {
-		a.limit += max(a.limit*growth, 1)
-	} else {
-		a.limit *= startGrowth
-	}
-	a.limit = min(a.limit, DefaultMax)
-}
-
 // latencyOf is the latency that limits are learned from: to the first token,
 // or to the end for answers that are not streams.
 func latencyOf(res Result) time.Duration {
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -1,6 +1,10 @@
 package routing
 
-import "carawayproxy.example/caraway/internal/fleet"
+import (
+	"slices"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
 
 // RoleServe is the role of groups that answer callers' requests.
 const RoleServe fleet.Role = "serve"
@@ -32,7 +36,7 @@
 		return false, "other service"
 	case req.Version != "" && c.Version != req.Version:
 		return false, "other version"
-	case req.Adapter != "" && !contains(c.Adapters, req.Adapter):
+	case req.Adapter != "" && !slices.Contains(c.Adapters, req.Adapter):
 		return false, "adapter not loaded"
 	case roleOr(c.Role) != roleOr(req.Role):
 		return false, "other role"
@@ -94,7 +98,7 @@
 
 // Keep implements Filter.
 func (Untried) Keep(req Request, c Candidate) (bool, string) {
-	if contains(req.Tried, c.Group) {
+	if slices.Contains(req.Tried, c.Group) {
 		return false, "tried"
 	}
 	return true, ""
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -171,7 +172,7 @@
 
 // Cost implements Scorer.
 func (s AvoidedFabric) Cost(req Request, c Candidate) float64 {
-	if !contains(req.AvoidFabric, c.Fabric) {
+	if !slices.Contains(req.AvoidFabric, c.Fabric) {
 		return 0
 	}
 	if s.Penalty == 0 {
