--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -12,6 +12,9 @@
 	// Observe tells of a request's end while inFlight, itself included, were
 	// in flight.
 	Observe(now time.Time, inFlight int, res Result)
+	// Expect tells how many the service's groups say they can run at once,
+	// zero when they do not say.
+	Expect(capacity float64)
 }
 
 // Fixed is the baseline limiter that never learns.
@@ -23,6 +26,9 @@
 // Observe implements Limiter.
 func (Fixed) Observe(time.Time, int, Result) {}
 
+// Expect implements Limiter.
+func (Fixed) Expect(float64) {}
+
 // Defaults of the limiters.
 const (
 	// DefaultTarget is the time to the first token that users ask for, for
@@ -101,6 +107,13 @@
 // Limit implements Limiter.
 func (a *AIMD) Limit() float64 { return a.limit }
 
+// Expect implements Limiter.
+func (a *AIMD) Expect(capacity float64) {
+	if !a.lowered {
+		a.limit = min(max(a.limit, capacity), DefaultMax)
+	}
+}
+
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
 	if res.Failed || now.Add(-res.Total).Before(a.cut) {
