--- a/standin/runs/backends.go
+++ b/standin/runs/backends.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 	"carawayproxy.example/caraway/internal/fleet"
@@ -217,17 +215,3 @@
 	defer p.mu.Unlock()
 	return p.leavingSince
 }
-
-// straightToEngine sends an attempt past all daemons, as a fault of a guard
-// would.
-func (w *World) straightToEngine(ctx context.Context, e *engineHost, req *carawayv1.RunRequest) error {
-	client := carawayv1connect.NewEngineServiceClient(w.client, "http://"+e.address())
-	stream, err := client.Run(ctx, connect.NewRequest(req))
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	for stream.Receive() {
-	}
-	return stream.Err()
-}
--- a/standin/runs/callers.go
+++ b/standin/runs/callers.go
@@ -52,6 +52,9 @@
 	world *World
 	watch *watch
 	every time.Duration // mean time between two requests of one caller
+	// garble changes what is asked for but not what is expected; empty but in
+	// tests of the checkers.
+	garble string
 
 	mu    sync.Mutex
 	calls []*call
@@ -150,7 +153,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callDeadline)
 	defer cancel()
 	stream, err := c.client(d).Generate(ctx, connect.NewRequest(&carawayv1.GenerateRequest{
-		RequestId: k.id, Workspace: workspace, Service: modelService, Adapter: adapter, Prompt: prompt, MaxTokens: tokensAsked,
+		RequestId: k.id, Workspace: workspace, Service: modelService, Adapter: adapter, Prompt: prompt + c.garble, MaxTokens: tokensAsked,
 	}))
 	if err == nil {
 		err = c.readStream(k, prompt, stream)
--- /dev/null
+++ b/standin/runs/checkers_test.go
@@ -0,0 +1,165 @@
+package runs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/standin/engine"
+)
+
+// small is enough to prove a checker.
+var small = Size{Daemons: 3, Fabrics: 1, Engines: 3, Plains: 2}
+
+const shortRun = 4 * time.Minute
+
+func TestCalmRunFindsNothing(t *testing.T) {
+	t.Parallel()
+	r := inBubble(t, Options{Seed: 1, Length: shortRun, calm: true, size: small})
+	assert.Equal(t, len(r.Findings), 0, "%v", r.Findings)
+	assert.Assert(t, r.Counts["calls whole"] > 300, "%v", r.Counts)
+}
+
+// TestCheckersReport seeds one fault for each checker and expects its report.
+func TestCheckersReport(t *testing.T) {
+	tests := map[Checker]func(*tampering){
+		CheckRunOnce: func(m *tampering) {
+			m.callPlain("r-1", "twice")
+			m.callPlain("r-2", "twice")
+		},
+		CheckAnswer: func(m *tampering) { m.callers.garble = "?" },
+		CheckNotRun: func(m *tampering) {
+			k := m.callers.invoke(m.ctx, m.world.daemons[0], "NoSuchMethod", "", []byte("x"))
+			m.callPlain(k.id, "ran all the same")
+		},
+		CheckWholeGroup: func(m *tampering) {
+			leader, member := m.group()
+			m.killDaemons()
+			member.kill()
+			pause(m.ctx, 2*missingBound)
+			m.runStraight(leader)
+		},
+		CheckLeaving: func(m *tampering) {
+			leader, _ := m.group()
+			m.killDaemons()
+			leader.set(func(f *engine.Faults) { f.Leaving = true })
+			pause(m.ctx, 2*leavingBound)
+			m.runStraight(leader)
+		},
+		CheckPlannedStop: func(m *tampering) {
+			for _, d := range m.world.daemons {
+				d.abrupt = true
+			}
+		},
+		CheckConfig: func(m *tampering) {
+			lost := m.world.daemons[0]
+			m.world.net.CutBoth(lost.ip, platformIP)
+			for _, other := range m.world.daemons[1:] {
+				m.world.net.CutBoth(lost.ip, other.ip)
+			}
+			m.change(m.world.daemons[1], 7)
+		},
+		CheckRevert: func(m *tampering) {
+			m.watch.sampleConfig("d", 5, true, time.Now())
+			m.watch.sampleConfig("d", 4, true, time.Now())
+		},
+		CheckRecovery: func(m *tampering) {
+			for _, p := range m.world.plains {
+				p.kill()
+			}
+		},
+		CheckRace: func(m *tampering) {
+			base, _ := m.ops.base(m.ctx, m.world.daemons[0])
+			m.ops.raceWith(m.ctx, m.world.daemons[0], m.world.daemons[1],
+				[]*carawayv1.ServiceChange{{Service: modelService, BaseRevision: base, Body: modelFile(1, 3), File: "a"}},
+				[]*carawayv1.ServiceChange{{Service: plainService, BaseRevision: base, Body: plainFile(3), File: "b"}})
+		},
+	}
+	for checker, tamper := range tests {
+		t.Run(string(checker), func(t *testing.T) {
+			t.Parallel()
+			o := Options{Seed: 1, Length: shortRun, calm: true, size: small, tamper: tamper}
+			if checker == CheckPlannedStop {
+				o.every = 20 * time.Millisecond // so that a kill finds calls under way
+			}
+			r := inBubble(t, o)
+			for _, f := range r.Findings {
+				if f.Checker == checker {
+					t.Log(f)
+					return
+				}
+			}
+			t.Fatalf("no report: %v %v", r.Findings, r.Counts)
+		})
+	}
+}
+
+// group returns the leader and another member of a group.
+func (m *tampering) group() (leader, member *engineHost) {
+	for _, e := range m.world.engines {
+		_, a, _ := e.state()
+		switch {
+		case a == nil:
+		case a.Rank == 0:
+			leader = e
+		default:
+			member = e
+		}
+	}
+	return leader, member
+}
+
+func (m *tampering) killDaemons() {
+	for _, d := range m.world.daemons {
+		d.kill()
+	}
+}
+
+// runStraight runs a request on a leader without asking any daemon.
+func (m *tampering) runStraight(leader *engineHost) {
+	_, a, _ := leader.state()
+	ctx, cancel := context.WithTimeout(m.ctx, callDeadline)
+	defer cancel()
+	_ = m.world.straightToEngine(ctx, leader, &carawayv1.RunRequest{
+		RequestId: "straight", AttemptId: "straight", Group: a.Group, Epoch: a.Epoch, Service: modelService,
+		Version: a.Version, Prompt: "straight", MaxTokens: 1,
+	})
+	pause(m.ctx, time.Second)
+}
+
+// callPlain calls a plain backend server without asking any daemon.
+func (m *tampering) callPlain(request, body string) {
+	client := carawayv1connect.NewPlainServiceClient(m.world.client, "http://"+m.world.plains[0].ip+":"+backendPort)
+	ctx, cancel := context.WithTimeout(m.ctx, callDeadline)
+	defer cancel()
+	_, _ = client.Call(ctx, connect.NewRequest(&carawayv1.CallRequest{
+		RequestId: request, AttemptId: request, Service: plainService, Method: methodBook, Body: []byte(body),
+	}))
+}
+
+// change publishes one change of the model's service.
+func (m *tampering) change(d *daemonHost, share int) {
+	base, _ := m.ops.base(m.ctx, d)
+	m.ops.publish(m.ctx, d, "trust", []*carawayv1.ServiceChange{
+		{Service: modelService, BaseRevision: base, Body: modelFile(m.ops.groups, share), File: "drafting.yaml"},
+	})
+}
+
+// straightToEngine sends an attempt past all daemons, as a broken guard would
+// let it through.
+func (w *World) straightToEngine(ctx context.Context, e *engineHost, req *carawayv1.RunRequest) error {
+	client := carawayv1connect.NewEngineServiceClient(w.client, "http://"+e.address())
+	stream, err := client.Run(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+	}
+	return stream.Err()
+}
