--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/routing"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -76,6 +77,23 @@
 	assert.Equal(t, f.State, fleet.NotRun)
 }
 
+// TestRouterLearnsTheRequest: the router is told what it routes by, with the
+// prompt's prefixes named as its index names them.
+func TestRouterLearnsTheRequest(t *testing.T) {
+	b := newBench(1)
+	defer b.Close()
+	g := generation()
+	g.Prompt = strings.Repeat("reading ", 100)
+	_, f := b.Generate(t.Context(), g, discard)
+	assert.Assert(t, f == nil)
+	asked := b.router.asked[0]
+	assert.DeepEqual(t, asked.Prefixes, routing.Prefixes(g.Prompt))
+	assert.Equal(t, len(asked.Prefixes), 3)
+	assert.Equal(t, asked.Version, fleet.Version("v2"))
+	assert.Equal(t, asked.MaxTokens, uint32(64))
+	assert.Assert(t, asked.PromptTokens > 100)
+}
+
 // TestNoAttemptPassesAClosedGate: a group that is no longer whole when the
 // attempt is to be sent gets none.
 func TestNoAttemptPassesAClosedGate(t *testing.T) {
@@ -240,3 +258,44 @@
 		assert.Equal(t, breaches, 0)
 	})
 }
+
+// TestStragglerIsLeft: tokens that come too slowly go on elsewhere when there
+// is another group, and to the end where they are when there is none.
+func TestStragglerIsLeft(t *testing.T) {
+	for groups, most := range map[int]time.Duration{1: time.Minute, 2: 30 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(groups, behaviour{Fault: "slow"})
+			defer b.Close()
+			b.servers.tokens = 40
+			c := &caller{id: "r1"}
+			began := time.Now()
+			end, f := b.Generate(t.Context(), generation(), c.sink)
+			assert.Assert(t, f == nil, "%v", f)
+			assert.NilError(t, c.wrong)
+			assert.Equal(t, end.TokenCount, uint32(40))
+			took := time.Since(began)
+			assert.Assert(t, took < most, "%d groups: %s", groups, took)
+			assert.Equal(t, b.servers.ran["r1"], groups)
+		})
+	}
+}
+
+// TestPausedProcessSendsNothing: a process that was paused at the gate until
+// after the deadline sends neither a generation nor a booking.
+func TestPausedProcessSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.Close()
+		b.router.pause = time.Hour
+		_, f := b.Generate(context.WithoutCancel(t.Context()), generation(), discard)
+		assert.Equal(t, f.Reason, fleet.ReasonDeadline)
+		assert.Equal(t, f.State, fleet.NotRun)
+		_, f = b.Invoke(t.Context(), dispatch.Invocation{ID: "r2", Workspace: "w", Service: "book", Method: "add", IdempotencyKey: "k", Body: []byte("x")})
+		assert.Equal(t, f.Reason, fleet.ReasonDeadline)
+		assert.Equal(t, f.State, fleet.NotRun)
+		assert.Equal(t, len(b.servers.ran), 0)
+		b.router.pause = 0
+		_, f = b.Invoke(t.Context(), dispatch.Invocation{ID: "r3", Workspace: "w", Service: "book", Method: "add", IdempotencyKey: "k", Body: []byte("x")})
+		assert.Assert(t, f == nil, "the key was not given back: %v", f)
+	})
+}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -27,6 +27,8 @@
 	lapsed map[fleet.GroupID]chan struct{}
 	shut   map[fleet.GroupID]bool // the gate is closed
 	open   int                    // Started without Ended
+	pause  time.Duration          // of the process, at the gate
+	asked  []routing.Request
 }
 
 func newRouter(n int) *router {
@@ -45,6 +47,7 @@
 func (r *router) Route(req routing.Request) routing.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.asked = append(r.asked, req)
 	var dec routing.Decision
 	for pass := range 2 {
 		for _, c := range r.groups {
@@ -75,6 +78,7 @@
 func (r *router) Ended(fleet.GroupID, uint32)   { r.mu.Lock(); r.open--; r.mu.Unlock() }
 
 func (r *router) Recheck(c routing.Candidate) bool {
+	time.Sleep(r.pause)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.shut[c.Group]
@@ -271,6 +275,8 @@
 		return errors.New("connection reset")
 	case "truncated":
 		return io.EOF
+	case "slow":
+		return wait(st.ctx, 2*time.Second)
 	case "gap":
 		st.at++
 	case "duplicate":
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -67,12 +67,13 @@
 
 // order sends the orders that are due, in parallel.
 func (e *Executor) order(ctx context.Context, run *scopeRun, s Snapshot, now time.Time) {
+	permit := run.permit(e)
 	for _, o := range e.due(run, s, now) {
 		if !e.orders.begin(o, e.cfg.MaxOrders, 2*e.cfg.OrderTimeout, now) {
 			continue
 		}
 		e.running.Go(func() {
-			accepted := e.send(ctx, run.permit(e), run, o)
+			accepted := e.send(ctx, permit, run, o)
 			e.orders.end(o, accepted, time.Now())
 		})
 	}
@@ -81,6 +82,7 @@
 // due lists the orders to instances whose report differs from the records.
 func (e *Executor) due(run *scopeRun, s Snapshot, now time.Time) []order {
 	var due []order
+	admitted := AdmitOrders(s, run.planner.policy.MaxLoads)
 	settled := now.Sub(run.since) >= e.cfg.OrderTimeout+e.cfg.Every
 	for id, st := range s.Instances {
 		if !st.Alive || st.Instance.Kind != fleet.KindEngine {
@@ -90,6 +92,9 @@
 			continue
 		}
 		assign, mine := e.wantedAssignment(run, s, id, st)
+		if assign != nil && !admitted[assign.Group] {
+			continue
+		}
 		if mine && !sameAssignment(assign, st.Report.Assignment) {
 			due = append(due, order{instance: id, address: st.Instance.Address, assign: assign, reportedAt: st.Report.ReceivedAt})
 		}
