--- a/standin/runs/checkers_test.go
+++ b/standin/runs/checkers_test.go
@@ -11,16 +11,18 @@
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 	"carawayproxy.example/caraway/standin/engine"
+	"carawayproxy.example/caraway/standin/plain"
 )
 
 // small is enough to prove a checker.
 var small = Size{Daemons: 3, Fabrics: 1, Engines: 3, Plains: 2}
 
-const shortRun = 4 * time.Minute
+// shortRun has time for one seeded fault and one planned stop.
+const shortRun = 135 * time.Second
 
 func TestCalmRunFindsNothing(t *testing.T) {
 	t.Parallel()
-	r := inBubble(t, Options{Seed: 1, Length: shortRun, calm: true, size: small})
+	r := inBubble(t, Options{Seed: 1, Length: 4 * time.Minute, calm: true, size: small})
 	assert.Equal(t, len(r.Findings), 0, "%v", r.Findings)
 	assert.Assert(t, r.Counts["calls whole"] > 300, "%v", r.Counts)
 }
@@ -52,6 +54,9 @@
 			m.runStraight(leader)
 		},
 		CheckPlannedStop: func(m *tampering) {
+			for _, p := range m.world.plains {
+				p.set(plain.Faults{DelayMS: 1000})
+			}
 			for _, d := range m.world.daemons {
 				d.abrupt = true
 			}
@@ -85,7 +90,7 @@
 			t.Parallel()
 			o := Options{Seed: 1, Length: shortRun, calm: true, size: small, tamper: tamper}
 			if checker == CheckPlannedStop {
-				o.every = 20 * time.Millisecond // so that a kill finds calls under way
+				o.every = 200 * time.Millisecond // so that a kill finds calls under way
 			}
 			r := inBubble(t, o)
 			for _, f := range r.Findings {
