--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -47,8 +47,7 @@
 type Report struct {
 	Seed     uint64
 	Findings []Finding
-	Counts   map[string]int
-	Summary  string
+	Counts   map[string]int // what was met, by name
 }
 
 // Run drives one system through a seeded schedule and returns what it met.
--- a/standin/runs/runs_test.go
+++ b/standin/runs/runs_test.go
@@ -3,6 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"io"
+	"log"
+	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,12 +19,16 @@
 var (
 	soakSeed    = flag.Uint64("soak-seed", 0, "first seed of TestSoak, which is passed over when zero")
 	soakMinutes = flag.Int("soak-minutes", 10, "real minutes that TestSoak goes on")
-	oneSeed     = flag.Uint64("seed", 1, "seed of TestOneSeed")
-	oneLength   = flag.Duration("length", 0, "virtual length of TestOneSeed, 10 minutes when zero")
 	firstSeed   = flag.Uint64("first-seed", 1, "first seed of TestSeeds")
 	seeds       = flag.Int("seeds", 200, "seeds of TestSeeds")
 )
 
+// TestMain silences net/http, which logs each connection that a fault ended.
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
 // breaches collects the invariants that broke in any run.
 type breaches struct {
 	mu  sync.Mutex
@@ -50,14 +57,11 @@
 	return report
 }
 
-func TestOneSeed(t *testing.T) {
-	b := watchInvariants(t)
-	began := time.Now()
-	r := inBubble(t, Options{Seed: *oneSeed, Length: *oneLength})
-	t.Logf("one seed took %v: %v", time.Since(began), r.Counts)
-	for _, f := range r.Findings {
-		t.Error(fmt.Sprintf("seed %d: %v", r.Seed, f))
-	}
+// report fails the test with each breach. Its detail names daemons and
+// requests, whose names begin with the seed.
+func (b *breaches) report(t *testing.T) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, x := range b.all {
 		t.Error(x)
 	}
@@ -71,19 +75,23 @@
 		for i := range *seeds {
 			t.Run(fmt.Sprintf("seed-%d", *firstSeed+uint64(i)), func(t *testing.T) {
 				t.Parallel()
-				r := inBubble(t, Options{Seed: *firstSeed + uint64(i), Length: *oneLength})
-				totals.add(r)
-				for _, f := range r.Findings {
-					t.Error(fmt.Sprintf("seed %d: %v", r.Seed, f))
-				}
+				checkSeed(t, Options{Seed: *firstSeed + uint64(i)}, totals)
 			})
 		}
 	})
-	for _, x := range b.all {
-		t.Error(x)
-	}
+	b.report(t)
 	t.Log(totals)
-	totals.checkThatFaultsBit(t, *seeds)
+	totals.checkThatFaultsBit(t)
+}
+
+// checkSeed runs one seed and fails the test with what it found.
+func checkSeed(t *testing.T, o Options, totals *totals) {
+	r := inBubble(t, o)
+	totals.add(r)
+	t.Logf("seed %d: %v", r.Seed, r.Counts)
+	for _, f := range r.Findings {
+		t.Errorf("seed %d: %v", r.Seed, f)
+	}
 }
 
 // totals sums the counts of many runs.
@@ -121,8 +129,38 @@
 	"planned stops while quiet":       1,
 }
 
-func (s *totals) checkThatFaultsBit(t *testing.T, runs int) {
+func (s *totals) checkThatFaultsBit(t *testing.T) {
 	for what, n := range least {
-		assert.Check(t, s.counts[what] >= n*runs, "%s: %d in %d runs, want %d a run", what, s.counts[what], runs, n)
+		assert.Check(t, s.counts[what] >= n*s.runs, "%s: %d in %d runs, want %d a run", what, s.counts[what], s.runs, n)
 	}
 }
+
+// TestSoak runs one seed after another, a few at a time, for as many real
+// minutes as asked for.
+func TestSoak(t *testing.T) {
+	if *soakSeed == 0 {
+		t.Skip("no -soak-seed")
+	}
+	b := watchInvariants(t)
+	totals := newTotals()
+	until := time.Now().Add(time.Duration(*soakMinutes) * time.Minute)
+	next := *soakSeed
+	for time.Now().Before(until) {
+		t.Run("batch", func(t *testing.T) {
+			for range soakTogether {
+				o := Options{Seed: next}
+				next++
+				t.Run(fmt.Sprintf("seed-%d", o.Seed), func(t *testing.T) {
+					t.Parallel()
+					checkSeed(t, o, totals)
+				})
+			}
+		})
+	}
+	b.report(t)
+	t.Log(totals)
+	totals.checkThatFaultsBit(t)
+}
+
+// soakTogether is how many seeds of a soak run at a time.
+const soakTogether = 3
--- a/standin/runs/watch.go
+++ b/standin/runs/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -289,19 +288,3 @@
 		return
 	}
 }
-
-// report returns the counts, by name.
-func (w *watch) report() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	names := make([]string, 0, len(w.counts))
-	for n := range w.counts {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	out := ""
-	for _, n := range names {
-		out += fmt.Sprintf("%s: %d; ", n, w.counts[n])
-	}
-	return out
-}
