--- a/standin/runs/watch.go
+++ b/standin/runs/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -50,7 +49,7 @@
 type span struct{ from, to time.Time }
 
 func (s span) overlaps(from, to time.Time) bool {
-	return s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
+	return !s.from.After(to) && (s.to.IsZero() || !s.to.Before(from))
 }
 
 // backendRun is one request that a backend server began to run.
@@ -289,19 +288,3 @@
 		return
 	}
 }
-
-// report returns the counts, by name.
-func (w *watch) report() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	names := make([]string, 0, len(w.counts))
-	for n := range w.counts {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	out := ""
-	for _, n := range names {
-		out += fmt.Sprintf("%s: %d; ", n, w.counts[n])
-	}
-	return out
-}
