Log each routing decision with the attempt it is for

Cause: a decision made ahead of its attempt (the first one, which admission needs, and a retry's) was logged without an attempt id, so no line could be matched to the attempt that was sent. A choice now carries its id from the decision on. TestEachDecisionIsLogged fails with the id left out ('request=r1 attempt= ...' does not hold the sent id) and passes now.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/backend"
@@ -42,15 +38,15 @@
 
 // attempts is the state that the tries of one request share.
 type attempts struct {
-	d       *Dispatcher
-	id      fleet.RequestID
-	spec    *service.Spec
-	print   suspect.Fingerprint
-	route   routing.Request
-	made    int
-	mayHave bool // an attempt may have run
-	next    *routing.Decision
-	paid    bool // the next attempt is paid for
+	d          *Dispatcher
+	id         fleet.RequestID
+	spec       *service.Spec
+	print      suspect.Fingerprint
+	route      routing.Request
+	made       int
+	mayHaveRun bool    // an attempt may have run
+	next       *choice // made ahead, for the next attempt
+	paid       bool    // the next attempt is paid for
 }
 
 // choose picks the group of the next attempt and asks the gate immediately
@@ -61,11 +57,11 @@
 		if f := a.stale(ctx); f != nil {
 			return target{}, f
 		}
-		dec, id := a.decide()
+		dec := a.decide()
 		if dec.Chosen == nil {
 			return target{}, a.noGroup()
 		}
-		t := target{Candidate: *dec.Chosen, attempt: id}
+		t := target{Candidate: *dec.Chosen, attempt: dec.attempt}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
 		if t.rechecked {
 			return t, a.stale(ctx)
@@ -100,68 +96,6 @@
 	return nil
 }
 
-// decide takes the decision that was made ahead, or routes.
-func (a *attempts) decide() (routing.Decision, fleet.AttemptID) {
-	id := fleet.AttemptID(uuid.NewString())
-	if a.next != nil {
-		dec := *a.next
-		a.next = nil
-		return dec, id
-	}
-	return a.routeNow(id), id
-}
-
-// routeNow asks the router and writes the decision to the log.
-func (a *attempts) routeNow(id fleet.AttemptID) routing.Decision {
-	req := a.route
-	req.Tried = a.d.solo.exclude(req.Tried)
-	dec := a.d.cfg.Router.Route(req)
-	if dec.Chosen != nil && slices.Contains(req.Tried, dec.Chosen.Group) {
-		dec.Chosen = nil
-	}
-	a.logDecision(dec, id)
-	return dec
-}
-
-func (a *attempts) logDecision(dec routing.Decision, id fleet.AttemptID) {
-	var group fleet.GroupID
-	if dec.Chosen != nil {
-		group = dec.Chosen.Group
-	}
-	events := a.d.cfg.Events
-	events.Emit(eventRouted, "request", a.id, "attempt", id, "service", a.spec.Service, "group", group,
-		"reason", decisionReason(dec, a.made), "cost", dec.Cost, "wait", dec.Wait, "others", len(dec.Others), "rejected", len(dec.Rejected))
-	if events.Enabled(log.DebugLevel) {
-		events.Emit(eventCandidates, "request", a.id, "attempt", id, "losers", losers(dec))
-	}
-}
-
-func decisionReason(dec routing.Decision, made int) string {
-	switch {
-	case dec.Chosen == nil && len(dec.Rejected) == 0:
-		return "no group of the service"
-	case dec.Chosen == nil:
-		return "every group was dropped, the first by " + dec.Rejected[0].Filter
-	case made > 0:
-		return "another attempt"
-	case len(dec.Others) == 0:
-		return "only candidate"
-	default:
-		return "lowest cost of the pick"
-	}
-}
-
-func losers(dec routing.Decision) string {
-	var b strings.Builder
-	for _, s := range dec.Others {
-		fmt.Fprintf(&b, "%s=%.3f ", s.Candidate.Group, s.Cost)
-	}
-	for _, r := range dec.Rejected {
-		fmt.Fprintf(&b, "%s:%s(%s) ", r.Group, r.Filter, r.Reason)
-	}
-	return strings.TrimSpace(b.String())
-}
-
 // avoid keeps the following attempts from a group and, where there is a
 // choice, from its fabric domain.
 func (a *attempts) avoid(c routing.Candidate) {
@@ -190,7 +124,7 @@
 	}
 	a.route.Alone = a.route.Alone || alone
 	if a.next == nil {
-		dec := a.routeNow("")
+		dec := a.routeNow()
 		a.next = &dec
 	}
 	if a.next.Chosen == nil {
@@ -218,7 +152,7 @@
 // failed notes a failed attempt.
 func (a *attempts) failed(t target, cause error) {
 	if !unsent(cause) {
-		a.mayHave = true
+		a.mayHaveRun = true
 	}
 	a.avoid(t.Candidate)
 	a.d.count(cause)
@@ -255,7 +189,7 @@
 // fail makes the request's final failure with its true run state.
 func (a *attempts) fail(reason fleet.Reason, retryAfter time.Duration, message string) *fleet.Failure {
 	f := &fleet.Failure{State: fleet.NotRun, Reason: reason, RetryAfter: retryAfter, Message: message}
-	if a.mayHave {
+	if a.mayHaveRun {
 		f.State = fleet.MayHaveRun
 	}
 	return f
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -94,6 +94,23 @@
 	assert.Assert(t, asked.PromptTokens > 100)
 }
 
+// TestEachDecisionIsLogged: one line for each routing decision, with the ids
+// of the request and of the attempt that was sent, the group and the reason.
+func TestEachDecisionIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(4, behaviour{Fault: "cut", At: 8})
+		defer b.Close()
+		_, f := b.Generate(t.Context(), generation(), discard)
+		assert.Assert(t, f == nil)
+		lines := b.lines("dispatch.routed")
+		assert.Equal(t, len(lines), 2)
+		for i, group := range []string{"g0", "g2"} {
+			assert.Assert(t, strings.Contains(lines[i], "request=r1 attempt="+string(b.servers.attempts[i])+" "), lines[i])
+			assert.Assert(t, strings.Contains(lines[i], "group="+group+" reason="), lines[i])
+		}
+	})
+}
+
 // TestNoAttemptPassesAClosedGate: a group that is no longer whole when the
 // attempt is to be sent gets none.
 func TestNoAttemptPassesAClosedGate(t *testing.T) {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -4,14 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/charmbracelet/log"
 
 	"carawayproxy.example/caraway/internal/admission"
-	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/dispatch"
+	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/ledger"
@@ -151,198 +152,6 @@
 	}
 )
 
-// behaviour is what a backend server does with one attempt.
-type behaviour struct {
-	Fault string
-	At    uint32 // token index at which the fault strikes
-}
-
-var (
-	engineFaults = []string{"", "", "refused", "not_sent", "broken_before", "cut", "truncated", "gap", "duplicate",
-		"crossed", "miscounted", "wrong_version", "stall", "dies", "shut"}
-	plainFaults = []string{"", "", "refused", "not_sent", "broken_before", "broken_after", "crossed", "answer_error", "slow", "hang"}
-)
-
-// servers are backend servers that follow a script and remember what ran.
-type servers struct {
-	mu     sync.Mutex
-	router *router
-	script []behaviour
-	ran    map[fleet.RequestID]int // attempts that ran, in part or whole
-	once   map[string]int          // runs by body
-	tokens uint32                  // of a whole answer
-	cancel int
-}
-
-func (s *servers) next() behaviour {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.script) == 0 {
-		return behaviour{}
-	}
-	b := s.script[0]
-	s.script = s.script[1:]
-	return b
-}
-
-func (s *servers) mark(id fleet.RequestID) { s.mu.Lock(); s.ran[id]++; s.mu.Unlock() }
-
-func (s *servers) Run(ctx context.Context, address string, a backend.Attempt) (backend.Stream, error) {
-	b := s.next()
-	switch b.Fault {
-	case "refused":
-		return nil, errors.Wrap(backend.ErrRefused, "full")
-	case "not_sent":
-		return nil, errors.Wrap(backend.ErrNotSent, "no route")
-	case "broken_before":
-		return nil, errors.New("connection reset")
-	case "shut":
-		s.router.kill(fleet.GroupID(address))
-	}
-	s.mark(a.Request)
-	return &stream{ctx: ctx, s: s, a: a, b: b, at: a.ResumeFrom, group: fleet.GroupID(address)}, nil
-}
-
-func (s *servers) Cancel(context.Context, string, fleet.AttemptID) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cancel++
-	return nil
-}
-
-func (s *servers) Report(context.Context, string) (fleet.Report, error) {
-	return fleet.Report{}, nil
-}
-
-func (s *servers) Apply(context.Context, string, backend.Order) (backend.OrderResult, error) {
-	return backend.OrderResult{}, nil
-}
-
-func (s *servers) CacheEvents(context.Context, string, uint64) ([]backend.CacheEvent, uint64, error) {
-	return nil, 0, nil
-}
-
-// stream gives two tokens a chunk until its fault strikes.
-type stream struct {
-	ctx   context.Context
-	s     *servers
-	a     backend.Attempt
-	b     behaviour
-	at    uint32
-	group fleet.GroupID
-	ended bool
-}
-
-func tokenText(id fleet.RequestID, i uint32) string { return fmt.Sprintf("%s:%d", id, i) }
-
-func (st *stream) Next() (backend.Chunk, error) {
-	if st.ended {
-		return backend.Chunk{}, io.EOF
-	}
-	if err := wait(st.ctx, 38*time.Millisecond); err != nil {
-		return backend.Chunk{}, err
-	}
-	c := backend.Chunk{Request: st.a.Request, Attempt: st.a.ID}
-	if st.at >= st.b.At {
-		if err := st.strike(&c); err != nil {
-			return backend.Chunk{}, err
-		}
-	}
-	for range 2 {
-		if st.at >= st.s.tokens {
-			break
-		}
-		c.Tokens = append(c.Tokens, backend.Token{Index: st.at, Text: tokenText(st.a.Request, st.at)})
-		st.at++
-	}
-	if st.at >= st.s.tokens {
-		st.ended = true
-		c.End = &backend.End{TokenCount: st.at, Reason: "stop", Version: st.a.Version}
-		switch st.b.Fault {
-		case "miscounted":
-			c.End.TokenCount++
-		case "wrong_version":
-			c.End.Version = "other"
-		}
-	}
-	return c, nil
-}
-
-// strike applies the stream's fault to a chunk.
-func (st *stream) strike(c *backend.Chunk) error {
-	switch st.b.Fault {
-	case "cut":
-		return errors.New("connection reset")
-	case "truncated":
-		return io.EOF
-	case "slow":
-		return wait(st.ctx, 2*time.Second)
-	case "gap":
-		st.at++
-	case "duplicate":
-		if st.at > st.a.ResumeFrom {
-			st.at--
-		}
-		st.b.At = st.at + 5
-	case "crossed":
-		c.Request, c.Attempt = "another", "attempt"
-	case "stall":
-		<-st.ctx.Done()
-		return st.ctx.Err()
-	case "dies", "shut":
-		st.s.router.kill(st.group)
-		<-st.ctx.Done()
-		return st.ctx.Err()
-	}
-	return nil
-}
-
-func (st *stream) Close() {}
-
-func wait(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (s *servers) Call(ctx context.Context, _ string, c backend.Call) (backend.CallAnswer, error) {
-	b := s.next()
-	switch b.Fault {
-	case "refused":
-		return backend.CallAnswer{}, errors.Wrap(backend.ErrRefused, "full")
-	case "not_sent":
-		return backend.CallAnswer{}, errors.Wrap(backend.ErrNotSent, "no route")
-	case "broken_before":
-		return backend.CallAnswer{}, errors.New("connection reset")
-	}
-	s.mark(c.Request)
-	s.mu.Lock()
-	s.once[string(c.Body)]++
-	s.mu.Unlock()
-	ans := backend.CallAnswer{Request: c.Request, Attempt: c.ID, Body: append([]byte("did "), c.Body...)}
-	switch b.Fault {
-	case "broken_after":
-		return backend.CallAnswer{}, errors.New("connection reset")
-	case "crossed":
-		ans.Attempt, ans.Body = "attempt", []byte("another caller's")
-	case "answer_error":
-		return backend.CallAnswer{}, &backend.AnswerError{Message: "no such plant"}
-	case "slow":
-		if err := wait(ctx, 12*time.Second); err != nil {
-			return backend.CallAnswer{}, err
-		}
-	case "hang":
-		<-ctx.Done()
-		return backend.CallAnswer{}, ctx.Err()
-	}
-	return ans, nil
-}
-
-func (s *servers) Health(context.Context, string) (fleet.Report, error) { return fleet.Report{}, nil }
-
 // direct folds a proposal at once.
 type direct struct {
 	mu   sync.Mutex
@@ -378,6 +187,28 @@
 	door    *door
 	servers *servers
 	catalog *catalog
+	mu      sync.Mutex
+	log     []string // name and keyvals of each event
+}
+
+// lines returns the events of one name.
+func (b *bench) lines(name string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, l := range b.log {
+		if strings.HasPrefix(l, name+" ") {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// record takes an event in.
+func (b *bench) record(_ time.Time, e *event.Event, keyvals []any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log = append(b.log, e.Name+" "+event.Text(keyvals))
 }
 
 // newBench returns a bench whose dispatcher is closed by the test.
@@ -386,7 +217,7 @@
 	b.servers = &servers{router: b.router, script: script, ran: map[fleet.RequestID]int{}, once: map[string]int{}, tokens: 20}
 	book, verdicts := ledger.NewBook(0), suspect.NewBook()
 	b.Dispatcher = dispatch.New(dispatch.Config{
-		Self: "d", Router: b.router, Admission: b.door, Knowledge: b.catalog, Engines: b.servers, Plains: b.servers,
+		Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, b.record), Router: b.router, Admission: b.door, Knowledge: b.catalog, Engines: b.servers, Plains: b.servers,
 		Ledger: ledger.NewClient(ledger.ClientConfig{
 			Self: "d", Shards: []ledger.Shard{{Proposer: &direct{fold: book}, Book: book}},
 		}),
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -105,11 +105,11 @@
 
 // admitted routes, asks admission and runs the attempts.
 func (r *generation) admitted(ctx context.Context, ws service.WorkspaceSpec) (backend.End, *fleet.Failure) {
-	dec := r.routeNow("")
+	dec := r.routeNow()
 	if dec.Chosen == nil {
 		return backend.End{}, r.noGroup()
 	}
-	ticket, f := r.d.admit(ctx, r.spec, ws, dec)
+	ticket, f := r.d.admit(ctx, r.spec, ws, dec.Decision)
 	if f != nil {
 		return backend.End{}, f
 	}
@@ -146,7 +146,7 @@
 			return end, nil
 		}
 		if errors.Is(cause, errCallerGone) {
-			r.mayHave = true
+			r.mayHaveRun = true
 			return backend.End{}, r.fail(fleet.ReasonCanceled, 0, cause.Error())
 		}
 		if f := r.again(ctx, t, cause); f != nil {
@@ -286,7 +286,7 @@
 	}
 	r.moved = true
 	r.avoid(t.Candidate)
-	dec := r.routeNow("")
+	dec := r.routeNow()
 	if dec.Chosen == nil || !r.pay() {
 		return false
 	}
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -80,12 +80,12 @@
 		return nil, f
 	}
 	c.route.Alone = alone
-	dec := c.routeNow("")
+	dec := c.routeNow()
 	if dec.Chosen == nil {
 		return nil, c.noGroup()
 	}
 	c.next = &dec
-	return c.d.admit(ctx, c.spec, c.ws, dec)
+	return c.d.admit(ctx, c.spec, c.ws, dec.Decision)
 }
 
 func (c *invocation) release(t Ticket, failed bool) {
