--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold our own code.
 PACKAGES = ./... ./standin/...
 
-.PHONY: all build test lint gen docs demo play bench
+.PHONY: all build test lint gen docs demo play bench control
 all: build
 
 # Exactly two shipped binaries.
@@ -38,3 +38,7 @@
 # What a daemon adds to calling an engine directly, as ratios in one run.
 bench:
 	go run ./standin/bench
+
+# What daemons spend on control while no caller calls.
+control:
+	go run ./standin/control
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -23,6 +23,7 @@
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/standin/proc"
 	"carawayproxy.example/caraway/standin/stack"
 )
 
@@ -82,15 +83,15 @@
 	fmt.Printf("%.0f engines, %s between tokens, %d tokens a request, %s a phase\n", float64(opt.Engines), opt.Interval, opt.Tokens, opt.Duration)
 	for _, phase := range []options{small, opt} {
 		direct := drive(phase, directCalls(targets))
-		before, err := cpuTime(d)
+		before, err := proc.CPUTime(d.Process)
 		if err != nil {
 			return err
 		}
 		if phase.Rate == opt.Rate && opt.Profile != "" {
-			go profile(d, opt)
+			go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
 		}
 		through := drive(phase, daemonCalls(d))
-		after, err := cpuTime(d)
+		after, err := proc.CPUTime(d.Process)
 		if err != nil {
 			return err
 		}
