Let go of slow and silent clients

Cause: nothing bounded a body that trickles or an answer left unread, so a few hundred such calls could hold every connection of a listener. Ruled out: the server's own ReadTimeout and WriteTimeout, which would end long streams. Tried and dropped: lifting the read deadline once the body has arrived; the library does not cancel a call by it, on pipes as on TCP, and TestLongAnswerOutlivesTheBodyTimeout stays to say so. Certificates are read again when their files change; a broken file leaves the old one in use (TestCertificateIsReadAgainWhenItChanges).

--- /dev/null
+++ b/internal/httpx/httpx_test.go
@@ -0,0 +1,152 @@
+package httpx
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pipeListener accepts the ends of pipes.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serveOn serves h on a pipe and returns the client's end.
+func serveOn(t *testing.T, h http.Handler) net.Conn {
+	l := make(pipeListener, 1)
+	server := NewServer(h, nil)
+	go func() { _ = server.Serve(l) }()
+	client, end := net.Pipe()
+	l <- end
+	t.Cleanup(func() {
+		_ = client.Close()
+		close(l)
+		_ = server.Close()
+	})
+	return client
+}
+
+func TestSlowClientsAreLetGo(t *testing.T) {
+	for name, tc := range map[string]struct {
+		send  string
+		write bool // the handler answers without end
+	}{
+		"silent":         {send: "POST / HTTP/1.1\r\nHost: h\r\n"},
+		"body too slow":  {send: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"},
+		"answer unread":  {send: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", write: true},
+		"nothing at all": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				left := make(chan struct{}, 1)
+				client := serveOn(t, BoundSlowClients(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					defer func() { left <- struct{}{} }()
+					_, err := io.ReadAll(r.Body)
+					for tc.write && err == nil {
+						_, err = w.Write(bytes.Repeat([]byte("x"), 1<<16))
+					}
+				})))
+				if tc.send != "" {
+					_, err := client.Write([]byte(tc.send))
+					assert.NilError(t, err)
+				}
+				if tc.write || name == "body too slow" {
+					select {
+					case <-left:
+					case <-time.After(time.Minute):
+						t.Fatal("the handler is still held after a minute")
+					}
+					return
+				}
+				assert.NilError(t, client.SetReadDeadline(time.Now().Add(2*time.Minute)))
+				_, err := io.ReadAll(client)
+				assert.NilError(t, err, "the connection is still held")
+			})
+		})
+	}
+}
+
+// TestLongAnswerOutlivesTheBodyTimeout: the bound on the body must not end a
+// call whose body has arrived and whose answer takes longer.
+func TestLongAnswerOutlivesTheBodyTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		canceled := make(chan error, 1)
+		client := serveOn(t, BoundSlowClients(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			time.Sleep(2 * bodyTimeout)
+			canceled <- r.Context().Err()
+		})))
+		_, err := client.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"))
+		assert.NilError(t, err)
+		assert.NilError(t, <-canceled)
+	})
+}
+
+// writePair writes a self-signed certificate for the loopback address.
+func writePair(t *testing.T, certFile, keyFile string, serial int64) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	assert.NilError(t, os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}), 0o600))
+}
+
+func TestCertificateIsReadAgainWhenItChanges(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := filepath.Join(dir, "cert"), filepath.Join(dir, "key")
+	writePair(t, cert, key, 1)
+	config, err := ReloadingTLS(cert, key)
+	assert.NilError(t, err)
+	serial := func() int64 {
+		got, err := config.GetCertificate(&tls.ClientHelloInfo{})
+		assert.NilError(t, err)
+		parsed, err := x509.ParseCertificate(got.Certificate[0])
+		assert.NilError(t, err)
+		return parsed.SerialNumber.Int64()
+	}
+	assert.Equal(t, serial(), int64(1))
+
+	r := &reloader{certificateFile: cert, keyFile: key}
+	assert.NilError(t, r.load())
+	config.GetCertificate = r.get
+	assert.NilError(t, os.WriteFile(cert, []byte("broken"), 0o600))
+	later := time.Now().Add(time.Minute)
+	assert.NilError(t, os.Chtimes(cert, later, later))
+	assert.Equal(t, serial(), int64(1), "a broken file must leave the old certificate")
+	writePair(t, cert, key, 2)
+	assert.NilError(t, os.Chtimes(cert, later, later))
+	r.checkedAt = time.Time{}
+	assert.Equal(t, serial(), int64(2))
+}
