--- a/standin/runs/callers.go
+++ b/standin/runs/callers.go
@@ -290,26 +290,33 @@
 	}
 }
 
-// checkRecovery looks at the calls of the last while.
-func (c *callers) checkRecovery(since time.Time) {
+// checkRecovery looks at the calls since a moment. states describes the system
+// for a finding.
+func (c *callers) checkRecovery(since time.Time, states func() string) {
+	whole, all, last := c.since(since)
+	if all == 0 || float64(whole) < goodputBound*float64(all) {
+		c.watch.find(CheckRecovery, "only %d of %d calls were whole after all faults had ended; one failed with %v; %s", whole, all, last, states())
+	}
+}
+
+// since counts the calls that began after a moment, and returns how one of
+// them failed.
+func (c *callers) since(since time.Time) (whole, all int, failure error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	whole, all := 0, 0
-	var last error
 	for _, k := range c.calls {
-		if k.began.Before(since) {
+		switch {
+		case k.began.Before(since):
 			continue
-		}
-		all++
-		if k.whole {
+		case k.whole:
 			whole++
-		} else {
-			last = k.err
+		default:
+			failure = k.err
 		}
+		all++
 	}
-	if all == 0 || float64(whole) < goodputBound*float64(all) {
-		c.watch.find(CheckRecovery, "only %d of %d calls were whole after all faults had ended; one failed with %v", whole, all, last)
-	}
+	return whole, all, failure
 }
 
+// goodputBound is the least share of whole calls once all is well.
 const goodputBound = 0.95
--- a/standin/runs/operators.go
+++ b/standin/runs/operators.go
@@ -140,3 +140,31 @@
 	}
 	return 0, false
 }
+
+// groupStates describes the groups as the first daemon that answers sees
+// them, and the engines as they are.
+func (o *operators) groupStates(ctx context.Context) string {
+	var out strings.Builder
+	for _, d := range o.world.daemons {
+		ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+		resp, err := o.client(d).ListGroups(ctx, connect.NewRequest(&carawayv1.ListGroupsRequest{}))
+		cancel()
+		if err != nil {
+			fmt.Fprintf(&out, "%s: %v; ", d.ip, err)
+			continue
+		}
+		for _, g := range resp.Msg.Groups {
+			fmt.Fprintf(&out, "group %s epoch %d %s whole=%v %q members %v spares %v; ", g.Group, g.Epoch, g.State, g.Whole, g.Reason, g.Members, g.Spares)
+		}
+		break
+	}
+	for _, e := range o.world.engines {
+		alive, a, _ := e.state()
+		fmt.Fprintf(&out, "%s (%s) alive=%v", e.id(), e.fabric, alive)
+		if a != nil {
+			fmt.Fprintf(&out, " in %s epoch %d rank %d", a.Group, a.Epoch, a.Rank)
+		}
+		out.WriteString("; ")
+	}
+	return out.String()
+}
--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,8 @@
 	Seed uint64
 	// Length in virtual time, 10 minutes when zero.
 	Length time.Duration
+	// Log takes the daemons' log lines from info on; nil for none.
+	Log io.Writer
 	// tamper seeds a fault that a checker must report; nil for none.
 	tamper func(*tampering)
 	// calm leaves out the schedule's faults.
@@ -64,7 +67,7 @@
 	if o.size == (Size{}) {
 		o.size = Size{Daemons: 7 + int(o.Seed%3), Fabrics: 2, Engines: 3, Plains: 2}
 	}
-	world, err := newWorld(o.Seed, o.size, watch)
+	world, err := newWorld(o.Seed, o.size, watch, o.Log)
 	if err != nil {
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
@@ -100,8 +103,8 @@
 	}
 	stopped := s.faultsWithAPlannedStop(o, r, end)
 	pause(ctx, time.Until(end))
+	c.checkRecovery(end.Add(-goodputWindow), func() string { return ops.groupStates(ctx) })
 	stop()
-	c.checkRecovery(end.Add(-goodputWindow))
 	c.checkRefusals()
 	for d, sp := range stopped {
 		c.checkPlannedStop(d, sp)
--- a/standin/runs/runs_test.go
+++ b/standin/runs/runs_test.go
@@ -19,6 +19,7 @@
 var (
 	soakSeed    = flag.Uint64("soak-seed", 0, "first seed of TestSoak, which is passed over when zero")
 	soakMinutes = flag.Int("soak-minutes", 10, "real minutes that TestSoak goes on")
+	logFile     = flag.String("daemon-log", "", "file for the daemons' log lines, for one seed at a time")
 	firstSeed   = flag.Uint64("first-seed", 1, "first seed of TestSeeds")
 	seeds       = flag.Int("seeds", 200, "seeds of TestSeeds")
 )
@@ -86,6 +87,12 @@
 
 // checkSeed runs one seed and fails the test with what it found.
 func checkSeed(t *testing.T, o Options, totals *totals) {
+	if *logFile != "" {
+		f, err := os.Create(*logFile)
+		assert.NilError(t, err)
+		defer f.Close()
+		o.Log = f
+	}
 	r := inBubble(t, o)
 	totals.add(r)
 	t.Logf("seed %d: %v", r.Seed, r.Counts)
--- a/standin/runs/world.go
+++ b/standin/runs/world.go
@@ -65,10 +65,11 @@
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 	watch    *watch
+	logs     io.Writer // of the daemons, nil for none
 }
 
 // newWorld starts the platform, the backend servers and the daemons.
-func newWorld(seed uint64, size Size, watch *watch) (*World, error) {
+func newWorld(seed uint64, size Size, watch *watch, logs io.Writer) (*World, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &World{
 		seed:  seed,
@@ -76,6 +77,7 @@
 		ctx:   ctx,
 		stop:  stop,
 		watch: watch,
+		logs:  logs,
 		platform: &platform.Platform{
 			Log:       platform.NewLog(platform.LogConfig{}),
 			Instances: platform.NewInstances(platform.InstancesConfig{}),
@@ -211,6 +213,10 @@
 }
 
 func (d *daemonHost) settings() *settings.Settings {
+	level := "error" // lines below it would be made for nothing
+	if d.world.logs != nil {
+		level = "info"
+	}
 	return &settings.Settings{
 		Name:             fmt.Sprintf("s%d-d%d", d.world.seed, d.number),
 		Zone:             string(zoneOf(d.number)),
@@ -227,7 +233,7 @@
 		DrainTimeout:     30 * time.Second,
 		MaxBodyBytes:     1 << 20,
 		MaxConnections:   4096,
-		LogLevel:         "error",
+		LogLevel:         level,
 		ExplainDecisions: 0,
 	}
 }
@@ -240,7 +246,11 @@
 		return nil
 	}
 	d.host = d.world.net.Host(d.ip)
-	env := daemon.Env{Dial: d.host.Dial, Log: io.Discard, Seed: d.world.seed*1000 + uint64(d.number*50+d.starts) + 1}
+	var logs io.Writer = io.Discard
+	if d.world.logs != nil {
+		logs = d.world.logs
+	}
+	env := daemon.Env{Dial: d.host.Dial, Log: logs, Seed: d.world.seed*1000 + uint64(d.number*50+d.starts) + 1}
 	for port, into := range map[string]*net.Listener{callersPort: &env.Callers, adminPort: &env.Admin, peersPort: &env.Peers} {
 		l, err := d.host.Listen(port)
 		if err != nil {
