Notice a log that lost records; tell a late publication as not published

Cause: a log that was replaced by an empty one answered reads with an end before what was folded, and the replica took that for a confirmation. Ruled out: stopping the replica, because its peers may still have a log that is whole.

A keeper whose claim can't reach the log waits 500 ms before the next instead of one tick.

--- a/internal/journal/events.go
+++ b/internal/journal/events.go
@@ -11,8 +11,8 @@
 	eventStarted = event.Define(1100, "journal.started", log.InfoLevel,
 		"The daemon has a state of the stream and folds on from it.", "Nothing.")
 	eventLogDown = event.Define(1101, "journal.log-down", log.WarnLevel,
-		"The platform's log does not answer for this stream; peers are asked instead.",
-		"Check the platform's log service and the network to it.")
+		"The platform's log does not answer for this stream, or has lost records; peers are asked instead.",
+		"Check the platform's log service and the network to it. If the log was replaced by an empty one, restart the daemons and publish again.")
 	eventLogUp = event.Define(1102, "journal.log-up", log.InfoLevel,
 		"The platform's log answers again for this stream.", "Nothing.")
 	eventStopped = event.Define(1103, "journal.stopped", log.ErrorLevel,
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -22,6 +22,9 @@
 // snapshot is in the log.
 var errNoSnapshot = errors.New("records have expired and there is no usable snapshot")
 
+// errLogBack is returned when the log ends before what was folded from it.
+var errLogBack = errors.New("the log has lost records that were folded")
+
 // tailLoop starts the replica up and follows the stream.
 func (r *Replica) tailLoop(ctx context.Context) {
 	delay := readRetryMin
@@ -80,6 +83,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if page.Next < from {
+		return false, errors.Wrapf(errLogBack, "next %d, folded up to %d", page.Next, from)
+	}
 	r.logAnswered()
 	if page.Oldest > r.next {
 		return false, &gapError{wanted: r.next, oldest: page.Oldest}
--- /dev/null
+++ b/internal/lease/bench_test.go
@@ -0,0 +1,58 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+func manyLeases(tb testing.TB, n int) (*lease.Book, lease.Renew) {
+	b := lease.NewBook()
+	var c lease.Claim
+	var r lease.Renew
+	for i := range n {
+		scope := lease.Scope(fmt.Sprintf("placement/%04d", i))
+		c.Items = append(c.Items, lease.ClaimItem{Scope: scope, Term: 1})
+		r.Items = append(r.Items, lease.RenewItem{Scope: scope, Term: 1, Renewal: 1})
+	}
+	assert.Assert(tb, apply(tb, b, "10.0.0.1:7000/0194", lease.KindClaim, c).Accepted)
+	return b, r
+}
+
+// BenchmarkRenew is the cost of folding one record of renewals.
+func BenchmarkRenew(b *testing.B) {
+	for _, scopes := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("scopes=%d", scopes), func(b *testing.B) {
+			book, renewal := manyLeases(b, scopes)
+			data, err := journal.Encode(renewal)
+			assert.NilError(b, err)
+			rec := journal.Record{Kind: lease.KindRenew, Author: "10.0.0.1:7000/0194", Body: data}
+			b.ReportMetric(float64(len(data)), "record-B")
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := book.Apply(0, rec)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is the cost of a snapshot and its bytes for each lease.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, scopes := range []int{64, 1024} {
+		b.Run(fmt.Sprintf("scopes=%d", scopes), func(b *testing.B) {
+			book, _ := manyLeases(b, scopes)
+			var data []byte
+			for b.Loop() {
+				var err error
+				data, err = book.Snapshot()
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(data))/float64(scopes), "B/lease")
+		})
+	}
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -28,8 +28,8 @@
 	// claims it, up to maxRankDelay.
 	rankDelay    = 300 * time.Millisecond
 	maxRankDelay = 1200 * time.Millisecond
-	// retryAfter passes before a renewal that is not in the log is followed
-	// by another.
+	// retryAfter passes before a renewal or claim that is not in the log is
+	// followed by another.
 	retryAfter = 500 * time.Millisecond
 	// maxRenewals bounds the renewals on their way, so that a slow log still
 	// gets one every RenewEvery.
@@ -77,7 +77,8 @@
 	mu       sync.Mutex
 	scopes   map[Scope]*scopeState
 	claiming bool // a claim is on its way
-	renewing int  // renewals on their way
+	claimAt  time.Time
+	renewing int // renewals on their way
 	renewAt  time.Time
 	stopped  bool // by ReleaseAll
 }
--- a/internal/lease/sending.go
+++ b/internal/lease/sending.go
@@ -96,7 +96,7 @@
 // sendClaims claims all scopes that are free in one record. The caller holds
 // mu.
 func (k *Keeper) sendClaims(ctx context.Context, now time.Time, alive []fleet.DaemonID) {
-	if k.claiming || !k.upToDate(now) {
+	if k.claiming || now.Before(k.claimAt) || !k.upToDate(now) {
 		return
 	}
 	var body Claim
@@ -116,7 +116,12 @@
 		return
 	}
 	k.claiming = true
-	k.propose(ctx, KindClaim, body, func(journal.Result) { k.claiming = false })
+	k.propose(ctx, KindClaim, body, func(res journal.Result) {
+		k.claiming = false
+		if res.Fate == journal.FateNotAppended {
+			k.claimAt = time.Now().Add(retryAfter)
+		}
+	})
 }
 
 // upToDate reports whether the daemon follows the log closely enough to judge
--- /dev/null
+++ b/internal/service/bench_test.go
@@ -0,0 +1,81 @@
+package service_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/service"
+)
+
+func engineChange(base uint64, i, revision int) service.Change {
+	name := fmt.Sprintf("drafts-%04d", i)
+	body := "service: " + name + engineFile[len("service: drafts"):] + fmt.Sprintf("# revision %d\n", revision)
+	return service.Change{Service: fleet.ServiceName(name), BaseRevision: base, Body: body, File: name + ".yaml", Owner: "gandaki", Syntax: service.Syntax}
+}
+
+func publishTo(tb testing.TB, b *service.Book, changes ...service.Change) journal.Verdict {
+	data, err := journal.Encode(publication("gandaki", changes...))
+	assert.NilError(tb, err)
+	v, err := b.Apply(0, journal.Record{Kind: service.KindPublish, Body: data})
+	assert.NilError(tb, err)
+	assert.Assert(tb, v.Accepted, v.Reason)
+	return v
+}
+
+func manyServices(tb testing.TB, n, revisions int) *service.Book {
+	b := service.NewBook()
+	for i := range n {
+		base := uint64(0)
+		for r := range revisions {
+			publishTo(tb, b, engineChange(base, i, r))
+			base = b.Catalog().Revision
+		}
+	}
+	return b
+}
+
+// BenchmarkPublish is the cost of folding one publication of one service.
+func BenchmarkPublish(b *testing.B) {
+	for _, services := range []int{1, 100, 500} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			book := manyServices(b, services, 1)
+			base := book.Catalog().Services["drafts-0000"].Revision
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				publishTo(b, book, engineChange(base, 0, i))
+				base = book.Catalog().Revision
+			}
+		})
+	}
+}
+
+// BenchmarkState is the bytes that one service takes in a snapshot and in
+// memory, without and with a full history.
+func BenchmarkState(b *testing.B) {
+	for _, revisions := range []int{1, service.MaxHistory} {
+		b.Run(fmt.Sprintf("revisions=%d", revisions), func(b *testing.B) {
+			const services = 200
+			for b.Loop() {
+				before := heap()
+				book := manyServices(b, services, revisions)
+				b.ReportMetric(float64(heap()-before)/services, "heap-B/service")
+				data, err := book.Snapshot()
+				assert.NilError(b, err)
+				b.ReportMetric(float64(len(data))/services, "snapshot-B/service")
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/service/helper_test.go
+++ b/internal/service/helper_test.go
@@ -38,6 +38,7 @@
 	mu   sync.Mutex
 	cut  bool // calls fail
 	hang bool // calls get no answer
+	mute bool // appends fail without a proof, reads go on
 }
 
 func (l *link) setCut(cut bool) {
@@ -52,6 +53,18 @@
 	l.hang = hang
 }
 
+func (l *link) setMute(mute bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = mute
+}
+
+func (l *link) isMute() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mute
+}
+
 func (l *link) pass(ctx context.Context) error {
 	l.mu.Lock()
 	cut, hang := l.cut, l.hang
@@ -69,6 +82,9 @@
 	if err := l.pass(ctx); err != nil {
 		return 0, err
 	}
+	if l.isMute() {
+		return 0, errCut
+	}
 	return l.Log.Append(ctx, s, p)
 }
 
@@ -136,9 +152,11 @@
 	cfg := journal.Config{Stream: journal.StreamConfig, Self: id, Log: d.link, Fold: d.book}
 	if p != nil {
 		cfg.Peers = p
-		p.add(d)
 	}
 	d.replica = journal.NewReplica(cfg)
+	if p != nil {
+		p.add(d)
+	}
 	d.Publisher = service.NewPublisher(d.replica, d.book, nil)
 	d.done.Go(func() { d.replica.Run(ctx) })
 	if snapshots {
--- a/internal/service/publish.go
+++ b/internal/service/publish.go
@@ -24,7 +24,7 @@
 	Conflicted OutcomeKind = "conflicts"
 	// Invalid: it can't be published as it is. Nothing was sent.
 	Invalid OutcomeKind = "invalid"
-	// NotPublished: it provably did not reach the log.
+	// NotPublished: it provably did not reach the log, or too late to count.
 	NotPublished OutcomeKind = "not-published"
 	// Unknown: it may have reached the log, now or later. Publishing it
 	// again is safe: the base revisions let at most one of the two count.
@@ -91,10 +91,13 @@
 	case journal.FateRejected:
 		out.Kind = Conflicted
 		out.Conflicts = decision.Conflicts
-		if len(out.Conflicts) == 0 { // the verdict came with a snapshot
+		out.Err = errors.New(res.Verdict.Reason)
+		if len(out.Conflicts) == 0 { // the verdict came with an adopted state
 			out.Conflicts = p.book.Conflicts(*pub)
 		}
-		out.Err = errors.New(res.Verdict.Reason)
+		if len(out.Conflicts) == 0 { // it reached the log too late to count
+			out.Kind = NotPublished
+		}
 	case journal.FateNotAppended:
 		out.Kind = NotPublished
 	default:
