--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -94,6 +94,23 @@
 	assert.Assert(t, asked.PromptTokens > 100)
 }
 
+// TestEachDecisionIsLogged: one line for each routing decision, with the ids
+// of the request and of the attempt that was sent, the group and the reason.
+func TestEachDecisionIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(4, behaviour{Fault: "cut", At: 8})
+		defer b.Close()
+		_, f := b.Generate(t.Context(), generation(), discard)
+		assert.Assert(t, f == nil)
+		lines := b.lines("dispatch.routed")
+		assert.Equal(t, len(lines), 2)
+		for i, group := range []string{"g0", "g2"} {
+			assert.Assert(t, strings.Contains(lines[i], "request=r1 attempt="+string(b.servers.attempts[i])+" "), lines[i])
+			assert.Assert(t, strings.Contains(lines[i], "group="+group+" reason="), lines[i])
+		}
+	})
+}
+
 // TestNoAttemptPassesAClosedGate: a group that is no longer whole when the
 // attempt is to be sent gets none.
 func TestNoAttemptPassesAClosedGate(t *testing.T) {
@@ -299,3 +316,28 @@
 		assert.Assert(t, f == nil, "the key was not given back: %v", f)
 	})
 }
+
+// TestStragglerIsKeptWithoutBudget: a slow stream is not given up for an
+// attempt that the retry budget would refuse.
+func TestStragglerIsKeptWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var script []behaviour
+		for range 200 {
+			script = append(script, behaviour{Fault: "broken_before"})
+		}
+		b := newBench(6, script...)
+		defer b.Close()
+		for len(b.servers.script) > 0 {
+			_, _ = b.Generate(t.Context(), generation(), discard)
+		}
+		b.servers.script = []behaviour{{Fault: "slow"}}
+		b.servers.tokens = 40
+		c := &caller{id: "r2"}
+		g := generation()
+		g.ID = "r2"
+		_, f := b.Generate(t.Context(), g, c.sink)
+		assert.Assert(t, f == nil, "%v", f)
+		assert.NilError(t, c.wrong)
+		assert.Equal(t, b.servers.ran["r2"], 1)
+	})
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -142,7 +143,7 @@
 		return make([]Scored, 0, n), func([]Scored) {}
 	}
 	held := p.scratch.Get().(*[]Scored)
-	return (*held)[:0], func(used []Scored) {
+	return slices.Grow((*held)[:0], n), func(used []Scored) {
 		*held = used
 		p.scratch.Put(held)
 	}
@@ -191,13 +192,3 @@
 func seconds(s float64) time.Duration {
 	return time.Duration(max(s, 0) * float64(time.Second))
 }
-
-// contains reports whether list holds id.
-func contains[T comparable](list []T, id T) bool {
-	for _, have := range list {
-		if have == id {
-			return true
-		}
-	}
-	return false
-}
