Go on after a lapsed hold only in an outage that peers confirm

A daemon that has alone lost the log sets it as well, and then went on ordering under its old term beside the new holder: the gate stays safe, but engines that ignore fencing would be pulled to and fro. Outage is now a function of its own, and without it a lapsed holder orders nothing. TestHolderFrozenBeforeItsOrder lets the woken daemon go on without log and lease; with the check of Outage taken out it fails with an order of the lapsed holder.

--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -28,10 +28,14 @@
 	Scopes func() []lease.Scope
 	// ScopeOf tells which scope a service belongs to.
 	ScopeOf func(fleet.ServiceName) lease.Scope
-	// Terms tells the current holder of a scope. With it, the last holder
-	// keeps ordering members into recorded groups while the log is down and
-	// its hold has lapsed. Nil for not.
-	Terms lease.Terms
+	// Terms and Outage let the last holder keep ordering members into
+	// recorded groups while the log is down and its hold has lapsed. Terms
+	// tells the current holder of a scope; Outage reports whether peers answer
+	// and neither they nor this daemon have the log. It must be false on a
+	// daemon that has lost its peers too: others may have taken over. Without
+	// both a lapsed holder orders nothing.
+	Terms  lease.Terms
+	Outage func() bool
 	// Snapshot gives what a scope's plan rests on. Scope, Term and Groups
 	// are filled in by the executor.
 	Snapshot func(scope lease.Scope) Snapshot
@@ -108,12 +112,13 @@
 // round plans and orders once for each scope.
 func (e *Executor) round(ctx context.Context) {
 	for _, scope := range e.cfg.Scopes() {
-		snap := e.snapshot(scope)
-		run := e.enter(scope, snap)
+		run := e.enter(scope)
 		if run == nil {
 			continue
 		}
+		snap := e.snapshot(scope)
 		snap.Term = run.term
+		snap.LogDown = snap.LogDown || run.outage
 		now := time.Now()
 		e.account(run, snap, now)
 		if !run.proposing.Load() {
@@ -139,7 +144,7 @@
 }
 
 // enter returns the work on a scope if this daemon may do it now, nil if not.
-func (e *Executor) enter(scope lease.Scope, snap Snapshot) *scopeRun {
+func (e *Executor) enter(scope lease.Scope) *scopeRun {
 	run := e.scopes[scope]
 	hold, ok := e.cfg.Leases.Held(scope)
 	if ok && hold.Valid(time.Now()) {
@@ -149,7 +154,7 @@
 		run.outage = false
 		return run
 	}
-	if run != nil && e.lastHolder(run, snap) {
+	if run != nil && e.lastHolder(run) {
 		run.outage = true
 		return run
 	}
@@ -178,8 +183,8 @@
 // lastHolder reports whether the log is down and this daemon was the last to
 // hold the scope, as far as anyone it hears knows. Its orders stay within the
 // records of the log, so that they need no agreement.
-func (e *Executor) lastHolder(run *scopeRun, snap Snapshot) bool {
-	if !snap.LogDown || e.cfg.Terms == nil {
+func (e *Executor) lastHolder(run *scopeRun) bool {
+	if e.cfg.Terms == nil || e.cfg.Outage == nil || !e.cfg.Outage() {
 		return false
 	}
 	l, ok := e.cfg.Terms.Current(run.scope)
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -93,6 +93,10 @@
 		r.engineOf(r.onlyGroup(d2).Members[0]).restart() // something to order for d1 as well
 		wakes := <-wake
 		time.Sleep(time.Until(wakes) + 10*time.Second)
+		for range 8 { // the woken daemon goes on without log and lease
+			r.engineOf(r.onlyGroup(d2).Members[0]).restart()
+			time.Sleep(3130 * time.Millisecond)
+		}
 		for _, e := range r.engines {
 			assert.Equal(t, e.lateOrders(1, wakes.Add(-time.Second)), 0, "an order of the lapsed holder at %s", e.instance.ID)
 		}
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -154,7 +154,7 @@
 func (run *scopeRun) permit(e *Executor) func(now time.Time) (time.Duration, bool) {
 	if run.outage {
 		return func(time.Time) (time.Duration, bool) {
-			return e.cfg.OrderTimeout, e.lastHolder(run, e.cfg.Snapshot(run.scope))
+			return e.cfg.OrderTimeout, e.lastHolder(run)
 		}
 	}
 	return func(now time.Time) (time.Duration, bool) {
--- a/internal/placement/rig_test.go
+++ b/internal/placement/rig_test.go
@@ -216,6 +216,7 @@
 		Self: id, Planner: placement.NewPlanner(placement.Policy{}), Proposer: d.replica, Book: d.book, Leases: d.keeper, Terms: d.leases,
 		Scopes:   func() []lease.Scope { return []lease.Scope{rigScope} },
 		ScopeOf:  func(fleet.ServiceName) lease.Scope { return rigScope },
+		Outage:   func() bool { return d.lostLog() && !d.log.isCut() },
 		Snapshot: d.snapshot, Engines: d, Metrics: d.metrics,
 		Events: event.NewLogger(r.t.Output(), 0, d.sink),
 	})
@@ -227,11 +228,13 @@
 	return d
 }
 
+func (d *rigDaemon) lostLog() bool { return time.Since(d.replica.Status().LogAt) > 5*time.Second }
+
 func (d *rigDaemon) snapshot(lease.Scope) placement.Snapshot {
 	s := placement.Snapshot{
 		Revision:  1,
 		Instances: map[fleet.InstanceID]placement.InstanceState{},
-		LogDown:   time.Since(d.replica.Status().LogAt) > 5*time.Second && !d.log.isCut(),
+		LogDown:   d.lostLog(),
 		InFlight:  map[fleet.GroupID]uint32{},
 		Wanted: []placement.Wanted{{
 			Service: "drafting", Revision: 1, Pool: "p", Model: "m", Version: "v1", Role: "serve",
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -63,9 +63,7 @@
 	InFlight map[fleet.GroupID]uint32
 	// LoadsRunning counts groups that are loading from the weight store now.
 	LoadsRunning int
-	// LogDown is set while nothing can be agreed: neither this daemon nor any
-	// peer that it hears has the log, and peers do answer. A daemon that has
-	// lost the log and all peers must not set it: others may have taken over.
+	// LogDown is set while nothing can be agreed.
 	LogDown bool
 }
 
--- a/standin/experiment/placement/run.go
+++ b/standin/experiment/placement/run.go
@@ -156,7 +156,12 @@
 // plan runs the planner once and carries its actions out.
 func (r *runner) plan(logDown bool) {
 	truth := r.world.snapshot(r.weights, logDown, true)
-	seen := r.world.snapshot(r.weights, logDown, false)
+	r.truth = truth
+	r.now = placement.MeasureServices(truth, r.world.now, 0)[service]
+	seen := truth
+	if r.world.undetected() {
+		seen = r.world.snapshot(r.weights, logDown, false)
+	}
 	seen.InFlight = r.world.inFlights(truth)
 	r.world.releaseStrays(seen)
 	actions := r.planner.Plan(seen, r.world.now)
@@ -168,8 +173,6 @@
 		r.world.take(a, truth)
 	}
 	r.world.order(seen)
-	r.truth = r.world.snapshot(r.weights, logDown, true)
-	r.now = placement.MeasureServices(r.truth, r.world.now, 0)[service]
 	r.busy = len(actions) > 0 || r.now.Down() > 0 || len(r.world.drained) > 0 || r.outdated()
 }
 
--- a/standin/experiment/placement/world.go
+++ b/standin/experiment/placement/world.go
@@ -165,6 +165,16 @@
 	return all
 }
 
+// undetected reports whether an instance is gone that the planner still sees.
+func (w *world) undetected() bool {
+	for _, e := range w.engines {
+		if e.down && w.now.Sub(e.downAt) < detectAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) report(e *engine) fleet.Report {
 	r := fleet.Report{
 		Instance: e.instance.ID, Incarnation: e.incarnation, Assignment: e.assigned, Ready: e.ready,
