--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -77,12 +77,14 @@
 // AIMD raises the limit while the target is kept and the limit is used, and
 // lowers it, from what was really in flight, when more than 5 in 100 of a
 // window miss the target. Until the first such window it starts from the
-// service's capacity, or doubles.
+// service's capacity, or doubles. Requests that started before the last
+// decrease tell nothing of it and are passed over.
 type AIMD struct {
 	cfg     AIMDConfig
 	limit   float64
-	lowered bool // once a window has missed the target
-	floor time.Duration // lowest mean of a window, slowly rising
+	lowered bool          // once a window has missed the target
+	cut     time.Time     // of the last such window
+	floor   time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
 	seen    int
@@ -114,8 +116,8 @@
 
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
-	if res.Failed {
-		return
+	if res.Failed || now.Add(-res.Total).Before(a.cut) {
+		return // tells nothing, or of the time before the last decrease
 	}
 	if a.start.IsZero() {
 		a.start = now
@@ -128,7 +130,7 @@
 		a.late++
 	}
 	if a.seen >= windowLeast && now.Sub(a.start) >= windowTime {
-		a.step()
+		a.step(now)
 		a.start = now
 	}
 }
@@ -139,12 +141,13 @@
 }
 
 // step ends a window.
-func (a *AIMD) step() {
+func (a *AIMD) step(now time.Time) {
 	mean := a.sum / time.Duration(a.seen)
 	switch {
 	case float64(a.late) > lateShare*float64(a.seen):
 		a.limit = max(min(a.limit, float64(a.busiest))*decreaseTo, DefaultMin)
 		a.lowered = true
+		a.cut = now
 	case float64(a.busiest) < busyShare*a.limit:
 	case a.lowered:
 		a.limit = min(max(a.limit*growth, a.limit+1), DefaultMax)
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -9,7 +10,6 @@
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
-	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/placement"
@@ -132,6 +132,27 @@
 	}
 }
 
+// forgetEvery is the time between two looks for groups that are gone.
+const forgetEvery = time.Second
+
+// forgetPrefixes drops what was remembered of the caches of groups that are
+// gone or have another epoch, whose engines began with empty ones.
+func (d *Daemon) forgetPrefixes(ctx context.Context) {
+	known := map[fleet.GroupID]fleet.Epoch{}
+	for pause(ctx, forgetEvery) {
+		groups := d.groups.View().Groups
+		for id, epoch := range known {
+			if g, ok := groups[id]; !ok || g.Epoch != epoch {
+				d.index.Forget(id)
+				delete(known, id)
+			}
+		}
+		for id, g := range groups {
+			known[id] = g.Epoch
+		}
+	}
+}
+
 // planningSnapshot is what one round of planning of a scope rests on.
 func (d *Daemon) planningSnapshot(scope lease.Scope) placement.Snapshot {
 	now := time.Now()
@@ -263,22 +284,3 @@
 	}
 	return d.env.Peers.Addr().String()
 }
-
-// statuses are those of the streams that every request rests on.
-func (d *Daemon) statuses() []journal.Status {
-	return []journal.Status{d.config.Status(), d.control.Status()}
-}
-
-// Ready reports whether the daemon takes requests from the balancer, and why
-// not.
-func (d *Daemon) Ready() (bool, string) {
-	if d.draining.Load() {
-		return false, "draining"
-	}
-	return d.informed()
-}
-
-// informed reports whether the daemon knows enough of the present to act.
-func (d *Daemon) informed() (bool, string) {
-	return membership.Readiness(time.Now(), d.mesh.View(), d.statuses(), d.mesh.EverHadPeers(), membership.ReadinessPolicy{})
-}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/admission"
@@ -19,10 +18,6 @@
 const (
 	// bytesPerToken is a rough size of a prompt's token.
 	bytesPerToken = 4
-	// prefixBlock is the length in bytes of the prompt's prefixes that are
-	// hashed; maxPrefixes bounds how many are.
-	prefixBlock = 256
-	maxPrefixes = 32
 	// stragglerTokens is how many tokens are seen before a group can be
 	// called a straggler.
 	stragglerTokens = 16
@@ -102,39 +97,19 @@
 		Zone:         d.cfg.Zone,
 		PromptTokens: uint32(len(g.Prompt)/bytesPerToken + 1),
 		MaxTokens:    g.MaxTokens,
-		Prefixes:     Prefixes(g.Service, g.Adapter, g.Prompt),
+		Prefixes:     routing.Prefixes(g.Prompt),
 		Alone:        alone,
 	}
 	return r, nil
 }
 
-// Prefixes returns the hashes of a prompt's prefixes, longest last, as engines
-// name them in their cache events.
-func Prefixes(s fleet.ServiceName, adapter fleet.Adapter, prompt string) []uint64 {
-	n := min(len(prompt)/prefixBlock, maxPrefixes)
-	if n == 0 {
-		return nil
-	}
-	hashes := make([]uint64, n)
-	h := xxhash.New()
-	_, _ = h.WriteString(string(s))
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(string(adapter))
-	_, _ = h.WriteString("\x00")
-	for i := range hashes {
-		_, _ = h.WriteString(prompt[i*prefixBlock : (i+1)*prefixBlock])
-		hashes[i] = h.Sum64()
-	}
-	return hashes
-}
-
 // admitted routes, asks admission and runs the attempts.
 func (r *generation) admitted(ctx context.Context, ws service.WorkspaceSpec) (backend.End, *fleet.Failure) {
-	dec := r.routeNow("")
+	dec := r.routeNow()
 	if dec.Chosen == nil {
 		return backend.End{}, r.noGroup()
 	}
-	ticket, f := r.d.admit(ctx, r.spec, ws, dec)
+	ticket, f := r.d.admit(ctx, r.spec, ws, dec.Decision)
 	if f != nil {
 		return backend.End{}, f
 	}
@@ -171,7 +146,7 @@
 			return end, nil
 		}
 		if errors.Is(cause, errCallerGone) {
-			r.mayHave = true
+			r.mayHaveRun = true
 			return backend.End{}, r.fail(fleet.ReasonCanceled, 0, cause.Error())
 		}
 		if f := r.again(ctx, t, cause); f != nil {
@@ -302,16 +277,17 @@
 	return nil
 }
 
-// leaveStraggler reports whether there is another group to go to, and keeps
-// that decision. A request moves once.
+// leaveStraggler reports whether there is another group to go to and the
+// retry budget lets the request go there, and keeps that decision. A request
+// moves once.
 func (r *generation) leaveStraggler(t target) bool {
 	if r.moved || r.made >= orDefault(r.spec.Limits.MaxAttempts, defaultMaxAttempts) {
 		return false
 	}
 	r.moved = true
 	r.avoid(t.Candidate)
-	dec := r.routeNow("")
-	if dec.Chosen == nil {
+	dec := r.routeNow()
+	if dec.Chosen == nil || !r.pay() {
 		return false
 	}
 	r.next = &dec
--- /dev/null
+++ b/internal/routing/score_test.go
@@ -0,0 +1,127 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+func TestInFlightTakesTheLargerEstimate(t *testing.T) {
+	c := Candidate{Running: 3, Queued: 2, SinceReport: 1, OwnInFlight: 2, PeerInFlight: 2}
+	assert.Equal(t, InFlight(c), 6.0)
+	c.PeerInFlight = 9
+	assert.Equal(t, InFlight(c), 11.0)
+}
+
+func TestWaitGrowsOnceTheBatchIsFull(t *testing.T) {
+	c := whole(1)[0]
+	req := Request{Service: model}
+	c.OwnInFlight = c.MaxRunning - 1
+	assert.Equal(t, PredictWait(req, c), time.Duration(0))
+	c.OwnInFlight = c.MaxRunning + 1
+	two := PredictWait(req, c)
+	assert.Assert(t, two > 0)
+	c.OwnInFlight = c.MaxRunning + 3
+	assert.Assert(t, PredictWait(req, c) > two)
+}
+
+func TestScorers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(worse *Candidate)
+	}{
+		{"full batch", func(c *Candidate) { c.Running, c.Queued = 40, 10 }},
+		{"full batch by peers' counts", func(c *Candidate) { c.PeerInFlight = 60 }},
+		{"own dispatches that no report shows", func(c *Candidate) { c.SinceReport = 5 }},
+		{"slow between tokens", func(c *Candidate) { c.Running, c.TokensPerSecond = 10, 100 }},
+		{"other zone", func(c *Candidate) { c.Zone = "b" }},
+		{"fabric domain to avoid", func(c *Candidate) { c.Fabric = "dark" }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			candidates := whole(2)
+			test.change(&candidates[0])
+			policy := DefaultPolicy()
+			policy.Picker = Cheapest{}
+			req := Request{Service: model, Zone: "a", AvoidFabric: []fleet.FabricDomain{"dark"}}
+			d := policy.Choose(req, candidates, seeded(1))
+			assert.Equal(t, d.Chosen.Group, fleet.GroupID("g1"))
+			assert.Equal(t, d.Others[0].Candidate.Group, fleet.GroupID("g0"))
+		})
+	}
+}
+
+func TestCachedPrefixCountsOnlyWithinTheLoadBound(t *testing.T) {
+	index := NewPrefixIndex(100)
+	req := Request{Service: model, PromptTokens: 2000, Prefixes: []uint64{1, 2, 3, 4}}
+	for _, prefix := range req.Prefixes {
+		index.Observe("g0", prefix, false)
+	}
+	policy := DefaultPolicy().WithPrefixes(index)
+	candidates := whole(4)
+	for i := range candidates {
+		candidates[i].OwnInFlight = 8
+	}
+	for seed := range uint64(20) {
+		d := policy.Choose(req, candidates, seeded(seed))
+		assert.Equal(t, d.Chosen.Group, fleet.GroupID("g0"))
+	}
+	candidates[0].OwnInFlight = 20
+	score := CachedPrefix{Index: index}
+	req.meanInFlight = 11
+	assert.Equal(t, score.Cost(req, candidates[0]), 0.0)
+}
+
+func TestPowerOfTwoSpreadsOverTheBetterOnes(t *testing.T) {
+	scored := []Scored{{Cost: 1}, {Cost: 1.001}, {Cost: 1.002}, {Cost: 9}}
+	rng := seeded(1)
+	var picked [4]int
+	for range 900 {
+		picked[PowerOfTwo{}.Pick(rng, scored)]++
+	}
+	assert.Equal(t, picked[3], 0)
+	assert.Assert(t, picked[0] > picked[1] && picked[1] > picked[2] && picked[2] > 50, "%v", picked)
+}
+
+// mostAllocs bounds the allocations of one choice, whatever the number of
+// groups: the decision's candidate and list of others, and what the pool may
+// have dropped.
+const mostAllocs = 8
+
+func TestChooseAllocatesNothingForEachCandidate(t *testing.T) {
+	policy, req, candidates := large(225)
+	rng := seeded(1)
+	allocs := testing.AllocsPerRun(100, func() { policy.Choose(req, candidates, rng) })
+	assert.Assert(t, allocs <= mostAllocs, "%v", allocs)
+}
+
+// large returns a policy that knows prefixes and n candidates under load.
+func large(n int) (Policy, Request, []Candidate) {
+	index := NewPrefixIndex(3000)
+	candidates := whole(n)
+	req := Request{Service: model, Version: "v1", Zone: "a", PromptTokens: 1200}
+	for i := range uint64(18) {
+		req.Prefixes = append(req.Prefixes, i)
+	}
+	for i := range candidates {
+		candidates[i].Running, candidates[i].OwnInFlight = uint32(20+i%20), uint32(i%5)
+		for _, prefix := range req.Prefixes[:i%18] {
+			index.Observe(candidates[i].Group, prefix, false)
+		}
+	}
+	return DefaultPolicy().WithPrefixes(index), req, candidates
+}
+
+func benchmarkChoose(b *testing.B, n int) {
+	policy, req, candidates := large(n)
+	rng := seeded(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		policy.Choose(req, candidates, rng)
+	}
+}
+
+func BenchmarkChoose20(b *testing.B)  { benchmarkChoose(b, 20) }
+func BenchmarkChoose225(b *testing.B) { benchmarkChoose(b, 225) }
--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -11,30 +11,48 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	placementexp "carawayproxy.example/caraway/standin/experiment/placement"
 	"carawayproxy.example/caraway/standin/experiment/serving"
+	"carawayproxy.example/caraway/standin/experiment/suspects"
 )
 
 // options are the command's flags.
 type options struct {
-	Suite    string `long:"suite" env:"CARAWAY_EXPERIMENT_SUITE" default:"all" description:"suite to run: all, routing, admission, flood or retries"`
+	Suite    string `long:"suite" env:"CARAWAY_EXPERIMENT_SUITE" default:"all" description:"suite to run: all, routing, admission, flood, retries, placement or suspects"`
 	Seeds    int    `long:"seeds" env:"CARAWAY_EXPERIMENT_SEEDS" default:"3" description:"runs of each case, with the seeds 1 and up"`
 	Scenario string `long:"scenario" env:"CARAWAY_EXPERIMENT_SCENARIO" description:"only the cases whose name contains this"`
 	Policy   string `long:"policy" env:"CARAWAY_EXPERIMENT_POLICY" description:"only the policies whose name contains this"`
-	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table; none are written without it"`
+	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table of the first four suites; none are written without it"`
 }
 
-// suite is one table, made by run or written by write.
+// suite makes one table.
 type suite struct {
 	name  string
-	table func(o options) *serving.Table
+	write func(o options, w io.Writer) error
 }
 
 func suites() []suite {
 	return []suite{
-		{name: "routing", table: routing},
-		{name: "admission", table: admission},
-		{name: "flood", table: flood},
-		{name: "retries", table: retries},
+		{name: "routing", write: tabled(routing)},
+		{name: "admission", write: tabled(admission)},
+		{name: "flood", write: tabled(flood)},
+		{name: "retries", write: tabled(retries)},
+		{name: "placement", write: func(o options, w io.Writer) error { return placementexp.Table(w, o.Seeds) }},
+		{name: "suspects", write: func(o options, w io.Writer) error { return suspects.Table(w, o.Seeds) }},
+	}
+}
+
+// tabled writes a table of the serving suites, and its files.
+func tabled(table func(o options) *serving.Table) func(o options, w io.Writer) error {
+	return func(o options, w io.Writer) error {
+		t := table(o)
+		if err := t.WriteText(w); err != nil {
+			return err
+		}
+		if o.Out == "" || len(t.Rows) == 0 {
+			return nil
+		}
+		return t.Save(o.Out)
 	}
 }
 
@@ -63,7 +81,10 @@
 			continue
 		}
 		found = true
-		if err := write(s.table(o), o.Out, w); err != nil {
+		if err := s.write(o, w); err != nil {
+			return errors.Wrap(err, s.name)
+		}
+		if _, err := fmt.Fprintln(w); err != nil {
 			return errors.Wrap(err, s.name)
 		}
 	}
@@ -73,20 +94,6 @@
 	return nil
 }
 
-// write prints a table and saves its files.
-func write(t *serving.Table, out string, w io.Writer) error {
-	if err := t.WriteText(w); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintln(w); err != nil {
-		return errors.Wrap(err, "write table")
-	}
-	if out == "" || len(t.Rows) == 0 {
-		return nil
-	}
-	return t.Save(out)
-}
-
 func routing(o options) *serving.Table {
 	cases := only(serving.RoutingCases(), o.Scenario, func(c serving.RoutingCase) string { return c.Name })
 	policies := only(serving.Policies(), o.Policy, func(p serving.NamedPolicy) string { return p.Name })
--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -12,9 +12,11 @@
 
 const (
 	largeShare     = 0.3 // of the load, each of two workspaces
+	largeWeight    = 6   // small ones have 1
 	smallCount     = 8
 	smallShare     = 0.05
 	floodFactor    = 10
+	recoverFor     = 45 * time.Second // after a flood
 	shortQueue     = 200 * time.Millisecond
 	perDaemonSlots = fleetGroups * maxRunning / fleetDaemons
 )
@@ -23,6 +25,7 @@
 type NamedLimit struct {
 	Name    string
 	Limiter func() admission.Limiter
+	Borrow  float64
 	// Plain limits know neither capacity nor deadline.
 	Plain      bool
 	NoCapacity bool
@@ -34,6 +37,8 @@
 	learned := func() admission.Limiter { return admission.NewAIMD(admission.AIMDConfig{}) }
 	return []NamedLimit{
 		{Name: "learned", Limiter: learned},
+		{Name: "learned, borrow 0.85", Limiter: learned, Borrow: 0.85},
+		{Name: "learned, borrow all", Limiter: learned, Borrow: 1},
 		{Name: "learned, capacity unknown", Limiter: learned, NoCapacity: true},
 		{Name: "learned, queue 200 ms", Limiter: learned, QueueFor: shortQueue},
 		{Name: "fixed, right", Limiter: fixedLimit(perDaemonSlots), Plain: true},
@@ -49,8 +54,8 @@
 // sources are two large workspaces and eight small ones.
 func sources(rate float64) []Source {
 	all := []Source{
-		{Workspace: "large-0", Weight: 1, Rate: largeShare * rate},
-		{Workspace: "large-1", Weight: 1, Rate: largeShare * rate},
+		{Workspace: "large-0", Weight: largeWeight, Rate: largeShare * rate},
+		{Workspace: "large-1", Weight: largeWeight, Rate: largeShare * rate},
 	}
 	for i := range smallCount {
 		name := fleet.Workspace(fmt.Sprintf("small-%d", i))
@@ -65,7 +70,7 @@
 		Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons, Sources: from,
 		Warmup: 20 * time.Second, Duration: 30 * time.Second,
 		Policy: routing.DefaultPolicy, Prefixes: true,
-		Limiter: l.Limiter, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
+		Limiter: l.Limiter, BorrowShare: l.Borrow, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
 	}
 }
 
@@ -78,11 +83,9 @@
 		Value:  2,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, load := range loads {
-		for _, l := range limits {
-			t.Add(admissionRow(l, load, capacity, seeds)...)
-		}
-	}
+	t.fill(len(loads)*len(limits), func(i int) []string {
+		return admissionRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
+	})
 	return t
 }
 
@@ -135,25 +138,19 @@
 		end := calm.Warmup + calm.Duration
 		flooded.Sources[0].Flood = floodFactor
 		flooded.Sources[0].FloodFrom, flooded.Sources[0].FloodTo = calm.Warmup, end
+		flooded.Tail = recoverFor
 		c, s := Run(calm), Run(flooded)
 		f.CalmRefused += c.small(f.CalmFirst, f.CalmTotal, c.RefusedOf)
 		f.FloodRefused += s.small(f.FloodFirst, f.FloodTotal, s.RefusedOf)
 		f.SmallAnswered += int(f.FloodTotal.Count())
 
-		flooded.Duration += 60 * time.Second
-		recovery, ok := RunRecovery(flooded, end)
+		recovery, ok := s.Recovery(end, s.FirstTokensInTime)
 		f.Recovery = max(f.Recovery, recovery)
 		f.Recovered = f.Recovered && ok
 	}
 	return f
 }
 
-// RunRecovery returns how long after a moment first tokens are in time.
-func RunRecovery(s Scenario, end time.Duration) (time.Duration, bool) {
-	st := Run(s)
-	return st.Recovery(end, st.FirstTokensInTime)
-}
-
 // small merges the small workspaces' times and sums a count of theirs.
 func (s *Stats) small(first, total *Latency, counts map[fleet.Workspace]int) int {
 	sum := 0
@@ -172,27 +169,36 @@
 		Name:  "flood",
 		Title: "A large workspace asks for ten times its load: small ones, 95 in 100, against the same seeds without",
 		Header: []string{"load before", "limit", "first token ms, calm", "flood", "moved %",
-			"total ms, calm", "flood", "moved %", "refused, calm", "flood", "recovery s"},
+			"total ms, calm", "flood", "moved %", "refused, calm", "flood", "answered", "recovery s"},
 		Value: 4,
 	}
 	capacity := Capacity(fleetGroups)
-	for _, load := range loads {
-		for _, l := range limits {
-			f := RunFlood(l, load, capacity, seeds)
-			recovery := "never"
-			if f.Recovered {
-				recovery = strconv.Itoa(int(f.Recovery.Seconds()))
-			}
-			t.Add(fmt.Sprintf("%g", load), l.Name,
-				millis(f.CalmFirst.At(95)), millis(f.FloodFirst.At(95)), moved(f.CalmFirst, f.FloodFirst),
-				millis(f.CalmTotal.At(95)), millis(f.FloodTotal.At(95)), moved(f.CalmTotal, f.FloodTotal),
-				strconv.Itoa(f.CalmRefused), strconv.Itoa(f.FloodRefused), recovery)
-		}
-	}
+	t.fill(len(loads)*len(limits), func(i int) []string {
+		return floodRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
+	})
 	return t
 }
 
-// moved writes by how much the 95th percentile differs.
-func moved(calm, flood *Latency) string {
-	return percent(float64(flood.At(95))/float64(calm.At(95)) - 1)
+func floodRow(l NamedLimit, load, capacity float64, seeds int) []string {
+	f := RunFlood(l, load, capacity, seeds)
+	return []string{
+		fmt.Sprintf("%g", load), l.Name,
+		millis(f.CalmFirst.At(95)), millis(f.FloodFirst.At(95)), percent(Moved(f.CalmFirst, f.FloodFirst)),
+		millis(f.CalmTotal.At(95)), millis(f.FloodTotal.At(95)), percent(Moved(f.CalmTotal, f.FloodTotal)),
+		strconv.Itoa(f.CalmRefused), strconv.Itoa(f.FloodRefused), strconv.Itoa(f.SmallAnswered),
+		wholeSeconds(f.Recovery, f.Recovered),
+	}
+}
+
+// Moved is by which part the 95th percentile differs.
+func Moved(calm, flood *Latency) float64 {
+	return float64(flood.At(95))/float64(calm.At(95)) - 1
+}
+
+// wholeSeconds writes a recovery time.
+func wholeSeconds(d time.Duration, ok bool) string {
+	if !ok {
+		return "never"
+	}
+	return strconv.Itoa(int(d.Seconds()))
 }
--- a/standin/experiment/serving/run.go
+++ b/standin/experiment/serving/run.go
@@ -47,6 +47,7 @@
 	Daemons  int
 	Warmup   time.Duration // not counted
 	Duration time.Duration // counted
+	Tail     time.Duration // after it, not counted but in Seconds
 
 	Sources []Source
 	// Policy makes one daemon's routing policy; Prefixes adds what it knows
@@ -55,6 +56,8 @@
 	Prefixes bool
 	// Limiter makes a daemon's limiter; without one nothing is refused.
 	Limiter func() admission.Limiter
+	// BorrowShare is admission's.
+	BorrowShare float64
 	// LimitOnly leaves the capacity and the deadline out of admission.
 	LimitOnly bool
 	// NoCapacity leaves the capacity out.
@@ -100,7 +103,7 @@
 	for i := range s.Sources {
 		r.arriveNext(&r.Sources[i], rand.New(rand.NewPCG(s.Seed, uint64(10+i))))
 	}
-	r.loop.runUntil(s.Warmup + s.Duration)
+	r.loop.runUntil(s.Warmup + s.Duration + s.Tail)
 	for _, e := range r.engines {
 		r.stats.Groups = append(r.stats.Groups, e.ended)
 	}
@@ -150,7 +153,7 @@
 			d.policy = d.policy.WithPrefixes(r.index)
 		}
 		if r.Limiter != nil {
-			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter})
+			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter, BorrowShare: r.BorrowShare})
 		}
 		if r.Retries.Budget != nil {
 			d.budget = r.Retries.Budget()
