Bound the appends of a record that the log goes on refusing

Cause: a record whose first append got no answer was sent again without end while the log refused every further append and still answered reads; its proposer waited for the whole of its context. Now a record is sent at most 8 times and the fate is told as unknown. Ruled out: telling it at the first refusal, because a rate limit passes and reading back then settles it.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -58,6 +58,7 @@
 		if bytes += len(p.payload); bytes > maxBatchBytes {
 			break
 		}
+		p.calls++
 		p.attempts++
 		batch = append(batch, p)
 		r.queue = r.queue[1:]
@@ -144,7 +145,7 @@
 	for _, p := range batch {
 		switch {
 		case p.settled:
-		case readErr != nil || p.attempts >= maxAppendAttempts:
+		case readErr != nil || p.attempts >= maxAppendAttempts || p.calls >= maxAppendCalls:
 			r.settleOpen(p, cause)
 		default:
 			again = append(again, p)
--- a/internal/journal/propose.go
+++ b/internal/journal/propose.go
@@ -14,8 +14,10 @@
 	// appendRetryDelay passes before records of an append without an answer,
 	// which the log did not show, are sent again.
 	appendRetryDelay = 200 * time.Millisecond
-	// maxAppendAttempts bounds how often one record is sent.
+	// maxAppendAttempts bounds the appends without an answer of one record,
+	// maxAppendCalls all of its appends, refused ones among them.
 	maxAppendAttempts = 4
+	maxAppendCalls    = 8
 	// maxBatchRecords and maxBatchBytes bound one append.
 	maxBatchRecords = 256
 	maxBatchBytes   = 2 * MaxRecordBytes
@@ -28,7 +30,8 @@
 type proposal struct {
 	record   Record
 	payload  []byte      // encoded at the first attempt
-	attempts int         // appends that may have carried it
+	calls    int         // appends that were tried
+	attempts int         // of these, appends that may have carried it
 	settled  bool        // done has its result, or nobody waits for one
 	done     chan Result // holds one
 }
--- a/internal/journal/replica_test.go
+++ b/internal/journal/replica_test.go
@@ -119,6 +119,24 @@
 	})
 }
 
+// After an append without an answer the log refuses every further one: the
+// proposer is told that the fate is unknown and does not wait without end.
+func TestRefusalsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := startDaemon(t, "a", platform.NewLog(platform.LogConfig{}), nil)
+		mustAccept(t, d.Propose(t.Context(), kindAdd, add{"before"}))
+		d.link.set(func(l *link) { l.mute = true })
+		time.AfterFunc(100*time.Millisecond, func() {
+			d.link.set(func(l *link) { l.refuse = true })
+		})
+		ctx, cancel := bound(time.Minute)
+		defer cancel()
+		start := time.Now()
+		assert.Equal(t, d.Propose(ctx, kindAdd, add{"lost"}).Fate, journal.FateUnknown)
+		assert.Assert(t, time.Since(start) < 3*time.Second, "after %v", time.Since(start))
+	})
+}
+
 func TestLogDownRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := platform.NewLog(platform.LogConfig{})
