--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -243,7 +243,7 @@
 		rest = slices.Collect(c.group.All())
 	} else {
 		g.Epoch++
-		g.Term = r.snap.Term
+		g.Term, g.Phase = r.snap.Term, group.PhaseActive
 		g.ServiceRevision = c.want.Revision
 	}
 	for _, m := range rest {
--- a/internal/placement/turnover.go
+++ b/internal/placement/turnover.go
@@ -37,13 +37,40 @@
 		drained := r.now.Sub(c.hist.drainSince)
 		switch {
 		case drained >= r.policy.DrainBound:
-			r.dissolve(c, "its drain has reached its bound")
+			r.renewOrDissolve(c, "its drain has reached its bound")
 		case drained >= r.policy.DrainSettle && r.snap.InFlight[c.group.ID] == 0:
-			r.dissolve(c, "it is drained")
+			r.renewOrDissolve(c, "it is drained")
 		}
 	}
 }
 
+// renewOrDissolve ends a drained group. One that is still needed and was
+// drained for some of its members only gets substitutes for those: the others
+// keep their weights.
+func (r *round) renewOrDissolve(c *condition, reason string) {
+	needed := c.want != nil && r.standing(c.want) < c.want.Groups && !r.held(c.want) && r.canLoad()
+	c.lost = r.unfit(c)
+	if needed && len(c.lost) > 0 && len(c.lost) < len(c.composition) {
+		if subs := r.substitutes(c); subs != nil {
+			r.substituteWay(c, ActionRepair, subs).do()
+			return
+		}
+	}
+	r.dissolve(c, reason)
+}
+
+// unfit lists the ranks whose instance would get no place now.
+func (r *round) unfit(c *condition) []int {
+	var ranks []int
+	for rank, m := range c.composition {
+		st, known := r.snap.Instances[m.Instance]
+		if !known || !r.usable(m.Instance, st) {
+			ranks = append(ranks, rank)
+		}
+	}
+	return ranks
+}
+
 // drainLeaving drains the groups that have a leaving member: they get no new
 // requests anyhow.
 func (r *round) drainLeaving() {
