--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -57,6 +57,9 @@
 	// that before the first decrease.
 	growth      = 1.05
 	firstGrowth = 2.0
+	// aim is the part of the target at which a request counts as late, so
+	// that the target itself is kept while the limit goes up and down.
+	aim = 0.6
 	// floorTolerance is how far above its lowest a latency beyond the target
 	// may be to count as on time, for services that are slow when idle.
 	floorTolerance = 2.0
@@ -137,7 +140,7 @@
 
 // bound is the latency beyond which a request is late.
 func (a *AIMD) bound() time.Duration {
-	return max(a.cfg.Target, time.Duration(floorTolerance*float64(a.floor)))
+	return max(time.Duration(aim*float64(a.cfg.Target)), time.Duration(floorTolerance*float64(a.floor)))
 }
 
 // step ends a window.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -14,7 +14,9 @@
 	DefaultTokenInterval = 38 * time.Millisecond
 	// DefaultZonePenalty is the cost of leaving the availability zone.
 	DefaultZonePenalty = 5 * time.Millisecond
-	// DispatchCost is the cost of an own dispatch that no report shows yet.
+	// OwnCost is the cost of each of the daemon's own requests at a group,
+	// and DispatchCost what one costs besides until a report shows it.
+	OwnCost      = 2 * time.Millisecond
 	DispatchCost = 10 * time.Millisecond
 	// DefaultFabricPenalty is the cost of a fabric domain to avoid.
 	DefaultFabricPenalty = 5 * time.Second
@@ -73,9 +75,10 @@
 }
 
 // Wait costs the predicted time to the first token from the lagging report,
-// corrected by own and peers' dispatches since. Each own dispatch since the
-// report adds DispatchCost: prompts that arrive together are read one after
-// the other, and only the daemon's own are known without a lag.
+// corrected by own and peers' dispatches since. The daemon's own requests add
+// OwnCost, and DispatchCost until a report shows them: prompts that arrive
+// together are read one after the other, and only its own are known to a
+// daemon without a lag.
 type Wait struct{}
 
 // Name implements Scorer.
@@ -84,11 +87,14 @@
 // Cost implements Scorer.
 func (Wait) Cost(req Request, c Candidate) float64 {
 	prefill := float64(req.PromptTokens) / DefaultPrefillRate
-	return queueSeconds(c) + prefill + float64(c.SinceReport)*DispatchCost.Seconds()
+	own := float64(c.OwnInFlight)*OwnCost.Seconds() + float64(c.SinceReport)*DispatchCost.Seconds()
+	return queueSeconds(c) + prefill + own
 }
 
-// TokenInterval costs the predicted time between tokens, weighted by how many
-// the request asks for, so that small batches and quick groups go first.
+// TokenInterval costs the part of the time between tokens that is beyond the
+// target, over a usual answer, so that slow groups go last. Below the target
+// all groups are alike: daemons that share a lagging view would else all
+// chase the group that was quickest.
 type TokenInterval struct {
 	// Target is the time between tokens that is good enough,
 	// DefaultTokenInterval when zero.
@@ -108,8 +114,7 @@
 		return 0
 	}
 	interval := float64(c.Running) / c.TokensPerSecond
-	over := max(interval-target.Seconds(), 0)
-	return interval + over*unknownTokens
+	return max(interval-target.Seconds(), 0) * unknownTokens
 }
 
 // CachedPrefix lowers the cost by the prefill that a cached prefix saves. The
