Wire the outage rule, gone daemons, domain sizes and the link policy

Cause: placement, ledger and suspects grew inputs that the daemon did not give: without Outage a lapsed holder promoted no spare while the log was down, without Gone a repeat waited its whole deadline for a dead owner, without the sizes of fabric domains a dark one weighed like single deaths. Ruled out: judging an outage by the own log alone; it needs informed peers as well. Before: nil inputs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,7 +155,13 @@
 		d.ledgers = append(d.ledgers, r)
 		shards[i] = ledger.Shard{Proposer: r, Book: book}
 	}
-	d.records = ledger.NewClient(ledger.ClientConfig{Self: d.id, Shards: shards, Events: d.events, Metrics: d.metrics})
+	d.records = ledger.NewClient(ledger.ClientConfig{
+		Self:    d.id,
+		Shards:  shards,
+		Events:  d.events,
+		Metrics: d.metrics,
+		Gone:    d.gone,
+	})
 	d.snapshot = journal.NewSnapshotter(journal.SnapshotterConfig{
 		Log:      base.Log,
 		Self:     d.id,
@@ -193,6 +199,7 @@
 		Replicas:    relays,
 		OnSightings: func(s []suspect.Sighting) { d.tracker.Observe(s) },
 		OnLeaving:   d.peerLeaving.add,
+		Policy:      linkPolicies[d.set.PeerLinks],
 		Events:      d.events,
 		Metrics:     d.metrics,
 	})
@@ -228,6 +235,7 @@
 		Leases:   d.keeper,
 		Scopes:   d.placementScopes,
 		Terms:    d.leases,
+		Outage:   d.outage,
 		ScopeOf:  d.scopeOf,
 		Snapshot: d.planningSnapshot,
 		Engines:  d.engines,
@@ -240,6 +248,7 @@
 		Proposer: d.control,
 		Events:   d.events,
 		Metrics:  d.metrics,
+		Groups:   d.groupsByFabric,
 	})
 	d.admission = admission.NewController(admission.Config{Seed: d.random(admissionStream).Uint64()})
 	d.dispatcher = dispatch.New(dispatch.Config{
@@ -258,6 +267,12 @@
 	})
 }
 
+// linkPolicies are the choices of the peer-links setting.
+var linkPolicies = map[string]membership.LinkPolicy{
+	"full":    membership.FullMesh{},
+	"bounded": membership.Bounded{},
+}
+
 // Streams of random choices, each with its own source.
 const (
 	routingStream = iota + 1
--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/membership"
 )
@@ -51,3 +52,28 @@
 func (d *Daemon) informed() (bool, string) {
 	return membership.Readiness(time.Now(), d.mesh.View(), d.statuses(), d.mesh.EverHadPeers(), membership.ReadinessPolicy{})
 }
+
+// outage reports whether the log is down for all: this daemon has not heard it
+// for a while, its peers answer, and none of them has it.
+func (d *Daemon) outage() bool {
+	now := time.Now()
+	if now.Sub(d.control.Status().LogAt) <= membership.DefaultMaxAge {
+		return false
+	}
+	informed, _ := d.informed()
+	return informed && d.mesh.View().AliveAt(now, membership.DefaultAliveFor) > 0
+}
+
+// gone reports whether a daemon is known to have stopped for good: it is not
+// announced in the log and not heard. One that is announced again a moment
+// later costs a caller a wait, never a second run.
+func (d *Daemon) gone(id fleet.DaemonID) bool {
+	if id == d.id || d.mesh.View().Peers[id].Alive {
+		return false
+	}
+	if informed, _ := d.informed(); !informed {
+		return false
+	}
+	_, announced := d.registry.AnnouncedAt(id)
+	return !announced
+}
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -157,6 +157,7 @@
 func (d *Daemon) planningSnapshot(scope lease.Scope) placement.Snapshot {
 	now := time.Now()
 	s := placement.Snapshot{
+		Revision:  d.services.Catalog().Revision,
 		Groups:    d.groups.View(),
 		Instances: map[fleet.InstanceID]placement.InstanceState{},
 		InFlight:  d.inFlightEverywhere(),
@@ -227,6 +228,15 @@
 	}
 }
 
+// groupsByFabric counts the groups of each fabric domain.
+func (d *Daemon) groupsByFabric() map[fleet.FabricDomain]int {
+	out := map[fleet.FabricDomain]int{}
+	for _, g := range d.groups.View().Groups {
+		out[g.Fabric]++
+	}
+	return out
+}
+
 // loading reports whether a member of the group gets its weights now.
 func (d *Daemon) loading(g *group.Group) bool {
 	for _, m := range g.Members {
