Let unsteady instances serve when no others can; forgive dark domains

Ruled out: a hung executor and a lapsed lease; the holder planned to the end. A service without any standing group now takes unsteady instances, and a loss that was the domain's is taken back from each instance's count. Conclusion: shunning is a preference, not a bar.

--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -19,6 +19,10 @@
 		}
 		for n := r.standing(w); n < w.Groups && !r.held(w) && r.canLoad(); n++ {
 			domains := r.domainsWithRoom(w)
+			if len(domains) == 0 && r.standing(w) == 0 {
+				r.admitShunned(w.Pool)
+				domains = r.domainsWithRoom(w)
+			}
 			if len(domains) == 0 {
 				break
 			}
@@ -116,7 +120,7 @@
 func (r *round) take(ids []fleet.InstanceID) []group.Member {
 	var members []group.Member
 	for _, id := range ids {
-		delete(r.free, id)
+		r.occupy(id)
 		members = append(members, r.member(id))
 	}
 	return members
--- a/internal/placement/history.go
+++ b/internal/placement/history.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// forgive takes the present loss back from the count: a dark fabric domain
+// says nothing about the instance itself.
+func (ih *instanceHistory) forgive() {
+	n := len(ih.losses)
+	if n > 0 && !ih.lostSince.IsZero() && ih.losses[n-1].Equal(ih.lostSince) {
+		ih.losses = ih.losses[:n-1]
+	}
+}
+
 // recentLosses counts the losses within the window.
 func (ih *instanceHistory) recentLosses(window time.Duration, now time.Time) int {
 	n := 0
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -235,7 +235,7 @@
 	g.Members = slices.Clone(c.composition)
 	for i, rank := range c.lost {
 		g.Members[rank] = subs[i]
-		delete(r.free, subs[i].Instance)
+		r.occupy(subs[i].Instance)
 	}
 	g.Spares = nil
 	rest := r.usableSpares(c)
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -38,6 +38,7 @@
 	now     time.Time
 	groups  []*condition // of the scope, by id
 	free    map[fleet.InstanceID]bool
+	placed  map[fleet.InstanceID]bool // given a place in this round
 	dark    map[fleet.FabricDomain]bool
 	loads   int // groups that load now or by this plan
 	starts  int // loads that this plan may still begin
@@ -54,6 +55,7 @@
 func newRound(p Policy, h *history, s Snapshot, now time.Time, starts int) *round {
 	r := &round{policy: p, hist: h, snap: s, now: now, starts: starts}
 	r.free = map[fleet.InstanceID]bool{}
+	r.placed = map[fleet.InstanceID]bool{}
 	r.findDark()
 	for _, id := range slices.Sorted(maps.Keys(s.Groups.Groups)) {
 		g := s.Groups.Groups[id]
@@ -141,6 +143,11 @@
 	for f, n := range all {
 		r.dark[f] = n > 1 && float64(lost[f]) >= r.policy.DarkShare*float64(n)
 	}
+	for id, st := range r.snap.Instances {
+		if r.dark[st.Instance.Fabric] {
+			r.hist.instance(id, r.now).forgive()
+		}
+	}
 }
 
 // findFree notes the instances that may be given a place.
@@ -157,11 +164,33 @@
 
 // usable reports whether an instance may take a place in a group.
 func (r *round) usable(id fleet.InstanceID, st InstanceState) bool {
+	return present(st) && !r.hist.instance(id, r.now).shunned(r.policy, r.now)
+}
+
+// present reports whether an instance is an engine that is there to stay, be
+// it unsteady or not.
+func present(st InstanceState) bool {
 	in := st.Instance
-	if in.Kind != fleet.KindEngine || !st.Listed || !st.Alive || in.Leaving || st.Report.Leaving {
-		return false
+	return in.Kind == fleet.KindEngine && st.Listed && st.Alive && !in.Leaving && !st.Report.Leaving
+}
+
+// occupy takes an instance out of the free ones.
+func (r *round) occupy(id fleet.InstanceID) {
+	delete(r.free, id)
+	r.placed[id] = true
+}
+
+// admitShunned makes the shunned instances of a pool free as well: a group of
+// unsteady instances is better than none.
+func (r *round) admitShunned(pool fleet.Pool) {
+	for id, st := range r.snap.Instances {
+		if _, taken := r.snap.Groups.ByInstance[id]; taken || r.placed[id] {
+			continue
+		}
+		if st.Instance.Pool == pool && present(st) {
+			r.free[id] = true
+		}
 	}
-	return !r.hist.instance(id, r.now).shunned(r.policy, r.now)
 }
 
 // freeIn returns the free instances of a pool and fabric domain, steady ones
