Keep net/http's own log lines out of the daemon's log

Cause: net/http wrote 'timeout waiting for PING response' to the standard logger, outside the numbered events. Before: stray lines. Conclusion: what matters about a peer is already an event of membership or backend.

--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -61,7 +63,8 @@
 }
 
 // NewServer returns a server for one listener. It speaks HTTP/1.1 and HTTP/2,
-// with TLS when tlsConfig is set and in clear text otherwise.
+// with TLS when tlsConfig is set and in clear text otherwise. Errors of single
+// connections are not logged: clients come and go.
 func NewServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
@@ -70,6 +73,7 @@
 	return &http.Server{
 		Handler:           h,
 		TLSConfig:         tlsConfig,
+		ErrorLog:          log.New(io.Discard, "", 0),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
