--- a/internal/journal/state_test.go
+++ b/internal/journal/state_test.go
@@ -243,6 +243,26 @@
 	})
 }
 
+// The record is in the adopted state; its repeat comes after it.
+func TestRepeatAcrossASnapshotCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := platform.NewLog(platform.LogConfig{})
+		payload := encode(t, journal.Record{
+			Format: journal.RecordFormat, ID: journal.RecordID{7}, Kind: kindAdd, Body: body(t, add{"one"}),
+		})
+		appendAll(t, l, payload)
+		a := startDaemon(t, "a", l, nil)
+		synctest.Wait()
+		s, err := a.Export()
+		assert.NilError(t, err)
+		fold := &tally{}
+		b := journal.NewReplica(journal.Config{Stream: journal.StreamControl, Fold: fold})
+		assert.NilError(t, b.Adopt(s))
+		assert.Equal(t, b.Offer([]journal.Entry{{Offset: 1, Payload: payload}}), journal.Offset(2))
+		assert.DeepEqual(t, fold.added(), []string{"one"})
+	})
+}
+
 func TestAdoptOnlyMovesForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := platform.NewLog(platform.LogConfig{})
--- a/internal/lease/types.go
+++ b/internal/lease/types.go
@@ -20,8 +20,9 @@
 	Scope  Scope
 	Term   Term
 	Holder fleet.DaemonID
-	// Renewals counts the renewals of this term, so that an observer sees
-	// that the holder still renews.
+	// Renewals is the number of the latest renewal of this term that counts.
+	// It grows while the holder renews; a renewal that was lost leaves a gap
+	// in the numbers.
 	Renewals uint64
 	Released bool
 }
