--- a/standin/experiment/placement/run.go
+++ b/standin/experiment/placement/run.go
@@ -78,18 +78,18 @@
 	start    time.Time
 	losses   []loss // not begun, by time
 	ongoing  []loss
-	lost     int
+	returned int
 	busy     bool
 	stirred  time.Duration // when something last happened
 	truth    placement.Snapshot
-	now      placement.Measure
+	current  placement.Measure
 }
 
 func (r *runner) past() time.Duration { return r.world.now.Sub(r.start) }
 
 // warmUp lets the first groups form and load; the measures begin after it.
 func (r *runner) warmUp() {
-	for r.now.Whole < wantedGroups || r.busy {
+	for r.current.Whole < wantedGroups || r.busy {
 		r.plan(false)
 		r.world.now = r.world.now.Add(step)
 		r.world.load(step)
@@ -134,9 +134,9 @@
 	var still []loss
 	for _, l := range r.ongoing {
 		if l.ends <= r.past() {
-			r.lost++
+			r.returned++
 			r.stirred = r.past()
-			r.world.end(l, r.lost)
+			r.world.end(l, r.returned)
 		} else {
 			still = append(still, l)
 		}
@@ -157,7 +157,7 @@
 func (r *runner) plan(logDown bool) {
 	truth := r.world.snapshot(r.weights, logDown, true)
 	r.truth = truth
-	r.now = placement.MeasureServices(truth, r.world.now, 0)[service]
+	r.current = placement.MeasureServices(truth, r.world.now, 0)[service]
 	seen := truth
 	if r.world.undetected() {
 		seen = r.world.snapshot(r.weights, logDown, false)
@@ -173,7 +173,7 @@
 		r.world.take(a, truth)
 	}
 	r.world.order(seen)
-	r.busy = len(actions) > 0 || r.now.Down() > 0 || len(r.world.drained) > 0 || r.outdated()
+	r.busy = len(actions) > 0 || r.current.Down() > 0 || len(r.world.drained) > 0 || r.outdated()
 }
 
 // outdated reports whether a group of another version than the wanted stands.
@@ -195,8 +195,8 @@
 		}
 	}
 	sec := d.Seconds()
-	r.result.Downtime += float64(r.now.Down()) * sec
-	r.result.Stranded += float64(r.now.Stranded) * sec
+	r.result.Downtime += float64(r.current.Down()) * sec
+	r.result.Stranded += float64(r.current.Stranded) * sec
 	r.result.Idle += float64(healthy-r.serving()*groupSize*accelerators) * sec
 	r.result.Slow += r.world.slow(r.truth) * sec
 }
