Poll and read the log over HTTP/1.1

Ruled out: HTTP/1.1 for attempts and calls, which run side by side in large numbers. A timed-out poll now drops its connection with it.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -22,6 +22,12 @@
 // Client speaks to backend servers by their published protocols. It
 // implements Engines and Plains and is safe for concurrent use.
 type Client struct {
+	runs  servers // attempts and calls
+	polls servers // reports, health, orders
+}
+
+// servers makes and keeps a client for each backend server.
+type servers struct {
 	http    *http.Client
 	engines sync.Map // address to carawayv1connect.EngineServiceClient
 	plains  sync.Map // address to carawayv1connect.PlainServiceClient
@@ -32,10 +38,13 @@
 	_ Plains  = (*Client)(nil)
 )
 
-// NewClient returns a client that sends over the given HTTP client.
-func NewClient(client *http.Client) *Client { return &Client{http: client} }
+// NewClient returns a client that sends attempts and calls over the first HTTP
+// client, and polls and orders over the second.
+func NewClient(runs, polls *http.Client) *Client {
+	return &Client{runs: servers{http: runs}, polls: servers{http: polls}}
+}
 
-func (c *Client) engine(address string) carawayv1connect.EngineServiceClient {
+func (c *servers) engine(address string) carawayv1connect.EngineServiceClient {
 	if v, ok := c.engines.Load(address); ok {
 		return v.(carawayv1connect.EngineServiceClient)
 	}
@@ -44,7 +53,7 @@
 	return v.(carawayv1connect.EngineServiceClient)
 }
 
-func (c *Client) plain(address string) carawayv1connect.PlainServiceClient {
+func (c *servers) plain(address string) carawayv1connect.PlainServiceClient {
 	if v, ok := c.plains.Load(address); ok {
 		return v.(carawayv1connect.PlainServiceClient)
 	}
@@ -70,7 +79,7 @@
 // Run implements Engines.
 func (c *Client) Run(ctx context.Context, address string, a Attempt) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s, err := c.engine(address).Run(ctx, connect.NewRequest(&carawayv1.RunRequest{
+	s, err := c.runs.engine(address).Run(ctx, connect.NewRequest(&carawayv1.RunRequest{
 		RequestId:  string(a.Request),
 		AttemptId:  string(a.ID),
 		Service:    string(a.Service),
@@ -125,13 +134,13 @@
 
 // Cancel implements Engines.
 func (c *Client) Cancel(ctx context.Context, address string, id fleet.AttemptID) error {
-	_, err := c.engine(address).Cancel(ctx, connect.NewRequest(&carawayv1.CancelRequest{AttemptId: string(id)}))
+	_, err := c.runs.engine(address).Cancel(ctx, connect.NewRequest(&carawayv1.CancelRequest{AttemptId: string(id)}))
 	return err
 }
 
 // Report implements Engines.
 func (c *Client) Report(ctx context.Context, address string) (fleet.Report, error) {
-	resp, err := c.engine(address).Report(ctx, connect.NewRequest(&carawayv1.ReportRequest{}))
+	resp, err := c.polls.engine(address).Report(ctx, connect.NewRequest(&carawayv1.ReportRequest{}))
 	if err != nil {
 		return fleet.Report{}, err
 	}
@@ -194,7 +203,7 @@
 
 // Apply implements Engines.
 func (c *Client) Apply(ctx context.Context, address string, o Order) (OrderResult, error) {
-	resp, err := c.engine(address).Apply(ctx, connect.NewRequest(&carawayv1.ApplyRequest{
+	resp, err := c.polls.engine(address).Apply(ctx, connect.NewRequest(&carawayv1.ApplyRequest{
 		OrderId:      o.ID,
 		FencingToken: o.FencingToken,
 		Assign:       toAssignment(o.Assign),
@@ -209,7 +218,7 @@
 
 // CacheEvents implements Engines.
 func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, uint64, error) {
-	resp, err := c.engine(address).CacheEvents(ctx, connect.NewRequest(&carawayv1.CacheEventsRequest{After: after}))
+	resp, err := c.polls.engine(address).CacheEvents(ctx, connect.NewRequest(&carawayv1.CacheEventsRequest{After: after}))
 	if err != nil {
 		return nil, after, err
 	}
@@ -223,7 +232,7 @@
 // Call implements Plains. An answer that the service gives as an error is an
 // AnswerError.
 func (c *Client) Call(ctx context.Context, address string, call Call) (CallAnswer, error) {
-	resp, err := c.plain(address).Call(ctx, connect.NewRequest(&carawayv1.CallRequest{
+	resp, err := c.runs.plain(address).Call(ctx, connect.NewRequest(&carawayv1.CallRequest{
 		RequestId: string(call.Request),
 		AttemptId: string(call.ID),
 		Service:   string(call.Service),
@@ -256,7 +265,7 @@
 
 // Health implements Plains.
 func (c *Client) Health(ctx context.Context, address string) (fleet.Report, error) {
-	resp, err := c.plain(address).Health(ctx, connect.NewRequest(&carawayv1.HealthRequest{}))
+	resp, err := c.polls.plain(address).Health(ctx, connect.NewRequest(&carawayv1.HealthRequest{}))
 	if err != nil {
 		return fleet.Report{}, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,7 +94,8 @@
 	dispatcher *dispatch.Dispatcher
 	publisher  *service.Publisher
 
-	client   *http.Client
+	runs     *http.Client // attempts and calls
+	polls    *http.Client // reports, orders and the platform
 	engines  *backend.Client
 	draining atomic.Bool
 	drainNow chan struct{}
@@ -117,8 +118,9 @@
 		drainNow:  make(chan struct{}),
 	}
 	d.events = event.NewLogger(env.Log, level, d.decisions.record).With("daemon", d.id)
-	d.client = httpx.NewClient(env.Dial)
-	d.engines = backend.NewClient(d.client)
+	d.runs = httpx.NewClient(env.Dial)
+	d.polls = httpx.NewPollClient(env.Dial)
+	d.engines = backend.NewClient(d.runs, d.polls)
 	d.agreed()
 	d.seen()
 	d.acting()
@@ -134,7 +136,7 @@
 	d.suspects = suspect.NewBook()
 	base := journal.Config{
 		Self:    d.id,
-		Log:     platform.NewLog(d.client, d.set.Platform),
+		Log:     platform.NewLog(d.polls, d.set.Platform),
 		Budget:  rate.NewLimiter(rate.Limit(d.set.AppendRate), int(d.set.AppendRate)),
 		Peers:   peerSource{d},
 		Events:  d.events,
@@ -176,7 +178,7 @@
 
 // seen makes the parts that watch the present.
 func (d *Daemon) seen() {
-	d.list = platform.NewList(d.client, d.set.Platform)
+	d.list = platform.NewList(d.polls, d.set.Platform)
 	d.index = routing.NewPrefixIndex(prefixCapacity)
 	d.watcher = backend.NewWatcher(backend.WatcherConfig{
 		Engines:     d.engines,
@@ -321,9 +323,9 @@
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
-	d.client.CloseIdleConnections()
 	parts.Wait()
-	d.client.CloseIdleConnections()
+	d.runs.CloseIdleConnections()
+	d.polls.CloseIdleConnections()
 	d.events.Emit(eventStopped)
 	return nil
 }
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -86,21 +86,33 @@
 	}
 }
 
-// NewClient returns a client that speaks cleartext HTTP/2 over dial. A failed
-// dial shows as ErrDial.
+// NewClient returns a client for streams and calls that run side by side. It
+// speaks cleartext HTTP/2 over dial. A failed dial shows as ErrDial.
 func NewClient(dial DialFunc) *http.Client {
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		Protocols:           p,
+	t := newTransport(dial)
+	t.Protocols = p
+	t.HTTP2 = &http.HTTP2Config{
+		SendPingTimeout:  pingAfter,
+		PingTimeout:      pingTimeout,
+		WriteByteTimeout: writeByteTimeout,
+	}
+	return &http.Client{Transport: t}
+}
+
+// NewPollClient returns a client for small calls that follow one another. It
+// speaks HTTP/1.1, which takes about half the processor time of HTTP/2 for
+// them, and drops a connection with the call that timed out on it.
+func NewPollClient(dial DialFunc) *http.Client {
+	return &http.Client{Transport: newTransport(dial)}
+}
+
+func newTransport(dial DialFunc) *http.Transport {
+	return &http.Transport{
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingAfter,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: writeByteTimeout,
-		},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -110,7 +122,7 @@
 			}
 			return conn, nil
 		},
-	}}
+	}
 }
 
 // dialError wraps what kept a connection from being made.
