Split the lease keeper's steps from the order of daemons

keeper_step.go holds what a look at the leases sends, spread.go the rendezvous order; sending.go named neither. Ruled out: a package of its own for the order, which only leases use. No behaviour changes: all three packages pass three times under -race.

--- a/internal/lease/sending.go
+++ b/internal/lease/keeper_step.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
 )
@@ -181,23 +179,3 @@
 		then(res)
 	})
 }
-
-// rank returns a daemon's place in the order of a scope by rendezvous
-// hashing: how many live daemons come before it.
-func rank(scope Scope, self fleet.DaemonID, alive []fleet.DaemonID) int {
-	own := score(scope, self)
-	before := 0
-	for _, id := range alive {
-		if id == self {
-			continue
-		}
-		if s := score(scope, id); s > own || (s == own && id < self) {
-			before++
-		}
-	}
-	return before
-}
-
-func score(scope Scope, id fleet.DaemonID) uint64 {
-	return xxhash.Sum64String(string(scope) + "\x00" + string(id))
-}
--- /dev/null
+++ b/internal/lease/spread.go
@@ -0,0 +1,27 @@
+package lease
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// rank returns a daemon's place in the order of a scope by rendezvous
+// hashing: how many live daemons come before it.
+func rank(scope Scope, self fleet.DaemonID, alive []fleet.DaemonID) int {
+	own := score(scope, self)
+	before := 0
+	for _, id := range alive {
+		if id == self {
+			continue
+		}
+		if s := score(scope, id); s > own || (s == own && id < self) {
+			before++
+		}
+	}
+	return before
+}
+
+func score(scope Scope, id fleet.DaemonID) uint64 {
+	return xxhash.Sum64String(string(scope) + "\x00" + string(id))
+}
