--- a/internal/journal/helper_test.go
+++ b/internal/journal/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -176,6 +177,12 @@
 	c.by[e.Name]++
 }
 
+func (c *eventCount) all() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.by)
+}
+
 func (c *eventCount) of(name string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
