--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -235,7 +235,7 @@
 	g.Members = slices.Clone(c.composition)
 	for i, rank := range c.lost {
 		g.Members[rank] = subs[i]
-		delete(r.free, subs[i].Instance)
+		r.occupy(subs[i].Instance)
 	}
 	g.Spares = nil
 	rest := r.usableSpares(c)
@@ -243,7 +243,7 @@
 		rest = slices.Collect(c.group.All())
 	} else {
 		g.Epoch++
-		g.Term = r.snap.Term
+		g.Term, g.Phase = r.snap.Term, group.PhaseActive
 		g.ServiceRevision = c.want.Revision
 	}
 	for _, m := range rest {
--- a/standin/experiment/placement/world.go
+++ b/standin/experiment/placement/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -165,6 +164,16 @@
 	return all
 }
 
+// undetected reports whether an instance is gone that the planner still sees.
+func (w *world) undetected() bool {
+	for _, e := range w.engines {
+		if e.down && w.now.Sub(e.downAt) < detectAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) report(e *engine) fleet.Report {
 	r := fleet.Report{
 		Instance: e.instance.ID, Incarnation: e.incarnation, Assignment: e.assigned, Ready: e.ready,
@@ -263,8 +272,7 @@
 			held[m.Instance] = !admitted[id]
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
-		e := w.engines[id]
+	for id, e := range w.engines {
 		if !e.down && !held[id] && !sameAssignment(e.assigned, placed[id]) {
 			w.assign(e, placed[id])
 		}
