Test the fold's clock by itself

Cause: only the ledger's cases covered it. TestClock asserts that time needs three authors, follows the lower median, never runs back, forgets authors that are silent for 1024 records, and goes on alike after a restore. Guards off, each put back: a clock that may run back gave 100 for 200; silent authors not forgotten failed 'silent authors are kept'.

--- /dev/null
+++ b/internal/foldtime/foldtime_test.go
@@ -0,0 +1,38 @@
+package foldtime
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// TestClock: time needs three authors, follows the lower median, never runs
+// back, forgets silent authors, and goes on alike after a restore.
+func TestClock(t *testing.T) {
+	var c Clock
+	c.Observe("a", 100)
+	c.Observe("wrong", 1_000_000)
+	assert.Equal(t, c.Milli(), int64(0))
+	c.Observe("b", 200)
+	assert.Equal(t, c.Milli(), int64(200))
+	c.Observe("d", 50)
+	c.Observe("e", 60)
+	assert.Equal(t, c.Milli(), int64(200), "time ran back")
+
+	for i := range 3 * AuthorSpan {
+		c.Observe(fleet.DaemonID(fmt.Sprint("n", i%3)), int64(5000+i))
+	}
+	assert.Equal(t, len(c.State().Authors), MinAuthors, "silent authors are kept")
+	assert.Equal(t, c.Milli(), int64(5000+3*AuthorSpan-2))
+
+	var restored Clock
+	restored.Restore(c.State())
+	for i := range 100 {
+		id, at := fleet.DaemonID(fmt.Sprint("m", i)), int64(9000+i)
+		assert.Equal(t, restored.Observe(id, at), c.Observe(id, at))
+	}
+	assert.DeepEqual(t, restored.State(), c.State())
+}
