runs: planned stops meet forty calls

In twelve runs only three calls in all had met the planned stop that no other fault touches, so the checker hardly bit.

--- a/standin/runs/checkers_test.go
+++ b/standin/runs/checkers_test.go
@@ -25,6 +25,7 @@
 	r := inBubble(t, Options{Seed: 1, Length: 4 * time.Minute, calm: true, size: small})
 	assert.Equal(t, len(r.Findings), 0, "%v", r.Findings)
 	assert.Assert(t, r.Counts["calls whole"] > 300, "%v", r.Counts)
+	assert.Assert(t, r.Counts["calls during a planned stop"] >= least["calls during a planned stop"], "%v", r.Counts)
 }
 
 // TestCheckersReport seeds one fault for each checker and expects its report.
--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,10 @@
 	recoveryBound = 60 * time.Second
 	goodputWindow = 30 * time.Second
 	callerPause   = 3 * time.Second
+
+	// A planned stop meets stopCalls calls, spread over stopCallsOver.
+	stopCalls     = 40
+	stopCallsOver = 4 * time.Second
 )
 
 // Options of one run.
@@ -122,9 +127,7 @@
 	}
 	pause(s.ctx, quietPause)
 	d := s.daemon(r)
-	stop := span{from: time.Now()}
-	d.drain()
-	stop.to = time.Now()
+	stop := s.stopUnderLoad(d, r)
 	s.watch.count("planned stops while quiet")
 	_ = d.start()
 	pause(s.ctx, quietPause/4)
@@ -134,6 +137,30 @@
 	return map[*daemonHost]span{d: stop}
 }
 
+// stopUnderLoad stops a daemon as planned while calls to it are under way and
+// new ones come, and returns when that was.
+func (s *schedule) stopUnderLoad(d *daemonHost, r *rand.Rand) span {
+	var calls sync.WaitGroup
+	for i := range stopCalls {
+		after := time.Duration(r.Int64N(int64(stopCallsOver)))
+		prompt := s.callers.next("stop")
+		calls.Go(func() {
+			pause(s.ctx, after)
+			if i%2 == 0 {
+				s.callers.generateOnce(s.ctx, d, prompt)
+			} else {
+				s.callers.invoke(s.ctx, d, methodBook, prompt, []byte(prompt))
+			}
+		})
+	}
+	pause(s.ctx, stopCallsOver/2)
+	stop := span{from: time.Now()}
+	d.drain()
+	stop.to = time.Now()
+	calls.Wait()
+	return stop
+}
+
 // sampleWhile looks at engines and daemons again and again.
 func sampleWhile(ctx context.Context, s *schedule) {
 	for n := 0; ; n++ {
