--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,7 +155,13 @@
 		d.ledgers = append(d.ledgers, r)
 		shards[i] = ledger.Shard{Proposer: r, Book: book}
 	}
-	d.records = ledger.NewClient(ledger.ClientConfig{Self: d.id, Shards: shards, Events: d.events, Metrics: d.metrics})
+	d.records = ledger.NewClient(ledger.ClientConfig{
+		Self:    d.id,
+		Shards:  shards,
+		Events:  d.events,
+		Metrics: d.metrics,
+		Gone:    d.gone,
+	})
 	d.snapshot = journal.NewSnapshotter(journal.SnapshotterConfig{
 		Log:      base.Log,
 		Self:     d.id,
@@ -193,6 +199,7 @@
 		Replicas:    relays,
 		OnSightings: func(s []suspect.Sighting) { d.tracker.Observe(s) },
 		OnLeaving:   d.peerLeaving.add,
+		Policy:      linkPolicies[d.set.PeerLinks],
 		Events:      d.events,
 		Metrics:     d.metrics,
 	})
@@ -203,7 +210,7 @@
 		Catalog:      d.services.Catalog,
 		Leaving:      d.leaving,
 		PeerInFlight: d.peerInFlight,
-		Policy:       routing.DefaultPolicy(),
+		Policy:       routing.DefaultPolicy().WithPrefixes(d.index),
 		Rand:         d.random(routingStream),
 	})
 	d.lapses = datastore.NewLapses(d.store)
@@ -228,6 +235,7 @@
 		Leases:   d.keeper,
 		Scopes:   d.placementScopes,
 		Terms:    d.leases,
+		Outage:   d.outage,
 		ScopeOf:  d.scopeOf,
 		Snapshot: d.planningSnapshot,
 		Engines:  d.engines,
@@ -240,6 +248,7 @@
 		Proposer: d.control,
 		Events:   d.events,
 		Metrics:  d.metrics,
+		Groups:   d.groupsByFabric,
 	})
 	d.admission = admission.NewController(admission.Config{Seed: d.random(admissionStream).Uint64()})
 	d.dispatcher = dispatch.New(dispatch.Config{
@@ -258,13 +267,20 @@
 	})
 }
 
+// linkPolicies are the choices of the peer-links setting.
+var linkPolicies = map[string]membership.LinkPolicy{
+	"full":    membership.FullMesh{},
+	"bounded": membership.Bounded{},
+}
+
 // Streams of random choices, each with its own source.
 const (
 	routingStream = iota + 1
 	admissionStream
 )
 
-const prefixCapacity = 1 << 16
+// prefixCapacity is how many cached prefixes are remembered of each group.
+const prefixCapacity = 1 << 12
 
 func (d *Daemon) random(stream uint64) *rand.Rand {
 	seed := d.env.Seed
@@ -325,6 +341,7 @@
 		d.records.Run,
 		d.greet,
 		d.tellReadiness,
+		d.forgetPrefixes,
 		func(ctx context.Context) { d.list.Run(ctx, listEvery, d.listFailed) },
 	}
 	for _, r := range d.replicas() {
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -131,10 +132,32 @@
 	}
 }
 
+// forgetEvery is the time between two looks for groups that are gone.
+const forgetEvery = time.Second
+
+// forgetPrefixes drops what was remembered of the caches of groups that are
+// gone or have another epoch, whose engines began with empty ones.
+func (d *Daemon) forgetPrefixes(ctx context.Context) {
+	known := map[fleet.GroupID]fleet.Epoch{}
+	for pause(ctx, forgetEvery) {
+		groups := d.groups.View().Groups
+		for id, epoch := range known {
+			if g, ok := groups[id]; !ok || g.Epoch != epoch {
+				d.index.Forget(id)
+				delete(known, id)
+			}
+		}
+		for id, g := range groups {
+			known[id] = g.Epoch
+		}
+	}
+}
+
 // planningSnapshot is what one round of planning of a scope rests on.
 func (d *Daemon) planningSnapshot(scope lease.Scope) placement.Snapshot {
 	now := time.Now()
 	s := placement.Snapshot{
+		Revision:  d.services.Catalog().Revision,
 		Groups:    d.groups.View(),
 		Instances: map[fleet.InstanceID]placement.InstanceState{},
 		InFlight:  d.inFlightEverywhere(),
@@ -205,6 +228,15 @@
 	}
 }
 
+// groupsByFabric counts the groups of each fabric domain.
+func (d *Daemon) groupsByFabric() map[fleet.FabricDomain]int {
+	out := map[fleet.FabricDomain]int{}
+	for _, g := range d.groups.View().Groups {
+		out[g.Fabric]++
+	}
+	return out
+}
+
 // loading reports whether a member of the group gets its weights now.
 func (d *Daemon) loading(g *group.Group) bool {
 	for _, m := range g.Members {
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 )
 
@@ -25,6 +28,28 @@
 	maxIdlePerHost    = 64
 )
 
+// compressMinBytes is the size from which messages to callers and operators
+// are compressed.
+const compressMinBytes = 1 << 10
+
+// ClientOptions are those of every connect client: answers of at most maxBytes,
+// without compression, which costs more than it saves within a zone.
+func ClientOptions(maxBytes int) connect.ClientOption {
+	return connect.WithClientOptions(
+		connect.WithReadMaxBytes(maxBytes),
+		connect.WithAcceptCompression("gzip", nil, nil),
+	)
+}
+
+// HandlerOptions are those of every connect handler: requests of at most
+// maxBytes, and compression of large answers only.
+func HandlerOptions(maxBytes int) connect.HandlerOption {
+	return connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(maxBytes),
+		connect.WithCompressMinBytes(compressMinBytes),
+	)
+}
+
 // ErrDial marks a request whose connection was never made.
 var ErrDial = errors.New("dial failed")
 
@@ -38,7 +63,8 @@
 }
 
 // NewServer returns a server for one listener. It speaks HTTP/1.1 and HTTP/2,
-// with TLS when tlsConfig is set and in clear text otherwise.
+// with TLS when tlsConfig is set and in clear text otherwise. Errors of single
+// connections are not logged: clients come and go.
 func NewServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
@@ -47,6 +73,7 @@
 	return &http.Server{
 		Handler:           h,
 		TLSConfig:         tlsConfig,
+		ErrorLog:          log.New(io.Discard, "", 0),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -67,12 +67,13 @@
 
 // order sends the orders that are due, in parallel.
 func (e *Executor) order(ctx context.Context, run *scopeRun, s Snapshot, now time.Time) {
+	permit := run.permit(e)
 	for _, o := range e.due(run, s, now) {
 		if !e.orders.begin(o, e.cfg.MaxOrders, 2*e.cfg.OrderTimeout, now) {
 			continue
 		}
 		e.running.Go(func() {
-			accepted := e.send(ctx, run.permit(e), run, o)
+			accepted := e.send(ctx, permit, run, o)
 			e.orders.end(o, accepted, time.Now())
 		})
 	}
@@ -153,7 +154,7 @@
 func (run *scopeRun) permit(e *Executor) func(now time.Time) (time.Duration, bool) {
 	if run.outage {
 		return func(time.Time) (time.Duration, bool) {
-			return e.cfg.OrderTimeout, e.lastHolder(run, e.cfg.Snapshot(run.scope))
+			return e.cfg.OrderTimeout, e.lastHolder(run)
 		}
 	}
 	return func(now time.Time) (time.Duration, bool) {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -15,8 +15,13 @@
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/internal/routing"
 )
 
+// maxBodyBytes bounds one request.
+const maxBodyBytes = 8 << 20
+
 var errBroken = errors.New("the group is not whole")
 
 var _ carawayv1connect.EngineServiceHandler = (*Engine)(nil)
@@ -24,7 +29,7 @@
 // Handler serves the engine, and its fault switches under /standin/.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(carawayv1connect.NewEngineServiceHandler(e))
+	mux.Handle(carawayv1connect.NewEngineServiceHandler(e, httpx.HandlerOptions(maxBodyBytes)))
 	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -178,7 +183,7 @@
 // prefill takes the prompt into the cache and returns the time that takes.
 func (r *run) prefill() time.Duration {
 	e := r.e
-	prefixes := Prefixes(r.req.Prompt)
+	prefixes := routing.Prefixes(r.req.Prompt)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	hits := e.cache.use(prefixes, time.Now())
