End what dispatch leaves behind with the daemon

Before: watches for deaths and cancels went on after Run had returned. After: Run calls Dispatcher.Close. Ruled out: waiting for them, which a kill must not.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -323,6 +323,7 @@
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
+	d.dispatcher.Close()
 	parts.Wait()
 	d.runs.CloseIdleConnections()
 	d.polls.CloseIdleConnections()
