Say when a refusal is for the fair share, and test borrowing strictly

Cause: a borrower's refusal named the service's limit though there was room, and the first test of borrowing could not fail. The new one holds a share for a minute and counts the 19 places that may be borrowed beyond it.

--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -57,21 +57,25 @@
 }
 
 func TestPlacesBeyondTheShareAreBorrowed(t *testing.T) {
-	c := fixed(40)
+	c := fixed(100) // a share of 50 for each of two
 	_, failure := c.Admit(start, from("small"))
 	assert.Assert(t, failure == nil)
-	held := fill(c, "large")
-	borrowed := 0
-	for _, ticket := range held {
-		if ticket.Borrowed() {
-			borrowed++
-		}
+	for range 50 {
+		ticket, failure := c.Admit(start, from("large"))
+		assert.Assert(t, failure == nil)
+		assert.Assert(t, !ticket.Borrowed())
 	}
-	assert.Assert(t, !held[0].Borrowed())
-	assert.Assert(t, len(held)-borrowed <= 40, "%d of %d borrowed", borrowed, len(held))
 	later := start.Add(time.Minute)
-	ticket, failure := c.Admit(later, from("large"))
-	assert.Assert(t, failure != nil || ticket.Borrowed(), "a workspace that fills its share still counts as within it")
+	for range 19 { // up to the part of the limit that borrowers may fill
+		ticket, failure := c.Admit(later, from("large"))
+		assert.Assert(t, failure == nil)
+		assert.Assert(t, ticket.Borrowed())
+	}
+	_, failure = c.Admit(later, from("large"))
+	assert.ErrorContains(t, failure, "fair share")
+	ticket, failure := c.Admit(later, from("small"))
+	assert.Assert(t, failure == nil)
+	assert.Assert(t, !ticket.Borrowed())
 }
 
 func TestEndsFromBeforeACutTellNothing(t *testing.T) {
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -58,7 +58,7 @@
 }
 
 // admit takes a place for the request or says why there is none. The place
-// is borrowed when the workspace was at its fair share.
+// is borrowed when the workspace is beyond its fair share.
 func (s *service) admit(now time.Time, req Request) (w *workspace, borrowed bool, failure *fleet.Failure) {
 	w = s.workspace(now, req)
 	if failure := s.refuseLate(now, req); failure != nil {
@@ -70,7 +70,11 @@
 	limit := s.limit(req)
 	share := s.share(limit)
 	borrowed = w.borrows(now, share)
-	if !s.hasRoom(now, w, limit, share, borrowed) {
+	hasRoom := s.hasRoom(now, w, limit, share, borrowed)
+	if !hasRoom && borrowed {
+		return nil, false, s.refuse(now, w, "workspace %s is beyond its fair share of service %s", w.name, req.Service)
+	}
+	if !hasRoom {
 		return nil, false, s.refuse(now, w, "service %s is over its limit of %.0f requests at once", req.Service, limit)
 	}
 	s.inFlight++
