Use one retry budget

Cause: dispatch and admission each had a budget with the same rule, and dispatch hashed by hand. After: dispatch keeps one admission.RetryBudget for each service, made anew when the service's ratio changes; TestRetriesStayWithinTheBudget passes unchanged. Ruled out: one budget for the daemon, which lets one service spend another's.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -141,7 +141,7 @@
 // pay takes another attempt from the service's retry budget, once for each.
 func (a *attempts) pay() bool {
 	if !a.paid {
-		a.paid = a.d.budgets.spend(a.spec.Service)
+		a.paid = a.d.budgetOf(a.spec).Allow()
 	}
 	if !a.paid {
 		a.d.metrics.noBudget.Inc(1)
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -3,7 +3,11 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
+	"carawayproxy.example/caraway/internal/admission"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/service"
 )
 
 // retryBurst is the largest credit of retries; a service starts with it.
@@ -12,46 +16,38 @@
 // budgetShards is how many locks the budgets are spread over.
 const budgetShards = 16
 
-// budgets hold the retry credit of each service: each request adds the
-// service's ratio, each retry takes one.
+// budgets hold the retry budget of each service.
 type budgets struct {
 	shards [budgetShards]struct {
-		mu     sync.Mutex
-		credit map[fleet.ServiceName]float64
+		mu       sync.Mutex
+		services map[fleet.ServiceName]serviceBudget
 	}
 }
 
-func (b *budgets) shard(s fleet.ServiceName) int {
-	h := uint32(2166136261)
-	for i := range len(s) {
-		h = (h ^ uint32(s[i])) * 16777619
-	}
-	return int(h % budgetShards)
+// serviceBudget is a service's budget at the ratio that is in force.
+type serviceBudget struct {
+	*admission.RetryBudget
+	ratio float64
 }
 
-// earn adds the credit of one request.
-func (b *budgets) earn(s fleet.ServiceName, ratio float64) {
-	sh := &b.shards[b.shard(s)]
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.credit == nil {
-		sh.credit = map[fleet.ServiceName]float64{}
-	}
-	credit, known := sh.credit[s]
-	if !known {
-		credit = retryBurst
-	}
-	sh.credit[s] = min(credit+ratio, retryBurst)
+// budgetOf returns the retry budget of a service.
+func (d *Dispatcher) budgetOf(spec *service.Spec) *admission.RetryBudget {
+	return d.budgets.of(spec.Service, orDefault(spec.Limits.RetryRatio, defaultRetryRatio))
 }
 
-// spend takes the credit of one retry and reports whether there was one.
-func (b *budgets) spend(s fleet.ServiceName) bool {
-	sh := &b.shards[b.shard(s)]
+// of returns a service's budget, a new and full one when the ratio changed.
+func (b *budgets) of(s fleet.ServiceName, ratio float64) *admission.RetryBudget {
+	sh := &b.shards[xxhash.Sum64String(string(s))%budgetShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if sh.credit[s] < 1 {
-		return false
+	have, known := sh.services[s]
+	if known && have.ratio == ratio {
+		return have.RetryBudget
+	}
+	if sh.services == nil {
+		sh.services = map[fleet.ServiceName]serviceBudget{}
 	}
-	sh.credit[s]--
-	return true
+	made := serviceBudget{RetryBudget: admission.NewRetryBudget(ratio, retryBurst), ratio: ratio}
+	sh.services[s] = made
+	return made.RetryBudget
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -86,7 +86,7 @@
 	if f != nil {
 		return nil, f
 	}
-	d.budgets.earn(g.Service, orDefault(spec.Limits.RetryRatio, defaultRetryRatio))
+	d.budgetOf(spec).Request()
 	r := &generation{req: g, sink: sink, start: time.Now()}
 	r.cursor = cursor{request: g.ID, version: g.Version, limit: g.MaxTokens}
 	r.attempts = attempts{d: d, id: g.ID, spec: spec, print: print}
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -69,7 +69,7 @@
 	version := fleet.Version(i.Method)
 	c.attempts = attempts{d: d, id: i.ID, spec: spec, print: suspect.FingerprintOf(i.Service, version, i.Body)}
 	c.route = routing.Request{Service: i.Service, Zone: d.cfg.Zone}
-	d.budgets.earn(i.Service, orDefault(spec.Limits.RetryRatio, defaultRetryRatio))
+	d.budgetOf(spec).Request()
 	return c
 }
 
