Write the pages: capacity, promises, developers, design index

Before: no page for promises or size. After: each test and invariant that PROMISES.md names is checked to be there, each asserted invariant to be on the page, and each relative link to lead to a file (TestPromisesPage, TestLinksOfThePages). Invariants were named in three styles; they are package.what now.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold our own code.
 PACKAGES = ./... ./standin/...
 
-.PHONY: all build test lint gen docs demo play bench control
+.PHONY: all build test lint gen docs demo play bench control seeds soak experiment
 all: build
 
 # Exactly two shipped binaries.
@@ -42,3 +42,18 @@
 # What daemons spend on control while no caller calls.
 control:
 	go run ./standin/control
+
+# Randomised runs of whole daemons in virtual time, without the race detector.
+SEEDS ?= 200
+seeds:
+	go test ./standin/runs -run TestSeeds -seeds $(SEEDS) -timeout 90m
+
+# One seed after another for some real minutes.
+SEED ?= 1
+MINUTES ?= 10
+soak:
+	go test ./standin/runs -run TestSoak -soak-seed $(SEED) -soak-minutes $(MINUTES) -timeout 0 -v
+
+# Every table of the design notes, from fixed seeds.
+experiment:
+	go run ./standin/experiment --suite all --seeds 3
--- a/cmd/carawayd/docs_test.go
+++ b/cmd/carawayd/docs_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -52,3 +55,75 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), want, "run go test ./cmd/carawayd -update")
 }
+
+var (
+	testName      = regexp.MustCompile("`(Test[A-Za-z0-9]+)`")
+	invariantName = regexp.MustCompile("`([a-z]+\\.[a-z]+-[a-z-]+|group\\.exclusive|journal\\.forward|journal\\.contiguous)`")
+	assertedName  = regexp.MustCompile(`"([a-z]+\.[a-z][a-z-]*)"`)
+	pageLink      = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+)
+
+// sources returns the text of all Go files whose path passes keep.
+func sources(t *testing.T, keep func(path string) bool) string {
+	t.Helper()
+	var b strings.Builder
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || !keep(path) {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		b.Write(data)
+		return err
+	})
+	assert.NilError(t, err)
+	return b.String()
+}
+
+func isTest(path string) bool { return strings.HasSuffix(path, "_test.go") }
+
+// TestPromisesPage: each test and invariant that docs/PROMISES.md names is
+// there, and each invariant that the code asserts is on the page.
+func TestPromisesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/PROMISES.md")
+	assert.NilError(t, err)
+	tests := sources(t, isTest)
+	for _, m := range testName.FindAllStringSubmatch(string(page), -1) {
+		assert.Check(t, strings.Contains(tests, "func "+m[1]+"("), "%s is on the page and not in the code", m[1])
+	}
+	code := sources(t, func(path string) bool { return !isTest(path) })
+	for _, m := range invariantName.FindAllStringSubmatch(string(page), -1) {
+		assert.Check(t, strings.Contains(code, `"`+m[1]+`"`), "invariant %s is on the page and not in the code", m[1])
+	}
+	asserted := 0
+	for _, call := range strings.Split(code, "invariant.Check(")[1:] {
+		statement, _, _ := strings.Cut(call, "\n}")
+		m := assertedName.FindStringSubmatch(statement)
+		if m == nil {
+			continue
+		}
+		asserted++
+		assert.Check(t, strings.Contains(string(page), "`"+m[1]+"`"), "invariant %s is in the code and not on the page", m[1])
+	}
+	assert.Assert(t, asserted > 10, "found only %d assertions", asserted)
+}
+
+// TestLinksOfThePages: each relative link of a page leads to a file.
+func TestLinksOfThePages(t *testing.T) {
+	pages := []string{"../../README.md"}
+	for _, pattern := range []string{"../../docs/*.md", "../../docs/design/*.md"} {
+		more, err := filepath.Glob(pattern)
+		assert.NilError(t, err)
+		pages = append(pages, more...)
+	}
+	links := 0
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, m := range pageLink.FindAllStringSubmatch(string(data), -1) {
+			links++
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), m[1]))
+			assert.Check(t, err, "%s: link to %s", page, m[1])
+		}
+	}
+	assert.Assert(t, links > 10, "found only %d links", links)
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -122,7 +122,7 @@
 func (t *ticket) Release(now time.Time, res Result) {
 	t.shard.mu.Lock()
 	defer t.shard.mu.Unlock()
-	invariant.Check(!t.released, "admission.released_once", "ticket of workspace %s released twice", t.workspace.name)
+	invariant.Check(!t.released, "admission.released-once", "ticket of workspace %s released twice", t.workspace.name)
 	if t.released {
 		return
 	}
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -52,7 +52,7 @@
 	ticket, _ := c.Admit(start, from("w"))
 	ticket.Release(start, Result{})
 	ticket.Release(start, Result{})
-	assert.DeepEqual(t, breaches, []string{"admission.released_once"})
+	assert.DeepEqual(t, breaches, []string{"admission.released-once"})
 	assert.Equal(t, c.Status(start, "drafting").InFlight, 0)
 }
 
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -89,7 +89,7 @@
 	s.inFlight--
 	w.count(now, -1)
 	s.drain.add(now)
-	invariant.Check(s.inFlight >= 0 && w.inFlight >= 0, "admission.in_flight_not_negative",
+	invariant.Check(s.inFlight >= 0 && w.inFlight >= 0, "admission.in-flight-not-negative",
 		"service has %d, workspace %s has %d in flight", s.inFlight, w.name, w.inFlight)
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -205,7 +205,7 @@
 // begin counts an attempt in, immediately before it is sent.
 func (a *attempts) begin(t target) {
 	if !t.rechecked {
-		invariant.Check(false, "dispatch-whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
+		invariant.Check(false, "dispatch.whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
 	}
 	a.made++
 	a.paid = false
--- a/internal/dispatch/cursor.go
+++ b/internal/dispatch/cursor.go
@@ -59,12 +59,12 @@
 // to the request and follow the ones given before.
 func (c *cursor) given(chunk backend.Chunk, tokens []backend.Token) {
 	if chunk.Request != c.request || chunk.Attempt != c.attempt {
-		invariant.Check(false, "dispatch-own-answer", "request %s attempt %s would be given an answer of request %s attempt %s",
+		invariant.Check(false, "dispatch.own-answer", "request %s attempt %s would be given an answer of request %s attempt %s",
 			c.request, c.attempt, chunk.Request, chunk.Attempt)
 	}
 	for _, t := range tokens {
 		if t.Index != c.next {
-			invariant.Check(false, "dispatch-contiguous-tokens", "request %s would be given token %d, expected %d", c.request, t.Index, c.next)
+			invariant.Check(false, "dispatch.contiguous-tokens", "request %s would be given token %d, expected %d", c.request, t.Index, c.next)
 		}
 		c.next = t.Index + 1
 	}
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -128,7 +128,7 @@
 // then.
 func (o *onceCall) send(ctx context.Context, t target) (res reply, answered bool) {
 	if o.sent {
-		invariant.Check(false, "dispatch-send-once", "request %s key %q would be sent again", o.id, o.key.Caller)
+		invariant.Check(false, "dispatch.send-once", "request %s key %q would be sent again", o.id, o.key.Caller)
 	}
 	o.sent = true
 	callCtx, cancel := o.outlive(ctx)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -207,7 +207,7 @@
 
 func (c *Client) grant(key Key, intent IntentID) Grant {
 	fresh := c.grants.add(key, intent, c.shard(key).Book.Window()/2)
-	invariant.Check(fresh, "ledger-grant-once", "key %v granted again as intent %x", key, intent)
+	invariant.Check(fresh, "ledger.grant-once", "key %v granted again as intent %x", key, intent)
 	c.metrics.runs.Inc(1)
 	return Grant{
 		Decision: Run,
@@ -278,7 +278,7 @@
 }
 
 func (c *Client) replay(key Key, a Answer) Grant {
-	invariant.Check(xxhash.Sum64(a.Body) == a.Digest || a.Failed, "ledger-whole-answer", "answer of key %v does not match its digest", key)
+	invariant.Check(xxhash.Sum64(a.Body) == a.Digest || a.Failed, "ledger.whole-answer", "answer of key %v does not match its digest", key)
 	c.metrics.replays.Inc(1)
 	c.cfg.Events.Emit(eventReplayed, "workspace", key.Workspace, "service", key.Service, "key", key.Caller)
 	return Grant{Decision: Replay, Answer: a}
