--- /dev/null
+++ b/standin/experiment/main_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBadOptionsAreNamed(t *testing.T) {
+	assert.ErrorContains(t, run(options{Suite: "all"}, io.Discard), "--seeds")
+	assert.ErrorContains(t, run(options{Suite: "none", Seeds: 1}, io.Discard), `no suite "none"`)
+}
+
+func TestOnlyTheNamedCasesRun(t *testing.T) {
+	assert.Equal(t, len(limits(options{Policy: "queue"})), 1)
+	assert.Equal(t, len(limits(options{Policy: "no such way"})), 0)
+	assert.Assert(t, len(limits(options{})) > 5)
+}
