--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -44,9 +44,10 @@
 	print      suspect.Fingerprint
 	route      routing.Request
 	made       int
-	mayHaveRun bool    // an attempt may have run
-	next       *choice // made ahead, for the next attempt
-	paid       bool    // the next attempt is paid for
+	began      time.Time // of the first attempt
+	mayHaveRun bool      // an attempt may have run
+	next       *choice   // made ahead, for the next attempt
+	paid       bool      // the next attempt is paid for
 }
 
 // choose picks the group of the next attempt and asks the gate immediately
@@ -207,6 +208,9 @@
 	if !t.rechecked {
 		invariant.Check(false, "dispatch.whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
 	}
+	if a.made == 0 {
+		a.began = time.Now()
+	}
 	a.made++
 	a.paid = false
 	a.d.metrics.attempts.Inc(1)
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -88,9 +88,16 @@
 	return c.d.admit(ctx, c.spec, c.ws, dec.Decision)
 }
 
+// release gives the call's place back. Its time counts from the first attempt:
+// a wait for the ledger says nothing of the backend servers' load.
 func (c *invocation) release(t Ticket, failed bool) {
-	took := time.Since(c.start)
-	t.Release(time.Now(), admission.Result{FirstToken: took, Total: took, Failed: failed})
+	now := time.Now()
+	if c.made == 0 {
+		t.Release(now, admission.Result{Failed: true})
+		return
+	}
+	took := now.Sub(c.began)
+	t.Release(now, admission.Result{FirstToken: took, Total: took, Failed: failed})
 }
 
 // repeatable runs a method that may be tried again.
