Find and build the workspace in one place

Cause: demo, bench, control and the process tests each found the workspace and built it (duplicates). Before: four times. After: stack.Root and stack.Build. Ruled out: a build step in the Makefile alone, the tests must run by themselves.

--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -59,13 +59,12 @@
 // invocation is one call on its way.
 type invocation struct {
 	attempts
-	req   Invocation
-	ws    service.WorkspaceSpec
-	start time.Time
+	req Invocation
+	ws  service.WorkspaceSpec
 }
 
 func (d *Dispatcher) newInvocation(spec *service.Spec, ws service.WorkspaceSpec, i Invocation) *invocation {
-	c := &invocation{req: i, ws: ws, start: time.Now()}
+	c := &invocation{req: i, ws: ws}
 	version := fleet.Version(i.Method)
 	c.attempts = attempts{d: d, id: i.ID, spec: spec, print: suspect.FingerprintOf(i.Service, version, i.Body)}
 	c.route = routing.Request{Service: i.Service, Zone: d.cfg.Zone}
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -9,9 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -123,12 +121,8 @@
 }
 
 func start(opt options, dir string) (*stack.Stack, []target, error) {
-	out, err := exec.Command("go", "env", "GOWORK").Output()
-	if err != nil {
-		return nil, nil, err
-	}
 	bin := filepath.Join(dir, "bin")
-	if err := stack.Build(context.Background(), filepath.Dir(strings.TrimSpace(string(out))), bin); err != nil {
+	if err := stack.Build(bin); err != nil {
 		return nil, nil, err
 	}
 	s, err := stack.New(bin, dir)
--- a/standin/control/main.go
+++ b/standin/control/main.go
@@ -4,12 +4,10 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"time"
@@ -55,12 +53,8 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	out, err := exec.Command("go", "env", "GOWORK").Output()
-	if err != nil {
-		return err
-	}
 	bin := filepath.Join(dir, "bin")
-	if err := stack.Build(context.Background(), filepath.Dir(strings.TrimSpace(string(out))), bin); err != nil {
+	if err := stack.Build(bin); err != nil {
 		return err
 	}
 	fmt.Println("daemons  engines  core % a daemon  MiB a daemon  peer B/s sent a daemon  appends/s  log reads/s")
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -83,11 +82,11 @@
 }
 
 func (d *demo) steps(dir string, opt options) error {
-	root, err := moduleRoot()
+	root, err := stack.Root()
 	if err != nil {
 		return err
 	}
-	if err := stack.Build(context.Background(), root, filepath.Join(dir, "bin")); err != nil {
+	if err := stack.Build(filepath.Join(dir, "bin")); err != nil {
 		return err
 	}
 	d.say("built carawayd, carawayctl and the stand-ins")
@@ -106,14 +105,6 @@
 	return nil
 }
 
-func moduleRoot() (string, error) {
-	out, err := exec.Command("go", "env", "GOWORK").Output()
-	if err != nil {
-		return "", errors.Wrap(err, "find the workspace")
-	}
-	return filepath.Dir(strings.TrimSpace(string(out))), nil
-}
-
 func (d *demo) say(format string, args ...any) {
 	fmt.Printf("%6.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
 }
--- a/standin/stack/process_test.go
+++ b/standin/stack/process_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 )
 
 const (
+	examples    = "../../examples"
 	startLimit  = 30 * time.Second
 	repairLimit = 40 * time.Second
 )
@@ -28,17 +28,9 @@
 	if err != nil {
 		return "", err
 	}
-	return dir, Build(context.Background(), root(), dir)
+	return dir, Build(dir)
 })
 
-func root() string {
-	out, err := exec.Command("go", "env", "GOWORK").Output()
-	if err != nil {
-		panic(err)
-	}
-	return filepath.Dir(strings.TrimSpace(string(out)))
-}
-
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if dir, err := built(); err == nil {
@@ -68,7 +60,7 @@
 		assert.NilError(t, err)
 	}
 	assert.NilError(t, s.WaitReady(startLimit))
-	_, err = s.Ctl(s.Daemons[0], "publish", "--wait", "--author=trust", "--revisions="+filepath.Join(dir, "revisions"), filepath.Join(root(), "examples"))
+	_, err = s.Ctl(s.Daemons[0], "publish", "--wait", "--author=trust", "--revisions="+filepath.Join(dir, "revisions"), examples)
 	assert.NilError(t, err)
 	waitWhole(t, s)
 	return s
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -4,13 +4,13 @@
 package stack
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -73,15 +73,26 @@
 	all      []*Process
 }
 
-// Build builds the shipped binaries and the stand-in into a folder. It is
-// called in a folder of the workspace.
-func Build(ctx context.Context, root, bin string) error {
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./standin/cmd/standin")
-	cmd.Dir = root
-	if out, err := cmd.CombinedOutput(); err != nil {
-		return errors.Wrapf(err, "build: %s", out)
+// Root returns the folder of the workspace that the caller runs in.
+func Root() (string, error) {
+	out, err := exec.Command("go", "env", "GOWORK").Output()
+	if err != nil {
+		return "", errors.Wrap(err, "find the workspace")
 	}
-	return nil
+	return filepath.Dir(strings.TrimSpace(string(out))), nil
+}
+
+// Build builds the shipped binaries and the stand-in of the workspace into a
+// folder.
+func Build(bin string) error {
+	root, err := Root()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...", "./standin/cmd/standin")
+	cmd.Dir = root
+	out, err := cmd.CombinedOutput()
+	return errors.Wrapf(err, "build: %s", out)
 }
 
 // New returns an empty stack with its platform running.
