Let operators see and clear suspects

Cause: a verdict could be lifted by the tracker and by no operator, so an innocent request would have stayed refused for an hour. Before: no call. Ruled out: clearing by request id, which a repeat does not share.

--- a/api/caraway/v1/carawayv1connect/admin.connect.go
+++ b/api/caraway/v1/carawayv1connect/admin.connect.go
@@ -49,6 +49,12 @@
 	// AdminServiceListHistoryProcedure is the fully-qualified name of the AdminService's ListHistory
 	// RPC.
 	AdminServiceListHistoryProcedure = "/caraway.v1.AdminService/ListHistory"
+	// AdminServiceListSuspectsProcedure is the fully-qualified name of the AdminService's ListSuspects
+	// RPC.
+	AdminServiceListSuspectsProcedure = "/caraway.v1.AdminService/ListSuspects"
+	// AdminServiceClearSuspectProcedure is the fully-qualified name of the AdminService's ClearSuspect
+	// RPC.
+	AdminServiceClearSuspectProcedure = "/caraway.v1.AdminService/ClearSuspect"
 )
 
 // AdminServiceClient is a client for the caraway.v1.AdminService service.
@@ -60,6 +66,8 @@
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
 	ListHistory(context.Context, *connect.Request[v1.ListHistoryRequest]) (*connect.Response[v1.ListHistoryResponse], error)
+	ListSuspects(context.Context, *connect.Request[v1.ListSuspectsRequest]) (*connect.Response[v1.ListSuspectsResponse], error)
+	ClearSuspect(context.Context, *connect.Request[v1.ClearSuspectRequest]) (*connect.Response[v1.ClearSuspectResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the caraway.v1.AdminService service. By default, it
@@ -115,6 +123,18 @@
 			connect.WithSchema(adminServiceMethods.ByName("ListHistory")),
 			connect.WithClientOptions(opts...),
 		),
+		listSuspects: connect.NewClient[v1.ListSuspectsRequest, v1.ListSuspectsResponse](
+			httpClient,
+			baseURL+AdminServiceListSuspectsProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ListSuspects")),
+			connect.WithClientOptions(opts...),
+		),
+		clearSuspect: connect.NewClient[v1.ClearSuspectRequest, v1.ClearSuspectResponse](
+			httpClient,
+			baseURL+AdminServiceClearSuspectProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ClearSuspect")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -127,6 +147,8 @@
 	explain      *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 	drain        *connect.Client[v1.DrainRequest, v1.DrainResponse]
 	listHistory  *connect.Client[v1.ListHistoryRequest, v1.ListHistoryResponse]
+	listSuspects *connect.Client[v1.ListSuspectsRequest, v1.ListSuspectsResponse]
+	clearSuspect *connect.Client[v1.ClearSuspectRequest, v1.ClearSuspectResponse]
 }
 
 // Publish calls caraway.v1.AdminService.Publish.
@@ -164,6 +186,16 @@
 	return c.listHistory.CallUnary(ctx, req)
 }
 
+// ListSuspects calls caraway.v1.AdminService.ListSuspects.
+func (c *adminServiceClient) ListSuspects(ctx context.Context, req *connect.Request[v1.ListSuspectsRequest]) (*connect.Response[v1.ListSuspectsResponse], error) {
+	return c.listSuspects.CallUnary(ctx, req)
+}
+
+// ClearSuspect calls caraway.v1.AdminService.ClearSuspect.
+func (c *adminServiceClient) ClearSuspect(ctx context.Context, req *connect.Request[v1.ClearSuspectRequest]) (*connect.Response[v1.ClearSuspectResponse], error) {
+	return c.clearSuspect.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the caraway.v1.AdminService service.
 type AdminServiceHandler interface {
 	Publish(context.Context, *connect.Request[v1.PublishRequest]) (*connect.Response[v1.PublishResponse], error)
@@ -173,6 +205,8 @@
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
 	ListHistory(context.Context, *connect.Request[v1.ListHistoryRequest]) (*connect.Response[v1.ListHistoryResponse], error)
+	ListSuspects(context.Context, *connect.Request[v1.ListSuspectsRequest]) (*connect.Response[v1.ListSuspectsResponse], error)
+	ClearSuspect(context.Context, *connect.Request[v1.ClearSuspectRequest]) (*connect.Response[v1.ClearSuspectResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -224,6 +258,18 @@
 		connect.WithSchema(adminServiceMethods.ByName("ListHistory")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceListSuspectsHandler := connect.NewUnaryHandler(
+		AdminServiceListSuspectsProcedure,
+		svc.ListSuspects,
+		connect.WithSchema(adminServiceMethods.ByName("ListSuspects")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceClearSuspectHandler := connect.NewUnaryHandler(
+		AdminServiceClearSuspectProcedure,
+		svc.ClearSuspect,
+		connect.WithSchema(adminServiceMethods.ByName("ClearSuspect")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/caraway.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServicePublishProcedure:
@@ -240,6 +286,10 @@
 			adminServiceDrainHandler.ServeHTTP(w, r)
 		case AdminServiceListHistoryProcedure:
 			adminServiceListHistoryHandler.ServeHTTP(w, r)
+		case AdminServiceListSuspectsProcedure:
+			adminServiceListSuspectsHandler.ServeHTTP(w, r)
+		case AdminServiceClearSuspectProcedure:
+			adminServiceClearSuspectHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -276,3 +326,11 @@
 func (UnimplementedAdminServiceHandler) ListHistory(context.Context, *connect.Request[v1.ListHistoryRequest]) (*connect.Response[v1.ListHistoryResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caraway.v1.AdminService.ListHistory is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) ListSuspects(context.Context, *connect.Request[v1.ListSuspectsRequest]) (*connect.Response[v1.ListSuspectsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caraway.v1.AdminService.ListSuspects is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) ClearSuspect(context.Context, *connect.Request[v1.ClearSuspectRequest]) (*connect.Response[v1.ClearSuspectResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caraway.v1.AdminService.ClearSuspect is not implemented"))
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -110,6 +110,8 @@
 		{"services", "services in force", "Lists the services in force with their groups.", &servicesCommand{ctl: c}},
 		{"groups", "replica groups", "Lists the replica groups and whether they are whole.", &groupsCommand{ctl: c}},
 		{"explain", "decisions about a request or a group", "Shows the decisions that the daemon made about a request or a group.", &explainCommand{ctl: c}},
+		{"suspects", "requests that are refused as crashing", "Lists the verdicts on requests that seem to crash backend servers.", &suspectsCommand{ctl: c}},
+		{"clear", "let a suspect run", "Lifts the verdict on a fingerprint and lets its requests run for as long as a verdict lasts.", &clearCommand{ctl: c}},
 		{"drain", "begin the daemon's planned stop", "Begins the planned stop of the daemon at --admin.", &drainCommand{ctl: c}},
 		{"version", "version of carawayctl", "Prints the version.", &versionCommand{ctl: c}},
 	}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -158,6 +158,45 @@
 	return e.ctl.show(resp, []string{"TIME", "EVENT", "DECISION"}, rows)
 }
 
+type suspectsCommand struct{ ctl *command }
+
+// Execute implements flags.Commander.
+func (s *suspectsCommand) Execute([]string) error {
+	client, err := s.ctl.admin()
+	if err != nil {
+		return err
+	}
+	resp, err := call(client.ListSuspects, &carawayv1.ListSuspectsRequest{})
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, x := range resp.Suspects {
+		rows = append(rows, []string{x.Fingerprint, x.Service, strconv.Itoa(int(x.Deaths)), x.Until, yes(x.Cleared)})
+	}
+	return s.ctl.show(resp, []string{"FINGERPRINT", "SERVICE", "DEATHS", "UNTIL", "CLEARED"}, rows)
+}
+
+type clearCommand struct {
+	ctl  *command
+	Args struct {
+		Fingerprint string `positional-arg-name:"FINGERPRINT" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *clearCommand) Execute([]string) error {
+	client, err := c.ctl.admin()
+	if err != nil {
+		return err
+	}
+	if _, err := call(client.ClearSuspect, &carawayv1.ClearSuspectRequest{Fingerprint: c.Args.Fingerprint}); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.ctl.stdout, "%s may run\n", c.Args.Fingerprint)
+	return nil
+}
+
 type drainCommand struct{ ctl *command }
 
 // Execute implements flags.Commander.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -18,6 +18,7 @@
 	"carawayproxy.example/caraway/internal/group"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/service"
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // Version is the version that carawayd and carawayctl report.
@@ -269,3 +270,35 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// ListSuspects implements carawayv1connect.AdminServiceHandler.
+func (o operator) ListSuspects(context.Context, *connect.Request[carawayv1.ListSuspectsRequest]) (*connect.Response[carawayv1.ListSuspectsResponse], error) {
+	resp := &carawayv1.ListSuspectsResponse{}
+	for _, v := range o.d.suspects.Verdicts() {
+		resp.Suspects = append(resp.Suspects, &carawayv1.Suspect{
+			Fingerprint: v.Fingerprint.String(),
+			Service:     string(v.Service),
+			Deaths:      uint32(v.Deaths),
+			Until:       time.UnixMilli(v.Until).UTC().Format(time.RFC3339),
+			Cleared:     v.Cleared,
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// ClearSuspect implements carawayv1connect.AdminServiceHandler.
+func (o operator) ClearSuspect(ctx context.Context, req *connect.Request[carawayv1.ClearSuspectRequest]) (*connect.Response[carawayv1.ClearSuspectResponse], error) {
+	f, err := suspect.ParseFingerprint(req.Msg.Fingerprint)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	res := o.d.tracker.Clear(ctx, f)
+	switch res.Fate {
+	case journal.FateAccepted:
+		return connect.NewResponse(&carawayv1.ClearSuspectResponse{}), nil
+	case journal.FateRejected:
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New(res.Verdict.Reason))
+	default:
+		return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(res.Err, "not recorded"))
+	}
+}
--- a/internal/suspect/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -1,7 +1,10 @@
 package suspect
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/fleet"
 )
@@ -23,3 +26,18 @@
 	}
 	return Fingerprint(d.Sum64())
 }
+
+// fingerprintBase is how fingerprints are written in events and commands.
+const fingerprintBase = 16
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), fingerprintBase) }
+
+// ParseFingerprint reads what String wrote.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(s, fingerprintBase, 64)
+	if err != nil {
+		return 0, errors.Errorf("fingerprint %q is not a hexadecimal number of up to 16 digits", s)
+	}
+	return Fingerprint(n), nil
+}
