--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -58,7 +58,7 @@
 }
 
 // admit takes a place for the request or says why there is none. The place
-// is borrowed when the workspace was at its fair share.
+// is borrowed when the workspace is beyond its fair share.
 func (s *service) admit(now time.Time, req Request) (w *workspace, borrowed bool, failure *fleet.Failure) {
 	w = s.workspace(now, req)
 	if failure := s.refuseLate(now, req); failure != nil {
@@ -70,7 +70,11 @@
 	limit := s.limit(req)
 	share := s.share(limit)
 	borrowed = w.borrows(now, share)
-	if !s.hasRoom(now, w, limit, share, borrowed) {
+	hasRoom := s.hasRoom(now, w, limit, share, borrowed)
+	if !hasRoom && borrowed {
+		return nil, false, s.refuse(now, w, "workspace %s is beyond its fair share of service %s", w.name, req.Service)
+	}
+	if !hasRoom {
 		return nil, false, s.refuse(now, w, "service %s is over its limit of %.0f requests at once", req.Service, limit)
 	}
 	s.inFlight++
@@ -85,7 +89,7 @@
 	s.inFlight--
 	w.count(now, -1)
 	s.drain.add(now)
-	invariant.Check(s.inFlight >= 0 && w.inFlight >= 0, "admission.in_flight_not_negative",
+	invariant.Check(s.inFlight >= 0 && w.inFlight >= 0, "admission.in-flight-not-negative",
 		"service has %d, workspace %s has %d in flight", s.inFlight, w.name, w.inFlight)
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -44,9 +44,10 @@
 	print      suspect.Fingerprint
 	route      routing.Request
 	made       int
-	mayHaveRun bool    // an attempt may have run
-	next       *choice // made ahead, for the next attempt
-	paid       bool    // the next attempt is paid for
+	began      time.Time // of the first attempt
+	mayHaveRun bool      // an attempt may have run
+	next       *choice   // made ahead, for the next attempt
+	paid       bool      // the next attempt is paid for
 }
 
 // choose picks the group of the next attempt and asks the gate immediately
@@ -141,7 +142,7 @@
 // pay takes another attempt from the service's retry budget, once for each.
 func (a *attempts) pay() bool {
 	if !a.paid {
-		a.paid = a.d.budgets.spend(a.spec.Service)
+		a.paid = a.d.budgetOf(a.spec).Allow()
 	}
 	if !a.paid {
 		a.d.metrics.noBudget.Inc(1)
@@ -205,7 +206,10 @@
 // begin counts an attempt in, immediately before it is sent.
 func (a *attempts) begin(t target) {
 	if !t.rechecked {
-		invariant.Check(false, "dispatch-whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
+		invariant.Check(false, "dispatch.whole-group", "attempt %s of request %s goes to group %s epoch %d without the gate", t.attempt, a.id, t.Group, t.Epoch)
+	}
+	if a.made == 0 {
+		a.began = time.Now()
 	}
 	a.made++
 	a.paid = false
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -59,17 +59,16 @@
 // invocation is one call on its way.
 type invocation struct {
 	attempts
-	req   Invocation
-	ws    service.WorkspaceSpec
-	start time.Time
+	req Invocation
+	ws  service.WorkspaceSpec
 }
 
 func (d *Dispatcher) newInvocation(spec *service.Spec, ws service.WorkspaceSpec, i Invocation) *invocation {
-	c := &invocation{req: i, ws: ws, start: time.Now()}
+	c := &invocation{req: i, ws: ws}
 	version := fleet.Version(i.Method)
 	c.attempts = attempts{d: d, id: i.ID, spec: spec, print: suspect.FingerprintOf(i.Service, version, i.Body)}
 	c.route = routing.Request{Service: i.Service, Zone: d.cfg.Zone}
-	d.budgets.earn(i.Service, orDefault(spec.Limits.RetryRatio, defaultRetryRatio))
+	d.budgetOf(spec).Request()
 	return c
 }
 
@@ -88,9 +87,16 @@
 	return c.d.admit(ctx, c.spec, c.ws, dec.Decision)
 }
 
+// release gives the call's place back. Its time counts from the first attempt:
+// a wait for the ledger says nothing of the backend servers' load.
 func (c *invocation) release(t Ticket, failed bool) {
-	took := time.Since(c.start)
-	t.Release(time.Now(), admission.Result{FirstToken: took, Total: took, Failed: failed})
+	now := time.Now()
+	if c.made == 0 {
+		t.Release(now, admission.Result{Failed: true})
+		return
+	}
+	took := now.Sub(c.began)
+	t.Release(now, admission.Result{FirstToken: took, Total: took, Failed: failed})
 }
 
 // repeatable runs a method that may be tried again.
