--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -95,6 +95,13 @@
 	s.faults = f
 }
 
+// Faults returns the switches as they stand.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Runs returns how often a body was run by a method.
 func (s *Server) Runs(service, method string, body []byte) int {
 	s.mu.Lock()
--- a/standin/runs/backends.go
+++ b/standin/runs/backends.go
@@ -198,12 +198,15 @@
 	p.leavingSince = time.Time{}
 }
 
-func (p *plainHost) set(f plain.Faults) {
+// set changes the server's fault switches.
+func (p *plainHost) set(change func(f *plain.Faults)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running == nil {
 		return
 	}
+	f := p.running.Faults()
+	change(&f)
 	if f.Leaving && p.leavingSince.IsZero() {
 		p.leavingSince = time.Now()
 	}
--- a/standin/runs/callers.go
+++ b/standin/runs/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,7 +55,7 @@
 	every time.Duration // mean time between two requests of one caller
 	// garble changes what is asked for but not what is expected; empty but in
 	// tests of the checkers.
-	garble string
+	garble atomic.Pointer[string]
 
 	mu    sync.Mutex
 	calls []*call
@@ -148,12 +149,19 @@
 	}
 }
 
+func (c *callers) garbled() string {
+	if g := c.garble.Load(); g != nil {
+		return *g
+	}
+	return ""
+}
+
 func (c *callers) generateOnce(ctx context.Context, d *daemonHost, prompt string) *call {
 	k := &call{id: c.next("g"), daemon: d, began: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, callDeadline)
 	defer cancel()
 	stream, err := c.client(d).Generate(ctx, connect.NewRequest(&carawayv1.GenerateRequest{
-		RequestId: k.id, Workspace: workspace, Service: modelService, Adapter: adapter, Prompt: prompt + c.garble, MaxTokens: tokensAsked,
+		RequestId: k.id, Workspace: workspace, Service: modelService, Adapter: adapter, Prompt: prompt + c.garbled(), MaxTokens: tokensAsked,
 	}))
 	if err == nil {
 		err = c.readStream(k, prompt, stream)
--- a/standin/runs/schedule.go
+++ b/standin/runs/schedule.go
@@ -234,7 +234,7 @@
 	}},
 	{"answers crossed", false, func(s *schedule, r *rand.Rand) func() {
 		s.engineFault(r, func(f *engine.Faults) { f.Cross = 2 })
-		s.plain(r).set(plain.Faults{Cross: 2})
+		s.plain(r).set(func(f *plain.Faults) { f.Cross = 2 })
 		return nothing
 	}},
 	{"answers doubled", false, func(s *schedule, r *rand.Rand) func() {
@@ -244,11 +244,11 @@
 	{"answers late", false, func(s *schedule, r *rand.Rand) func() {
 		s.engineFault(r, func(f *engine.Faults) { f.Late, f.LateDelayMS = 2, 4000 })
 		p := s.plain(r)
-		p.set(plain.Faults{DelayMS: 4000})
-		return func() { p.set(plain.Faults{}) }
+		p.set(func(f *plain.Faults) { f.DelayMS = 4000 })
+		return func() { p.set(func(f *plain.Faults) { f.DelayMS = 0 }) }
 	}},
 	{"plain answers lost", false, func(s *schedule, r *rand.Rand) func() {
-		s.plain(r).set(plain.Faults{LoseAnswers: 3})
+		s.plain(r).set(func(f *plain.Faults) { f.LoseAnswers = 3 })
 		return nothing
 	}},
 	{"plain server killed", false, func(s *schedule, r *rand.Rand) func() {
@@ -258,7 +258,7 @@
 	}},
 	{"plain server leaves", false, func(s *schedule, r *rand.Rand) func() {
 		p := s.plain(r)
-		p.set(plain.Faults{Leaving: true})
+		p.set(func(f *plain.Faults) { f.Leaving = true })
 		return func() { p.kill(); _ = p.start() }
 	}},
 	{"crashing request", false, func(s *schedule, r *rand.Rand) func() {
