--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -39,7 +39,7 @@
 	DefaultInitial = 16.0
 	// DefaultMin and DefaultMax bound what is learned.
 	DefaultMin = 1.0
-	DefaultMax = 4096.0
+	DefaultMax = 65536.0
 )
 
 const (
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -34,7 +34,6 @@
 const (
 	startLimit = 40 * time.Second
 	callLimit  = 60 * time.Second
-	clients    = 8 // connections of the load
 	ticksASec  = 200
 )
 
@@ -43,6 +42,7 @@
 	Tokens   uint32        `long:"tokens" description:"tokens of one request" default:"250"`
 	Interval time.Duration `long:"interval" description:"between tokens at the engine" default:"25ms"`
 	Engines  int           `long:"engines" description:"engines, each a group of one" default:"12"`
+	Clients  int           `long:"clients" description:"connections of callers to the daemon" default:"64"`
 	Profile  string        `long:"profile" description:"file for a processor profile of the daemon under full load"`
 	Duration time.Duration `long:"duration" description:"of each phase, 60s at most" default:"20s"`
 }
@@ -78,7 +78,7 @@
 	d := s.Daemons[0]
 	small := opt
 	small.Rate = opt.Rate / 10
-	fmt.Printf("%.0f engines, %s between tokens, %d tokens a request, %s a phase\n", float64(opt.Engines), opt.Interval, opt.Tokens, opt.Duration)
+	fmt.Printf("%.0f engines, %s between tokens, %d tokens a request, %d connections of callers, %s a phase\n", float64(opt.Engines), opt.Interval, opt.Tokens, opt.Clients, opt.Duration)
 	for _, phase := range []options{small, opt} {
 		direct := drive(phase, directCalls(targets))
 		before, err := proc.CPUTime(d.Process)
@@ -88,7 +88,7 @@
 		if phase.Rate == opt.Rate && opt.Profile != "" {
 			go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
 		}
-		through := drive(phase, daemonCalls(d))
+		through := drive(phase, daemonCalls(d, opt.Clients))
 		after, err := proc.CPUTime(d.Process)
 		if err != nil {
 			return err
@@ -291,7 +291,7 @@
 	}
 }
 
-func daemonCalls(d *stack.Daemon) open {
+func daemonCalls(d *stack.Daemon, clients int) open {
 	var pool []carawayv1connect.InferenceServiceClient
 	for range clients {
 		pool = append(pool, carawayv1connect.NewInferenceServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+d.Callers))
