Write event names with hyphens

After: none; numbers are as they were. Ruled out: leaving the names, since the numbers alone are stable; people grep names. Conclusion: package.what-happened, like the invariants.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -19,14 +19,14 @@
 		"A planned stop has begun.", "Wait for daemon.stopped before the instance is taken away.")
 	eventDrained = event.Define(1006, "daemon.drained", log.InfoLevel,
 		"No request is in flight and every outcome is recorded.", "Nothing.")
-	eventDrainCut = event.Define(1007, "daemon.drain_timeout", log.ErrorLevel,
+	eventDrainCut = event.Define(1007, "daemon.drain-timeout", log.ErrorLevel,
 		"The planned stop took longer than drain-timeout and ended with work left.", "Raise drain-timeout above the longest deadline, or look for the log's outage.")
-	eventListFailed = event.Define(1008, "daemon.list_failed", log.WarnLevel,
+	eventListFailed = event.Define(1008, "daemon.list-failed", log.WarnLevel,
 		"The platform's list of instances could not be read; the last one stands.", "See whether the platform answers.")
-	eventServeFailed = event.Define(1009, "daemon.serve_failed", log.ErrorLevel,
+	eventServeFailed = event.Define(1009, "daemon.serve-failed", log.ErrorLevel,
 		"A listener ended with an error.", "Restart the daemon; look for the address being in use.")
-	eventHelloFailed = event.Define(1010, "daemon.hello_failed", log.WarnLevel,
+	eventHelloFailed = event.Define(1010, "daemon.hello-failed", log.WarnLevel,
 		"The daemon could not announce itself in the log; it tries again.", "Nothing unless it repeats: see whether the log answers.")
-	eventTakenBack = event.Define(1011, "daemon.taken_back", log.InfoLevel,
+	eventTakenBack = event.Define(1011, "daemon.taken-back", log.InfoLevel,
 		"The announcement of a daemon that has long been unheard was taken back.", "Nothing, if that instance is gone; otherwise look for a cut between the two.")
 )
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -13,10 +13,10 @@
 	eventCandidates = event.Define(1601, "dispatch.candidates", log.DebugLevel,
 		"The candidates that a routing decision did not choose, with their costs or the filter that dropped them.",
 		"None.")
-	eventAttemptFailed = event.Define(1602, "dispatch.attempt_failed", log.WarnLevel,
+	eventAttemptFailed = event.Define(1602, "dispatch.attempt-failed", log.WarnLevel,
 		"An attempt ended without a whole answer.",
 		"See the cause; look at the group or instance if it repeats there.")
-	eventCrossed = event.Define(1603, "dispatch.crossed_answer", log.ErrorLevel,
+	eventCrossed = event.Define(1603, "dispatch.crossed-answer", log.ErrorLevel,
 		"A backend server answered with the ids of another request; the answer was dropped and given to no caller.",
 		"Report it to the owner of the backend server.")
 	eventRefused = event.Define(1604, "dispatch.refused", log.InfoLevel,
@@ -25,13 +25,13 @@
 	eventUncertain = event.Define(1605, "dispatch.uncertain", log.WarnLevel,
 		"A non-idempotent call was sent and got no answer that can be trusted.",
 		"Find out at the backend server whether it took effect, by the request id.")
-	eventLateOutcome = event.Define(1606, "dispatch.late_outcome", log.InfoLevel,
+	eventLateOutcome = event.Define(1606, "dispatch.late-outcome", log.InfoLevel,
 		"The outcome of a non-idempotent call came after its caller had been answered and was recorded.",
 		"None.")
 	eventDraining = event.Define(1607, "dispatch.draining", log.InfoLevel,
 		"No new requests are taken; those in flight go on.",
 		"None.")
-	eventSuspectRefused = event.Define(1608, "dispatch.refused_suspect", log.WarnLevel,
+	eventSuspectRefused = event.Define(1608, "dispatch.refused-suspect", log.WarnLevel,
 		"A request was refused because it resembles requests that crash backend servers.",
 		"Find the caller; clear the verdict by its fingerprint if the request is harmless.")
 )
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -19,31 +19,31 @@
 	eventUnknown = event.Define(1403, "placement.unknown", log.WarnLevel,
 		"The fate of a record about a group is not known; the next round plans on what the log shows.",
 		"Check the log service.")
-	eventNotAppended = event.Define(1404, "placement.not_appended", log.WarnLevel,
+	eventNotAppended = event.Define(1404, "placement.not-appended", log.WarnLevel,
 		"A record about a group could not be appended.",
 		"Check the log service.")
-	eventOrderRefused = event.Define(1405, "placement.order_refused", log.WarnLevel,
+	eventOrderRefused = event.Define(1405, "placement.order-refused", log.WarnLevel,
 		"An engine refused an order.",
 		"Nothing if a newer term holds the scope. Else look at the engine's reason.")
-	eventOrderFailed = event.Define(1406, "placement.order_failed", log.WarnLevel,
+	eventOrderFailed = event.Define(1406, "placement.order-failed", log.WarnLevel,
 		"An order to an engine got no answer; it is repeated.",
 		"Check the instance if it goes on.")
-	eventOrderDropped = event.Define(1407, "placement.order_dropped", log.WarnLevel,
+	eventOrderDropped = event.Define(1407, "placement.order-dropped", log.WarnLevel,
 		"An order was not written because the lease had lapsed.",
 		"Nothing; the new holder of the scope takes over.")
-	eventRolloutHalted = event.Define(1408, "placement.rollout_halted", log.ErrorLevel,
+	eventRolloutHalted = event.Define(1408, "placement.rollout-halted", log.ErrorLevel,
 		"A rollout stopped because groups of the new version fail to load; the old groups serve on.",
 		"Look at the engines' logs, then publish a version that loads, or the previous one.")
-	eventScopeTaken = event.Define(1409, "placement.scope_taken", log.InfoLevel,
+	eventScopeTaken = event.Define(1409, "placement.scope-taken", log.InfoLevel,
 		"This daemon plans for a scope under a new term.",
 		"Nothing.")
-	eventScopeLeft = event.Define(1410, "placement.scope_left", log.InfoLevel,
+	eventScopeLeft = event.Define(1410, "placement.scope-left", log.InfoLevel,
 		"This daemon no longer plans for a scope.",
 		"Nothing.")
-	eventGroupWhole = event.Define(1411, "placement.group_whole", log.InfoLevel,
+	eventGroupWhole = event.Define(1411, "placement.group-whole", log.InfoLevel,
 		"All instances of a group are present and ready.",
 		"Nothing.")
-	eventGroupBroken = event.Define(1412, "placement.group_broken", log.WarnLevel,
+	eventGroupBroken = event.Define(1412, "placement.group-broken", log.WarnLevel,
 		"A group that could serve can't any more; it says what is missing.",
 		"Look at the instance that is named if it stays away.")
 )
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -71,7 +71,7 @@
 		var once sync.Once
 		wake := make(chan time.Time, 1)
 		freeze := func(_ time.Time, e *event.Event, _ []any) {
-			if e.Name != "placement.group_broken" {
+			if e.Name != "placement.group-broken" {
 				return
 			}
 			once.Do(func() {
