Test the operators' command line against a small daemon

Cause: exit codes and the revisions file had no test. Before: none. After: TestPublishNotesTheRevisionAndLosesARace and TestExitCodes; both passed at once, and with the conflict's exit code set to 1 the first fails. Ruled out: driving the built binary, the process tests do that. Conclusion: a lost publication notes nothing.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,113 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/httpx"
+)
+
+// admin is a daemon that accepts the first publication of a base revision.
+type admin struct {
+	carawayv1connect.UnimplementedAdminServiceHandler
+	revision uint64
+	asked    *carawayv1.PublishRequest
+}
+
+func (a *admin) Publish(_ context.Context, req *connect.Request[carawayv1.PublishRequest]) (*connect.Response[carawayv1.PublishResponse], error) {
+	a.asked = req.Msg
+	change := req.Msg.Changes[0]
+	if change.BaseRevision != a.revision {
+		return connect.NewResponse(&carawayv1.PublishResponse{Revision: a.revision, Conflicts: []*carawayv1.PublishConflict{{
+			Service: change.Service, BaseRevision: change.BaseRevision, CurrentRevision: a.revision,
+			CurrentAuthor: "council", Difference: "-  a\n+  b", Reason: "base revision is not current",
+		}}}), nil
+	}
+	if !req.Msg.DryRun {
+		a.revision++
+	}
+	return connect.NewResponse(&carawayv1.PublishResponse{Accepted: true, Revision: a.revision}), nil
+}
+
+func (a *admin) GetStatus(context.Context, *connect.Request[carawayv1.GetStatusRequest]) (*connect.Response[carawayv1.GetStatusResponse], error) {
+	return connect.NewResponse(&carawayv1.GetStatusResponse{
+		ConfigRevision: a.revision,
+		Peers:          []*carawayv1.PeerStatus{{Daemon: "p", Alive: true, ConfigRevision: a.revision}},
+	}), nil
+}
+
+// run carries out one command line against a daemon and returns what it
+// printed.
+func run(t *testing.T, a *admin, args ...string) (code ExitCode, stdout, stderr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(carawayv1connect.NewAdminServiceHandler(a))
+	server := httpx.NewServer(mux, nil)
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	var out, errs bytes.Buffer
+	code = Run(append([]string{"--admin", l.Addr().String()}, args...), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+const logbook = "../../examples/logbook.caraway.yaml"
+
+func TestPublishNotesTheRevisionAndLosesARace(t *testing.T) {
+	a := &admin{}
+	mine, other := filepath.Join(t.TempDir(), "mine"), filepath.Join(t.TempDir(), "other")
+
+	code, out, errs := run(t, a, "publish", "--author=trust", "--wait", "--revisions="+mine, logbook)
+	assert.Equal(t, code, ExitOK, errs)
+	assert.Assert(t, strings.Contains(out, "accepted as revision 1\n2 of 2 daemons have revision 1"), out)
+	assert.Equal(t, a.asked.Changes[0].BaseRevision, uint64(0))
+
+	code, _, errs = run(t, a, "publish", "--author=trust", "--revisions="+other, logbook)
+	assert.Equal(t, code, ExitConflict)
+	assert.Assert(t, strings.Contains(errs, "revision 1 by council") && strings.Contains(errs, "+  b"), errs)
+	_, err := os.Stat(other)
+	assert.Assert(t, os.IsNotExist(err), "a lost publication noted a revision")
+
+	code, out, _ = run(t, a, "publish", "--author=trust", "--dry-run", "--revisions="+mine, logbook)
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(out, "would be accepted"), out)
+	assert.Equal(t, a.revision, uint64(1))
+}
+
+func TestExitCodes(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.caraway.yaml")
+	assert.NilError(t, os.WriteFile(broken, []byte("service: s\nkind: plain\nworkspace: []\n"), 0o644))
+	for name, tc := range map[string]struct {
+		args []string
+		code ExitCode
+		want string
+	}{
+		"help":            {args: []string{"--help"}, code: ExitOK},
+		"no such command": {args: []string{"undo"}, code: ExitMistake, want: "undo"},
+		"no author":       {args: []string{"publish", logbook}, code: ExitMistake, want: "--author"},
+		"nothing":         {args: []string{"publish", "--author=a"}, code: ExitMistake, want: "nothing to publish"},
+		"no such file":    {args: []string{"validate", "none.caraway.yaml"}, code: ExitMistake, want: "none.caraway.yaml"},
+		"unknown field":   {args: []string{"validate", broken}, code: ExitMistake, want: "broken.caraway.yaml:3:1"},
+		"not implemented": {args: []string{"services"}, code: ExitFailed, want: "unimplemented"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, _, errs := run(t, &admin{}, tc.args...)
+			assert.Equal(t, code, tc.code, errs)
+			assert.Assert(t, strings.Contains(errs, tc.want), errs)
+		})
+	}
+	var out, errs bytes.Buffer
+	assert.Equal(t, Run([]string{"--admin", "127.0.0.1:1", "status"}, &out, &errs), ExitUnreachable, errs.String())
+}
