--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -88,12 +88,20 @@
 		if phase.Rate == opt.Rate && opt.Profile != "" {
 			go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
 		}
+		idle, err := proc.Memory(d.Process)
+		if err != nil {
+			return err
+		}
+		var loaded uint64
+		late := time.AfterFunc(phase.Duration*9/10, func() { loaded, _ = proc.Memory(d.Process) })
 		through := drive(phase, daemonCalls(d, opt.Clients))
+		late.Stop()
 		after, err := proc.CPUTime(d.Process)
 		if err != nil {
 			return err
 		}
 		report(phase, direct, through, after-before)
+		fmt.Printf("  daemon's memory: %d MiB before, %d MiB late in the phase\n", idle>>20, loaded>>20)
 	}
 	return nil
 }
