Give each stack of processes a loopback address of its own

The port came from listening on 127.0.0.1:0 and closing again, so until its process had bound it the machine could pick it for another process of the four stacks that run side by side, or for an outgoing connection: some other server answered there.

Ruled out: the daemon itself, whose callers' listener has /readyz from its first moment and answers 200 or 503; a longer wait, since a foreign server answers 404 for ever.

After: a stack claims a random loopback address and counts ports up from 7300; outgoing connections come from 127.0.0.1, as tried, so nothing else takes them.

Conclusion: a machine without other loopback addresses than 127.0.0.1 gets a clear error.

--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -71,6 +70,7 @@
 	Engines  []*Backend
 	Plains   []*Backend
 	all      []*Process
+	host     host
 }
 
 // Root returns the folder of the workspace that the caller runs in.
@@ -97,23 +97,17 @@
 
 // New returns an empty stack with its platform running.
 func New(bin, dir string, platformArgs ...string) (*Stack, error) {
-	s := &Stack{Bin: bin, Dir: dir}
-	address, err := freeAddress()
+	h, err := claimHost()
 	if err != nil {
 		return nil, err
 	}
-	s.Platform = Backend{ID: "platform", Address: address, args: append([]string{"platform", "--listen", address}, platformArgs...)}
-	return s, s.startBackend(&s.Platform)
-}
-
-// freeAddress finds a free port of the loopback address.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &Stack{Bin: bin, Dir: dir, host: h}
+	address, err := s.host.address()
 	if err != nil {
-		return "", errors.WithStack(err)
+		return nil, err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	s.Platform = Backend{ID: "platform", Address: address, args: append([]string{"platform", "--listen", address}, platformArgs...)}
+	return s, s.startBackend(&s.Platform)
 }
 
 // AddEngine starts an engine in a fabric domain.
@@ -135,7 +129,7 @@
 }
 
 func (s *Stack) addBackend(kind, id, pool string, args []string) (*Backend, error) {
-	address, err := freeAddress()
+	address, err := s.host.address()
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +151,7 @@
 func (s *Stack) AddDaemon(name, zone string, args ...string) (*Daemon, error) {
 	d := &Daemon{}
 	for _, into := range []*string{&d.Callers, &d.Admin, &d.Peers} {
-		address, err := freeAddress()
+		address, err := s.host.address()
 		if err != nil {
 			return nil, err
 		}
@@ -203,8 +197,9 @@
 	return p, nil
 }
 
-// Stop kills every process that still runs.
+// Stop kills every process that still runs and gives the stack's host back.
 func (s *Stack) Stop() {
+	defer s.host.release()
 	for _, p := range s.all {
 		p.Kill()
 	}
