Take the author from the operator's certificate

Cause: the admin listener believed any author's name, so a service's owner kept other teams out by mistake only. Many teams share one system.

Ruled out: tokens in a settings file (one more secret to hand out and replace; certificates are there with TLS); asking for a certificate for looking as well, since metrics are collected at the same listener.

The test of reloading now makes its value with newReloaded, which took over from the certificate's own reloader; it checks the same.

--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -59,7 +59,7 @@
 	return d.Run(context.Background())
 }
 
-// listen opens the three listeners and loads the certificate.
+// listen opens the three listeners and loads the certificates.
 func listen(set *settings.Settings) (daemon.Env, error) {
 	env := daemon.Env{Dial: httpx.Dialer(), Log: os.Stderr}
 	for _, l := range []struct {
@@ -84,5 +84,9 @@
 		return env, err
 	}
 	env.TLS = config
-	return env, nil
+	env.AdminTLS = config
+	if set.AdminClientCA != "" {
+		env.AdminTLS, err = httpx.AskClients(config, set.AdminClientCA)
+	}
+	return env, err
 }
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -120,7 +120,7 @@
 
 type rollbackCommand struct {
 	ctl    *command
-	Author string `long:"author" env:"CARAWAY_AUTHOR" description:"who publishes" required:"yes"`
+	Author string `long:"author" env:"CARAWAY_AUTHOR" description:"who publishes; the name of --certificate when that is given"`
 	To     uint64 `long:"to" description:"revision to put into force again" required:"yes"`
 	Args   struct {
 		Service string `positional-arg-name:"SERVICE" required:"1"`
@@ -129,6 +129,9 @@
 
 // Execute implements flags.Commander.
 func (r *rollbackCommand) Execute([]string) error {
+	if err := r.ctl.checkAuthor(r.Author); err != nil {
+		return err
+	}
 	entries, err := r.ctl.history(r.Args.Service)
 	if err != nil {
 		return err
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -23,24 +21,42 @@
 
 // admin returns a client of the daemon's admin service.
 func (c *command) admin() (carawayv1connect.AdminServiceClient, error) {
+	if (c.Cert == "") != (c.Key == "") {
+		return nil, fail(ExitMistake, "--certificate and --key go together")
+	}
+	if c.CA == "" && c.Cert != "" {
+		return nil, fail(ExitMistake, "--certificate: give --ca too, as it is not sent in clear text")
+	}
 	if c.CA == "" {
 		return carawayv1connect.NewAdminServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+c.Admin), nil
 	}
-	pem, err := os.ReadFile(c.CA)
+	pool, err := httpx.ReadAuthority(c.CA)
 	if err != nil {
 		return nil, fail(ExitMistake, "--ca: %v", err)
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fail(ExitMistake, "--ca: %s holds no PEM certificate", c.CA)
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	if c.Cert != "" {
+		own, err := tls.LoadX509KeyPair(c.Cert, c.Key)
+		if err != nil {
+			return nil, fail(ExitMistake, "--certificate: %v", err)
+		}
+		config.Certificates = []tls.Certificate{own}
 	}
 	client := &http.Client{Transport: &http.Transport{
-		TLSClientConfig:   &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12},
+		TLSClientConfig:   config,
 		ForceAttemptHTTP2: true,
 	}}
 	return carawayv1connect.NewAdminServiceClient(client, "https://"+c.Admin), nil
 }
 
+// checkAuthor reports a mistake when nothing says who publishes.
+func (c *command) checkAuthor(author string) error {
+	if author == "" && c.Cert == "" {
+		return fail(ExitMistake, "--author: say who publishes")
+	}
+	return nil
+}
+
 // call makes one call with a bounded time and sorts its error.
 func call[Req, Resp any](f func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error), req *Req) (*Resp, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -44,6 +44,8 @@
 type options struct {
 	Admin  string `long:"admin" env:"CARAWAY_ADMIN" description:"ip:port of a daemon's admin listener" default:"127.0.0.1:7401"`
 	CA     string `long:"ca" env:"CARAWAY_ADMIN_CA" description:"PEM file of the authority of the admin listener's certificate; clear text when empty"`
+	Cert   string `long:"certificate" env:"CARAWAY_ADMIN_CERTIFICATE" description:"PEM file of your certificate, where daemons ask operators for one"`
+	Key    string `long:"key" env:"CARAWAY_ADMIN_KEY" description:"PEM file of the certificate's key"`
 	Output string `short:"o" long:"output" description:"output format" choice:"table" choice:"json" default:"table"`
 }
 
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -149,7 +149,7 @@
 type publishCommand struct {
 	ctl *command
 	revisionsFile
-	Author string   `long:"author" env:"CARAWAY_AUTHOR" description:"who publishes; must be the owner of each service that has one"`
+	Author string   `long:"author" env:"CARAWAY_AUTHOR" description:"who publishes; must be the owner of each service that has one; the name of --certificate when that is given"`
 	Note   string   `long:"note" description:"free text for the history"`
 	Remove []string `long:"remove" description:"name of a service to remove"`
 	DryRun bool     `long:"dry-run" description:"say what would happen and change nothing"`
@@ -161,8 +161,8 @@
 
 // Execute implements flags.Commander.
 func (p *publishCommand) Execute([]string) error {
-	if p.Author == "" {
-		return fail(ExitMistake, "--author: say who publishes")
+	if err := p.ctl.checkAuthor(p.Author); err != nil {
+		return err
 	}
 	if len(p.Args.Paths) == 0 && len(p.Remove) == 0 {
 		return fail(ExitMistake, "nothing to publish: give service files or --remove")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,8 +47,8 @@
 	Dial                  httpx.DialFunc
 	// Log takes the log lines.
 	Log io.Writer
-	// TLS protects the callers' and admin listeners when set.
-	TLS *tls.Config
+	// TLS protects the callers' listener when set, AdminTLS the admin one.
+	TLS, AdminTLS *tls.Config
 	// Seed makes the daemon's random choices repeatable; zero for none.
 	Seed uint64
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -31,7 +31,11 @@
 
 // Publish implements carawayv1connect.AdminServiceHandler.
 func (o operator) Publish(ctx context.Context, req *connect.Request[carawayv1.PublishRequest]) (*connect.Response[carawayv1.PublishResponse], error) {
-	pub := service.Publication{Author: req.Msg.Author, Note: req.Msg.Note}
+	author, err := o.author(ctx, req.Msg.Author)
+	if err != nil {
+		return nil, err
+	}
+	pub := service.Publication{Author: author, Note: req.Msg.Note}
 	for _, c := range req.Msg.Changes {
 		pub.Changes = append(pub.Changes, service.Change{
 			Service:      fleet.ServiceName(c.Service),
@@ -243,7 +247,10 @@
 
 // Drain implements carawayv1connect.AdminServiceHandler. Only the daemon
 // itself can be drained this way; an instance leaves by the platform's list.
-func (o operator) Drain(_ context.Context, req *connect.Request[carawayv1.DrainRequest]) (*connect.Response[carawayv1.DrainResponse], error) {
+func (o operator) Drain(ctx context.Context, req *connect.Request[carawayv1.DrainRequest]) (*connect.Response[carawayv1.DrainResponse], error) {
+	if err := o.mayChange(ctx); err != nil {
+		return nil, err
+	}
 	if req.Msg.Instance != "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("an instance is drained by the platform's list; only the daemon itself can be drained here"))
 	}
@@ -288,6 +295,9 @@
 
 // ClearSuspect implements carawayv1connect.AdminServiceHandler.
 func (o operator) ClearSuspect(ctx context.Context, req *connect.Request[carawayv1.ClearSuspectRequest]) (*connect.Response[carawayv1.ClearSuspectResponse], error) {
+	if err := o.mayChange(ctx); err != nil {
+		return nil, err
+	}
 	f, err := suspect.ParseFingerprint(req.Msg.Fingerprint)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -47,7 +47,7 @@
 	limit := func(l net.Listener) net.Listener { return netutil.LimitListener(l, d.set.MaxConnections) }
 	return []endpoint{
 		{name: "callers", listener: limit(d.env.Callers), server: httpx.NewServer(httpx.BoundSlowClients(callers), d.env.TLS)},
-		{name: "admin", listener: limit(d.env.Admin), server: httpx.NewServer(httpx.BoundSlowClients(admin), d.env.TLS)},
+		{name: "admin", listener: limit(d.env.Admin), server: httpx.NewServer(httpx.BoundSlowClients(nameOperators(admin)), d.env.AdminTLS)},
 		{name: "peers", listener: limit(d.env.Peers), server: httpx.NewServer(d.mesh.Handler(), nil)},
 	}
 }
--- a/internal/httpx/httpx_test.go
+++ b/internal/httpx/httpx_test.go
@@ -7,7 +7,9 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
 	"io"
 	"math/big"
 	"net"
@@ -105,13 +107,15 @@
 	})
 }
 
-// writePair writes a self-signed certificate for the loopback address.
+// writePair writes a self-signed certificate for the loopback address, whose
+// common name is its serial number.
 func writePair(t *testing.T, certFile, keyFile string, serial int64) {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	c := &x509.Certificate{
 		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: fmt.Sprint(serial)},
 		NotAfter:     time.Now().Add(time.Hour),
 		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 	}
@@ -138,9 +142,12 @@
 	}
 	assert.Equal(t, serial(), int64(1))
 
-	r := &reloader{certificateFile: cert, keyFile: key}
-	assert.NilError(t, r.load())
-	config.GetCertificate = r.get
+	r, err := newReloaded(func() (*tls.Certificate, error) {
+		c, err := tls.LoadX509KeyPair(cert, key)
+		return &c, err
+	}, cert, key)
+	assert.NilError(t, err)
+	config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.get(), nil }
 	assert.NilError(t, os.WriteFile(cert, []byte("broken"), 0o600))
 	later := time.Now().Add(time.Minute)
 	assert.NilError(t, os.Chtimes(cert, later, later))
@@ -150,3 +157,46 @@
 	r.checkedAt = time.Time{}
 	assert.Equal(t, serial(), int64(2))
 }
+
+func TestClientsCertificatesAreVerified(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name string) string { return filepath.Join(dir, name) }
+	writePair(t, file("server"), file("server-key"), 1)
+	writePair(t, file("operator"), file("operator-key"), 2)
+	writePair(t, file("stranger"), file("stranger-key"), 3)
+	config, err := ReloadingTLS(file("server"), file("server-key"))
+	assert.NilError(t, err)
+	config, err = AskClients(config, file("operator"))
+	assert.NilError(t, err)
+	authority, err := ReadAuthority(file("server"))
+	assert.NilError(t, err)
+
+	for name, c := range map[string]struct {
+		pair    string
+		want    string // common name of the verified certificate
+		refused bool
+	}{
+		"of the authority":      {pair: "operator", want: "2"},
+		"of another authority":  {pair: "stranger", refused: true},
+		"without a certificate": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			own := &tls.Config{RootCAs: authority, ServerName: "127.0.0.1"}
+			if c.pair != "" {
+				pair, err := tls.LoadX509KeyPair(file(c.pair), file(c.pair+"-key"))
+				assert.NilError(t, err)
+				own.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
+			}
+			clientEnd, serverEnd := net.Pipe()
+			defer clientEnd.Close()
+			defer serverEnd.Close()
+			go func() { _ = tls.Client(clientEnd, own).Handshake(); _, _ = io.Copy(io.Discard, clientEnd) }()
+			server := tls.Server(serverEnd, config)
+			err := server.Handshake()
+			assert.Equal(t, err != nil, c.refused, "%v", err)
+			if c.want != "" {
+				assert.Equal(t, server.ConnectionState().VerifiedChains[0][0].Subject.CommonName, c.want)
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	LogLevel         string        `long:"log-level" env:"CARAWAY_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
 	TLSCertificate   string        `long:"tls-certificate" env:"CARAWAY_TLS_CERTIFICATE" description:"PEM file for the callers' and admin listeners; clear text when empty"`
 	TLSKey           string        `long:"tls-key" env:"CARAWAY_TLS_KEY" description:"PEM file of the certificate's key"`
+	AdminClientCA    string        `long:"admin-client-ca" env:"CARAWAY_ADMIN_CLIENT_CA" description:"PEM file of the authority of operators' certificates; when set, only an operator with a certificate changes anything, under the certificate's common name"`
 	ExplainDecisions int           `long:"explain-decisions" env:"CARAWAY_EXPLAIN_DECISIONS" description:"decisions kept in memory for carawayctl explain, 0 to 1000000" default:"20000"`
 }
 
@@ -105,6 +106,7 @@
 	_, err := log.ParseLevel(s.LogLevel)
 	check(err == nil, "log-level", "debug, info, warn or error", strconv.Quote(s.LogLevel))
 	check((s.TLSCertificate == "") == (s.TLSKey == ""), "tls-key", "both tls-certificate and tls-key, or neither", strconv.Quote(s.TLSKey))
+	check(s.AdminClientCA == "" || s.TLSCertificate != "", "admin-client-ca", "tls-certificate and tls-key with it", strconv.Quote(s.AdminClientCA))
 	if len(m) > 0 {
 		return m
 	}
