Let carawayctl take several daemons

Cause: explain asked one daemon, and the operator had to know which one served a request or held a group's lease; a daemon that was down ended every command.

Ruled out: relaying explain over the peer links (a message kind for a question that operators ask rarely); announcing admin addresses in the log (they are on another network than the peers').

Before: one address; explain of another daemon's request found nothing.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -19,8 +21,30 @@
 // callTimeout bounds one call to a daemon.
 const callTimeout = 10 * time.Second
 
-// admin returns a client of the daemon's admin service.
+// reachTimeout bounds the try whether a daemon can be reached, where there are
+// several.
+const reachTimeout = time.Second
+
+// addresses are those of the daemons at --admin.
+func (c *command) addresses() []string { return strings.Split(c.Admin, ",") }
+
+// admin returns a client of the first daemon that can be reached.
 func (c *command) admin() (carawayv1connect.AdminServiceClient, error) {
+	addresses := c.addresses()
+	if len(addresses) == 1 {
+		return c.adminAt(addresses[0])
+	}
+	for _, a := range addresses {
+		if conn, err := net.DialTimeout("tcp", a, reachTimeout); err == nil {
+			_ = conn.Close()
+			return c.adminAt(a)
+		}
+	}
+	return nil, fail(ExitUnreachable, "none of the daemons at %s can be reached", c.Admin)
+}
+
+// adminAt returns a client of a daemon's admin service.
+func (c *command) adminAt(address string) (carawayv1connect.AdminServiceClient, error) {
 	if (c.Cert == "") != (c.Key == "") {
 		return nil, fail(ExitMistake, "--certificate and --key go together")
 	}
@@ -28,7 +52,7 @@
 		return nil, fail(ExitMistake, "--certificate: give --ca too, as it is not sent in clear text")
 	}
 	if c.CA == "" {
-		return carawayv1connect.NewAdminServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+c.Admin), nil
+		return carawayv1connect.NewAdminServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+address), nil
 	}
 	pool, err := httpx.ReadAuthority(c.CA)
 	if err != nil {
@@ -46,7 +70,7 @@
 		TLSClientConfig:   config,
 		ForceAttemptHTTP2: true,
 	}}
-	return carawayv1connect.NewAdminServiceClient(client, "https://"+c.Admin), nil
+	return carawayv1connect.NewAdminServiceClient(client, "https://"+address), nil
 }
 
 // checkAuthor reports a mistake when nothing says who publishes.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -23,6 +23,8 @@
 	carawayv1connect.UnimplementedAdminServiceHandler
 	revision uint64
 	asked    *carawayv1.PublishRequest
+	// decisions are kept by request or group.
+	decisions map[string][]*carawayv1.Decision
 }
 
 func (a *admin) Publish(_ context.Context, req *connect.Request[carawayv1.PublishRequest]) (*connect.Response[carawayv1.PublishResponse], error) {
@@ -47,9 +49,13 @@
 	}), nil
 }
 
-// run carries out one command line against a daemon and returns what it
-// printed.
-func run(t *testing.T, a *admin, args ...string) (code ExitCode, stdout, stderr string) {
+// Explain implements carawayv1connect.AdminServiceHandler.
+func (a *admin) Explain(_ context.Context, req *connect.Request[carawayv1.ExplainRequest]) (*connect.Response[carawayv1.ExplainResponse], error) {
+	return connect.NewResponse(&carawayv1.ExplainResponse{Decisions: a.decisions[req.Msg.RequestId]}), nil
+}
+
+// serve serves a daemon's admin service and returns its address.
+func serve(t *testing.T, a *admin) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -57,9 +63,20 @@
 	mux.Handle(carawayv1connect.NewAdminServiceHandler(a))
 	server := httpx.NewServer(mux, nil)
 	go func() { _ = server.Serve(l) }()
-	defer server.Close()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// run carries out one command line against a daemon and returns what it
+// printed.
+func run(t *testing.T, a *admin, args ...string) (code ExitCode, stdout, stderr string) {
+	t.Helper()
+	return runAt(serve(t, a), args...)
+}
+
+func runAt(address string, args ...string) (code ExitCode, stdout, stderr string) {
 	var out, errs bytes.Buffer
-	code = Run(append([]string{"--admin", l.Addr().String()}, args...), &out, &errs)
+	code = Run(append([]string{"--admin", address}, args...), &out, &errs)
 	return code, out.String(), errs.String()
 }
 
@@ -111,3 +128,31 @@
 	var out, errs bytes.Buffer
 	assert.Equal(t, Run([]string{"--admin", "127.0.0.1:1", "status"}, &out, &errs), ExitUnreachable, errs.String())
 }
+
+func TestSeveralDaemons(t *testing.T) {
+	decision := func(at, text string) []*carawayv1.Decision {
+		return []*carawayv1.Decision{{Time: at, Text: text, Event: 1600, Daemon: "d-" + text}}
+	}
+	const gone = "127.0.0.1:1"
+	later := serve(t, &admin{decisions: map[string][]*carawayv1.Decision{"r": decision("2026-01-01T00:00:02Z", "resumed"), "g": decision("2026-01-01T00:00:00Z", "formed")}})
+	first := serve(t, &admin{decisions: map[string][]*carawayv1.Decision{"r": decision("2026-01-01T00:00:01Z", "sent")}})
+	all := strings.Join([]string{gone, later, first}, ",")
+
+	code, out, errs := runAt(all, "explain", "r")
+	assert.Equal(t, code, ExitOK, errs)
+	assert.Assert(t, strings.Contains(errs, gone), errs)
+	sent, resumed := strings.Index(out, "sent"), strings.Index(out, "resumed")
+	assert.Assert(t, 0 < sent && sent < resumed, out)
+
+	code, _, errs = runAt(all, "explain", "unknown")
+	assert.Equal(t, code, ExitFailed, errs)
+	code, _, errs = runAt(gone+","+gone, "explain", "r")
+	assert.Equal(t, code, ExitUnreachable, errs)
+	code, out, errs = runAt(gone+","+first, "status")
+	assert.Equal(t, code, ExitOK, errs)
+	assert.Assert(t, out != "")
+	code, _, errs = runAt(gone+","+gone, "status")
+	assert.Equal(t, code, ExitUnreachable, errs)
+	code, _, errs = runAt(all, "drain")
+	assert.Equal(t, code, ExitMistake, errs)
+}
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,65 @@
+package ctl
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+)
+
+type explainCommand struct {
+	ctl  *command
+	Args struct {
+		ID string `positional-arg-name:"REQUEST" description:"request id or group id" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (e *explainCommand) Execute([]string) error {
+	decisions, err := e.decisions()
+	if err != nil {
+		return err
+	}
+	if len(decisions) == 0 {
+		return fail(ExitFailed, "no daemon at %s keeps a decision about %q", e.ctl.Admin, e.Args.ID)
+	}
+	var rows [][]string
+	for _, d := range decisions {
+		rows = append(rows, []string{d.Time, d.Daemon, strconv.Itoa(int(d.Event)), d.Text})
+	}
+	return e.ctl.show(&carawayv1.ExplainResponse{Decisions: decisions}, []string{"TIME", "DAEMON", "EVENT", "DECISION"}, rows)
+}
+
+// decisions asks every daemon and returns what they keep, oldest first. One
+// that does not answer is named on the standard error, and fails the command
+// only if none answers.
+func (e *explainCommand) decisions() ([]*carawayv1.Decision, error) {
+	var out []*carawayv1.Decision
+	var last error
+	answered := 0
+	for _, address := range e.ctl.addresses() {
+		resp, err := e.ask(address)
+		if err != nil {
+			fmt.Fprintf(e.ctl.stderr, "%s: %v\n", address, err)
+			last = err
+			continue
+		}
+		answered++
+		out = append(out, resp.Decisions...)
+	}
+	if answered == 0 {
+		return nil, last
+	}
+	slices.SortStableFunc(out, func(a, b *carawayv1.Decision) int { return strings.Compare(a.Time, b.Time) })
+	return out, nil
+}
+
+func (e *explainCommand) ask(address string) (*carawayv1.ExplainResponse, error) {
+	client, err := e.ctl.adminAt(address)
+	if err != nil {
+		return nil, err
+	}
+	return call(client.Explain, &carawayv1.ExplainRequest{RequestId: e.Args.ID})
+}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -131,33 +131,6 @@
 	return g.ctl.show(resp, []string{"GROUP", "SERVICE", "VERSION", "EPOCH", "STATE", "WHOLE", "FABRIC", "MEMBERS", "SPARES", "IN FLIGHT"}, rows)
 }
 
-type explainCommand struct {
-	ctl  *command
-	Args struct {
-		ID string `positional-arg-name:"REQUEST" description:"request id or group id" required:"1"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (e *explainCommand) Execute([]string) error {
-	client, err := e.ctl.admin()
-	if err != nil {
-		return err
-	}
-	resp, err := call(client.Explain, &carawayv1.ExplainRequest{RequestId: e.Args.ID})
-	if err != nil {
-		return err
-	}
-	if len(resp.Decisions) == 0 {
-		return fail(ExitFailed, "this daemon keeps no decision about %q; ask the daemon that served it", e.Args.ID)
-	}
-	var rows [][]string
-	for _, d := range resp.Decisions {
-		rows = append(rows, []string{d.Time, strconv.Itoa(int(d.Event)), d.Text})
-	}
-	return e.ctl.show(resp, []string{"TIME", "EVENT", "DECISION"}, rows)
-}
-
 type suspectsCommand struct{ ctl *command }
 
 // Execute implements flags.Commander.
@@ -201,6 +174,9 @@
 
 // Execute implements flags.Commander.
 func (d *drainCommand) Execute([]string) error {
+	if len(d.ctl.addresses()) > 1 {
+		return fail(ExitMistake, "--admin: name the one daemon to drain")
+	}
 	client, err := d.ctl.admin()
 	if err != nil {
 		return err
--- a/standin/demo/hold.go
+++ b/standin/demo/hold.go
@@ -9,13 +9,24 @@
 	"syscall"
 )
 
+// admins lists the daemons' admin addresses, the target's first.
+func (d *demo) admins() string {
+	out := []string{d.target.Admin}
+	for _, x := range d.stack.Daemons {
+		if x != d.target {
+			out = append(out, x.Admin)
+		}
+	}
+	return strings.Join(out, ",")
+}
+
 // hold keeps the system running until an interrupt, and writes its addresses,
 // process ids and log folder to out/play.env for a shell to read.
 func (d *demo) hold(root string) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "export PATH=%s:$PATH\n", filepath.Join(d.stack.Dir, "bin"))
 	fmt.Fprintf(&b, "export LOGS=%s PLATFORM=%s\n", d.stack.Dir, d.stack.Platform.Address)
-	fmt.Fprintf(&b, "export CARAWAY_ADMIN=%s CARAWAY_AUTHOR=trust\n", d.target.Admin)
+	fmt.Fprintf(&b, "export CARAWAY_ADMIN=%s CARAWAY_AUTHOR=trust\n", d.admins())
 	for i, x := range d.stack.Daemons {
 		fmt.Fprintf(&b, "export CALLERS_%d=%s ADMIN_%d=%s DAEMON_%d_PID=%d\n", i+1, x.Callers, i+1, x.Admin, i+1, x.PID())
 	}
