Name the bound of the platform's answers in its comment

Cause: the comment named a constant that does not exist. Ruled out: a bound of records, which the log itself has. Before and after: text only. Conclusion: found in the read-through.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,7 +24,7 @@
 	appendTimeout = 3 * time.Second
 	readSlack     = 2 * time.Second // past the wait that was asked for
 	listTimeout   = 2 * time.Second
-	// MaxRecordBytes bounds one answer of the log.
+	// maxAnswerBytes bounds one answer of the platform.
 	maxAnswerBytes = 16 << 20
 )
 
