Let the bench compare two builds and name the cores by process

Cause: the bench gave the daemon's cores only, and a wall-clock gap that moves with whatever else the machine does, so two builds could not be compared and nobody could see what the bench's own engines and callers take.

Ruled out: comparing runs made one after another; with other work on the machine the same build gave 30.7 and 33.7 ms between tokens.

--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -5,23 +5,16 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
-	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
-	"carawayproxy.example/caraway/internal/httpx"
-	"carawayproxy.example/caraway/standin/proc"
 	"carawayproxy.example/caraway/standin/stack"
 )
 
@@ -44,7 +37,11 @@
 	Engines  int           `long:"engines" description:"engines, each a group of one" default:"12"`
 	Clients  int           `long:"clients" description:"connections of callers to the daemon" default:"64"`
 	Profile  string        `long:"profile" description:"file for a processor profile of the daemon under full load"`
+	Callers  string        `long:"profile-callers" description:"file for a processor profile of the callers under full load"`
 	Duration time.Duration `long:"duration" description:"of each phase, 60s at most" default:"20s"`
+	Baseline string        `long:"baseline" description:"folder with the carawayd of another build, which takes the same load in turns"`
+	Rounds   int           `long:"rounds" description:"turns of each daemon at full load" default:"1"`
+	Env      []string      `long:"env" description:"KEY=VALUE for the daemon measured, not for the baseline"`
 }
 
 func main() {
@@ -75,35 +72,16 @@
 	if err != nil {
 		return err
 	}
-	d := s.Daemons[0]
 	small := opt
 	small.Rate = opt.Rate / 10
 	fmt.Printf("%.0f engines, %s between tokens, %d tokens a request, %d connections of callers, %s a phase\n", float64(opt.Engines), opt.Interval, opt.Tokens, opt.Clients, opt.Duration)
-	for _, phase := range []options{small, opt} {
-		direct := drive(phase, directCalls(targets))
-		before, err := proc.CPUTime(d.Process)
-		if err != nil {
+	if opt.Baseline == "" {
+		small.Profile, small.Callers, small.Rounds = "", "", 1
+		if err := phase(s, small, targets); err != nil {
 			return err
 		}
-		if phase.Rate == opt.Rate && opt.Profile != "" {
-			go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
-		}
-		idle, err := proc.Memory(d.Process)
-		if err != nil {
-			return err
-		}
-		var loaded uint64
-		late := time.AfterFunc(phase.Duration*9/10, func() { loaded, _ = proc.Memory(d.Process) })
-		through := drive(phase, daemonCalls(d, opt.Clients))
-		late.Stop()
-		after, err := proc.CPUTime(d.Process)
-		if err != nil {
-			return err
-		}
-		report(phase, direct, through, after-before)
-		fmt.Printf("  daemon's memory: %d MiB before, %d MiB late in the phase\n", idle>>20, loaded>>20)
 	}
-	return nil
+	return phase(s, opt, targets)
 }
 
 const serviceFile = `service: bench
@@ -144,7 +122,7 @@
 			return s, nil, err
 		}
 	}
-	if _, err := s.AddDaemon("daemon", "a", "--log-level=warn"); err != nil {
+	if err := addDaemons(s, opt); err != nil {
 		return s, nil, err
 	}
 	if err := s.WaitReady(startLimit); err != nil {
@@ -187,164 +165,3 @@
 	})
 	return targets, err
 }
-
-// result is what one phase measured, times in microseconds.
-type result struct {
-	mu      sync.Mutex
-	first   *hdrhistogram.Histogram
-	gap     *hdrhistogram.Histogram
-	tokens  int
-	done    int
-	failed  int
-	lastErr error
-	took    time.Duration
-}
-
-// next is one message of a stream: how many tokens it brought, and whether it
-// ended the stream.
-type next func() (tokens int, ended bool, err error)
-
-// open begins the nth request.
-type open func(ctx context.Context, n int, prompt string, tokens uint32) (next, error)
-
-// drive starts requests at a steady rate for the phase and waits for their
-// ends.
-func drive(opt options, begin open) *result {
-	r := &result{first: hdrhistogram.New(1, 60_000_000, 3), gap: hdrhistogram.New(1, 60_000_000, 3)}
-	var wg sync.WaitGroup
-	began := time.Now()
-	tick := time.NewTicker(time.Second / ticksASec)
-	defer tick.Stop()
-	started := 0
-	for time.Since(began) < opt.Duration {
-		<-tick.C
-		due := int(time.Since(began).Seconds() * opt.Rate)
-		for ; started < due; started++ {
-			n := started
-			wg.Go(func() { r.one(begin, n, opt.Tokens) })
-		}
-	}
-	wg.Wait()
-	r.took = time.Since(began)
-	return r
-}
-
-func (r *result) one(begin open, n int, tokens uint32) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	began := time.Now()
-	receive, err := begin(ctx, n, fmt.Sprintf("question %d", n), tokens)
-	if err != nil {
-		r.fail(err)
-		return
-	}
-	gaps := make([]int64, 0, tokens)
-	var first, last time.Time
-	got := 0
-	for {
-		k, ended, err := receive()
-		now := time.Now()
-		if err != nil {
-			r.fail(err)
-			return
-		}
-		if k > 0 && got == 0 {
-			first = now
-		} else if k > 0 {
-			gaps = append(gaps, now.Sub(last).Microseconds())
-		}
-		got += k
-		last = now
-		if ended {
-			break
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.done++
-	r.tokens += got
-	_ = r.first.RecordValue(first.Sub(began).Microseconds())
-	for _, g := range gaps {
-		_ = r.gap.RecordValue(g)
-	}
-}
-
-func (r *result) fail(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.failed++
-	r.lastErr = err
-}
-
-func directCalls(targets []target) open {
-	var engines []carawayv1connect.EngineServiceClient
-	for _, t := range targets {
-		engines = append(engines, carawayv1connect.NewEngineServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+t.address))
-	}
-	return func(ctx context.Context, n int, prompt string, tokens uint32) (next, error) {
-		i := n % len(engines)
-		s, err := engines[i].Run(ctx, connect.NewRequest(&carawayv1.RunRequest{
-			RequestId: prompt, AttemptId: prompt, Service: "bench", Version: "v1", Prompt: prompt, MaxTokens: tokens,
-			Group: targets[i].group.Group, Epoch: targets[i].group.Epoch,
-		}))
-		if err != nil {
-			return nil, err
-		}
-		return func() (int, bool, error) {
-			if !s.Receive() {
-				return 0, false, ended(s.Err())
-			}
-			return len(s.Msg().Tokens), s.Msg().End != nil, nil
-		}, nil
-	}
-}
-
-func daemonCalls(d *stack.Daemon, clients int) open {
-	var pool []carawayv1connect.InferenceServiceClient
-	for range clients {
-		pool = append(pool, carawayv1connect.NewInferenceServiceClient(httpx.NewClient(httpx.Dialer()), "http://"+d.Callers))
-	}
-	return func(ctx context.Context, n int, prompt string, tokens uint32) (next, error) {
-		s, err := pool[n%len(pool)].Generate(ctx, connect.NewRequest(&carawayv1.GenerateRequest{
-			Workspace: "load", Service: "bench", Prompt: prompt, MaxTokens: tokens,
-		}))
-		if err != nil {
-			return nil, err
-		}
-		return func() (int, bool, error) {
-			if !s.Receive() {
-				return 0, false, ended(s.Err())
-			}
-			return len(s.Msg().Tokens), s.Msg().End != nil, nil
-		}, nil
-	}
-}
-
-func ended(err error) error {
-	if err == nil {
-		return errors.New("the stream stopped without an end")
-	}
-	return err
-}
-
-func report(opt options, direct, through *result, cpu time.Duration) {
-	fmt.Printf("\n%.0f requests/s offered\n", opt.Rate)
-	fmt.Printf("  %-28s %12s %12s %8s\n", "", "direct", "daemon", "ratio")
-	row := func(name string, a, b int64) {
-		fmt.Printf("  %-28s %10.2fms %10.2fms %8.2f\n", name, float64(a)/1000, float64(b)/1000, float64(b)/float64(max(a, 1)))
-	}
-	row("first token, median", direct.first.ValueAtQuantile(50), through.first.ValueAtQuantile(50))
-	row("first token, 95 in 100", direct.first.ValueAtQuantile(95), through.first.ValueAtQuantile(95))
-	row("between tokens, median", direct.gap.ValueAtQuantile(50), through.gap.ValueAtQuantile(50))
-	row("between tokens, 95 in 100", direct.gap.ValueAtQuantile(95), through.gap.ValueAtQuantile(95))
-	fmt.Printf("  %-28s %12d %12d\n", "requests ended", direct.done, through.done)
-	fmt.Printf("  %-28s %12d %12d\n", "requests failed", direct.failed, through.failed)
-	fmt.Printf("  %-28s %12.0f %12.0f\n", "tokens/s", float64(direct.tokens)/direct.took.Seconds(), float64(through.tokens)/through.took.Seconds())
-	if through.lastErr != nil {
-		fmt.Println("  last failure:", through.lastErr)
-	}
-	fmt.Printf("  daemon's processor time: %.2f cores, %s a request, %s a token\n", cpu.Seconds()/through.took.Seconds(),
-		(cpu / time.Duration(max(through.done, 1))).Round(time.Microsecond), (cpu / time.Duration(max(through.tokens, 1))).Round(10*time.Nanosecond))
-	kept := through.gap.ValueAtQuantile(95) <= gapTarget.Microseconds() && through.first.ValueAtQuantile(95) <= firstTarget.Microseconds() && through.failed == 0
-	fmt.Printf("  target (%s between tokens, first within %s, for 95 in 100, none failed): kept %t\n", gapTarget, firstTarget, kept)
-}
--- /dev/null
+++ b/standin/bench/report.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// turn is one phase of load through one daemon.
+type turn struct {
+	name   string
+	result *result
+	spent  spent
+	idle   uint64 // bytes of the daemon before the phase
+	loaded uint64 // bytes of the daemon late in the phase
+}
+
+// perThousand is the daemon's processor time for a thousand tokens.
+func (t *turn) perThousand() time.Duration {
+	return t.spent.daemon * 1000 / time.Duration(max(t.result.tokens, 1))
+}
+
+// kept reports whether the turn held the targets.
+func (t *turn) kept() bool {
+	r := t.result
+	return r.gap.ValueAtQuantile(95) <= gapTarget.Microseconds() && r.first.ValueAtQuantile(95) <= firstTarget.Microseconds() && r.failed == 0
+}
+
+// report prints what one turn added to calling the engines directly.
+func report(direct *result, t *turn) {
+	fmt.Printf("  %-28s %12s %12s %8s\n", "", "direct", t.name, "ratio")
+	row := func(name string, a, b int64) {
+		fmt.Printf("  %-28s %10.2fms %10.2fms %8.2f\n", name, float64(a)/1000, float64(b)/1000, float64(b)/float64(max(a, 1)))
+	}
+	through := t.result
+	row("first token, median", direct.first.ValueAtQuantile(50), through.first.ValueAtQuantile(50))
+	row("first token, 95 in 100", direct.first.ValueAtQuantile(95), through.first.ValueAtQuantile(95))
+	row("between tokens, median", direct.gap.ValueAtQuantile(50), through.gap.ValueAtQuantile(50))
+	row("between tokens, 95 in 100", direct.gap.ValueAtQuantile(95), through.gap.ValueAtQuantile(95))
+	fmt.Printf("  %-28s %12d %12d\n", "requests ended", direct.done, through.done)
+	fmt.Printf("  %-28s %12d %12d\n", "requests failed", direct.failed, through.failed)
+	fmt.Printf("  %-28s %12.0f %12.0f\n", "tokens/s", direct.tokensPerSecond(), through.tokensPerSecond())
+	fmt.Printf("  %-28s %12.2f %12.2f\n", "tokens a message", direct.tokensPerMessage(), through.tokensPerMessage())
+	if through.lastErr != nil {
+		fmt.Println("  last failure:", through.lastErr)
+	}
+	cores := func(d time.Duration) float64 { return d.Seconds() / through.took.Seconds() }
+	fmt.Printf("  daemon's processor time: %s for 1,000 tokens\n", t.perThousand().Round(10*time.Microsecond))
+	fmt.Printf("  cores: daemon %.2f, engines %.2f, callers %.2f, whole machine %.2f\n",
+		cores(t.spent.daemon), cores(t.spent.engines), cores(t.spent.callers), cores(t.spent.machine))
+	fmt.Printf("  daemon's memory: %d MiB before, %d MiB late in the phase\n", t.idle>>20, t.loaded>>20)
+	fmt.Printf("  target (%s between tokens, first within %s, for 95 in 100, none failed): kept %t\n", gapTarget, firstTarget, t.kept())
+}
+
+// compare prints the processor time of two builds under the same load.
+func compare(turns []*turn) {
+	var now, base time.Duration
+	var nowTokens, baseTokens int
+	for _, t := range turns {
+		if t.name == baselineName {
+			base += t.spent.daemon
+			baseTokens += t.result.tokens
+			continue
+		}
+		now += t.spent.daemon
+		nowTokens += t.result.tokens
+	}
+	if base == 0 || nowTokens == 0 {
+		return
+	}
+	a := float64(now) / float64(nowTokens)
+	b := float64(base) / float64(max(baseTokens, 1))
+	fmt.Printf("  processor time for a token, all turns: %.1f us against %.1f us, ratio %.2f\n", a/1000, b/1000, a/b)
+}
--- /dev/null
+++ b/standin/bench/turns.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/pprof"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/standin/proc"
+	"carawayproxy.example/caraway/standin/stack"
+)
+
+// Names of the daemons.
+const (
+	daemonName   = "daemon"
+	baselineName = "baseline"
+)
+
+// addDaemons starts the daemon to measure and, when there is one, the daemon
+// of the other build.
+func addDaemons(s *stack.Stack, opt options) error {
+	if opt.Baseline != "" {
+		bin := s.Bin
+		s.Bin = opt.Baseline
+		_, err := s.AddDaemon(baselineName, "a", "--log-level=warn")
+		s.Bin = bin
+		if err != nil {
+			return err
+		}
+	}
+	restore, err := setEnv(opt.Env)
+	if err != nil {
+		return err
+	}
+	defer restore()
+	_, err = s.AddDaemon(daemonName, "a", "--log-level=warn")
+	return err
+}
+
+// setEnv sets variables for the processes started next.
+func setEnv(pairs []string) (restore func(), err error) {
+	var set []string
+	for _, p := range pairs {
+		key, value, ok := strings.Cut(p, "=")
+		if !ok {
+			return nil, errors.Errorf("--env: want KEY=VALUE, got %q", p)
+		}
+		if err := os.Setenv(key, value); err != nil {
+			return nil, errors.Wrap(err, "--env")
+		}
+		set = append(set, key)
+	}
+	return func() {
+		for _, key := range set {
+			_ = os.Unsetenv(key)
+		}
+	}, nil
+}
+
+// phase puts one load on the engines directly and then through each daemon in
+// turn.
+func phase(s *stack.Stack, opt options, targets []target) error {
+	fmt.Printf("\n%.0f requests/s offered\n", opt.Rate)
+	direct := drive(opt, directCalls(targets))
+	var turns []*turn
+	for range opt.Rounds {
+		for _, d := range s.Daemons {
+			t, err := takeTurn(s, d, opt)
+			if err != nil {
+				return err
+			}
+			report(direct, t)
+			turns = append(turns, t)
+		}
+	}
+	compare(turns)
+	return nil
+}
+
+// takeTurn puts the load on one daemon.
+func takeTurn(s *stack.Stack, d *stack.Daemon, opt options) (*turn, error) {
+	t := &turn{name: d.Name}
+	var err error
+	if t.idle, err = proc.Memory(d.Process); err != nil {
+		return nil, err
+	}
+	before, err := spentSoFar(s, d)
+	if err != nil {
+		return nil, err
+	}
+	if d.Name == daemonName {
+		stop, err := profile(d, opt)
+		if err != nil {
+			return nil, err
+		}
+		defer stop()
+	}
+	late := time.AfterFunc(opt.Duration*9/10, func() { t.loaded, _ = proc.Memory(d.Process) })
+	t.result = drive(opt, daemonCalls(d, opt.Clients))
+	late.Stop()
+	after, err := spentSoFar(s, d)
+	t.spent = after.since(before)
+	return t, err
+}
+
+// profile begins the processor profiles that the options ask for.
+func profile(d *stack.Daemon, opt options) (stop func(), err error) {
+	if opt.Profile != "" {
+		go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
+	}
+	if opt.Callers == "" {
+		return func() {}, nil
+	}
+	out, err := os.Create(opt.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "profile of the callers")
+	}
+	if err := pprof.StartCPUProfile(out); err != nil {
+		return nil, errors.Wrap(err, "profile of the callers")
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = out.Close()
+	}, nil
+}
