--- /dev/null
+++ b/internal/httpx/patience_test.go
@@ -0,0 +1,44 @@
+package httpx
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestLongPauseInAnAnswer: a handler that has nothing to write for longer than
+// a client may leave an answer unread must not lose its stream.
+func TestLongPauseInAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := make(pipeListener, 1)
+		server := NewServer(BoundSlowClients(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("first "))
+			w.(http.Flusher).Flush()
+			time.Sleep(2 * stallTimeout)
+			_, _ = w.Write([]byte("second"))
+		})), nil)
+		go func() { _ = server.Serve(l) }()
+		client := NewClient(func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			l <- far
+			return near, nil
+		})
+		defer func() {
+			client.CloseIdleConnections()
+			close(l)
+			_ = server.Close()
+		}()
+		resp, err := client.Get("http://server/")
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "first second")
+	})
+}
