Give callers in one message the tokens that have arrived together

Cause: each message of an engine became a message, a frame and a flush for the caller, also when the daemon was behind and several tokens of the stream lay read in memory.

Ruled out: timers, which hold a ready token back; joining in the adapter, since a chunk that fails its check would take the good tokens before it with it; asking whether any byte has arrived, since part of a message is no token.

Before: one message a token, whatever had arrived. After: the body is read through a buffer of 4 KiB, and tokens are joined, up to 64, while the next message lies whole in it. Each chunk passes the cursor alone as before; tokens that arrived before a fault are given before the attempt is left. Only chunks that are waited for set the timer and read the clock.

TestReadyTokensAreNeverHeld fails when part of a message counts as ready, TestTokensBeforeAFaultReachTheCaller when tokens before a fault are dropped; TestBurstsAreWholeOrTruthful repeats the property of generations for chunks that arrive together. generateOnce takes its bench as an argument for that; no check was changed.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -48,7 +48,7 @@
 	if v, ok := c.engines.Load(address); ok {
 		return v.(carawayv1connect.EngineServiceClient)
 	}
-	made := carawayv1connect.NewEngineServiceClient(c.http, "http://"+address, httpx.ClientOptions(maxMessageBytes))
+	made := carawayv1connect.NewEngineServiceClient(httpx.ReadAheadClient{Client: c.http}, "http://"+address, httpx.ClientOptions(maxMessageBytes))
 	v, _ := c.engines.LoadOrStore(address, made)
 	return v.(carawayv1connect.EngineServiceClient)
 }
@@ -79,6 +79,8 @@
 // Run implements Engines.
 func (c *Client) Run(ctx context.Context, address string, a Attempt) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
+	ahead := new(httpx.ReadAhead)
+	ctx = httpx.WithReadAhead(ctx, ahead)
 	s, err := c.runs.engine(address).Run(ctx, connect.NewRequest(&carawayv1.RunRequest{
 		RequestId:  string(a.Request),
 		AttemptId:  string(a.ID),
@@ -96,12 +98,13 @@
 		cancel()
 		return nil, classify(err)
 	}
-	return &runStream{stream: s, cancel: cancel}, nil
+	return &runStream{stream: s, ahead: ahead, cancel: cancel}, nil
 }
 
 // runStream adapts a connect stream.
 type runStream struct {
 	stream *connect.ServerStreamForClient[carawayv1.RunResponse]
+	ahead  *httpx.ReadAhead
 	cancel context.CancelFunc
 	tokens []Token // reused between chunks
 }
@@ -126,6 +129,10 @@
 	return chunk, nil
 }
 
+// Ready reports whether the next chunk has arrived, so that Next does not wait
+// for it.
+func (s *runStream) Ready() bool { return s.ahead.HoldsMessage() }
+
 // Close implements Stream.
 func (s *runStream) Close() {
 	s.cancel()
--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"testing"
 	"time"
 
@@ -176,3 +177,42 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchTokens), "ns/token")
 }
+
+// burstEngines are quick engines whose chunks arrive several together.
+type burstEngines struct {
+	*quick
+	together int
+}
+
+func (e burstEngines) Run(_ context.Context, _ string, a backend.Attempt) (backend.Stream, error) {
+	return &burstStream{quickStream: quickStream{q: e.quick, a: a}, together: e.together}, nil
+}
+
+type burstStream struct {
+	quickStream
+	together int
+}
+
+func (s *burstStream) Ready() bool { return s.at%s.together != 0 }
+
+// BenchmarkJoined tells the messages to a caller and the processor time in
+// dispatch for a token as the engine's tokens arrive alone or together.
+func BenchmarkJoined(b *testing.B) {
+	for _, together := range []int{1, 4, 16} {
+		b.Run(strconv.Itoa(together), func(b *testing.B) {
+			d := quickDispatcher()
+			defer d.Close()
+			d.cfg.Engines = burstEngines{quick: newQuick(), together: together}
+			messages := 0
+			for b.Loop() {
+				_, f := d.Generate(context.Background(), Generation{ID: "r", Workspace: "w", Service: "svc", Prompt: "p"},
+					func([]backend.Token) error { messages++; return nil })
+				if f != nil {
+					b.Fatal(f)
+				}
+			}
+			b.ReportMetric(float64(messages)/float64(b.N*benchTokens), "messages/token")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchTokens), "ns/token")
+		})
+	}
+}
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -56,7 +56,7 @@
 		groups := rapid.IntRange(1, 5).Draw(rt, "groups")
 		leave := rapid.SampledFrom([]uint32{0, 0, 0, 7}).Draw(rt, "leave")
 		var problem error
-		synctest.Test(t, func(*testing.T) { problem = generateOnce(script, groups, leave, seen) })
+		synctest.Test(t, func(*testing.T) { problem = generateOnce(newBench(groups, script...), leave, seen) })
 		if problem != nil {
 			rt.Fatal(problem)
 		}
@@ -64,8 +64,7 @@
 	assert.Assert(t, seen[fleet.Done] > 10 && seen[fleet.NotRun] > 3 && seen[fleet.MayHaveRun] > 3, "states not met: %v", seen)
 }
 
-func generateOnce(script []behaviour, groups int, leave uint32, seen map[fleet.RunState]int) error {
-	b := newBench(groups, script...)
+func generateOnce(b *bench, leave uint32, seen map[fleet.RunState]int) error {
 	defer b.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/internal/dispatch/servers_test.go
+++ b/internal/dispatch/servers_test.go
@@ -33,6 +33,8 @@
 	ran    map[fleet.RequestID]int // attempts that ran, in part or whole
 	once   map[string]int          // runs by body
 	tokens uint32                  // of a whole answer
+	burst  int                     // chunks that arrive together; one when zero
+	real   backend.Engines         // runs go there when set
 	cancel int
 	// attempts that streamed, in order
 	attempts []fleet.AttemptID
@@ -52,6 +54,9 @@
 func (s *servers) mark(id fleet.RequestID) { s.mu.Lock(); s.ran[id]++; s.mu.Unlock() }
 
 func (s *servers) Run(ctx context.Context, address string, a backend.Attempt) (backend.Stream, error) {
+	if s.real != nil {
+		return s.real.Run(ctx, address, a)
+	}
 	b := s.next()
 	switch b.Fault {
 	case "refused":
@@ -67,7 +72,11 @@
 	s.mu.Lock()
 	s.attempts = append(s.attempts, a.ID)
 	s.mu.Unlock()
-	return &stream{ctx: ctx, s: s, a: a, b: b, at: a.ResumeFrom, group: fleet.GroupID(address)}, nil
+	st := &stream{ctx: ctx, s: s, a: a, b: b, at: a.ResumeFrom, group: fleet.GroupID(address)}
+	if s.burst > 1 {
+		return &burst{stream: st, size: s.burst}, nil
+	}
+	return st, nil
 }
 
 func (s *servers) Cancel(context.Context, string, fleet.AttemptID) error {
