Give the bench's two daemons variables of their own

Cause: a daemon that has fewer processors than the load needs could not be compared with another such daemon, and ten times the share does not fit beside other work on one machine. Ruled out: GOMAXPROCS for the whole bench, which slows the callers too.

--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -41,7 +41,9 @@
 	Duration time.Duration `long:"duration" description:"of each phase, 60s at most" default:"20s"`
 	Baseline string        `long:"baseline" description:"folder with the carawayd of another build, which takes the same load in turns"`
 	Rounds   int           `long:"rounds" description:"turns of each daemon at full load" default:"1"`
-	Env      []string      `long:"env" description:"KEY=VALUE for the daemon measured, not for the baseline"`
+	Env      []string      `long:"env" description:"KEY=VALUE for the daemon measured"`
+
+	BaselineEnv []string `long:"baseline-env" description:"KEY=VALUE for the baseline"`
 }
 
 func main() {
--- a/standin/bench/turns.go
+++ b/standin/bench/turns.go
@@ -23,20 +23,25 @@
 // of the other build.
 func addDaemons(s *stack.Stack, opt options) error {
 	if opt.Baseline != "" {
-		bin := s.Bin
-		s.Bin = opt.Baseline
-		_, err := s.AddDaemon(baselineName, "a", "--log-level=warn")
-		s.Bin = bin
-		if err != nil {
+		if err := addDaemon(s, baselineName, opt.Baseline, opt.BaselineEnv); err != nil {
 			return err
 		}
 	}
-	restore, err := setEnv(opt.Env)
+	return addDaemon(s, daemonName, s.Bin, opt.Env)
+}
+
+// addDaemon starts a daemon from a folder of binaries with variables of its
+// own.
+func addDaemon(s *stack.Stack, name, bin string, env []string) error {
+	restore, err := setEnv(env)
 	if err != nil {
 		return err
 	}
 	defer restore()
-	_, err = s.AddDaemon(daemonName, "a", "--log-level=warn")
+	built := s.Bin
+	defer func() { s.Bin = built }()
+	s.Bin = bin
+	_, err = s.AddDaemon(name, "a", "--log-level=warn")
 	return err
 }
 
