Carry reports of backend servers in heartbeats

Cause: every daemon polls every engine, because a poll's result can't reach another daemon.

Weighed: a message of its own once a poll interval; fields of the heartbeat (taken). The heartbeat leaves every 500 ms on every link anyhow and has the echo that the reports' times rest on, so there is no further message to send, wake up for and acknowledge. A release that does not know the fields passes over them (TestOlderReleasePassesOverReports).

A report's state crosses a link when it changed, its load while the backend server works or when it changed, and otherwise a number and the age at which it was asked for, in 10 ms rounded up. ReceivedAt at the receiver is when it sent the echoed heartbeat, plus the time that was held, less the age: a lower bound on its own clock. Without an echo nothing is passed on.

Guards taken out: counting from arrival, TestHeldReports... fails with "the bound is -500us off" and, that line left out in a trial, with "counts from 2.15s after it was asked for".

Nobody offers or takes reports yet.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -112,12 +112,18 @@
 	heartbeat Heartbeat
 	leaving   []fleet.InstanceID
 	sightings []suspect.Sighting
+	polled    func(now time.Time) []fleet.Report // by this member, nil for none
+	reports   []fleet.Report                     // heard
 }
 
 func (m *member) Heartbeat() Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.heartbeat
+	h := m.heartbeat
+	if m.polled != nil {
+		h.Reports = m.polled(time.Now())
+	}
+	return h
 }
 
 func (m *member) set(f func(*member)) {
@@ -213,6 +219,9 @@
 		OnLeaving: func(ids []fleet.InstanceID) {
 			m.set(func(m *member) { m.leaving = append(m.leaving, ids...) })
 		},
+		OnReports: func(r []fleet.Report) {
+			m.set(func(m *member) { m.reports = append(m.reports, r...) })
+		},
 		OnSightings: func(s []suspect.Sighting) {
 			m.set(func(m *member) { m.sightings = append(m.sightings, s...) })
 		},
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -70,8 +70,12 @@
 	// must not block.
 	OnSightings func([]suspect.Sighting)
 	OnLeaving   func([]fleet.InstanceID)
-	Events      *event.Logger
-	Metrics     metrics.Registry // nil for none
+	// OnReports receives the reports that a peer polled; nil for none. It must
+	// not block. ReceivedAt of each is a moment on the own clock before which
+	// the peer surely did not ask for it.
+	OnReports func([]fleet.Report)
+	Events    *event.Logger
+	Metrics   metrics.Registry // nil for none
 	// Policy chooses the peers to dial, FullMesh when nil.
 	Policy LinkPolicy
 	// Beat is the time between heartbeats, DefaultBeat when zero.
--- a/internal/membership/cost_test.go
+++ b/internal/membership/cost_test.go
@@ -49,14 +49,43 @@
 	return h
 }
 
+// share returns what a daemon polls of 60 engines in groups of three, each
+// watched by two of nine daemons. While requests run, a group's first engine
+// has load figures that differ with each poll.
+func share(daemon int, busy bool) func(time.Time) []fleet.Report {
+	n := uint64(0)
+	return func(now time.Time) []fleet.Report {
+		n++
+		var out []fleet.Report
+		for g := range 20 {
+			if g%9 != daemon && (g+4)%9 != daemon {
+				continue
+			}
+			members := []string{"10.20.30.1:9000", "10.20.30.2:9000", "10.20.30.3:9000"}
+			for rank := range members {
+				r := fleet.Report{
+					Instance: fleet.InstanceID(fmt.Sprintf("engine-%02d-%d", g, rank)), Incarnation: 1, Ready: true, MaxRunning: 64,
+					ReceivedAt: now.Add(-time.Duration(rank+1) * 120 * time.Millisecond),
+					Assignment: &fleet.Assignment{Group: fleet.GroupID(fmt.Sprintf("drafting-%02d", g)), Epoch: 3, Rank: fleet.Rank(rank), Service: "drafting", Members: members},
+				}
+				if busy && rank == 0 {
+					r.Running, r.Queued, r.PendingTokens, r.TokensPerSecond, r.LoadAge = 30, 12, 40_000+n, 5_000, 400*time.Millisecond
+				}
+				out = append(out, r)
+			}
+		}
+		return out
+	}
+}
+
 func TestNineDaemonsStayWithinTheBudget(t *testing.T) {
 	t.Parallel()
 	tests := map[string]Heartbeat{"idle": {}, "busy": busy()}
 	for name, h := range tests {
 		t.Run(name, func(t *testing.T) {
 			runCluster(t, 9, func(t *testing.T, c *cluster) {
-				for _, m := range c.members {
-					m.set(func(m *member) { m.heartbeat = h })
+				for i, m := range c.members {
+					m.set(func(m *member) { m.heartbeat, m.polled = h, share(i, len(h.InFlight) > 0) })
 				}
 				time.Sleep(time.Second)
 				rate := c.wireRate(c.members[0], time.Minute)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -7,6 +7,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/fleet"
 )
 
 const (
@@ -34,6 +36,10 @@
 
 	numbering *numbering // of names sent, used by one goroutine at a time
 	names     names      // received, used by the reader only
+	// reportsSent and reportsHeard are the last of each instance, by the same
+	// goroutines.
+	reportsSent  map[fleet.InstanceID]fleet.Report
+	reportsHeard map[uint32]fleet.Report
 }
 
 // errCongested ends a link whose peer does not read.
@@ -50,7 +56,9 @@
 		out:     make(chan []byte, linkQueue),
 		heardAt: time.Now(),
 
-		numbering: newNumbering(),
+		numbering:    newNumbering(),
+		reportsSent:  map[fleet.InstanceID]fleet.Report{},
+		reportsHeard: map[uint32]fleet.Report{},
 	}
 }
 
@@ -72,6 +80,7 @@
 		Echo: l.echo(now), Sequence: h.Sequence, Ready: h.Ready, Draining: h.Draining,
 		ConfigRevision: h.ConfigRevision,
 	}
+	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
 	l.numbering.pack(&b, h.Streams, h.InFlight)
 	frame, err := encode(&b)
 	if err != nil {
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -321,6 +321,14 @@
 		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
 	}
 	shown := l.heard(now, b)
+	reports, err := l.names.unpackReports(b, shown.sentAt, l.reportsHeard)
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
+	if len(reports) > 0 && m.cfg.OnReports != nil {
+		m.cfg.OnReports(reports)
+	}
 	m.mu.Lock()
 	taken := m.table.observe(now, h, shown)
 	p := m.table.peers[h.From]
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -73,6 +73,13 @@
 	Streams []wirePosition `cbor:"7,keyasint,omitempty"`
 	// InFlight alternates a group's number and its count.
 	InFlight []uint32 `cbor:"8,keyasint,omitempty"`
+	// Reports and Loads are what changed of the sender's reports of backend
+	// servers. Asked alternates an instance's number and the age at which its
+	// report was asked for, in ageUnit. A release that does not know these
+	// fields passes over them.
+	Reports []wireReport `cbor:"9,keyasint,omitempty"`
+	Loads   []wireLoad   `cbor:"10,keyasint,omitempty"`
+	Asked   []uint64     `cbor:"11,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -22,6 +22,9 @@
 		&beatMessage{
 			Echo: Echo{Sequence: 8, HeldMilli: 250}, Sequence: 9, Ready: true, ConfigRevision: 4,
 			Names: []string{"config", "g-1"}, Streams: []wirePosition{{Stream: 0, Next: 12, AgeMilli: -1}}, InFlight: []uint32{1, 5},
+			Reports: []wireReport{{Instance: 0, Incarnation: 7, Ready: true, Progress: 999, Assignment: &wireAssignment{Group: "g-1", Epoch: 2, Members: []string{"10.0.0.1:1"}}}},
+			Loads:   []wireLoad{{Instance: 0, Running: 3, PendingTokens: 900, Age: 20}},
+			Asked:   []uint64{0, 24},
 		},
 		&newsMessage{
 			Leaving:   []leavingNews{{Instance: "i", AgeMilli: 5}},
@@ -105,6 +108,7 @@
 		if b, ok := body.(*beatMessage); ok {
 			var n names
 			_, _, _ = n.unpack(b)
+			_, _ = n.unpackReports(b, time.Now(), map[uint32]fleet.Report{})
 		}
 		again, err := encode(body)
 		assert.NilError(t, err)
--- /dev/null
+++ b/internal/membership/reports_test.go
@@ -0,0 +1,175 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// sampleReport is a report as a peer gets it, but for the time.
+func sampleReport() fleet.Report {
+	return fleet.Report{
+		Instance: "i-1", Incarnation: 4, Ready: true, Leaving: true, MaxRunning: 8, LoadProgress: 0.5,
+		Assignment: &fleet.Assignment{Group: "g", Epoch: 2, Rank: 1, Service: "s", Model: "m", Version: "v", Adapters: []fleet.Adapter{"a"}, Role: "r", Members: []string{"x", "y"}},
+		Running:    3, Queued: 2, PendingTokens: 700, TokensPerSecond: 90, LoadAge: 30 * time.Millisecond,
+	}
+}
+
+// told sends reports over a link and returns what the peer takes from them.
+type told struct {
+	out   *numbering
+	in    names
+	sent  map[fleet.InstanceID]fleet.Report
+	heard map[uint32]fleet.Report
+}
+
+func newTold() *told {
+	return &told{out: newNumbering(), sent: map[fleet.InstanceID]fleet.Report{}, heard: map[uint32]fleet.Report{}}
+}
+
+func (x *told) tell(t *testing.T, now, sentAt time.Time, reports ...fleet.Report) (*beatMessage, []fleet.Report) {
+	b := &beatMessage{Sequence: 1}
+	x.out.packReports(b, now, reports, x.sent)
+	x.out.pack(b, nil, nil)
+	body, err := decode(mustEncode(b))
+	assert.NilError(t, err)
+	b = body.(*beatMessage)
+	_, _, err = x.in.unpack(b)
+	assert.NilError(t, err)
+	got, err := x.in.unpackReports(b, sentAt, x.heard)
+	assert.NilError(t, err)
+	return b, got
+}
+
+func TestReportsCrossALinkAsChanges(t *testing.T) {
+	now := time.Now()
+	x := newTold()
+	r := sampleReport()
+	r.ReceivedAt = now.Add(-201 * time.Millisecond)
+	_, got := x.tell(t, now, now, r)
+	want := r
+	want.ReceivedAt = now.Add(-210 * time.Millisecond) // rounded up to be safe
+	assert.DeepEqual(t, got, []fleet.Report{want})
+
+	b, _ := x.tell(t, now, now, r)
+	assert.Equal(t, len(b.Reports), 0, "the assignment crosses once")
+	assert.Equal(t, len(b.Loads), 1, "the load of one that works crosses each time")
+
+	r.Running, r.Queued, r.PendingTokens = 0, 0, 0
+	_, _ = x.tell(t, now, now, r)
+	r.LoadAge = time.Second
+	b, got = x.tell(t, now, now, r)
+	assert.Equal(t, len(b.Loads), 0)
+	assert.Equal(t, len(b.Names), 0)
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, len(mustEncode(b)) < len(mustEncode(&beatMessage{Sequence: 1}))+8, "an unchanged report costs a few bytes")
+
+	for name, change := range map[string]func(*fleet.Report){
+		"incarnation": func(r *fleet.Report) { r.Incarnation++ },
+		"readiness":   func(r *fleet.Report) { r.Ready = !r.Ready },
+		"leaving":     func(r *fleet.Report) { r.Leaving = !r.Leaving },
+		"progress":    func(r *fleet.Report) { r.LoadProgress = 0.9999 },
+		"epoch":       func(r *fleet.Report) { a := *r.Assignment; a.Epoch++; r.Assignment = &a },
+		"composition": func(r *fleet.Report) { a := *r.Assignment; a.Members = []string{"x", "z"}; r.Assignment = &a },
+		"released":    func(r *fleet.Report) { r.Assignment = nil },
+	} {
+		changed := r
+		change(&changed)
+		b, got = x.tell(t, now, now, changed)
+		assert.Equal(t, len(b.Reports), 1, name)
+		assert.DeepEqual(t, got[0].Assignment, changed.Assignment)
+		assert.Equal(t, got[0].Incarnation, changed.Incarnation)
+		assert.Equal(t, got[0].Ready, changed.Ready)
+		assert.Equal(t, got[0].Leaving, changed.Leaving)
+		assert.Assert(t, got[0].LoadProgress < 1, "a load is not done before it is")
+		x.tell(t, now, now, r)
+	}
+}
+
+func TestReportsWithoutABoundInTimeAreNotUsed(t *testing.T) {
+	now := time.Now()
+	x := newTold()
+	r := sampleReport()
+	r.ReceivedAt = now
+	_, got := x.tell(t, now, time.Time{}, r)
+	assert.Equal(t, len(got), 0)
+	_, got = x.tell(t, now, now, r)
+	assert.Equal(t, len(got), 1, "but what they told stands for those that follow")
+}
+
+func TestReportsThatMakeNoSenseAreRefused(t *testing.T) {
+	known := names{"i-0"}
+	for name, tc := range map[string]struct {
+		beat beatMessage
+		err  error
+	}{
+		"no age":          {beatMessage{Asked: []uint64{0}}, errUnpairedAge},
+		"never told":      {beatMessage{Asked: []uint64{0, 1}}, errUnknownReport},
+		"number too long": {beatMessage{Asked: []uint64{1 << 40, 1}}, errUnknownReport},
+		"load never told": {beatMessage{Loads: []wireLoad{{}}}, errUnknownReport},
+		"no name":         {beatMessage{Reports: []wireReport{{Instance: 1}}}, errUnknownName},
+		"too many":        {beatMessage{Asked: make([]uint64, 2*maxReports+2)}, errManyReports},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := known.unpackReports(&tc.beat, time.Now(), map[uint32]fleet.Report{})
+			assert.ErrorIs(t, err, tc.err)
+		})
+	}
+}
+
+// TestOlderReleasePassesOverReports: one that does not know the fields reads
+// the rest of the heartbeat.
+func TestOlderReleasePassesOverReports(t *testing.T) {
+	var older struct {
+		Sequence uint64   `cbor:"2,keyasint"`
+		Names    []string `cbor:"6,keyasint,omitempty"`
+	}
+	frame := mustEncode(sampleMessages()[1])
+	assert.NilError(t, wire.dec.Unmarshal(frame[headerBytes:], &older))
+	assert.Equal(t, older.Sequence, uint64(9))
+	assert.Assert(t, cbor.Wellformed(frame[headerBytes:]) == nil)
+}
+
+// Reports that lay in a buffer count from when they were asked for.
+func TestHeldReportsCountFromWhenTheyWereAsked(t *testing.T) {
+	runCluster(t, 2, func(t *testing.T, c *cluster) {
+		late, peer := c.members[0], c.members[1]
+		var asked time.Time // of the last poll
+		peer.set(func(m *member) {
+			m.polled = func(now time.Time) []fleet.Report {
+				asked = now.Add(-100 * time.Millisecond)
+				r := sampleReport()
+				r.ReceivedAt = asked
+				return []fleet.Report{r}
+			}
+		})
+		time.Sleep(10*time.Second + DefaultBeat/5)
+		heard := func() (int, fleet.Report) {
+			late.mu.Lock()
+			defer late.mu.Unlock()
+			return len(late.reports), late.reports[len(late.reports)-1]
+		}
+		lastAsked := func() (at time.Time) {
+			peer.set(func(*member) { at = asked })
+			return at
+		}
+		_, last := heard()
+		behind := lastAsked().Sub(last.ReceivedAt)
+		assert.Assert(t, behind >= 0 && behind < 50*time.Millisecond, "the bound is %v off", behind)
+
+		c.net.CutBoth(peer.ip, late.ip)
+		time.Sleep(time.Second)
+		peer.stop()
+		before, _ := heard()
+		time.Sleep(2*time.Second + DefaultBeat/10)
+		c.net.Heal(peer.ip, late.ip)
+		time.Sleep(200 * time.Millisecond)
+		after, last := heard()
+		assert.Assert(t, after > before, "held reports arrived")
+		assert.Assert(t, !last.ReceivedAt.After(lastAsked()), "counts from %v after it was asked for", last.ReceivedAt.Sub(lastAsked()))
+	})
+}
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -13,8 +13,8 @@
 
 // Heartbeat is what a daemon tells each linked peer at every beat. From,
 // Address, Zone and Incarnation cross a link once, Leaving and Sightings once
-// for each item; the receiver fills in the former and hands the latter to
-// Config.OnLeaving and Config.OnSightings.
+// for each item, Reports as far as they changed; the receiver fills in the
+// former and hands the latter to Config.OnLeaving, OnSightings and OnReports.
 type Heartbeat struct {
 	From           fleet.DaemonID                    `cbor:"1,keyasint"`
 	Address        string                            `cbor:"2,keyasint"` // of its peer listener
@@ -31,6 +31,9 @@
 	Leaving []fleet.InstanceID `cbor:"11,keyasint,omitempty"`
 	// Sightings are group deaths that the sender saw lately.
 	Sightings []suspect.Sighting `cbor:"12,keyasint,omitempty"`
+	// Reports are those of the sender's own polls of backend servers since its
+	// last heartbeat. ReceivedAt is when each was asked for.
+	Reports []fleet.Report `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
