Share the polling of backend servers

Cause: every daemon polled every engine every 500 ms.

Now the first two daemons of a unit's rendezvous order poll it; the third does once the newest report is 0.9 s old, every other at 1.2 s. A unit is a group for its members, an instance otherwise. Nothing rests on the order: dead, cut off, frozen or disagreeing watchers show as age, and age makes a daemon poll. A daemon without peers polls everything, as before.

Failed now means that this daemon's own last poll failed and no peer's successful poll was asked after the failing began; a contradiction lasts while own polls fail at most 1.2 s after a peer's newest success. Failed polls are not relayed. A daemon that can't reach an engine that peers hear routes to no group it leads and does not plan to order it (Unreached). A failed attempt, call or order makes a daemon poll that engine at once.

Cache events are read by each daemon of leaders only, every 4 s.

Ruled out: three watchers at every interval (3.00 polls an engine and interval, and no younger reports); relaying failed polls (0.2 s earlier at best, and no daemon may count another's).

The command control prints polls a second as well.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -24,6 +24,7 @@
 type Client struct {
 	runs  servers // attempts and calls
 	polls servers // reports, health, orders
+	doubt func(address string)
 }
 
 // servers makes and keeps a client for each backend server.
@@ -41,7 +42,22 @@
 // NewClient returns a client that sends attempts and calls over the first HTTP
 // client, and polls and orders over the second.
 func NewClient(runs, polls *http.Client) *Client {
-	return &Client{runs: servers{http: runs}, polls: servers{http: polls}}
+	return &Client{runs: servers{http: runs}, polls: servers{http: polls}, doubt: func(string) {}}
+}
+
+// WithDoubt makes the client tell f the address of a backend server at which
+// an attempt, a call or an order failed other than by its caller's wish. It returns the
+// client and must be called before the first use.
+func (c *Client) WithDoubt(f func(address string)) *Client {
+	c.doubt = f
+	return c
+}
+
+// tell gives word of an attempt, a call or an order that failed.
+func (c *Client) tell(ctx context.Context, address string, err error) {
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		c.doubt(address)
+	}
 }
 
 func (c *servers) engine(address string) carawayv1connect.EngineServiceClient {
@@ -93,23 +109,27 @@
 		Epoch:      uint64(a.Epoch),
 	}))
 	if err != nil {
+		c.tell(ctx, address, err)
 		cancel()
 		return nil, classify(err)
 	}
-	return &runStream{stream: s, cancel: cancel}, nil
+	tell := func(err error) { c.tell(ctx, address, err) }
+	return &runStream{stream: s, cancel: cancel, tell: tell}, nil
 }
 
 // runStream adapts a connect stream.
 type runStream struct {
 	stream *connect.ServerStreamForClient[carawayv1.RunResponse]
 	cancel context.CancelFunc
-	tokens []Token // reused between chunks
+	tell   func(error) // of a stream that broke
+	tokens []Token     // reused between chunks
 }
 
 // Next implements Stream. The tokens are valid until the next call.
 func (s *runStream) Next() (Chunk, error) {
 	if !s.stream.Receive() {
 		if err := s.stream.Err(); err != nil {
+			s.tell(err)
 			return Chunk{}, classify(err)
 		}
 		return Chunk{}, io.EOF
@@ -211,6 +231,7 @@
 		Scope:        o.Scope,
 	}))
 	if err != nil {
+		c.tell(ctx, address, err)
 		return OrderResult{}, classify(err)
 	}
 	return OrderResult{Accepted: resp.Msg.Accepted, Reason: resp.Msg.Reason, HighestToken: resp.Msg.HighestToken}, nil
@@ -240,7 +261,11 @@
 		Body:      call.Body,
 	}))
 	if err != nil {
-		return CallAnswer{}, classifyCall(err)
+		err = classifyCall(err)
+		if answer := (*AnswerError)(nil); !errors.As(err, &answer) {
+			c.tell(ctx, address, err)
+		}
+		return CallAnswer{}, err
 	}
 	return CallAnswer{
 		Request: fleet.RequestID(resp.Msg.RequestId),
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 
 	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/fleet"
@@ -16,16 +17,13 @@
 	// PollEvery is the time between two polls of one backend server.
 	PollEvery   = 500 * time.Millisecond
 	pollTimeout = time.Second
-	// cachePolls is how many polls pass between two readings of an engine's
-	// cache events.
-	cachePolls = 4
 )
 
 var (
 	eventSilent = event.Define(2101, "backend.silent", log.WarnLevel,
-		"A backend server no longer answers this daemon's polls.", "See whether its instance is up and reachable from this availability zone.")
+		"A backend server no longer answers this daemon's polls, and no peer hears it.", "See whether its instance is up and reachable from this availability zone.")
 	eventHeard = event.Define(2102, "backend.heard", log.InfoLevel,
-		"A backend server answers polls, for the first time or again.", "Nothing.")
+		"A backend server answers polls, of this daemon or of a peer, for the first time or again.", "Nothing.")
 	eventRestarted = event.Define(2103, "backend.restarted", log.WarnLevel,
 		"A backend server's process is a new one.", "Look at the instance's own log when this repeats.")
 )
@@ -35,62 +33,178 @@
 	Instance fleet.InstanceID
 	Address  string
 	Kind     fleet.InstanceKind
+	// Unit is what daemons share the watching of: the group's id for an
+	// instance of a group, else the instance's.
+	Unit string
+	// Direct: this daemon sends requests to the instance, so it tries by
+	// itself whether it reaches it.
+	Direct bool
 }
 
+// place is what a poll loop runs for.
+type place struct {
+	instance fleet.InstanceID
+	address  string
+	kind     fleet.InstanceKind
+}
+
+func (t Target) place() place { return place{t.Instance, t.Address, t.Kind} }
+
 // WatcherConfig is what a Watcher works with.
 type WatcherConfig struct {
 	Engines Engines
 	Plains  Plains
 	// Targets gives the backend servers to watch now.
 	Targets func() []Target
+	// Rank gives this daemon's place among those that watch a unit, zero for
+	// the first; nil when it watches alone.
+	Rank func(unit string) int
 	// CacheEvents takes an engine's cache events; may be nil.
 	CacheEvents func(id fleet.InstanceID, events []CacheEvent)
 	Events      *event.Logger
+	Metrics     metrics.Registry // nil for none
 }
 
-// Watcher polls backend servers and keeps their latest reports. It implements
-// the Reports port of package group and is safe for concurrent use.
+// Watcher keeps the newest report of each backend server. It polls those that
+// are this daemon's share, and any whose newest report grows old. It
+// implements the Reports port of package group and is safe for concurrent use.
 type Watcher struct {
-	cfg WatcherConfig
+	cfg            WatcherConfig
+	polls, relayed metrics.Counter
 
-	mu      sync.RWMutex
-	reports map[fleet.InstanceID]fleet.Report
+	mu   sync.RWMutex
+	seen map[fleet.InstanceID]*seen
 }
 
 // NewWatcher returns a watcher that knows nothing until Run has polled.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{cfg: cfg, reports: map[fleet.InstanceID]fleet.Report{}}
+	if cfg.Rank == nil {
+		cfg.Rank = func(string) int { return 0 }
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	return &Watcher{
+		cfg:     cfg,
+		polls:   metrics.GetOrRegisterCounter("backend.polls", cfg.Metrics),
+		relayed: metrics.GetOrRegisterCounter("backend.reports_relayed", cfg.Metrics),
+		seen:    map[fleet.InstanceID]*seen{},
+	}
 }
 
-// Report returns the latest report of an instance. A report that is older
-// than its reader allows, or Failed, proves nothing about the present.
+// Report returns the newest report of an instance, own or relayed. A report
+// that is older than its reader allows, or Failed, proves nothing about the
+// present.
 func (w *Watcher) Report(id fleet.InstanceID) (fleet.Report, bool) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	r, ok := w.reports[id]
-	return r, ok
+	s := w.seen[id]
+	if s == nil {
+		return fleet.Report{}, false
+	}
+	return s.report()
+}
+
+// Unreached reports whether this daemon's own last poll of an instance failed,
+// whatever peers hear.
+func (w *Watcher) Unreached(id fleet.InstanceID) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	s := w.seen[id]
+	return s != nil && s.failing()
+}
+
+// Doubt makes this daemon poll the backend server at an address soon, as an
+// attempt there failed.
+func (w *Watcher) Doubt(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.seen {
+		if s.target.Address == address {
+			s.doubt()
+		}
+	}
+}
+
+func (s *seen) doubt() {
+	s.doubted = true
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Offer returns the own reports that peers are to be told, each once.
+func (w *Watcher) Offer() []fleet.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []fleet.Report
+	for _, s := range w.seen {
+		if s.offer {
+			s.offer = false
+			out = append(out, s.newest)
+		}
+	}
+	return out
+}
+
+// Relayed takes the reports of a peer's successful polls. ReceivedAt must be a
+// moment on the own clock before which the peer surely did not ask. Reports of
+// instances that are not watched are dropped.
+func (w *Watcher) Relayed(reports []fleet.Report) {
+	w.relayed.Inc(int64(len(reports)))
+	for _, r := range reports {
+		w.change(r.Instance, nil, func(s *seen) { s.relayed(r) })
+	}
+}
+
+// change applies f to what is known of an instance and tells of what that
+// changed. With of not nil it does so only while that is still watched.
+func (w *Watcher) change(id fleet.InstanceID, of *seen, f func(*seen)) {
+	w.mu.Lock()
+	s := w.seen[id]
+	if s == nil || of != nil && s != of {
+		w.mu.Unlock()
+		return
+	}
+	before, had := s.report()
+	f(s)
+	after, has := s.report()
+	address := s.target.Address
+	w.mu.Unlock()
+	switch {
+	case !has:
+	case after.Failed && !before.Failed:
+		w.cfg.Events.Emit(eventSilent, "instance", id, "address", address)
+	case !after.Failed && (!had || before.Failed):
+		w.cfg.Events.Emit(eventHeard, "instance", id, "address", address)
+	case before.Incarnation != after.Incarnation:
+		w.cfg.Events.Emit(eventRestarted, "instance", id, "address", address)
+	}
 }
 
 // Run watches the targets, one poll loop each, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	defer loops.Wait()
-	running := map[Target]context.CancelFunc{}
+	running := map[place]context.CancelFunc{}
 	for {
-		wanted := map[Target]bool{}
+		wanted := map[place]bool{}
 		for _, t := range w.cfg.Targets() {
-			wanted[t] = true
-			if running[t] != nil {
+			wanted[t.place()] = true
+			if running[t.place()] != nil {
+				w.retarget(t)
 				continue
 			}
 			loopCtx, cancel := context.WithCancel(ctx)
-			running[t] = cancel
-			loops.Go(func() { w.poll(loopCtx, t) })
+			running[t.place()] = cancel
+			s := w.begin(t)
+			loops.Go(func() { w.watch(loopCtx, s) })
 		}
-		for t, cancel := range running {
-			if !wanted[t] {
+		for p, cancel := range running {
+			if !wanted[p] {
 				cancel()
-				delete(running, t)
+				delete(running, p)
 			}
 		}
 		select {
@@ -104,25 +218,75 @@
 	}
 }
 
-func (w *Watcher) poll(ctx context.Context, t Target) {
-	defer w.forget(t.Instance)
-	var cacheSequence uint64
-	for n := 0; ctx.Err() == nil; n++ {
-		w.pollOnce(ctx, t)
-		if t.Kind == fleet.KindEngine && w.cfg.CacheEvents != nil && n%cachePolls == cachePolls-1 {
-			cacheSequence = w.pollCache(ctx, t, cacheSequence)
+func (w *Watcher) begin(t Target) *seen {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &seen{target: t, wake: make(chan struct{}, 1)}
+	w.seen[t.Instance] = s
+	return s
+}
+
+// retarget takes in a target's unit and whether it is sent to.
+func (w *Watcher) retarget(t Target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.seen[t.Instance]; s != nil && s.target.place() == t.place() {
+		s.target = t
+	}
+}
+
+func (w *Watcher) forget(s *seen) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.seen[s.target.Instance] == s {
+		delete(w.seen, s.target.Instance)
+	}
+}
+
+// watch polls one backend server whenever that is due, until ctx ends.
+func (w *Watcher) watch(ctx context.Context, s *seen) {
+	defer w.forget(s)
+	var cache cacheReading
+	for ctx.Err() == nil {
+		t, due := w.next(s)
+		now := time.Now()
+		if !due.After(now) {
+			w.pollOnce(ctx, s, t)
+			continue
+		}
+		if w.readsCache(t) && !cache.due().After(now) {
+			w.pollCache(ctx, s, t, &cache)
+			continue
 		}
+		if w.readsCache(t) && cache.due().Before(due) {
+			due = cache.due()
+		}
+		pause := time.NewTimer(due.Sub(now))
 		select {
-		case <-time.After(PollEvery):
+		case <-pause.C:
+		case <-s.wake:
 		case <-ctx.Done():
 		}
+		pause.Stop()
 	}
 }
 
+// next returns the target and when it is to be polled.
+func (w *Watcher) next(s *seen) (Target, time.Time) {
+	w.mu.RLock()
+	t := s.target
+	w.mu.RUnlock()
+	rank := w.cfg.Rank(t.Unit)
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return t, s.dueAt(rank)
+}
+
 // pollOnce asks for one report. The report counts from when it was asked for,
 // so that an answer that lay unread while this process was paused is old.
-func (w *Watcher) pollOnce(ctx context.Context, t Target) {
+func (w *Watcher) pollOnce(ctx context.Context, s *seen, t Target) {
 	asked := time.Now()
+	w.polls.Inc(1)
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var r fleet.Report
@@ -135,58 +299,44 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err == nil && r.Instance == t.Instance {
-		r.ReceivedAt = asked
-		w.keep(t, r)
-		return
-	}
-	w.fail(t, asked)
+	r.ReceivedAt = asked
+	w.change(t.Instance, s, func(s *seen) {
+		s.endedAt = time.Now()
+		s.doubted = false
+		if err == nil && r.Instance == t.Instance {
+			s.answered(r, s.endedAt)
+		} else {
+			s.unanswered(asked)
+		}
+	})
 }
 
-func (w *Watcher) keep(t Target, r fleet.Report) {
-	w.mu.Lock()
-	old, known := w.reports[t.Instance]
-	w.reports[t.Instance] = r
-	w.mu.Unlock()
-	switch {
-	case !known || old.Failed:
-		w.cfg.Events.Emit(eventHeard, "instance", t.Instance, "address", t.Address)
-	case old.Incarnation != r.Incarnation:
-		w.cfg.Events.Emit(eventRestarted, "instance", t.Instance, "address", t.Address)
-	}
+// cacheReading is how far an engine's cache events were read.
+type cacheReading struct {
+	last   uint64
+	readAt time.Time
 }
 
-func (w *Watcher) fail(t Target, asked time.Time) {
-	w.mu.Lock()
-	r := w.reports[t.Instance]
-	first := !r.Failed
-	if first {
-		r.Failed = true
-		r.FailedSince = asked
-	}
-	r.Instance = t.Instance
-	w.reports[t.Instance] = r
-	w.mu.Unlock()
-	if first {
-		w.cfg.Events.Emit(eventSilent, "instance", t.Instance, "address", t.Address)
-	}
-}
+func (c *cacheReading) due() time.Time { return c.readAt.Add(reachEvery) }
 
-func (w *Watcher) forget(id fleet.InstanceID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.reports, id)
+// readsCache reports whether this daemon reads a target's cache events. They
+// are hints for those that send it requests, and show that it is reached.
+func (w *Watcher) readsCache(t Target) bool {
+	return t.Kind == fleet.KindEngine && t.Direct && w.cfg.CacheEvents != nil
 }
 
-func (w *Watcher) pollCache(ctx context.Context, t Target, after uint64) uint64 {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+func (w *Watcher) pollCache(ctx context.Context, s *seen, t Target, c *cacheReading) {
+	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	events, last, err := w.cfg.Engines.CacheEvents(ctx, t.Address, after)
+	c.readAt = time.Now()
+	w.polls.Inc(1)
+	events, last, err := w.cfg.Engines.CacheEvents(pollCtx, t.Address, c.last)
 	if err != nil {
-		return after
+		w.change(t.Instance, s, (*seen).doubt)
+		return
 	}
+	c.last = last
 	if len(events) > 0 {
 		w.cfg.CacheEvents(t.Instance, events)
 	}
-	return last
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 	d.events = event.NewLogger(env.Log, level, d.decisions.record).With("daemon", d.id)
 	d.runs = httpx.NewClient(env.Dial)
 	d.polls = httpx.NewPollClient(env.Dial)
-	d.engines = backend.NewClient(d.runs, d.polls)
+	d.engines = backend.NewClient(d.runs, d.polls).WithDoubt(func(address string) { d.watcher.Doubt(address) })
 	d.agreed()
 	d.seen()
 	d.acting()
@@ -184,8 +184,10 @@
 		Engines:     d.engines,
 		Plains:      d.engines,
 		Targets:     d.targets,
+		Rank:        d.watchRank,
 		CacheEvents: d.cacheEvents,
 		Events:      d.events,
+		Metrics:     d.metrics,
 	})
 	relays := map[journal.Stream]membership.Relay{}
 	for _, r := range d.replicas() {
@@ -201,6 +203,7 @@
 		Replicas:    relays,
 		OnSightings: func(s []suspect.Sighting) { d.tracker.Observe(s) },
 		OnLeaving:   d.peerLeaving.add,
+		OnReports:   d.watcher.Relayed,
 		Policy:      linkPolicies[d.set.PeerLinks],
 		Events:      d.events,
 		Metrics:     d.metrics,
@@ -212,6 +215,7 @@
 		Catalog:      d.services.Catalog,
 		Leaving:      d.leaving,
 		PeerInFlight: d.peerInFlight,
+		Unreached:    d.watcher.Unreached,
 		Policy:       routing.DefaultPolicy().WithPrefixes(d.index),
 		Rand:         d.random(routingStream),
 	})
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -52,26 +52,6 @@
 	return instances
 }
 
-// targets are the backend servers to watch: those listed, and the members of
-// groups even while the list has lost them.
-func (d *Daemon) targets() []backend.Target {
-	instances := d.instances()
-	var out []backend.Target
-	for _, i := range instances {
-		if i.Kind == fleet.KindEngine || i.Kind == fleet.KindPlain {
-			out = append(out, backend.Target{Instance: i.ID, Address: i.Address, Kind: i.Kind})
-		}
-	}
-	for _, g := range d.groups.View().Groups {
-		for m := range g.All() {
-			if _, listed := instances[m.Instance]; !listed {
-				out = append(out, backend.Target{Instance: m.Instance, Address: m.Address, Kind: fleet.KindEngine})
-			}
-		}
-	}
-	return out
-}
-
 // leavingBySelf reports whether the list or the instance itself says that it
 // is leaving.
 func (d *Daemon) leavingBySelf(id fleet.InstanceID) bool {
@@ -208,7 +188,7 @@
 			Instance: i,
 			Report:   r,
 			Listed:   inList,
-			Alive:    ok && !r.Failed && now.Sub(r.ReceivedAt) <= aliveWithin,
+			Alive:    ok && d.counts(r, s.Groups, now),
 		}
 	}
 	for _, i := range listed {
@@ -270,6 +250,7 @@
 		ConfigRevision: d.services.Catalog().Revision,
 		InFlight:       d.store.InFlight(),
 		Sightings:      d.tracker.Sightings(),
+		Reports:        d.watcher.Offer(),
 	}
 	for id := range d.watched() {
 		if d.leavingBySelf(id) {
--- /dev/null
+++ b/internal/daemon/watching_test.go
@@ -0,0 +1,24 @@
+package daemon
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+func TestInPlaceIsWhatTheRecordSays(t *testing.T) {
+	v := &group.View{
+		Groups:     map[fleet.GroupID]*group.Group{"g": {ID: "g", Epoch: 2}},
+		ByInstance: map[fleet.InstanceID]fleet.GroupID{"member": "g"},
+	}
+	in := func(id fleet.InstanceID, a *fleet.Assignment) bool {
+		return inPlace(fleet.Report{Instance: id, Assignment: a}, v)
+	}
+	assert.Assert(t, in("member", &fleet.Assignment{Group: "g", Epoch: 2}))
+	assert.Assert(t, !in("member", &fleet.Assignment{Group: "g", Epoch: 1}))
+	assert.Assert(t, !in("member", nil))
+	assert.Assert(t, !in("free", &fleet.Assignment{Group: "g", Epoch: 2}))
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -34,8 +34,11 @@
 	Leaving func(id fleet.InstanceID) bool
 	// PeerInFlight is the number of requests other daemons have on a group.
 	PeerInFlight func(id fleet.GroupID) uint32
-	Policy       routing.Policy
-	Rand         *rand.Rand
+	// Unreached reports whether this daemon itself can't reach an instance,
+	// whatever peers report of it; nil when reports are its own.
+	Unreached func(id fleet.InstanceID) bool
+	Policy    routing.Policy
+	Rand      *rand.Rand
 }
 
 // Store is safe for concurrent use.
@@ -71,6 +74,9 @@
 
 // New returns a store.
 func New(cfg Config) *Store {
+	if cfg.Unreached == nil {
+		cfg.Unreached = func(fleet.InstanceID) bool { return false }
+	}
 	s := &Store{cfg: cfg, views: map[fleet.ServiceName]view{}}
 	for i := range s.shards {
 		s.shards[i].loads = map[fleet.GroupID]*load{}
@@ -198,10 +204,16 @@
 	return out
 }
 
+// unreached is why a group is not used whose leader answers other daemons only.
+const unreached = "does not answer this daemon"
+
 func (s *Store) groupCandidate(g *group.Group, now time.Time) routing.Candidate {
 	w := group.Whole(g, s.cfg.Reports, now, Freshness)
 	members := group.Compose(g, s.cfg.Reports)
 	leader := members[0]
+	if w.Whole && s.cfg.Unreached(leader.Instance) {
+		w = group.Wholeness{Reason: string(leader.Instance) + " " + unreached}
+	}
 	return routing.Candidate{
 		Group:       g.ID,
 		Epoch:       g.Epoch,
@@ -259,6 +271,8 @@
 	switch {
 	case !ok || r.Failed:
 		return false, "does not answer"
+	case s.cfg.Unreached(id):
+		return false, unreached
 	case now.Sub(r.ReceivedAt) > Freshness:
 		return false, "report is old"
 	case !r.Ready:
@@ -299,7 +313,7 @@
 	now := time.Now()
 	if g, ok := s.cfg.Groups().Groups[c.Group]; ok {
 		return g.Epoch == c.Epoch && g.Phase == group.PhaseActive && !s.anyLeaving(group.Compose(g, s.cfg.Reports)) &&
-			group.Whole(g, s.cfg.Reports, now, Freshness).Whole
+			!s.cfg.Unreached(c.Leader) && group.Whole(g, s.cfg.Reports, now, Freshness).Whole
 	}
 	if c.Group != PlainGroup(c.Leader) {
 		return false
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -28,6 +28,8 @@
 	groups  *group.View
 	reports reports
 	leaving map[fleet.InstanceID]bool
+	// unreached are instances that this daemon can't reach.
+	unreached map[fleet.InstanceID]bool
 }
 
 // newWorld makes whole groups of a size.
@@ -36,6 +38,8 @@
 		groups:  &group.View{Groups: map[fleet.GroupID]*group.Group{}},
 		reports: reports{},
 		leaving: map[fleet.InstanceID]bool{},
+
+		unreached: map[fleet.InstanceID]bool{},
 	}
 	for n := range groups {
 		g := &group.Group{ID: fleet.GroupID(fmt.Sprintf("g%d", n)), Epoch: 1, Service: "s", Version: "v", Phase: group.PhaseActive}
@@ -58,6 +62,7 @@
 			return &service.Catalog{Services: map[fleet.ServiceName]*service.Published{"s": spec}}
 		},
 		Leaving:      func(id fleet.InstanceID) bool { return w.leaving[id] },
+		Unreached:    func(id fleet.InstanceID) bool { return w.unreached[id] },
 		PeerInFlight: func(fleet.GroupID) uint32 { return 0 },
 		Policy:       routing.DefaultPolicy(),
 		Rand:         rand.New(rand.NewPCG(1, 1)),
@@ -79,6 +84,7 @@
 		"report old": func(w *world) {
 			w.change("g0-1", func(r *fleet.Report) { r.ReceivedAt = r.ReceivedAt.Add(-3 * time.Second) })
 		},
+		"leader cut off":   func(w *world) { w.unreached["g0-0"] = true },
 		"member not ready": func(w *world) { w.change("g0-0", func(r *fleet.Report) { r.Ready = false }) },
 		"member leaving":   func(w *world) { w.leaving["g0-1"] = true },
 		"group gone":       func(w *world) { w.groups = &group.View{} },
@@ -146,6 +152,19 @@
 	}
 }
 
+// TestMemberThatPeersHear: requests go to the leader, so that another member
+// answers peers only does not matter, and that the leader does, does.
+func TestMemberThatPeersHear(t *testing.T) {
+	w := newWorld(1, 2)
+	w.unreached["g0-1"] = true
+	assert.Assert(t, w.store.Route(routing.Request{Service: "s", Version: "v"}).Chosen != nil)
+	w.unreached["g0-0"] = true
+	clear(w.store.views)
+	c := w.store.Candidates("s", time.Now())[0]
+	assert.Assert(t, !c.Whole)
+	assert.Equal(t, c.WholeReason, "g0-0 "+unreached)
+}
+
 // BenchmarkRoute is one routing decision with its view, at a number of groups
 // of 16, with a view that is used again and with one that is made anew.
 func BenchmarkRoute(b *testing.B) {
--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -38,8 +37,7 @@
 	body, err := decode(mustEncode(b))
 	assert.NilError(t, err)
 	b = body.(*beatMessage)
-	_, _, err = x.in.unpack(b)
-	assert.NilError(t, err)
+	x.in = append(x.in, b.Names...)
 	got, err := x.in.unpackReports(b, sentAt, x.heard)
 	assert.NilError(t, err)
 	return b, got
@@ -50,74 +48,54 @@
 	x := newTold()
 	r := sampleReport()
 	r.ReceivedAt = now.Add(-201 * time.Millisecond)
-	_, got := x.tell(t, now, now, r)
-	want := r
-	want.ReceivedAt = now.Add(-210 * time.Millisecond) // rounded up to be safe
-	assert.DeepEqual(t, got, []fleet.Report{want})
-
-	b, _ := x.tell(t, now, now, r)
-	assert.Equal(t, len(b.Reports), 0, "the assignment crosses once")
-	assert.Equal(t, len(b.Loads), 1, "the load of one that works crosses each time")
-
+	// crosses sends the report and checks what the peer takes and how many
+	// states and loads that cost.
+	crosses := func(what string, r fleet.Report, states, loads int) *beatMessage {
+		b, got := x.tell(t, now, now, r)
+		assert.Equal(t, len(b.Reports), states, what)
+		assert.Equal(t, len(b.Loads), loads, what)
+		r.ReceivedAt = now.Add(-210 * time.Millisecond) // rounded up to be safe
+		assert.DeepEqual(t, got, []fleet.Report{r})
+		return b
+	}
+	crosses("first", r, 1, 1)
+	crosses("at work", r, 0, 1)
 	r.Running, r.Queued, r.PendingTokens = 0, 0, 0
-	_, _ = x.tell(t, now, now, r)
-	r.LoadAge = time.Second
-	b, got = x.tell(t, now, now, r)
-	assert.Equal(t, len(b.Loads), 0)
-	assert.Equal(t, len(b.Names), 0)
-	assert.Equal(t, len(got), 1)
+	crosses("idle", r, 0, 1)
+	b := crosses("idle again", r, 0, 0)
 	assert.Assert(t, len(mustEncode(b)) < len(mustEncode(&beatMessage{Sequence: 1}))+8, "an unchanged report costs a few bytes")
-
 	for name, change := range map[string]func(*fleet.Report){
 		"incarnation": func(r *fleet.Report) { r.Incarnation++ },
 		"readiness":   func(r *fleet.Report) { r.Ready = !r.Ready },
 		"leaving":     func(r *fleet.Report) { r.Leaving = !r.Leaving },
-		"progress":    func(r *fleet.Report) { r.LoadProgress = 0.9999 },
+		"progress":    func(r *fleet.Report) { r.LoadProgress = 0.999 },
 		"epoch":       func(r *fleet.Report) { a := *r.Assignment; a.Epoch++; r.Assignment = &a },
 		"composition": func(r *fleet.Report) { a := *r.Assignment; a.Members = []string{"x", "z"}; r.Assignment = &a },
 		"released":    func(r *fleet.Report) { r.Assignment = nil },
 	} {
 		changed := r
 		change(&changed)
-		b, got = x.tell(t, now, now, changed)
-		assert.Equal(t, len(b.Reports), 1, name)
-		assert.DeepEqual(t, got[0].Assignment, changed.Assignment)
-		assert.Equal(t, got[0].Incarnation, changed.Incarnation)
-		assert.Equal(t, got[0].Ready, changed.Ready)
-		assert.Equal(t, got[0].Leaving, changed.Leaving)
-		assert.Assert(t, got[0].LoadProgress < 1, "a load is not done before it is")
-		x.tell(t, now, now, r)
+		crosses(name, changed, 1, 0)
+		crosses("back", r, 1, 0)
 	}
+	assert.Assert(t, progress(fleet.Report{LoadProgress: 0.9999}) < progressUnit, "a load is not done before it is")
 }
 
-func TestReportsWithoutABoundInTimeAreNotUsed(t *testing.T) {
-	now := time.Now()
+func TestReportsThatAreNotUsed(t *testing.T) {
 	x := newTold()
-	r := sampleReport()
-	r.ReceivedAt = now
-	_, got := x.tell(t, now, time.Time{}, r)
-	assert.Equal(t, len(got), 0)
-	_, got = x.tell(t, now, now, r)
-	assert.Equal(t, len(got), 1, "but what they told stands for those that follow")
-}
-
-func TestReportsThatMakeNoSenseAreRefused(t *testing.T) {
-	known := names{"i-0"}
-	for name, tc := range map[string]struct {
-		beat beatMessage
-		err  error
-	}{
-		"no age":          {beatMessage{Asked: []uint64{0}}, errUnpairedAge},
-		"never told":      {beatMessage{Asked: []uint64{0, 1}}, errUnknownReport},
-		"number too long": {beatMessage{Asked: []uint64{1 << 40, 1}}, errUnknownReport},
-		"load never told": {beatMessage{Loads: []wireLoad{{}}}, errUnknownReport},
-		"no name":         {beatMessage{Reports: []wireReport{{Instance: 1}}}, errUnknownName},
-		"too many":        {beatMessage{Asked: make([]uint64, 2*maxReports+2)}, errManyReports},
+	now := time.Now()
+	_, got := x.tell(t, now, time.Time{}, sampleReport())
+	assert.Equal(t, len(got), 0, "no bound in time")
+	for name, b := range map[string]beatMessage{
+		"no age":          {Asked: []uint64{0}},
+		"never told":      {Asked: []uint64{7, 1}},
+		"number too long": {Asked: []uint64{1 << 40, 1}},
+		"load never told": {Loads: []wireLoad{{Instance: 7}}},
+		"no name":         {Reports: []wireReport{{Instance: 7}}},
+		"too many":        {Asked: make([]uint64, 2*maxReports+2)},
 	} {
-		t.Run(name, func(t *testing.T) {
-			_, err := known.unpackReports(&tc.beat, time.Now(), map[uint32]fleet.Report{})
-			assert.ErrorIs(t, err, tc.err)
-		})
+		_, err := x.in.unpackReports(&b, now, x.heard)
+		assert.Assert(t, err != nil, name)
 	}
 }
 
@@ -125,13 +103,11 @@
 // the rest of the heartbeat.
 func TestOlderReleasePassesOverReports(t *testing.T) {
 	var older struct {
-		Sequence uint64   `cbor:"2,keyasint"`
-		Names    []string `cbor:"6,keyasint,omitempty"`
+		Sequence uint64 `cbor:"2,keyasint"`
 	}
 	frame := mustEncode(sampleMessages()[1])
 	assert.NilError(t, wire.dec.Unmarshal(frame[headerBytes:], &older))
 	assert.Equal(t, older.Sequence, uint64(9))
-	assert.Assert(t, cbor.Wellformed(frame[headerBytes:]) == nil)
 }
 
 // Reports that lay in a buffer count from when they were asked for.
--- a/standin/control/main.go
+++ b/standin/control/main.go
@@ -57,7 +57,7 @@
 	if err := stack.Build(bin); err != nil {
 		return err
 	}
-	fmt.Println("daemons  engines  core % a daemon  MiB a daemon  peer B/s sent a daemon  appends/s  log reads/s")
+	fmt.Println("daemons  engines  core % a daemon  MiB a daemon  peer B/s sent a daemon  polls/s a daemon  appends/s  log reads/s")
 	for _, engines := range opt.Engines {
 		for _, daemons := range opt.Daemons {
 			if err := measure(bin, filepath.Join(dir, fmt.Sprintf("%d-%d", daemons, engines)), daemons, engines, opt); err != nil {
@@ -86,6 +86,7 @@
 type counts struct {
 	cpu       time.Duration
 	peerBytes float64
+	polls     float64 // of backend servers
 	log       platform.LogStats
 }
 
@@ -123,10 +124,11 @@
 		memory += m
 	}
 	n, seconds := float64(daemons), d.Seconds()
-	fmt.Printf("%7d  %7d  %15.2f  %12.1f  %22.0f  %9.2f  %11.1f\n", daemons, engines,
+	fmt.Printf("%7d  %7d  %15.2f  %12.1f  %22.0f  %16.1f  %9.2f  %11.1f\n", daemons, engines,
 		100*(after.cpu-before.cpu).Seconds()/n/seconds,
 		float64(memory)/n/(1<<20),
 		(after.peerBytes-before.peerBytes)/n/seconds,
+		(after.polls-before.polls)/n/seconds,
 		float64(after.log.Appends-before.log.Appends)/seconds,
 		float64(after.log.Reads-before.log.Reads)/seconds)
 	return nil
@@ -180,6 +182,7 @@
 			return c, err
 		}
 		c.peerBytes += metrics["membership.bytes_sent"].Count
+		c.polls += metrics["backend.polls"].Count
 	}
 	return c, getJSON(s.Platform.Address, "/standin/log", &c.log)
 }
