runs: long outages of the log, lost availability zones, records that expire

Now every run meets an outage of the log of one to three minutes and the loss of an availability zone (daemons, engines and plain servers killed together, or cut from all others, and back together). A fabric domain lies in one zone now; before, a domain's engines were spread over three.

Each run on its own must meet each of these, else it fails (leastOfEach); starts of daemons behind expired records are counted over the set.

Found on the way: an overlapping fault of the log cleared the others' switches, so that "log down" ended early; faults of the log now change their own switch alone.

--- a/standin/runs/backends.go
+++ b/standin/runs/backends.go
@@ -47,6 +47,11 @@
 func (e *engineHost) id() string      { return fmt.Sprintf("engine-%d", e.number) }
 func (e *engineHost) address() string { return e.ip + ":" + backendPort }
 
+// zone is that of the fabric domain, which lies in one.
+func (e *engineHost) zone() fleet.Zone {
+	return zoneOf(e.number % e.world.size.Fabrics)
+}
+
 // checksFencing is so for every other engine.
 func (e *engineHost) checksFencing() bool { return e.number%2 == 0 }
 
@@ -79,7 +84,7 @@
 	})
 	w.tasks.Go(func() {
 		w.register(ctx, platform.Listed{
-			ID: fleet.InstanceID(e.id()), Address: e.address(), Zone: zoneOf(e.number), Fabric: e.fabric,
+			ID: fleet.InstanceID(e.id()), Address: e.address(), Zone: e.zone(), Fabric: e.fabric,
 			Pool: enginePool, Kind: fleet.KindEngine, Accelerators: 8, ChecksFencing: e.checksFencing(),
 		})
 	})
--- a/standin/runs/callers.go
+++ b/standin/runs/callers.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,13 +32,16 @@
 
 	callDeadline = 10 * time.Second
 	maxRepeats   = 4
-	tokensAsked  = 12
+	// repeatOldEvery is how many bookings come to one old that is repeated.
+	repeatOldEvery = 8
+	tokensAsked    = 12
 )
 
 // call is one request of a caller at one daemon, with its outcome.
 type call struct {
 	id         string
 	daemon     *daemonHost
+	booking    bool // it needs the log
 	began, end time.Time
 	whole      bool
 	detail     *carawayv1.FailureDetail // nil for a whole answer or a lost connection
@@ -60,6 +64,14 @@
 	mu    sync.Mutex
 	calls []*call
 	last  int
+	// booked are the bookings that were answered, by age.
+	booked []booking
+}
+
+// booking is one that was answered.
+type booking struct {
+	key string
+	at  time.Time
 }
 
 func (c *callers) next(kind string) string {
@@ -222,7 +234,7 @@
 // answer comes, now and then at two daemons at once.
 func (c *callers) book(ctx context.Context, r *rand.Rand) {
 	key := c.next("key")
-	body := []byte("booking " + key)
+	body := bookingBody(key)
 	first, second := c.pick(r), c.pick(r)
 	if r.IntN(4) == 0 {
 		var both sync.WaitGroup
@@ -233,7 +245,11 @@
 	}
 	for range 1 + r.IntN(maxRepeats) {
 		k := c.invoke(ctx, c.pick(r), methodBook, key, body)
+		if k.whole {
+			c.noteBooked(key)
+		}
 		if k.whole && r.IntN(5) != 0 {
+			c.repeatOld(ctx, r)
 			return
 		}
 		c.watch.count("bookings repeated")
@@ -241,13 +257,40 @@
 	}
 }
 
+func bookingBody(key string) []byte { return []byte("booking " + key) }
+
+func (c *callers) noteBooked(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.booked = append(c.booked, booking{key: key, at: time.Now()})
+}
+
+// repeatOld repeats, now and then, a booking whose records have expired, so that
+// only a snapshot still knows its key.
+func (c *callers) repeatOld(ctx context.Context, r *rand.Rand) {
+	old := c.bookedBefore(time.Now().Add(-retention))
+	if len(old) == 0 || r.IntN(repeatOldEvery) != 0 {
+		return
+	}
+	key := old[r.IntN(len(old))].key
+	c.invoke(ctx, c.pick(r), methodBook, key, bookingBody(key))
+	c.watch.count("bookings repeated behind expired records")
+}
+
+func (c *callers) bookedBefore(t time.Time) []booking {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, _ := slices.BinarySearchFunc(c.booked, t, func(b booking, t time.Time) int { return b.at.Compare(t) })
+	return c.booked[:n]
+}
+
 // look makes an idempotent call.
 func (c *callers) look(ctx context.Context, r *rand.Rand) {
 	c.invoke(ctx, c.pick(r), methodLook, "", []byte(c.next("look")))
 }
 
 func (c *callers) invoke(ctx context.Context, d *daemonHost, method, key string, body []byte) *call {
-	k := &call{id: c.next("i"), daemon: d, began: time.Now()}
+	k := &call{id: c.next("i"), daemon: d, booking: method == methodBook, began: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, callDeadline)
 	defer cancel()
 	resp, err := c.client(d).Invoke(ctx, connect.NewRequest(&carawayv1.InvokeRequest{
--- a/standin/runs/checkers_test.go
+++ b/standin/runs/checkers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -85,6 +86,16 @@
 				[]*carawayv1.ServiceChange{{Service: modelService, BaseRevision: base, Body: modelFile(1, 3), File: "a"}},
 				[]*carawayv1.ServiceChange{{Service: plainService, BaseRevision: base, Body: plainFile(3), File: "b"}})
 		},
+		CheckOutage: func(m *tampering) {
+			for _, d := range m.world.daemons {
+				for _, other := range m.world.daemons {
+					m.world.net.CutBoth(d.ip, other.ip) // none can confirm what it knows
+				}
+			}
+			m.faults.lone(longOutage, m.random())
+		},
+		// The small world's engines are all in one zone.
+		CheckZone: func(m *tampering) { m.faults.lone(zoneKilled, m.random()) },
 	}
 	for checker, tamper := range tests {
 		t.Run(string(checker), func(t *testing.T) {
@@ -105,6 +116,36 @@
 	}
 }
 
+// TestMissingSnapshotsAreReported restarts all daemons after the records of the
+// configuration have expired, with and without snapshots of it.
+func TestMissingSnapshotsAreReported(t *testing.T) {
+	restart := func(m *tampering) {
+		pause(m.ctx, retention)
+		m.killDaemons()
+		for _, d := range m.world.daemons {
+			_ = d.start()
+		}
+	}
+	for name, tc := range map[string]struct {
+		every time.Duration
+		found bool
+	}{
+		"with":    {snapshotEvery, false},
+		"without": {24 * time.Hour, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := inBubble(t, Options{
+				Seed: 1, Length: retention + 3*time.Minute, calm: true, size: small, tamper: restart, snapshots: tc.every,
+			})
+			assert.Equal(t, r.Counts["daemons started behind expired records"] >= small.Daemons, true, "%v", r.Counts)
+			assert.Equal(t, r.Counts["finding "+string(CheckConfig)] > 0, tc.found, "%v %v", r.Findings, r.Counts)
+		})
+	}
+}
+
+func (m *tampering) random() *rand.Rand { return rand.New(rand.NewPCG(m.world.seed, 7)) }
+
 // group returns the leader and another member of a group.
 func (m *tampering) group() (leader, member *engineHost) {
 	for _, e := range m.world.engines {
--- a/standin/runs/process_test.go
+++ b/standin/runs/process_test.go
@@ -61,6 +61,9 @@
 // check fails the test with what the run found.
 func (o outcome) check(t *testing.T) {
 	t.Logf("seed %d: %v", o.Report.Seed, o.Report.Counts)
+	for what, n := range leastOfEach {
+		assert.Check(t, o.Report.Counts[what] >= n, "seed %d: %s: %d, want %d", o.Report.Seed, what, o.Report.Counts[what], n)
+	}
 	for _, f := range o.Report.Findings {
 		t.Errorf("seed %d: %v", o.Report.Seed, f)
 	}
--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -38,6 +38,8 @@
 	// every is the mean time between two requests of one caller, 3 s when
 	// zero.
 	every time.Duration
+	// snapshots is the time between two snapshots, a minute when zero.
+	snapshots time.Duration
 	// size of the world, drawn from the seed when zero.
 	size Size
 }
@@ -49,6 +51,7 @@
 	watch   *watch
 	callers *callers
 	ops     *operators
+	faults  *schedule
 }
 
 // Report is what a run met and found.
@@ -72,7 +75,10 @@
 	if o.size == (Size{}) {
 		o.size = Size{Daemons: 7 + int(o.Seed%3), Fabrics: 2, Engines: 3, Plains: 2}
 	}
-	world, err := newWorld(o.Seed, o.size, watch, o.Log)
+	if o.snapshots == 0 {
+		o.snapshots = snapshotEvery
+	}
+	world, err := newWorld(o, watch)
 	if err != nil {
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
@@ -104,12 +110,13 @@
 	}
 	pause(ctx, warmUp/2)
 	if o.tamper != nil {
-		o.tamper(&tampering{ctx: ctx, world: w, watch: w.watch, callers: c, ops: ops})
+		o.tamper(&tampering{ctx: ctx, world: w, watch: w.watch, callers: c, ops: ops, faults: s})
 	}
-	stopped := s.faultsWithAPlannedStop(o, r, end)
+	stopped := s.phases(o, r, end)
 	pause(ctx, time.Until(end))
 	c.checkRecovery(end.Add(-goodputWindow), func() string { return ops.groupStates(ctx) })
 	stop()
+	w.watch.add("log calls refused while down", int(w.platform.Log.Stats().Outages))
 	c.checkRefusals()
 	for d, sp := range stopped {
 		c.checkPlannedStop(d, sp)
@@ -117,13 +124,15 @@
 	return nil
 }
 
-// faultsWithAPlannedStop injects faults, with a pause in the middle in which
-// nothing but a planned stop happens.
-func (s *schedule) faultsWithAPlannedStop(o Options, r *rand.Rand, end time.Time) map[*daemonHost]span {
+// phases injects faults, with a pause in the middle in which nothing but a
+// planned stop happens and then nothing but a long fault.
+func (s *schedule) phases(o Options, r *rand.Rand, end time.Time) map[*daemonHost]span {
 	faultsEnd := end.Add(-recoveryBound - goodputWindow)
-	half := time.Until(faultsEnd)/2 - quietPause/2
+	half := (time.Until(faultsEnd) - quietPause - quietPause/4 - alone) / 2
+	lone, amid := longFaults(o.Seed, r)
+	early := r.IntN(2) == 0
 	if !o.calm {
-		s.run(r, time.Now().Add(half-faultLastMax))
+		s.half(amid, early, r, time.Now().Add(half))
 	}
 	pause(s.ctx, quietPause)
 	d := s.daemon(r)
@@ -132,11 +141,22 @@
 	_ = d.start()
 	pause(s.ctx, quietPause/4)
 	if !o.calm {
-		s.run(r, faultsEnd.Add(-faultLastMax))
+		s.lone(lone, r)
+		s.half(amid, !early, r, faultsEnd)
 	}
 	return map[*daemonHost]span{d: stop}
 }
 
+// half injects faults for one half of a run, with a long one amid them or not.
+func (s *schedule) half(long longFault, with bool, r *rand.Rand, end time.Time) {
+	until := end.Add(-faultLastMax)
+	if with {
+		s.runWith(long, r, until)
+		return
+	}
+	s.run(r, until)
+}
+
 // stopUnderLoad stops a daemon as planned while calls to it are under way and
 // new ones come, and returns when that was.
 func (s *schedule) stopUnderLoad(d *daemonHost, r *rand.Rand) span {
--- a/standin/runs/runs_test.go
+++ b/standin/runs/runs_test.go
@@ -146,6 +146,18 @@
 	"refusals checked":                3,
 	"planned stops while quiet":       1,
 	"calls during a planned stop":     10,
+
+	"daemons started behind expired records": 1,
+}
+
+// Least counts of every single run: each meets the long faults.
+var leastOfEach = map[string]int{
+	"fault log down for minutes":               1,
+	"log calls refused while down":             100,
+	"availability zones lost":                  1,
+	"instances of lost zones":                  4,
+	"calls judged in a long fault":             30,
+	"bookings repeated behind expired records": 1,
 }
 
 func (s *totals) checkThatFaultsBit(t *testing.T) {
--- a/standin/runs/schedule.go
+++ b/standin/runs/schedule.go
@@ -44,6 +44,8 @@
 	// lost is since when a daemon has had no fault that cuts it off.
 	lost map[*daemonHost]int
 	back map[*daemonHost]time.Time
+	// down counts the faults that keep the log down.
+	down int
 }
 
 func newSchedule(ctx context.Context, w *World, c *callers, o *operators) *schedule {
@@ -53,6 +55,7 @@
 
 // run injects faults until the time, then waits until all have ended.
 func (s *schedule) run(r *rand.Rand, until time.Time) {
+	defer s.tasks.Wait()
 	together := make(chan struct{}, maxTogether)
 	for time.Now().Before(until) && s.ctx.Err() == nil {
 		f := faults[r.IntN(len(faults))]
@@ -65,7 +68,14 @@
 		})
 		pause(s.ctx, between(r, faultGapMin, faultGapMax))
 	}
-	s.tasks.Wait()
+}
+
+// runWith injects a long fault beside the others.
+func (s *schedule) runWith(long longFault, r *rand.Rand, until time.Time) {
+	lasts := min(between(r, long.min, long.max), time.Until(until)+faultLastMax)
+	source := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+	s.tasks.Go(func() { s.inject(long.fault, source, lasts) })
+	s.run(r, until)
 }
 
 func between(r *rand.Rand, low, high time.Duration) time.Duration {
@@ -132,13 +142,31 @@
 	return func() { s.world.net.Heal(a, b) }
 }
 
+// setLog changes the log's switches; faults of the log that overlap leave each
+// other's in place.
+func (s *schedule) setLog(change func(f *platform.LogFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.world.platform.Log.Faults()
+	change(&f)
+	f.Down = s.down > 0
+	s.world.platform.Log.SetFaults(f)
+}
+
+// logDown takes the log down until the returned function is called, and longer
+// if another fault keeps it down.
+func (s *schedule) logDown() (end func()) {
+	s.setLog(func(*platform.LogFaults) { s.down++ })
+	return func() { s.setLog(func(*platform.LogFaults) { s.down-- }) }
+}
+
 func (s *schedule) engineFault(r *rand.Rand, change func(f *engine.Faults)) {
 	for range 3 {
 		s.engine(r).set(change)
 	}
 }
 
-// faults are all kinds, equally likely.
+// faults are the short kinds, equally likely.
 var faults = []fault{
 	{"daemon killed", false, func(s *schedule, r *rand.Rand) func() {
 		d := s.daemon(r)
@@ -181,15 +209,16 @@
 		return s.cut(r, s.daemon(r).ip, s.engine(r).ip)
 	}},
 	{"log down", false, func(s *schedule, _ *rand.Rand) func() {
-		s.world.platform.Log.SetFaults(platform.LogFaults{Down: true})
-		return func() { s.world.platform.Log.SetFaults(platform.LogFaults{}) }
+		return s.logDown()
 	}},
 	{"log slow", false, func(s *schedule, r *rand.Rand) func() {
-		s.world.platform.Log.SetFaults(platform.LogFaults{Delay: between(r, 200*time.Millisecond, 3*time.Second)})
-		return func() { s.world.platform.Log.SetFaults(platform.LogFaults{}) }
+		delay := between(r, 200*time.Millisecond, 3*time.Second)
+		s.setLog(func(f *platform.LogFaults) { f.Delay = delay })
+		return func() { s.setLog(func(f *platform.LogFaults) { f.Delay = 0 }) }
 	}},
 	{"log answers lost", false, func(s *schedule, r *rand.Rand) func() {
-		s.world.platform.Log.SetFaults(platform.LogFaults{LoseAnswers: 1 + r.IntN(20)})
+		lose := 1 + r.IntN(20)
+		s.setLog(func(f *platform.LogFaults) { f.LoseAnswers = lose })
 		return nothing
 	}},
 	{"list down", false, func(s *schedule, _ *rand.Rand) func() {
--- a/standin/runs/watch.go
+++ b/standin/runs/watch.go
@@ -24,6 +24,8 @@
 	CheckRevert      Checker = "config-reverts" // a configuration never reverts
 	CheckRecovery    Checker = "recovery"       // all is well again after the last fault
 	CheckRace        Checker = "publish-race"   // of two racing publications at most one is accepted
+	CheckOutage      Checker = "log-outage"     // requests that need no log are served while it is down
+	CheckZone        Checker = "zone-lost"      // the other zones serve while one is away
 )
 
 // Bounds of the checkers.
@@ -82,6 +84,7 @@
 	seenAt         map[place]time.Time // when a member was last in its place
 	faults         []span              // of any kind
 	netFaults      []span              // that hold bytes
+	zones          []lostZone
 	accepted       []revision
 	inForce        map[string]uint64 // highest revision by daemon id
 }
@@ -111,10 +114,12 @@
 	}
 }
 
-func (w *watch) count(what string) {
+func (w *watch) count(what string) { w.add(what, 1) }
+
+func (w *watch) add(what string, n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.counts[what]++
+	w.counts[what] += n
 }
 
 // engineRun is called when an engine begins to run an attempt.
--- a/standin/runs/world.go
+++ b/standin/runs/world.go
@@ -17,6 +17,7 @@
 	"carawayproxy.example/caraway/internal/daemon"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/settings"
 	"carawayproxy.example/caraway/standin/platform"
 	"carawayproxy.example/caraway/standin/runs/network"
@@ -44,6 +45,14 @@
 // registerEvery is the time between two registrations with the platform.
 const registerEvery = time.Second
 
+// Retention of the log is short, so that daemons that start in the second half
+// of a run need snapshots. A snapshot outlives the longest outage: it is at most
+// snapshotEvery old when the outage begins.
+const (
+	retention     = 5 * time.Minute
+	snapshotEvery = time.Minute
+)
+
 // Size is how large a world is.
 type Size struct {
 	Daemons int
@@ -55,6 +64,7 @@
 // World is a whole system. Its methods are safe for concurrent use.
 type World struct {
 	seed     uint64
+	size     Size
 	net      *network.Network
 	platform *platform.Platform
 	daemons  []*daemonHost
@@ -66,20 +76,26 @@
 	tasks    sync.WaitGroup
 	watch    *watch
 	logs     io.Writer // of the daemons, nil for none
+	// snapshots is the time between two snapshots of a stream.
+	snapshots time.Duration
 }
 
 // newWorld starts the platform, the backend servers and the daemons.
-func newWorld(seed uint64, size Size, watch *watch, logs io.Writer) (*World, error) {
+func newWorld(o Options, watch *watch) (*World, error) {
+	size := o.size
 	ctx, stop := context.WithCancel(context.Background())
 	w := &World{
-		seed:  seed,
+		seed:  o.Seed,
+		size:  size,
 		net:   network.New(delay),
 		ctx:   ctx,
 		stop:  stop,
 		watch: watch,
-		logs:  logs,
+		logs:  o.Log,
+
+		snapshots: o.snapshots,
 		platform: &platform.Platform{
-			Log:       platform.NewLog(platform.LogConfig{}),
+			Log:       platform.NewLog(platform.LogConfig{Retention: retention}),
 			Instances: platform.NewInstances(platform.InstancesConfig{}),
 			Weights:   platform.NewWeights(platform.WeightsConfig{}),
 		},
@@ -223,7 +239,7 @@
 		PlacementScopes:  2,
 		KeyWindow:        24 * time.Hour,
 		AppendRate:       30,
-		SnapshotEvery:    time.Minute,
+		SnapshotEvery:    d.world.snapshots,
 		DrainGrace:       time.Second,
 		DrainTimeout:     30 * time.Second,
 		MaxBodyBytes:     1 << 20,
@@ -260,6 +276,7 @@
 	ctx, cancel := context.WithCancel(d.world.ctx)
 	d.running, d.cancel, d.ended = running, cancel, make(chan struct{})
 	d.starts++
+	d.world.tasks.Go(d.countStart)
 	d.upSince = time.Now()
 	ended, host := d.ended, d.host
 	d.world.tasks.Go(func() {
@@ -271,6 +288,14 @@
 	return nil
 }
 
+// countStart notes a start that finds the first configuration expired.
+func (d *daemonHost) countStart() {
+	page, err := d.world.platform.Log.Read(d.world.ctx, journal.StreamConfig, 0, 1, 0)
+	if err == nil && page.Oldest > 0 {
+		d.world.watch.count("daemons started behind expired records")
+	}
+}
+
 func (d *daemonHost) registerWhile(ctx context.Context, ended <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
