runs: one wake for each message of the in-memory network

A reader woke when bytes were sent, found them not due, made a timer and waited again in a select over four channels; each message took the network's lock for three map lookups and twice for its counts.

Now a connection waits on condition variables. One timer for each direction wakes the reader when its first chunk is due; a deadline that moves back leaves its timer alone; cuts and freezes are asked for by an atomic pointer; counts are atomic. What a fault held wakes the writers too, not the readers alone.

--- a/standin/runs/network/conn.go
+++ b/standin/runs/network/conn.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // bufferBytes is what one direction of a connection holds before a writer
@@ -28,91 +26,150 @@
 type stream struct {
 	network  *Network
 	from, to string
-	readable chan struct{} // capacity one
-	writable chan struct{} // capacity one
-
-	mu     sync.Mutex
-	chunks []chunk
-	size   int
-	ended  bool // the writer closed
-	reset  bool // the writer was killed
-	gone   bool // the reader closed
+	latency  time.Duration
+
+	mu       sync.Mutex
+	readable sync.Cond
+	writable sync.Cond
+	arrival  *time.Timer // wakes the reader when the first chunk is due
+	read     deadline
+	write    deadline
+	chunks   []chunk
+	size     int
+	ended    bool // the writer closed
+	reset    bool // the writer was killed
+	gone     bool // the reader closed
 }
 
 func newStream(n *Network, from, to string) *stream {
-	return &stream{
-		network: n, from: from, to: to,
-		readable: make(chan struct{}, 1),
-		writable: make(chan struct{}, 1),
-	}
+	s := &stream{network: n, from: from, to: to, latency: n.latency(from, to)}
+	s.readable.L = &s.mu
+	s.writable.L = &s.mu
+	s.read.wakes = &s.readable
+	s.write.wakes = &s.writable
+	return s
 }
 
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+// wake lets both ends look again, after a fault has ended.
+func (s *stream) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readable.Broadcast()
+	s.writable.Broadcast()
 }
 
-func (s *stream) wakeReader() { signal(s.readable) }
+func (s *stream) held() bool { return s.network.held(s.from, s.to) }
 
-// take copies what has arrived. It returns the time until more arrives, or
-// zero when that is not known.
-func (s *stream) take(p []byte) (n int, wait time.Duration, err error) {
-	held := s.network.held(s.from, s.to)
+// take waits for bytes that have arrived and copies them.
+func (s *stream) take(p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if held {
-		return 0, 0, nil
+	for {
+		switch {
+		case s.gone:
+			return 0, net.ErrClosed
+		case s.read.passed:
+			return 0, os.ErrDeadlineExceeded
+		}
+		n, err := s.takeArrived(p)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+		s.readable.Wait()
+	}
+}
+
+// takeArrived copies what has arrived and sees to it that the reader wakes for
+// the next chunk. Called with mu held.
+func (s *stream) takeArrived(p []byte) (n int, err error) {
+	if s.held() {
+		return 0, nil
 	}
 	if s.reset {
-		return 0, 0, ErrReset
+		return 0, ErrReset
 	}
 	now := time.Now()
 	for len(s.chunks) > 0 && n < len(p) {
 		c := &s.chunks[0]
 		if c.due.After(now) {
-			wait = c.due.Sub(now)
+			s.wakeAfter(c.due.Sub(now))
 			break
 		}
 		k := copy(p[n:], c.data)
 		n += k
 		c.data = c.data[k:]
 		if len(c.data) == 0 {
+			s.chunks[0] = chunk{}
 			s.chunks = s.chunks[1:]
 		}
 	}
 	s.size -= n
 	if n > 0 {
-		signal(s.writable)
-		return n, 0, nil
+		s.writable.Broadcast()
+		return n, nil
 	}
 	if len(s.chunks) == 0 && s.ended {
-		return 0, 0, io.EOF
+		return 0, io.EOF
 	}
-	return 0, wait, nil
+	return 0, nil
 }
 
-// put appends as much as there is room for.
-func (s *stream) put(p []byte) (int, error) {
-	held := s.network.held(s.from, s.to)
-	due := time.Now().Add(s.network.latency(s.from, s.to))
+// wakeAfter wakes the reader after a while. Called with mu held.
+func (s *stream) wakeAfter(d time.Duration) {
+	if s.arrival == nil {
+		s.arrival = time.AfterFunc(d, s.arrived)
+		return
+	}
+	s.arrival.Reset(d)
+}
+
+func (s *stream) arrived() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.gone && !held {
-		return 0, ErrReset
+	s.readable.Broadcast()
+}
+
+// put appends p, waiting for room, and returns how much of it was appended.
+func (s *stream) put(p []byte) (written int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		switch {
+		case s.ended:
+			return written, net.ErrClosed
+		case s.write.passed:
+			return written, os.ErrDeadlineExceeded
+		case s.gone && !s.held():
+			return written, ErrReset
+		}
+		written += s.append(p[written:])
+		if written == len(p) {
+			return written, nil
+		}
+		s.writable.Wait()
 	}
+}
+
+// append takes as much as there is room for. Called with mu held.
+func (s *stream) append(p []byte) int {
 	n := min(len(p), bufferBytes-s.size)
 	if n == 0 {
-		return 0, nil
+		return 0
 	}
-	s.chunks = append(s.chunks, chunk{data: append([]byte(nil), p[:n]...), due: due})
+	due := time.Now().Add(s.latency)
 	s.size += n
-	signal(s.readable)
-	if s.size < bufferBytes {
-		signal(s.writable)
+	if last := len(s.chunks) - 1; last >= 0 && s.chunks[last].due.Equal(due) {
+		s.chunks[last].data = append(s.chunks[last].data, p[:n]...)
+		return n
+	}
+	s.chunks = append(s.chunks, chunk{data: append([]byte(nil), p[:n]...), due: due})
+	switch {
+	case s.latency <= 0:
+		s.readable.Broadcast()
+	case len(s.chunks) == 1:
+		s.wakeAfter(s.latency)
 	}
-	return n, nil
+	return n
 }
 
 // end marks the writer's close, abrupt or not.
@@ -121,7 +178,9 @@
 	defer s.mu.Unlock()
 	s.ended = true
 	s.reset = s.reset || reset
-	signal(s.readable)
+	s.write.stop()
+	s.readable.Broadcast()
+	s.writable.Broadcast()
 }
 
 // leave marks the reader's close.
@@ -129,18 +188,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gone = true
-	signal(s.writable)
+	s.read.stop()
+	if s.arrival != nil {
+		s.arrival.Stop()
+	}
+	s.readable.Broadcast()
+	s.writable.Broadcast()
+}
+
+// setReadDeadline moves the reader's deadline, setWriteDeadline the writer's.
+func (s *stream) setReadDeadline(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.gone {
+		s.read.set(t, s.readLate)
+	}
+}
+
+func (s *stream) setWriteDeadline(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.write.set(t, s.writeLate)
+	}
+}
+
+func (s *stream) readLate()  { s.expire(&s.read, s.readLate) }
+func (s *stream) writeLate() { s.expire(&s.write, s.writeLate) }
+
+func (s *stream) expire(d *deadline, again func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d.expire(again)
 }
 
 // conn is one end of a connection.
 type conn struct {
 	host          *Host
+	stats         *hostStats
 	local, remote address
 	in, out       *stream
 	once          sync.Once
-	closed        chan struct{}
-	readDeadline  deadline
-	writeDeadline deadline
 }
 
 // newPair returns both ends of a connection. Called with the network's mu held.
@@ -156,78 +244,22 @@
 }
 
 func newConn(h *Host, local, remote address, in, out *stream) *conn {
-	return &conn{
-		host: h, local: local, remote: remote, in: in, out: out,
-		closed:        make(chan struct{}),
-		readDeadline:  newDeadline(),
-		writeDeadline: newDeadline(),
-	}
+	return &conn{host: h, stats: h.stats, local: local, remote: remote, in: in, out: out}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	for {
-		passed := c.readDeadline.wait()
-		select {
-		case <-c.closed:
-			return 0, net.ErrClosed
-		case <-passed:
-			return 0, os.ErrDeadlineExceeded
-		default:
-		}
-		n, wait, err := c.in.take(p)
-		if err != nil {
-			signal(c.in.readable) // for other readers
-			return 0, err
-		}
-		if n > 0 || len(p) == 0 {
-			c.host.network.count(c.host.ip, func(s *Stats) { s.BytesReceived += uint64(n) })
-			return n, nil
-		}
-		c.waitReadable(passed, wait)
-	}
-}
-
-func (c *conn) waitReadable(passed <-chan struct{}, wait time.Duration) {
-	var due <-chan time.Time
-	if wait > 0 {
-		t := time.NewTimer(wait)
-		defer t.Stop()
-		due = t.C
-	}
-	select {
-	case <-c.in.readable:
-	case <-due:
-	case <-passed:
-	case <-c.closed:
-	}
+	n, err := c.in.take(p)
+	c.stats.received.Add(uint64(n))
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.host.network.count(c.host.ip, func(s *Stats) { s.Writes++ })
-	written := 0
-	for {
-		passed := c.writeDeadline.wait()
-		select {
-		case <-c.closed:
-			return written, net.ErrClosed
-		case <-passed:
-			return written, os.ErrDeadlineExceeded
-		default:
-		}
-		n, err := c.out.put(p[written:])
-		written += n
-		c.host.network.count(c.host.ip, func(s *Stats) { s.BytesSent += uint64(n) })
-		if err != nil || written == len(p) {
-			return written, errors.WithStack(err)
-		}
-		select {
-		case <-c.out.writable:
-		case <-passed:
-		case <-c.closed:
-		}
-	}
+	c.stats.writes.Add(1)
+	n, err := c.out.put(p)
+	c.stats.sent.Add(uint64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -241,11 +273,8 @@
 
 func (c *conn) shut(reset bool) {
 	c.once.Do(func() {
-		close(c.closed)
 		c.out.end(reset)
 		c.in.leave()
-		c.readDeadline.set(time.Time{})
-		c.writeDeadline.set(time.Time{})
 		c.host.network.forget(c)
 	})
 }
@@ -258,76 +287,79 @@
 
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
-	c.readDeadline.set(t)
-	c.writeDeadline.set(t)
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
 	return nil
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	c.readDeadline.set(t)
+	c.in.setReadDeadline(t)
 	return nil
 }
 
 // SetWriteDeadline implements net.Conn.
 func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.writeDeadline.set(t)
+	c.out.setWriteDeadline(t)
 	return nil
 }
 
-// deadline is a moment that can be moved while it is waited for.
+// deadline is a moment that can be moved while it is waited for. Its stream's
+// mu guards it.
 type deadline struct {
-	state *deadlineState
-}
-
-type deadlineState struct {
-	mu     sync.Mutex
+	wakes  *sync.Cond
+	passed bool
+	at     time.Time // zero for none
 	timer  *time.Timer
-	moves  uint64        // so that a timer that fired late finds itself replaced
-	passed chan struct{} // closed once the deadline has passed
+	// fires is when the timer fires, zero when it does not. It may be earlier
+	// than at: moving a deadline back leaves the timer alone.
+	fires time.Time
 }
 
-func newDeadline() deadline {
-	return deadline{state: &deadlineState{passed: make(chan struct{})}}
+// set moves the deadline; the zero time means none. late is called by a timer.
+func (d *deadline) set(t time.Time, late func()) {
+	d.at = t
+	d.passed = false
+	if t.IsZero() {
+		return
+	}
+	wait := time.Until(t)
+	if wait <= 0 {
+		d.passed = true
+		d.wakes.Broadcast()
+		return
+	}
+	if d.fires.IsZero() || t.Before(d.fires) {
+		d.arm(wait, late)
+	}
 }
 
-func (d deadline) wait() <-chan struct{} {
-	d.state.mu.Lock()
-	defer d.state.mu.Unlock()
-	return d.state.passed
+func (d *deadline) arm(wait time.Duration, late func()) {
+	d.fires = d.at
+	if d.timer == nil {
+		d.timer = time.AfterFunc(wait, late)
+		return
+	}
+	d.timer.Reset(wait)
 }
 
-// set moves the deadline; the zero time means none.
-func (d deadline) set(t time.Time) {
-	s := d.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.timer != nil {
-		s.timer.Stop()
-		s.timer = nil
-	}
-	s.moves++
-	select {
-	case <-s.passed:
-		s.passed = make(chan struct{})
-	default:
-	}
-	if t.IsZero() {
+// expire follows the timer. A deadline that was moved back waits again.
+func (d *deadline) expire(late func()) {
+	d.fires = time.Time{}
+	if d.at.IsZero() {
 		return
 	}
-	wait := time.Until(t)
-	if wait <= 0 {
-		close(s.passed)
+	if wait := time.Until(d.at); wait > 0 {
+		d.arm(wait, late)
 		return
 	}
-	moves := s.moves
-	s.timer = time.AfterFunc(wait, func() { s.expire(moves) })
+	d.passed = true
+	d.wakes.Broadcast()
 }
 
-func (s *deadlineState) expire(moves uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.moves == moves {
-		close(s.passed)
+func (d *deadline) stop() {
+	d.at = time.Time{}
+	if d.timer != nil {
+		d.timer.Stop()
 	}
 }
--- a/standin/runs/network/network.go
+++ b/standin/runs/network/network.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +26,9 @@
 // Network joins hosts. It is safe for concurrent use.
 type Network struct {
 	latency func(from, to string) time.Duration
+	// faults is what cuts and frozen say, nil when they are empty. It is asked
+	// for every message and replaced, never changed.
+	faults atomic.Pointer[faults]
 
 	mu        sync.Mutex
 	hosts     map[string]*Host
@@ -31,13 +37,19 @@
 	frozen    map[string]bool
 	conns     map[*conn]bool
 	changed   chan struct{} // closed when a fault ends
-	stats     map[string]*Stats
+	stats     map[string]*hostStats
 	ports     uint64 // outgoing ports used
 }
 
 // path is one direction between two hosts.
 type path struct{ from, to string }
 
+// faults are the directions and hosts whose bytes are held.
+type faults struct {
+	cuts   map[path]bool
+	frozen map[string]bool
+}
+
 // Stats counts a host's traffic.
 type Stats struct {
 	BytesSent     uint64
@@ -46,6 +58,11 @@
 	Dials         uint64
 }
 
+// hostStats collects Stats.
+type hostStats struct {
+	sent, received, writes, dials atomic.Uint64
+}
+
 // New returns a network without hosts. latency gives the one-way delay
 // between two addresses without port; nil for none.
 func New(latency func(from, to string) time.Duration) *Network {
@@ -60,7 +77,7 @@
 		frozen:    map[string]bool{},
 		conns:     map[*conn]bool{},
 		changed:   make(chan struct{}),
-		stats:     map[string]*Stats{},
+		stats:     map[string]*hostStats{},
 	}
 }
 
@@ -71,11 +88,11 @@
 	if h := n.hosts[ip]; h != nil {
 		return h
 	}
-	h := &Host{network: n, ip: ip, killed: make(chan struct{})}
-	n.hosts[ip] = h
 	if n.stats[ip] == nil {
-		n.stats[ip] = &Stats{}
+		n.stats[ip] = &hostStats{}
 	}
+	h := &Host{network: n, ip: ip, killed: make(chan struct{}), stats: n.stats[ip]}
+	n.hosts[ip] = h
 	return h
 }
 
@@ -85,6 +102,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts[path{from, to}] = true
+	n.publish()
 }
 
 // CutBoth cuts both directions.
@@ -95,11 +113,10 @@
 
 // Heal ends a cut in both directions.
 func (n *Network) Heal(a, b string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.cuts, path{a, b})
-	delete(n.cuts, path{b, a})
-	n.release()
+	n.release(func() {
+		delete(n.cuts, path{a, b})
+		delete(n.cuts, path{b, a})
+	})
 }
 
 // Freeze holds all bytes from and to a host until Thaw. Its connections stay
@@ -109,46 +126,57 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.frozen[ip] = true
+	n.publish()
 }
 
 // Thaw ends a freeze.
 func (n *Network) Thaw(ip string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.frozen, ip)
-	n.release()
+	n.release(func() { delete(n.frozen, ip) })
 }
 
 // Stats returns the counts of a host's traffic, of all hosts that had the ip.
 func (n *Network) Stats(ip string) Stats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if s := n.stats[ip]; s != nil {
-		return *s
+	s := n.stats[ip]
+	if s == nil {
+		return Stats{}
+	}
+	return Stats{
+		BytesSent:     s.sent.Load(),
+		BytesReceived: s.received.Load(),
+		Writes:        s.writes.Load(),
+		Dials:         s.dials.Load(),
+	}
+}
+
+// publish renews faults. Called with mu held.
+func (n *Network) publish() {
+	if len(n.cuts) == 0 && len(n.frozen) == 0 {
+		n.faults.Store(nil)
+		return
 	}
-	return Stats{}
+	n.faults.Store(&faults{cuts: maps.Clone(n.cuts), frozen: maps.Clone(n.frozen)})
 }
 
-// release wakes what a fault held. Called with mu held.
-func (n *Network) release() {
+// release ends a fault and wakes what it held.
+func (n *Network) release(end func()) {
+	n.mu.Lock()
+	end()
+	n.publish()
 	close(n.changed)
 	n.changed = make(chan struct{})
-	for c := range n.conns {
-		c.in.wakeReader()
+	conns := slices.Collect(maps.Keys(n.conns))
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.in.wake()
 	}
 }
 
 // held reports whether bytes from one host to another are held.
 func (n *Network) held(from, to string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cuts[path{from, to}] || n.frozen[from] || n.frozen[to]
-}
-
-func (n *Network) count(ip string, f func(*Stats)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	f(n.stats[ip])
+	f := n.faults.Load()
+	return f != nil && (f.cuts[path{from, to}] || f.frozen[from] || f.frozen[to])
 }
 
 // Host is one machine; it has one ip and any number of ports.
@@ -156,6 +184,7 @@
 	network *Network
 	ip      string
 	killed  chan struct{}
+	stats   *hostStats
 }
 
 // Addr returns "ip:port" for a port of the host.
@@ -217,7 +246,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	n.count(h.ip, func(s *Stats) { s.Dials++ })
+	h.stats.dials.Add(1)
 	if err := n.waitOpen(ctx, h, ip); err != nil {
 		return nil, err
 	}
