--- a/Makefile
+++ b/Makefile
@@ -43,16 +43,18 @@
 control:
 	go run ./standin/control
 
-# Randomised runs of whole daemons in virtual time, without the race detector.
+# Randomised runs of whole daemons in virtual time, without the race detector,
+# TOGETHER at a time.
 SEEDS ?= 200
+TOGETHER ?= $(shell nproc)
 seeds:
-	go test ./standin/runs -run TestSeeds -seeds $(SEEDS) -timeout 90m
+	go test ./standin/runs -run TestSeeds -seeds $(SEEDS) -parallel $(TOGETHER) -timeout 90m -v
 
 # One seed after another for some real minutes.
 SEED ?= 1
 MINUTES ?= 10
 soak:
-	go test ./standin/runs -run TestSoak -soak-seed $(SEED) -soak-minutes $(MINUTES) -timeout 0 -v
+	go test ./standin/runs -run TestSoak -soak-seed $(SEED) -soak-minutes $(MINUTES) -parallel $(TOGETHER) -timeout 0 -v
 
 # Every table of the design notes, from fixed seeds.
 experiment:
--- a/standin/runs/process_test.go
+++ b/standin/runs/process_test.go
@@ -72,23 +72,22 @@
 	}
 }
 
-// inProcess runs one seed in a process of its own, in parallel to others.
-func inProcess(t *testing.T, seed uint64, totals *totals) {
-	t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-		t.Parallel()
-		path := filepath.Join(t.TempDir(), "report")
-		cmd := seedCommand(seed, path)
-		said, err := cmd.CombinedOutput()
-		assert.NilError(t, err, "seed %d: %s", seed, said)
-		data, err := os.ReadFile(path)
-		assert.NilError(t, err)
-		var o outcome
-		assert.NilError(t, json.Unmarshal(data, &o))
-		totals.add(o.Report, cmd.ProcessState.UserTime()+cmd.ProcessState.SystemTime())
-		o.check(t)
-	})
+// runSeed runs one seed in a process of its own.
+func runSeed(t *testing.T, seed uint64, totals *totals) {
+	path := filepath.Join(t.TempDir(), "report")
+	cmd := seedCommand(seed, path)
+	said, err := cmd.CombinedOutput()
+	assert.NilError(t, err, "seed %d: %s", seed, said)
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	var o outcome
+	assert.NilError(t, json.Unmarshal(data, &o))
+	totals.add(o.Report, cmd.ProcessState.UserTime()+cmd.ProcessState.SystemTime())
+	o.check(t)
 }
 
+func seedName(seed uint64) string { return fmt.Sprintf("seed-%d", seed) }
+
 func seedCommand(seed uint64, report string) *exec.Cmd {
 	threads := 1
 	if seed%twoThreadsEvery == 0 {
--- a/standin/runs/runs_test.go
+++ b/standin/runs/runs_test.go
@@ -7,6 +7,7 @@
 	"log"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,11 @@
 )
 
 var (
-	soakSeed     = flag.Uint64("soak-seed", 0, "first seed of TestSoak, which is passed over when zero")
-	soakMinutes  = flag.Int("soak-minutes", 10, "real minutes that TestSoak goes on")
-	soakTogether = flag.Int("soak-together", 3, "seeds that TestSoak runs at a time")
-	logFile      = flag.String("daemon-log", "", "file for the daemons' log lines, for one seed at a time")
-	firstSeed    = flag.Uint64("first-seed", 1, "first seed of TestSeeds")
-	seeds        = flag.Int("seeds", 2, "seeds of TestSeeds")
+	soakSeed    = flag.Uint64("soak-seed", 0, "first seed of TestSoak, which is passed over when zero")
+	soakMinutes = flag.Int("soak-minutes", 10, "real minutes that TestSoak goes on")
+	logFile     = flag.String("daemon-log", "", "file for the daemons' log lines, for one seed at a time")
+	firstSeed   = flag.Uint64("first-seed", 1, "first seed of TestSeeds")
+	seeds       = flag.Int("seeds", 2, "seeds of TestSeeds")
 )
 
 // TestMain silences net/http, which logs each connection that a fault ended.
@@ -77,32 +77,48 @@
 	totals := newTotals()
 	t.Run("all", func(t *testing.T) {
 		for i := range *seeds {
-			inProcess(t, *firstSeed+uint64(i), totals)
+			seed := *firstSeed + uint64(i)
+			t.Run(seedName(seed), func(t *testing.T) {
+				t.Parallel()
+				runSeed(t, seed, totals)
+			})
 		}
 	})
 	totals.check(t)
 }
 
-// TestSoak runs one seed after another, a few at a time, for as many real
-// minutes as asked for.
+// TestSoak runs one seed after another, as many at a time as -parallel says,
+// for as many real minutes as asked for.
 func TestSoak(t *testing.T) {
 	if *soakSeed == 0 {
 		t.Skip("no -soak-seed")
 	}
 	totals := newTotals()
 	until := time.Now().Add(time.Duration(*soakMinutes) * time.Minute)
-	next := *soakSeed
-	for time.Now().Before(until) {
-		t.Run("batch", func(t *testing.T) {
-			for range *soakTogether {
-				inProcess(t, next, totals)
-				next++
-			}
-		})
-	}
+	next := seedsFrom(*soakSeed)
+	t.Run("all", func(t *testing.T) {
+		for i := range soakWorkers {
+			t.Run(fmt.Sprintf("worker-%d", i), func(t *testing.T) {
+				t.Parallel()
+				for time.Now().Before(until) {
+					seed := next()
+					t.Run(seedName(seed), func(t *testing.T) { runSeed(t, seed, totals) })
+				}
+			})
+		}
+	})
 	totals.check(t)
 }
 
+// seedsFrom counts up for many goroutines.
+func seedsFrom(first uint64) func() uint64 {
+	var taken atomic.Uint64
+	return func() uint64 { return first + taken.Add(1) - 1 }
+}
+
+// soakWorkers is more than -parallel ever lets run at a time.
+const soakWorkers = 64
+
 // totals sums what many runs met.
 type totals struct {
 	mu     sync.Mutex
