runs: count the judged runs and the time without a whole group

Cause: whole-group and leaving pass over what runs within 8 s of a fault that holds bytes, and a zone that is cut off holds them for a minute; nothing said how much was left to judge.

--- a/standin/runs/runs_test.go
+++ b/standin/runs/runs_test.go
@@ -156,6 +156,7 @@
 	"calls whole":                     600,
 	"engine runs":                     300,
 	"plain runs":                      200,
+	"runs at backend servers judged":  300,
 	"bookings repeated":               40,
 	"bookings at two daemons at once": 20,
 	"publications accepted":           8,
--- a/standin/runs/watch.go
+++ b/standin/runs/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -213,13 +214,31 @@
 	for p := range present {
 		w.seenAt[p] = now
 	}
+	w.counts["samples"]++
+	if !anyWhole(groups, present) {
+		w.counts["samples without a whole group"]++
+	}
 	w.mu.Unlock()
 	for _, r := range runs {
 		w.judge(world, r, groups)
 	}
 }
 
+// anyWhole reports whether all members of some group are in their places.
+func anyWhole(groups map[string][]*carawayv1.Assignment, present map[place]bool) bool {
+	for _, assigned := range groups {
+		for _, a := range assigned {
+			missing := slices.ContainsFunc(a.Members, func(m string) bool { return !present[place{a.Group, a.Epoch, m}] })
+			if !missing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w *watch) judge(world *World, r backendRun, now map[string][]*carawayv1.Assignment) {
+	w.countJudged(r)
 	if r.plain != nil {
 		w.judgeLeaving(r.at, r.plain.ip, r.plain.leaving())
 		return
@@ -235,6 +254,16 @@
 	}
 }
 
+// countJudged counts the runs that no fault of the network keeps from being
+// judged.
+func (w *watch) countJudged(r backendRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if none(w.netFaults, r.at.Add(-missingBound-networkSettle), r.at) {
+		w.counts["runs at backend servers judged"]++
+	}
+}
+
 func (w *watch) judgeMember(world *World, r backendRun, address string) {
 	w.mu.Lock()
 	seen, known := w.seenAt[place{r.group, r.epoch, address}]
