--- a/internal/lease/helper_test.go
+++ b/internal/lease/helper_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -32,9 +33,11 @@
 // gate is a daemon's way to the log. While it is shut, calls wait: the daemon
 // is as if it were paused.
 type gate struct {
-	to   journal.Log
-	mu   sync.Mutex
-	open chan struct{} // closed while the gate is open
+	to    journal.Log
+	mu    sync.Mutex
+	open  chan struct{} // closed while the gate is open
+	armed bool          // the next append begins a time in which reads fail
+	blind bool          // reads fail
 }
 
 func newGate(to journal.Log) *gate {
@@ -70,8 +73,24 @@
 	<-open
 }
 
+// setReads says whether reads fail from the next append on.
+func (g *gate) setReads(fail bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.armed, g.blind = fail, false
+}
+
+func (g *gate) isBlind() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.blind
+}
+
 func (g *gate) Append(ctx context.Context, s journal.Stream, payloads [][]byte) (journal.Offset, error) {
 	g.pass()
+	g.mu.Lock()
+	g.blind = g.armed
+	g.mu.Unlock()
 	return g.to.Append(ctx, s, payloads)
 }
 
@@ -79,6 +98,9 @@
 	g.pass()
 	page, err := g.to.Read(ctx, s, from, limit, wait)
 	g.pass()
+	if g.isBlind() {
+		return journal.Page{}, errors.New("no answer")
+	}
 	return page, err
 }
 
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -175,7 +175,7 @@
 	})
 }
 
-// The claims take effect and their answers are lost.
+// The claims take effect and their answers are lost; the log is read back.
 func TestLostAnswerToAClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 8)
@@ -183,14 +183,40 @@
 		d := c.start("a")
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, c.log.Stats().Lost > 0)
-		for _, s := range c.scopes {
-			hold, ok := d.Held(s)
-			assert.Assert(t, ok, "%s is not held", s)
-			assert.Equal(t, hold.Term, lease.Term(1))
-		}
+		c.checkFirstTerm(d)
 	})
 }
 
+// The claims take effect, their answers are lost and the log can't be read
+// back, so that their fate is unknown.
+func TestUnknownFateOfAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8)
+		c.log.SetFaults(platform.LogFaults{LoseAnswers: 1})
+		d := c.start("a")
+		d.gate.setReads(true)
+		time.Sleep(time.Second)
+		assert.Assert(t, c.log.Stats().Lost > 0)
+		_, held := d.Held(c.scopes[0])
+		assert.Assert(t, !held, "held by a claim that was not read")
+		d.gate.setReads(false)
+		time.Sleep(time.Second)
+		c.checkFirstTerm(d)
+		time.Sleep(settle)
+		c.checkFirstTerm(d)
+	})
+}
+
+// checkFirstTerm asserts that a daemon holds every scope by its first claim.
+func (c *cluster) checkFirstTerm(d *daemon) {
+	c.t.Helper()
+	for _, s := range c.scopes {
+		hold, ok := d.Held(s)
+		assert.Assert(c.t, ok, "%s is not held", s)
+		assert.Equal(c.t, hold.Term, lease.Term(1))
+	}
+}
+
 // While the log is down nobody takes over and holds lapse; afterwards the
 // scopes are held again within the bound.
 func TestLogOutage(t *testing.T) {
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/invariant"
 	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/standin/platform"
 )
@@ -171,20 +173,59 @@
 	})
 }
 
+// TestLostAnswersFormEachGroupOnce loses the answers of appends that took
+// effect, with room for more groups than are wanted.
 func TestLostAnswersFormEachGroupOnce(t *testing.T) {
-	inRig(t, 7, true, func(t *testing.T, r *rig) {
+	inRig(t, 10, true, func(t *testing.T, r *rig) {
 		r.groups = 2
 		d := r.add("d1")
-		r.await("held", time.Minute, func() bool { _, ok := d.keeper.Held(rigScope); return ok })
+		r.await("held", time.Minute, d.holds)
 		r.log.SetFaults(platform.LogFaults{LoseAnswers: 4})
 		r.await("both groups whole", time.Minute, isWhole(d, 2))
 		assert.Assert(t, r.log.Stats().Lost > 0)
-		time.Sleep(30 * time.Second)
-		assert.Equal(t, len(d.book.View().Groups), 2)
-		assert.Equal(t, len(d.book.View().ByInstance), 6)
+		r.checkFormedOnce(d)
+	})
+}
+
+// TestLateAppendsFormEachGroupOnce lets the first formation take effect after
+// its proposer gave it up and formed the group of other instances.
+func TestLateAppendsFormEachGroupOnce(t *testing.T) {
+	defer invariant.SetHandler(func(b invariant.Breach) { t.Error(b.Error()) })()
+	inRig(t, 10, true, func(t *testing.T, r *rig) {
+		r.groups = 2
+		var unknown atomic.Bool
+		d := r.add("d1", func(d *rigDaemon) {
+			d.sink = func(_ time.Time, e *event.Event, _ []any) {
+				unknown.CompareAndSwap(false, e.Name == "placement.unknown")
+			}
+		})
+		r.await("held", time.Minute, d.holds)
+		d.log.setLate(40 * time.Second)
+		r.await("given up", time.Minute, unknown.Load)
+		d.log.setLate(0)
+		r.engines[0].kill()
+		r.await("both groups whole", time.Minute, isWhole(d, 2))
+		_, landed := d.log.lateness()
+		assert.Equal(t, landed, 0, "the late append came too early")
+		r.checkFormedOnce(d)
+		_, landed = d.log.lateness()
+		assert.Assert(t, landed > 0)
 	})
 }
 
+// checkFormedOnce asserts that two groups of three are and stay all that was
+// ever formed.
+func (r *rig) checkFormedOnce(d *rigDaemon) {
+	for range 600 {
+		time.Sleep(100 * time.Millisecond)
+		v := d.book.View()
+		assert.Equal(r.t, len(v.Groups), 2)
+		assert.Equal(r.t, len(v.ByInstance), 6)
+		assert.Equal(r.t, v.Issued[rigScope].Counter, uint64(2))
+		assert.Equal(r.t, d.whole(), 2)
+	}
+}
+
 func TestTakeoverRepairsWithinItsBound(t *testing.T) {
 	inRig(t, 4, true, func(t *testing.T, r *rig) {
 		d1 := r.add("d1")
--- a/internal/placement/rig_test.go
+++ b/internal/placement/rig_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,13 +80,20 @@
 	}
 }
 
-// kill stops the engine; restart starts it again without an assignment.
+// kill stops the engine; resume lets it go on as it was, restart starts it
+// again without an assignment.
 func (e *rigEngine) kill() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.down = true
 }
 
+func (e *rigEngine) resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+}
+
 func (e *rigEngine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -95,11 +104,36 @@
 }
 
 func (e *rigEngine) state() (fleet.Report, bool) {
+	s := e.freeze()
+	return s.report, s.up
+}
+
+// engineState is an engine at one moment.
+type engineState struct {
+	report fleet.Report
+	up     bool
+	loaded fleet.Version
+}
+
+func (e *rigEngine) freeze() engineState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := e.report
-	r.ReceivedAt = time.Now()
-	return r, !e.down
+	s := engineState{report: e.report, up: !e.down, loaded: e.loaded}
+	s.report.ReceivedAt = time.Now()
+	return s
+}
+
+// frozen gives the reports of all engines at one moment.
+type frozen map[fleet.InstanceID]engineState
+
+func (f frozen) Report(id fleet.InstanceID) (fleet.Report, bool) { return f[id].report, f[id].up }
+
+func (r *rig) freeze() frozen {
+	f := frozen{}
+	for _, e := range r.engines {
+		f[e.instance.ID] = e.freeze()
+	}
+	return f
 }
 
 // lateOrders counts the accepted orders under a token after a moment.
@@ -120,6 +154,7 @@
 	t        *testing.T
 	log      *platform.Log
 	engines  []*rigEngine
+	mu       sync.Mutex // of groups once daemons run
 	groups   int
 	size     int
 	spares   int
@@ -141,8 +176,38 @@
 // gatedLog is one daemon's way to the log.
 type gatedLog struct {
 	journal.Log
-	mu  sync.Mutex
-	cut bool
+	running *sync.WaitGroup
+	mu      sync.Mutex
+	cut     bool
+	late    time.Duration // appends get no answer and take effect so much later
+	landed  int           // late appends that took effect
+}
+
+func (l *gatedLog) setLate(late time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late = late
+}
+
+// appendLate leaves an append on its way after its caller has given up.
+func (l *gatedLog) appendLate(ctx context.Context, s journal.Stream, p [][]byte, late time.Duration) error {
+	l.running.Go(func() {
+		time.Sleep(late)
+		_, err := l.Log.Append(context.WithoutCancel(ctx), s, p)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if err == nil {
+			l.landed++
+		}
+	})
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (l *gatedLog) lateness() (late time.Duration, landed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.late, l.landed
 }
 
 func (l *gatedLog) setCut(cut bool) {
@@ -161,6 +226,9 @@
 	if l.isCut() {
 		return 0, errors.Wrap(journal.ErrNotAppended, "cut")
 	}
+	if late, _ := l.lateness(); late > 0 {
+		return 0, l.appendLate(ctx, s, p, late)
+	}
 	return l.Log.Append(ctx, s, p)
 }
 
@@ -186,23 +254,33 @@
 	stop    context.CancelFunc
 	sink    event.Sink    // may be nil
 	hold    chan struct{} // while open, orders are held back after the check
+	delay   atomic.Int64  // of orders on their way, at most, in nanoseconds
 }
 
-func (d *rigDaemon) Apply(_ context.Context, address string, o backend.Order) (backend.OrderResult, error) {
+func (d *rigDaemon) Apply(ctx context.Context, address string, o backend.Order) (backend.OrderResult, error) {
 	if d.hold != nil {
 		<-d.hold
 	}
-	for _, e := range d.rig.engines {
-		if e.instance.Address == address {
-			return e.apply(o)
-		}
+	i := slices.IndexFunc(d.rig.engines, func(e *rigEngine) bool { return e.instance.Address == address })
+	if i < 0 {
+		return backend.OrderResult{}, errGone
+	}
+	e := d.rig.engines[i]
+	late := time.Duration(d.delay.Load()) * time.Duration(i) / time.Duration(len(d.rig.engines))
+	if late == 0 {
+		return e.apply(o)
 	}
-	return backend.OrderResult{}, errGone
+	d.rig.running.Go(func() {
+		time.Sleep(late)
+		_, _ = e.apply(o)
+	})
+	<-ctx.Done()
+	return backend.OrderResult{}, ctx.Err()
 }
 
 // add starts a daemon after the setup functions have changed it.
 func (r *rig) add(id fleet.DaemonID, setup ...func(*rigDaemon)) *rigDaemon {
-	d := &rigDaemon{rig: r, id: id, log: &gatedLog{Log: r.log}, leases: lease.NewBook(), metrics: metrics.NewRegistry()}
+	d := &rigDaemon{rig: r, id: id, log: &gatedLog{Log: r.log, running: &r.running}, leases: lease.NewBook(), metrics: metrics.NewRegistry()}
 	for _, s := range setup {
 		s(d)
 	}
@@ -228,6 +306,18 @@
 	return d
 }
 
+func (r *rig) wanted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.groups
+}
+
+func (r *rig) want(groups int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.groups = groups
+}
+
 func (d *rigDaemon) lostLog() bool { return time.Since(d.replica.Status().LogAt) > 5*time.Second }
 
 func (d *rigDaemon) snapshot(lease.Scope) placement.Snapshot {
@@ -238,7 +328,7 @@
 		InFlight:  map[fleet.GroupID]uint32{},
 		Wanted: []placement.Wanted{{
 			Service: "drafting", Revision: 1, Pool: "p", Model: "m", Version: "v1", Role: "serve",
-			Groups: d.rig.groups, Size: d.rig.size, Spares: d.rig.spares, LoadTime: rigLoad,
+			Groups: d.rig.wanted(), Size: d.rig.size, Spares: d.rig.spares, LoadTime: rigLoad,
 		}},
 	}
 	for _, e := range d.rig.engines {
@@ -285,16 +375,19 @@
 	return time.Since(start)
 }
 
-// checkServing asserts that the groups that daemons would serve share no
-// instance, whatever each daemon knows.
+// checkServing asserts that the groups that daemons would serve, whatever each
+// daemon knows, have all their engines and share none.
 func (r *rig) checkServing(daemons ...*rigDaemon) {
+	engines := r.freeze()
 	serving := map[fleet.InstanceID]string{}
 	for _, d := range daemons {
 		for _, g := range d.book.View().Groups {
-			if !group.Whole(g, truth(r.engines), time.Now(), 0).Whole {
+			if !group.Whole(g, engines, time.Now(), 0).Whole {
 				continue
 			}
-			for _, m := range group.Compose(g, truth(r.engines)) {
+			c := group.Compose(g, engines)
+			for rank, m := range c {
+				engines[m.Instance].check(r.t, g, c, fleet.Rank(rank))
 				place := fmt.Sprintf("%s at epoch %d", g.ID, g.Epoch)
 				other, twice := serving[m.Instance]
 				assert.Assert(r.t, !twice || other == place, "%s serves in %s and in %s", m.Instance, other, place)
@@ -304,6 +397,43 @@
 	}
 }
 
+// check asserts that an engine of a group that would serve is up, has loaded
+// the version and is in this rank of this composition.
+func (s engineState) check(t *testing.T, g *group.Group, c []group.Member, rank fleet.Rank) {
+	a := s.report.Assignment
+	assert.Assert(t, s.up && a != nil && s.loaded == g.Version, "%s serves; %s is up %t with %q", g.ID, c[rank].Instance, s.up, s.loaded)
+	want := group.AssignmentOf(g, c, rank)
+	assert.Assert(t, reflect.DeepEqual(*a, want), "%s serves; %s is in %+v, not in %+v", g.ID, c[rank].Instance, *a, want)
+}
+
+// foldWatch asserts of one daemon's book, between two looks, what the fold's
+// rules are for.
+type foldWatch struct {
+	term   lease.Term
+	groups map[fleet.GroupID]*group.Group
+	issued group.IDMark
+}
+
+func (w *foldWatch) look(t *testing.T, d *rigDaemon) {
+	v := d.book.View()
+	for id, g := range v.Groups {
+		old := w.groups[id]
+		if g == old {
+			continue
+		}
+		assert.Assert(t, g.Term >= w.term, "%s changed under term %d after term %d began", id, g.Term, w.term)
+		if old == nil {
+			_, mark, _ := group.ParseID(id)
+			assert.Assert(t, w.issued.Less(mark), "%s was given out before", id)
+			continue
+		}
+		kept := slices.Equal(g.Members, old.Members) && slices.Equal(g.Spares, old.Spares)
+		assert.Assert(t, g.Epoch > old.Epoch || g.Epoch == old.Epoch && kept, "%s changed from epoch %d to %d", id, old.Epoch, g.Epoch)
+	}
+	l, _ := d.leases.Current(rigScope)
+	w.term, w.groups, w.issued = l.Term, v.Groups, v.Issued[rigScope]
+}
+
 func (r *rig) engineOf(m group.Member) *rigEngine {
 	i := slices.IndexFunc(r.engines, func(e *rigEngine) bool { return e.instance.ID == m.Instance })
 	return r.engines[i]
