Offer reports without taking them away

Beside that the buffers before engines' answers went back to a pool at Close, where a reader that is late would read from another caller's answer.

Before: TestOffersTakeNothingAway finds 0 reports at the second look, and with no skip TestReportsCrossALinkAsChanges counts 3 where a report offered again should cost nothing. After: both pass; each link skips what it was sent. TestReportsCrossALinkAsChanges asks anew for each report now, as its old repeats of one poll would be skipped; its counts are as they were.

--- a/internal/backend/share.go
+++ b/internal/backend/share.go
@@ -59,7 +59,6 @@
 
 	newest fleet.Report // of successful polls, own and relayed
 	known  bool         // newest is set
-	offer  bool         // newest is an own one that peers were not told
 
 	own        bool      // newest is of an own poll
 	answeredAt time.Time // when that poll was answered
@@ -107,7 +106,6 @@
 	s.known = true
 	s.own = true
 	s.answeredAt = at
-	s.offer = true
 }
 
 // unanswered notes an own poll that failed.
@@ -126,7 +124,6 @@
 	s.newest = r
 	s.known = true
 	s.own = false
-	s.offer = false
 }
 
 // precedes reports whether a relayed report is newer than the one known: it
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -134,14 +134,13 @@
 	}
 }
 
-// Offer returns the own reports that peers are to be told, each once.
+// Offer returns the newest reports that this daemon polled itself, for peers.
 func (w *Watcher) Offer() []fleet.Report {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.mu.RLock()
+	defer w.mu.RUnlock()
 	var out []fleet.Report
 	for _, s := range w.seen {
-		if s.offer {
-			s.offer = false
+		if s.own {
 			out = append(out, s.newest)
 		}
 	}
--- a/internal/backend/watch_test.go
+++ b/internal/backend/watch_test.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// TestOffersTakeNothingAway: whoever looks at the reports for peers leaves them
+// to the peers.
+func TestOffersTakeNothingAway(t *testing.T) {
+	runDaemons(t, 1, func(ds []*daemon) {
+		assert.Equal(t, len(ds[0].Offer()), 1)
+		assert.Equal(t, len(ds[0].Offer()), 1)
+	})
+}
+
 // TestOnesFailingIsNotTheEngines: an engine that one daemon can't reach is
 // silent for none, but that daemon knows; one that is dead is so for all.
 func TestOnesFailingIsNotTheEngines(t *testing.T) {
--- a/internal/httpx/readahead.go
+++ b/internal/httpx/readahead.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"io"
 	"net/http"
-	"sync"
 )
 
 // readAheadBytes is the size of the buffer before one answer's body. It holds
@@ -20,9 +19,6 @@
 	messageFlags        = 0
 )
 
-// readAheads keeps the buffers of streams that have ended.
-var readAheads = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readAheadBytes) }}
-
 // ReadAhead reads the body of one streamed answer through a buffer, so that
 // its reader can tell what has arrived. It belongs to one goroutine.
 type ReadAhead struct {
@@ -52,8 +48,7 @@
 	}
 	if r, ok := req.Context().Value(readAheadKey{}).(*ReadAhead); ok {
 		r.body = resp.Body
-		r.buffer = readAheads.Get().(*bufio.Reader)
-		r.buffer.Reset(resp.Body)
+		r.buffer = bufio.NewReaderSize(resp.Body, readAheadBytes)
 		resp.Body = r
 	}
 	return resp, nil
@@ -67,13 +62,10 @@
 	return r.buffer.Read(p)
 }
 
-// Close implements io.Closer and gives the buffer back.
+// Close implements io.Closer. The buffer is not used for another answer, so
+// that a reader that is late can't read from one.
 func (r *ReadAhead) Close() error {
-	if r.buffer != nil {
-		r.buffer.Reset(nil)
-		readAheads.Put(r.buffer)
-		r.buffer = nil
-	}
+	r.buffer = nil
 	return r.body.Close()
 }
 
--- a/internal/membership/reports.go
+++ b/internal/membership/reports.go
@@ -80,12 +80,18 @@
 	return time.Duration(min(n, day)) * ageUnit
 }
 
-// packReports writes reports into a heartbeat that is sent now. told holds
-// what the link was sent last of each instance.
+// packReports writes the reports that the link was not sent into a heartbeat
+// that is sent now. told holds what it was sent last of each instance.
 func (n *numbering) packReports(b *beatMessage, now time.Time, reports []fleet.Report, told map[fleet.InstanceID]fleet.Report) {
-	for _, r := range reports[:min(len(reports), maxReports)] {
-		i := n.number(string(r.Instance))
+	for _, r := range reports {
 		last, known := told[r.Instance]
+		if known && last.ReceivedAt.Equal(r.ReceivedAt) {
+			continue
+		}
+		if len(b.Asked) >= 2*maxReports {
+			return
+		}
+		i := n.number(string(r.Instance))
 		if !known || !sameState(last, r) {
 			b.Reports = append(b.Reports, newWireReport(i, r))
 		}
--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -47,10 +47,12 @@
 	now := time.Now()
 	x := newTold()
 	r := sampleReport()
-	r.ReceivedAt = now.Add(-201 * time.Millisecond)
-	// crosses sends the report and checks what the peer takes and how many
-	// states and loads that cost.
+	asked := now.Add(-209 * time.Millisecond)
+	// crosses polls and sends the report and checks what the peer takes and how
+	// many states and loads that cost.
 	crosses := func(what string, r fleet.Report, states, loads int) *beatMessage {
+		asked = asked.Add(time.Microsecond)
+		r.ReceivedAt = asked
 		b, got := x.tell(t, now, now, r)
 		assert.Equal(t, len(b.Reports), states, what)
 		assert.Equal(t, len(b.Loads), loads, what)
@@ -64,6 +66,9 @@
 	crosses("idle", r, 0, 1)
 	b := crosses("idle again", r, 0, 0)
 	assert.Assert(t, len(mustEncode(b)) < len(mustEncode(&beatMessage{Sequence: 1}))+8, "an unchanged report costs a few bytes")
+	r.ReceivedAt = asked
+	b, got := x.tell(t, now, now, r)
+	assert.Equal(t, len(b.Reports)+len(b.Loads)+len(b.Asked)+len(got), 0, "a report crosses once")
 	for name, change := range map[string]func(*fleet.Report){
 		"incarnation": func(r *fleet.Report) { r.Incarnation++ },
 		"readiness":   func(r *fleet.Report) { r.Ready = !r.Ready },
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -31,8 +31,8 @@
 	Leaving []fleet.InstanceID `cbor:"11,keyasint,omitempty"`
 	// Sightings are group deaths that the sender saw lately.
 	Sightings []suspect.Sighting `cbor:"12,keyasint,omitempty"`
-	// Reports are those of the sender's own polls of backend servers since its
-	// last heartbeat. ReceivedAt is when each was asked for.
+	// Reports are the newest of the sender's own polls of backend servers. Each
+	// crosses a link once. ReceivedAt is when it was asked for.
 	Reports []fleet.Report `cbor:"-"`
 }
 
