--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -18,11 +18,11 @@
 
 // options are the command's flags.
 type options struct {
-	Suite    string `long:"suite" env:"CARAWAY_EXPERIMENT_SUITE" default:"all" description:"suite to run: all, routing, admission, flood, retries, placement or suspects"`
+	Suite    string `long:"suite" env:"CARAWAY_EXPERIMENT_SUITE" default:"all" description:"suite to run: all, routing, admission, flood, delay, retries, placement or suspects"`
 	Seeds    int    `long:"seeds" env:"CARAWAY_EXPERIMENT_SEEDS" default:"3" description:"runs of each case, with the seeds 1 and up"`
 	Scenario string `long:"scenario" env:"CARAWAY_EXPERIMENT_SCENARIO" description:"only the cases whose name contains this"`
 	Policy   string `long:"policy" env:"CARAWAY_EXPERIMENT_POLICY" description:"only the policies whose name contains this"`
-	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table of the first four suites; none are written without it"`
+	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table of the first five suites; none are written without it"`
 }
 
 // suite makes one table.
@@ -36,6 +36,7 @@
 		{name: "routing", write: tabled(routing)},
 		{name: "admission", write: tabled(admission)},
 		{name: "flood", write: tabled(flood)},
+		{name: "delay", write: tabled(delay)},
 		{name: "retries", write: tabled(retries)},
 		{name: "placement", write: func(o options, w io.Writer) error { return placementexp.Table(w, o.Seeds) }},
 		{name: "suspects", write: func(o options, w io.Writer) error { return suspects.Table(w, o.Seeds) }},
@@ -110,6 +111,11 @@
 	return serving.FloodTable(limits(o), loads, o.Seeds)
 }
 
+func delay(o options) *serving.Table {
+	loads := only([]float64{0.7, 1}, o.Scenario, func(l float64) string { return fmt.Sprint(l) })
+	return serving.DelayTable(limits(o), loads, o.Seeds)
+}
+
 func retries(o options) *serving.Table {
 	cases := only(serving.RetryCases(), o.Scenario, func(c serving.RetryCase) string { return c.Name })
 	variants := only(serving.RetryVariants(), o.Policy, func(v serving.NamedRetries) string { return v.Name })
--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -145,13 +145,8 @@
 
 // add runs a scenario without and with the flood, and a tail to recover in.
 func (f *Flood) add(calm Scenario, tail time.Duration) {
-	flooded := calm
 	end := calm.Warmup + calm.Duration
-	flooded.Sources = slices.Clone(calm.Sources)
-	flooded.Sources[0].Flood = floodFactor
-	flooded.Sources[0].FloodFrom, flooded.Sources[0].FloodTo = calm.Warmup, end
-	flooded.Tail = tail
-	c, s := Run(calm), Run(flooded)
+	c, s := Run(calm), Run(flooded(calm, tail))
 	f.CalmRefused += c.small(f.CalmFirst, f.CalmTotal, c.RefusedOf)
 	f.FloodRefused += s.small(f.FloodFirst, f.FloodTotal, s.RefusedOf)
 	f.SmallAnswered = int(f.FloodTotal.Count())
@@ -160,6 +155,15 @@
 	f.Recovered = f.Recovered && ok
 }
 
+// flooded is the scenario with a flood of the first workspace.
+func flooded(s Scenario, tail time.Duration) Scenario {
+	s.Sources = slices.Clone(s.Sources)
+	s.Sources[0].Flood = floodFactor
+	s.Sources[0].FloodFrom, s.Sources[0].FloodTo = s.Warmup, s.Warmup+s.Duration
+	s.Tail = tail
+	return s
+}
+
 // small merges the small workspaces' times and sums a count of theirs.
 func (s *Stats) small(first, total *Latency, counts map[fleet.Workspace]int) int {
 	sum := 0
--- a/standin/experiment/serving/call.go
+++ b/standin/experiment/serving/call.go
@@ -172,6 +172,7 @@
 		if c.token == 0 {
 			c.token = r.loop.now
 			r.stats.firstToken(c.source, r.loop.now, r.loop.now-c.begun)
+			r.stats.delay(c.source, r.loop.now, r.loop.now-c.begun, j.delay)
 		} else if !first {
 			r.stats.interval(r.loop.now, interval)
 		}
--- a/standin/experiment/serving/engine.go
+++ b/standin/experiment/serving/engine.go
@@ -24,11 +24,14 @@
 type job struct {
 	prompt     []uint64 // blocks
 	promptLeft int      // tokens to read, set when it starts
+	chunk      int      // tokens read in this step
 	outputLeft int
 	produced   bool // a token was generated
 	last       time.Duration
 	canceled   bool
 	low        bool // priority
+	submitted  time.Duration
+	delay      Delay // to the first token
 
 	// onCached tells how many blocks of the prompt were cached.
 	onCached func(blocks int)
@@ -64,6 +67,7 @@
 	for !j.low && at > 0 && e.queue[at-1].low {
 		at--
 	}
+	j.submitted = e.loop.now
 	e.queue = slices.Insert(e.queue, at, j)
 	if !e.busy {
 		e.step()
@@ -94,6 +98,9 @@
 		cached := e.cache.match(j.prompt)
 		j.onCached(cached)
 		j.promptLeft = max((len(j.prompt)-cached)*blockTokens, 1)
+		j.delay.Queue = e.loop.now - j.submitted
+		j.delay.Uncached = j.promptLeft
+		j.delay.Beside = len(e.running)
 		e.running = append(e.running, j)
 	}
 }
@@ -101,19 +108,27 @@
 // readPrompts reads one chunk, higher priority first, and returns its tokens and the number of jobs
 // that generate.
 func (e *engine) readPrompts() (read, generating int) {
+	for _, j := range e.running {
+		j.chunk = 0
+	}
 	for _, low := range []bool{false, true} {
 		for _, j := range e.running {
 			if j.low != low {
 				continue
 			}
-			n := min(j.promptLeft, prefillChunk-read)
-			j.promptLeft -= n
-			read += n
+			j.chunk = min(j.promptLeft, prefillChunk-read)
+			j.promptLeft -= j.chunk
+			read += j.chunk
 			if j.promptLeft == 0 {
 				generating++
 			}
 		}
 	}
+	for _, j := range e.running {
+		if !j.produced {
+			j.delay.step(j.chunk, read, generating)
+		}
+	}
 	return read, generating
 }
 
--- a/standin/experiment/serving/stats.go
+++ b/standin/experiment/serving/stats.go
@@ -56,6 +56,7 @@
 	Interval    *Latency                     // between tokens
 	ByWorkspace map[fleet.Workspace]*Latency // first token
 	TotalOf     map[fleet.Workspace]*Latency // whole answers
+	DelayOf     map[fleet.Workspace][]Delay  // first token taken apart
 	AnsweredOf  map[fleet.Workspace]int
 	RefusedOf   map[fleet.Workspace]int
 	Seconds     []Second // of the whole run
@@ -74,7 +75,7 @@
 	st := &Stats{
 		FirstToken: newLatency(), Interval: newLatency(), Seconds: make([]Second, seconds), from: s.Warmup, to: s.Warmup + s.Duration, apart: s.Sources[0].Workspace,
 		ByWorkspace: map[fleet.Workspace]*Latency{}, TotalOf: map[fleet.Workspace]*Latency{},
-		AnsweredOf: map[fleet.Workspace]int{}, RefusedOf: map[fleet.Workspace]int{},
+		DelayOf: map[fleet.Workspace][]Delay{}, AnsweredOf: map[fleet.Workspace]int{}, RefusedOf: map[fleet.Workspace]int{},
 	}
 	for _, source := range s.Sources {
 		st.ByWorkspace[source.Workspace] = newLatency()
@@ -112,6 +113,13 @@
 	}
 }
 
+func (s *Stats) delay(source *Source, now, total time.Duration, d Delay) {
+	if s.counted(now) {
+		d.Total = total
+		s.DelayOf[source.Workspace] = append(s.DelayOf[source.Workspace], d)
+	}
+}
+
 func (s *Stats) interval(now, d time.Duration) {
 	if s.counted(now) {
 		s.Interval.record(d)
