Give each source of the experiments its own conversations

Cause: all workspaces drew their prompts from one list of open conversations. A flood's refused requests went on with the small workspaces' conversations, so these asked longer prompts that no group had cached, and runs with and without the flood did not have the same requests.

--- a/standin/experiment/serving/run.go
+++ b/standin/experiment/serving/run.go
@@ -81,7 +81,6 @@
 	Scenario
 	loop    loop
 	rng     *rand.Rand
-	prompts *prompts
 	engines []*engine
 	daemons []*daemon
 	index   *routing.PrefixIndex
@@ -93,7 +92,6 @@
 	r := &run{
 		Scenario: s,
 		rng:      rand.New(rand.NewPCG(s.Seed, 1)),
-		prompts:  newPrompts(rand.New(rand.NewPCG(s.Seed, 2))),
 		index:    routing.NewPrefixIndex(indexSize),
 		stats:    newStats(s),
 	}
@@ -101,7 +99,7 @@
 	r.addDaemons()
 	r.addFaults()
 	for i := range s.Sources {
-		r.arriveNext(&r.Sources[i], rand.New(rand.NewPCG(s.Seed, uint64(10+i))))
+		r.arriveNext(newCallers(&r.Sources[i], s.Seed, i, len(s.Sources)))
 	}
 	r.loop.runUntil(s.Warmup + s.Duration + s.Tail)
 	for _, e := range r.engines {
@@ -229,21 +227,21 @@
 }
 
 // arriveNext lets the source's requests arrive at random.
-func (r *run) arriveNext(s *Source, rng *rand.Rand) {
-	rate := s.rate(r.loop.now)
+func (r *run) arriveNext(from *callers) {
+	rate := from.rate(r.loop.now)
 	if rate <= 0 {
-		r.loop.after(time.Second, func() { r.arriveNext(s, rng) })
+		r.loop.after(time.Second, func() { r.arriveNext(from) })
 		return
 	}
-	r.loop.after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		r.arrive(s, rng)
-		r.arriveNext(s, rng)
+	r.loop.after(time.Duration(from.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		r.arrive(from)
+		r.arriveNext(from)
 	})
 }
 
-func (r *run) arrive(s *Source, rng *rand.Rand) {
-	c := &call{run: r, source: s, prompt: r.prompts.next(), output: r.prompts.output()}
-	c.keyed = rng.Float64() < s.Keyed
+func (r *run) arrive(from *callers) {
+	c := &call{run: r, source: from.Source, prompt: from.prompts.next(), output: from.prompts.output()}
+	c.keyed = from.rng.Float64() < from.Keyed
 	c.begin()
 }
 
--- a/standin/experiment/serving/serving_test.go
+++ b/standin/experiment/serving/serving_test.go
@@ -126,3 +126,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(file), "load,policy,value\n0,p0,0\n0,p1,1\n1,p0,2\n1,p1,3\n")
 }
+
+// TestAFloodLeavesOthersRequestsAlone asks for the same requests of a source
+// whatever another source does, so that runs with and without a flood differ
+// in nothing else.
+func TestAFloodLeavesOthersRequestsAlone(t *testing.T) {
+	t.Parallel()
+	asked := func(flood int) [][]uint64 {
+		all := sources(usualCapacity)
+		small := newCallers(&all[2], 1, 2, len(all))
+		large := newCallers(&all[0], 1, 0, len(all))
+		var prompts [][]uint64
+		for range 200 {
+			for range flood {
+				large.prompts.next()
+			}
+			prompts = append(prompts, small.prompts.next())
+		}
+		return prompts
+	}
+	assert.DeepEqual(t, asked(1), asked(10))
+}
--- a/standin/experiment/serving/workload.go
+++ b/standin/experiment/serving/workload.go
@@ -17,7 +17,7 @@
 	ownLeast       = 2 // blocks
 	ownSpan        = 5
 	continueShare  = 0.35
-	conversations  = 400 // open at once
+	conversations  = 400 // open at once, over all workspaces
 	longestPrompt  = 48  // blocks, a conversation ends there
 	meanOutput     = 150 // tokens
 	leastOutput    = 8
@@ -50,16 +50,39 @@
 	return s.Rate
 }
 
-// prompts draws prompts and output lengths.
+// callers are a source's callers in one run. What they ask depends on the
+// seed and on their own source alone, so that two runs that differ in another
+// source's load have the same requests of this one.
+type callers struct {
+	*Source
+	rng     *rand.Rand // of arrivals
+	prompts *prompts
+}
+
+// newCallers returns the callers of source number at out of several.
+func newCallers(s *Source, seed uint64, at, sources int) *callers {
+	return &callers{
+		Source:  s,
+		rng:     rand.New(rand.NewPCG(seed, uint64(10+at))),
+		prompts: newPrompts(rand.New(rand.NewPCG(seed, uint64(1000+at))), at, conversations/sources),
+	}
+}
+
+// prompts draws one source's prompts and output lengths. The shared texts are
+// those of all sources, the conversations its own.
 type prompts struct {
-	rng   *rand.Rand
-	zipf  *rand.Zipf
-	open  [][]uint64
-	fresh uint64
+	rng    *rand.Rand
+	zipf   *rand.Zipf
+	open   [][]uint64
+	atOnce int // conversations open at once
+	fresh  uint64
 }
 
-func newPrompts(rng *rand.Rand) *prompts {
-	return &prompts{rng: rng, zipf: rand.NewZipf(rng, familySkew, 1, families-1), fresh: 1 << 32}
+func newPrompts(rng *rand.Rand, at, atOnce int) *prompts {
+	return &prompts{
+		rng: rng, zipf: rand.NewZipf(rng, familySkew, 1, families-1),
+		atOnce: atOnce, fresh: uint64(at+1) << 32,
+	}
 }
 
 // next returns a prompt as blocks. A block stands for the prompt up to its
@@ -82,10 +105,10 @@
 		shared[i] = family<<8 + uint64(i) + 1
 	}
 	prompt := p.extend(shared)
-	if len(p.open) < conversations {
+	if len(p.open) < p.atOnce {
 		p.open = append(p.open, prompt)
 	} else {
-		p.open[p.rng.IntN(conversations)] = prompt
+		p.open[p.rng.IntN(p.atOnce)] = prompt
 	}
 	return prompt
 }
