Keep a flooding workspace to its share of the groups

A workspace that is refused a quarter of what it asks, or beyond its share rises two standard deviations over its average, now keeps to its share of the groups; others keep to the rest. Refused lately, it finds no room beyond its share, and its ends don't move the limit. Bursts are two standard deviations over the share in place of twice the share.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -9,6 +9,7 @@
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/invariant"
+	"carawayproxy.example/caraway/internal/routing"
 )
 
 // shardCount is the number of shards of a controller.
@@ -25,6 +26,9 @@
 	// their fair share may fill it while others are active, 0 to 1;
 	// DefaultBorrowShare when zero.
 	BorrowShare float64
+	// AllGroups lets the requests of a flooding workspace go to all groups,
+	// so that idle groups are used at the cost of the others' latency.
+	AllGroups bool
 }
 
 // DefaultBorrowShare is the part of a limit that borrowers may fill.
@@ -87,6 +91,21 @@
 	return &ticket{shard: sh, service: s, workspace: w, borrowed: borrowed}, nil
 }
 
+// Part returns the part of a service's groups that requests of a workspace
+// should go to at present, the zero value for all of them. While a workspace
+// asks for clearly more than its fair share, it keeps to its share of the
+// groups and others keep to the rest.
+func (c *Controller) Part(now time.Time, name fleet.ServiceName, from fleet.Workspace) routing.Part {
+	sh := &c.shards[xxhash.Sum64String(string(name))%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.services[name]
+	if s == nil {
+		return routing.Part{}
+	}
+	return s.part(now, from)
+}
+
 // Status is what a controller holds of one service.
 type Status struct {
 	Limit         float64 // learned, before the capacity bounds it
--- /dev/null
+++ b/internal/admission/flood.go
@@ -0,0 +1,83 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/routing"
+)
+
+const (
+	// floodRefused is the part of a workspace's recent requests that must
+	// have been refused for lack of room for it to be flooding, and
+	// leastRefused how many at least.
+	floodRefused = 0.25
+	leastRefused = 3
+	// mostFlooding is the part of all weights that may flood for parts to be
+	// set apart. Beyond it nearly all would be confined.
+	mostFlooding = 0.5
+	// deviations is how many standard deviations of a number of independent
+	// requests, the root of its mean, count as usual.
+	deviations = 2.0
+)
+
+// spread is by how many a number of independent requests usually exceeds its
+// mean, at least by some.
+func spread(mean float64) float64 { return deviations * math.Sqrt(mean+1) }
+
+// refusedLately reports whether a good part of the workspace's requests found
+// no room lately.
+func (w *workspace) refusedLately(now time.Time) bool {
+	refused := w.refused.at(now)
+	return refused >= leastRefused && refused >= floodRefused*w.asked.at(now)
+}
+
+// floods reports whether the workspace asks for clearly more than its fair
+// share: it was refused lately, or it is beyond its share and its number in
+// flight rose faster than chance allows.
+func (w *workspace) floods(now time.Time, share float64) bool {
+	if w.refusedLately(now) {
+		return true
+	}
+	inFlight, average := float64(w.inFlight), w.averageAt(now)
+	return inFlight > w.fair(share) && inFlight > average+spread(average)
+}
+
+// confines reports whether the workspace keeps to its share of the groups now,
+// so that it finds no room beyond its fair share.
+func (s *service) confines(now time.Time, w *workspace) bool {
+	return w.refusedLately(now) && s.part(now, w.name) != routing.Part{}
+}
+
+// part returns the part of the groups that requests of a workspace should go
+// to. Flooding workspaces get their share of the groups, one after the other
+// in order of their names, so that daemons agree without a word; all others
+// get the rest.
+func (s *service) part(now time.Time, name fleet.Workspace) routing.Part {
+	weights, flooding, before, own := 0.0, 0.0, 0.0, 0.0
+	if s.allGroups {
+		return routing.Part{}
+	}
+	share := s.share(s.lastLimit)
+	for _, w := range s.workspaces {
+		weights += w.weight
+		if !w.floods(now, share) {
+			continue
+		}
+		flooding += w.weight
+		if w.name < name {
+			before += w.weight
+		}
+		if w.name == name {
+			own = w.weight
+		}
+	}
+	if flooding == 0 || flooding > mostFlooding*weights {
+		return routing.Part{}
+	}
+	if own == 0 {
+		return routing.Part{From: flooding / weights, To: 1}
+	}
+	return routing.Part{From: before / weights, To: (before + own) / weights}
+}
--- a/internal/admission/retryafter.go
+++ b/internal/admission/retryafter.go
@@ -63,10 +63,10 @@
 		half := maxRetryAfter / 2
 		return half + time.Duration(s.rng.Float64()*float64(half))
 	}
-	return s.spread(max(w.nextReturn.Sub(now), minRetryAfter))
+	return s.delayed(max(w.nextReturn.Sub(now), minRetryAfter))
 }
 
-// spread delays d by a random part of itself.
-func (s *service) spread(d time.Duration) time.Duration {
+// delayed delays d by a random part of itself.
+func (s *service) delayed(d time.Duration) time.Duration {
 	return min(d+time.Duration(s.rng.Float64()*retrySpread*float64(d)), maxRetryAfter)
 }
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -24,9 +24,6 @@
 	// modestPart is the part of its fair share that a modest workspace uses
 	// on average, at most.
 	modestPart = 0.8
-	// burstFactor is how far above its fair share a modest workspace may go
-	// for a while.
-	burstFactor = 2.0
 	// defaultWeight is the weight of a request that names none.
 	defaultWeight = 1.0
 )
@@ -35,9 +32,11 @@
 type service struct {
 	limiter    Limiter
 	borrow     float64 // part of the limit that borrowers may fill
+	allGroups  bool
 	rng        *rand.Rand
 	drain      rateMeter
 	inFlight   int
+	lastLimit  float64      // of the last request, zero before
 	workspaces []*workspace // in order of arrival
 }
 
@@ -51,10 +50,12 @@
 	counted    time.Time
 	seen       time.Time
 	nextReturn time.Time
+	asked      rateMeter // requests
+	refused    rateMeter // of these, for lack of room
 }
 
 func newService(cfg Config, rng *rand.Rand) *service {
-	return &service{limiter: cfg.NewLimiter(), borrow: cfg.BorrowShare, rng: rng}
+	return &service{limiter: cfg.NewLimiter(), borrow: cfg.BorrowShare, allGroups: cfg.AllGroups, rng: rng}
 }
 
 // admit takes a place for the request or says why there is none. The place
@@ -69,8 +70,13 @@
 	}
 	limit := s.limit(req)
 	share := s.share(limit)
+	s.lastLimit = limit
 	borrowed = w.borrows(now, share)
 	hasRoom := s.hasRoom(now, w, limit, share, borrowed)
+	w.asked.add(now)
+	if !hasRoom {
+		w.refused.add(now)
+	}
 	if !hasRoom && borrowed {
 		return nil, false, s.refuse(now, w, "workspace %s is beyond its fair share of service %s", w.name, req.Service)
 	}
@@ -85,7 +91,9 @@
 
 // release gives a place back.
 func (s *service) release(now time.Time, w *workspace, res Result) {
-	s.limiter.Observe(now, s.inFlight, res)
+	if !s.confines(now, w) { // else late in groups of its own
+		s.limiter.Observe(now, s.inFlight, res)
+	}
 	s.inFlight--
 	w.count(now, -1)
 	s.drain.add(now)
@@ -147,6 +155,9 @@
 func (s *service) hasRoom(now time.Time, w *workspace, limit, share float64, borrowed bool) bool {
 	after := float64(s.inFlight + 1)
 	overshoot := max(limit/overshootPart, 1)
+	if s.confines(now, w) {
+		return after <= limit && float64(w.inFlight+1) <= w.fair(share)
+	}
 	if !borrowed {
 		return after <= limit || after <= limit+overshoot && w.under(now, share)
 	}
@@ -191,10 +202,11 @@
 // bursts of a modest workspace are not.
 func (w *workspace) borrows(now time.Time, share float64) bool {
 	after := float64(w.inFlight + 1)
-	if after <= w.fair(share) {
+	fair := w.fair(share)
+	if after <= fair {
 		return false
 	}
-	return after > burstFactor*w.fair(share) || !w.modest(now, share)
+	return after > fair+spread(fair) || !w.modest(now, share)
 }
 
 // reserve is the room kept for the workspace: up to its recent demand and one
@@ -215,7 +227,7 @@
 	}
 	var retryAfter time.Duration
 	if req.PredictedRun <= left {
-		retryAfter = s.spread(max(req.PredictedWait, minRetryAfter))
+		retryAfter = s.delayed(max(req.PredictedWait, minRetryAfter))
 	}
 	return fleet.Refuse(fleet.ReasonDeadline, retryAfter,
 		"%s left until the deadline, predicted %s wait and %s run",
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -34,7 +34,8 @@
 }
 
 // Policy chooses a group: filters drop candidates, the sum of the scorers is
-// a candidate's cost, the picker decides. A Policy is safe for concurrent use
+// a candidate's cost, with OutsidePartCost for groups outside the request's
+// part, the picker decides. A Policy is safe for concurrent use
 // when its parts are.
 type Policy struct {
 	Filters []Filter
@@ -85,8 +86,11 @@
 	if len(scored) == 0 {
 		return d
 	}
-	req.meanInFlight = meanInFlight(scored)
+	req.meanInFlight = meanInFlight(scored, req.Part)
 	for i := range scored {
+		if !req.Part.Holds(i, len(scored)) {
+			scored[i].Cost = OutsidePartCost.Seconds()
+		}
 		for _, s := range p.Scorers {
 			scored[i].Cost += s.Cost(req, scored[i].Candidate)
 		}
@@ -179,13 +183,18 @@
 	return others
 }
 
-// meanInFlight is the mean estimate of requests at a group.
-func meanInFlight(scored []Scored) float64 {
-	sum := 0.0
+// meanInFlight is the mean estimate of requests at a group of the part, zero
+// when the part has no group.
+func meanInFlight(scored []Scored, part Part) float64 {
+	sum, groups := 0.0, 0
 	for i := range scored {
+		if !part.Holds(i, len(scored)) {
+			continue
+		}
 		sum += InFlight(scored[i].Candidate)
+		groups++
 	}
-	return sum / float64(len(scored))
+	return sum / float64(max(groups, 1))
 }
 
 // seconds turns a cost into a duration, which is never negative.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -20,6 +20,9 @@
 	DispatchCost = 10 * time.Millisecond
 	// DefaultFabricPenalty is the cost of a fabric domain to avoid.
 	DefaultFabricPenalty = 5 * time.Second
+	// OutsidePartCost is the cost of a group outside the request's part: the
+	// time to the first token that users ask for.
+	OutsidePartCost = 770 * time.Millisecond
 	// DefaultLoadBound is how far above the mean a group's load may be for
 	// its cached prefixes to count.
 	DefaultLoadBound = 1.25
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -61,11 +61,32 @@
 	Alone bool
 	// Role is what the group must do, RoleServe when empty.
 	Role fleet.Role
+	// Workspace is whose request it is.
+	Workspace fleet.Workspace
+	// Part is the part of the groups to prefer, all when zero.
+	Part Part
 
 	// meanInFlight is set by Choose: the mean over the groups left.
 	meanInFlight float64
 }
 
+// Part is a part of the groups that passed the filters, in the order of the
+// snapshot: those from the fraction From to the fraction To of them, 0 to 1.
+// The zero value is all of them.
+type Part struct {
+	From float64
+	To   float64
+}
+
+// Holds reports whether the part has group number at, from zero, of n.
+func (p Part) Holds(at, n int) bool {
+	if p == (Part{}) {
+		return true
+	}
+	middle := (float64(at) + 0.5) / float64(n)
+	return middle >= p.From && middle < p.To
+}
+
 // Scored is a candidate with its cost, lower is better.
 type Scored struct {
 	Candidate Candidate
--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -19,6 +19,7 @@
 	floodFactor    = 10
 	recoverFor     = 40 * time.Second // after a flood
 	shortQueue     = 200 * time.Millisecond
+	borrowNone     = 0.01
 	perDaemonSlots = fleetGroups * maxRunning / fleetDaemons
 )
 
@@ -30,7 +31,9 @@
 	// Plain limits know neither capacity nor deadline.
 	Plain      bool
 	NoCapacity bool
-	QueueFor   time.Duration
+	// AllGroups sets no groups apart for a flood.
+	AllGroups bool
+	QueueFor  time.Duration
 }
 
 // Limits returns the ways of admission, the daemons' own first.
@@ -38,6 +41,8 @@
 	learned := func() admission.Limiter { return admission.NewAIMD(admission.AIMDConfig{}) }
 	return []NamedLimit{
 		{Name: "learned", Limiter: learned},
+		{Name: "learned, all groups", Limiter: learned, AllGroups: true},
+		{Name: "learned, all groups, borrow none", Limiter: learned, AllGroups: true, Borrow: borrowNone},
 		{Name: "learned, borrow 0.85", Limiter: learned, Borrow: 0.85},
 		{Name: "learned, borrow all", Limiter: learned, Borrow: 1},
 		{Name: "learned, capacity unknown", Limiter: learned, NoCapacity: true},
@@ -71,7 +76,7 @@
 		Seed: seed, Groups: fleetGroups, Daemons: fleetDaemons, Sources: from,
 		Warmup: 20 * time.Second, Duration: 30 * time.Second,
 		Policy: routing.DefaultPolicy, Prefixes: true,
-		Limiter: l.Limiter, BorrowShare: l.Borrow, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, QueueFor: l.QueueFor,
+		Limiter: l.Limiter, BorrowShare: l.Borrow, LimitOnly: l.Plain, NoCapacity: l.NoCapacity, AllGroups: l.AllGroups || l.Plain, QueueFor: l.QueueFor,
 	}
 }
 
--- a/standin/experiment/serving/call.go
+++ b/standin/experiment/serving/call.go
@@ -114,6 +114,9 @@
 }
 
 func (c *call) choose() routing.Decision {
+	if c.daemon.admission != nil {
+		c.request.Part = c.daemon.admission.Part(c.run.at(), serviceName, c.source.Workspace)
+	}
 	return c.daemon.policy.Choose(c.request, c.daemon.snapshot(c.run.loop.now), c.daemon.rng)
 }
 
--- a/standin/experiment/serving/run.go
+++ b/standin/experiment/serving/run.go
@@ -58,6 +58,8 @@
 	Limiter func() admission.Limiter
 	// BorrowShare is admission's.
 	BorrowShare float64
+	// AllGroups is admission's.
+	AllGroups bool
 	// LimitOnly leaves the capacity and the deadline out of admission.
 	LimitOnly bool
 	// NoCapacity leaves the capacity out.
@@ -151,7 +153,7 @@
 			d.policy = d.policy.WithPrefixes(r.index)
 		}
 		if r.Limiter != nil {
-			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter, BorrowShare: r.BorrowShare})
+			d.admission = admission.NewController(admission.Config{Seed: r.Seed + uint64(i), NewLimiter: r.Limiter, BorrowShare: r.BorrowShare, AllGroups: r.AllGroups})
 		}
 		if r.Retries.Budget != nil {
 			d.budget = r.Retries.Budget()
--- a/standin/experiment/serving/serving_test.go
+++ b/standin/experiment/serving/serving_test.go
@@ -70,19 +70,24 @@
 func TestFloodLeavesTheSmallOnesTheirAnswers(t *testing.T) {
 	t.Parallel()
 	limits := Limits()
-	f, none := newFlood(), newFlood()
-	flood := func(l NamedLimit) Scenario {
-		s := quick(limited(l, 1, sources(usualCapacity)))
+	ours, allGroups, none := limits[0], limits[1], limits[len(limits)-1]
+	run := func(l NamedLimit, load float64, tail time.Duration) Flood {
+		f := newFlood()
+		s := quick(limited(l, 1, sources(load*usualCapacity)))
 		s.Duration = 20 * time.Second
-		return s
+		f.add(s, tail)
+		return f
 	}
-	f.add(flood(limits[0]), 15*time.Second)
-	assert.Assert(t, Moved(f.CalmTotal, f.FloodTotal) <= 0.1, "%v", Moved(f.CalmTotal, f.FloodTotal))
-	assert.Assert(t, f.FloodFirst.At(95) <= TargetFirstToken, "%s", f.FloodFirst.At(95))
-	assert.Assert(t, f.Recovered && f.Recovery <= 30*time.Second, "%s", f.Recovery)
-
-	none.add(flood(limits[len(limits)-1]), 0)
-	assert.Assert(t, Moved(none.CalmTotal, none.FloodTotal) > 0.1, "the baseline protects as well")
+	for _, load := range []float64{0.7, 1} {
+		f := run(ours, load, 15*time.Second)
+		assert.Assert(t, Moved(f.CalmTotal, f.FloodTotal) <= 0.1, "%g: %v", load, Moved(f.CalmTotal, f.FloodTotal))
+		assert.Assert(t, f.FloodFirst.At(95) <= TargetFirstToken, "%g: %s", load, f.FloodFirst.At(95))
+		assert.Assert(t, f.Recovered && f.Recovery <= 30*time.Second, "%g: %s", load, f.Recovery)
+	}
+	f := run(allGroups, 0.7, 0)
+	assert.Assert(t, Moved(f.CalmTotal, f.FloodTotal) > 0.1, "the baseline of all groups protects as well: %v", Moved(f.CalmTotal, f.FloodTotal))
+	f = run(none, 1, 0)
+	assert.Assert(t, Moved(f.CalmTotal, f.FloodTotal) > 0.1, "the baseline protects as well")
 }
 
 // TestNoMetastableState asks for the old goodput within 30 s of a fault's
