--- a/standin/experiment/serving/call.go
+++ b/standin/experiment/serving/call.go
@@ -114,6 +114,9 @@
 }
 
 func (c *call) choose() routing.Decision {
+	if c.daemon.admission != nil {
+		c.request.Part = c.daemon.admission.Part(c.run.at(), serviceName, c.source.Workspace)
+	}
 	return c.daemon.policy.Choose(c.request, c.daemon.snapshot(c.run.loop.now), c.daemon.rng)
 }
 
@@ -172,6 +175,7 @@
 		if c.token == 0 {
 			c.token = r.loop.now
 			r.stats.firstToken(c.source, r.loop.now, r.loop.now-c.begun)
+			r.stats.delay(c.source, r.loop.now, r.loop.now-c.begun, j.delay)
 		} else if !first {
 			r.stats.interval(r.loop.now, interval)
 		}
