Route a flooding workspace by its part of the groups

Cause: admission.Controller.Part and routing.Request.Part were used by the experiments only; daemons gave neither a workspace nor a part, and the datastore listed groups in the order of a map, anew for each view, so that a part would have been other groups each time.

Ruled out: asking admission within dispatch, whose port to the router then says the same with one more method.

Before: with the part not asked for, TestFloodAndTheRestGoToDifferentGroups: plain/i9 is used by both; with no order the same, and TestCandidatesStandInTheOrderOfTheirNames: g2 in place of g1; with no workspace TestRouterLearnsTheRequest fails. After: all pass.

Conclusion: daemons set the same groups apart, as they sort by name.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -260,7 +260,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self:      d.id,
 		Zone:      fleet.Zone(d.set.Zone),
-		Router:    router{d.store, d.lapses},
+		Router:    router{d.store, d.lapses, d.admission},
 		Admission: gate{d},
 		Ledger:    d.records,
 		Suspects:  d.tracker,
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -9,17 +9,26 @@
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/routing"
 	"carawayproxy.example/caraway/internal/service"
 )
 
-// router joins the datastore and its lapses to dispatch's port.
+// router joins the datastore and its lapses to dispatch's port, and keeps a
+// workspace that floods a service to its part of the groups.
 type router struct {
 	*datastore.Store
 	*datastore.Lapses
+	admission *admission.Controller
 }
 
 var _ dispatch.Router = router{}
 
+// Route implements dispatch.Router.
+func (r router) Route(req routing.Request) routing.Decision {
+	req.Part = r.admission.Part(time.Now(), req.Service, req.Workspace)
+	return r.Store.Route(req)
+}
+
 // gate adapts the admission controller to dispatch's port and adds this
 // daemon's part of the capacity.
 type gate struct{ d *Daemon }
--- /dev/null
+++ b/internal/daemon/ports_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/admission"
+	"carawayproxy.example/caraway/internal/datastore"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/routing"
+	"carawayproxy.example/caraway/internal/service"
+)
+
+// ready reports every instance as ready now.
+type ready struct{}
+
+func (ready) Report(id fleet.InstanceID) (fleet.Report, bool) {
+	return fleet.Report{Instance: id, Ready: true, ReceivedAt: time.Now()}, true
+}
+
+// plainStore holds ten plain servers of one service.
+func plainStore() *datastore.Store {
+	instances := map[fleet.InstanceID]fleet.Instance{}
+	for i := range 10 {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i))
+		instances[id] = fleet.Instance{ID: id, Kind: fleet.KindPlain, Pool: "p"}
+	}
+	spec := &service.Published{Spec: service.Spec{Service: "s", Kind: fleet.KindPlain, Pool: "p"}}
+	return datastore.New(datastore.Config{
+		Groups:    func() *group.View { return &group.View{} },
+		Reports:   ready{},
+		Instances: func() map[fleet.InstanceID]fleet.Instance { return instances },
+		Catalog: func() *service.Catalog {
+			return &service.Catalog{Services: map[fleet.ServiceName]*service.Published{"s": spec}}
+		},
+		Leaving:      func(fleet.InstanceID) bool { return false },
+		PeerInFlight: func(fleet.GroupID) uint32 { return 0 },
+		Policy:       routing.DefaultPolicy(),
+		Rand:         rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+func TestFloodAndTheRestGoToDifferentGroups(t *testing.T) {
+	gates := admission.NewController(admission.Config{NewLimiter: func() admission.Limiter { return admission.Fixed(10) }})
+	r := router{Store: plainStore(), admission: gates}
+	admit := func(name fleet.Workspace, weight float64) {
+		_, _ = gates.Admit(time.Now(), admission.Request{Service: "s", Workspace: name, Weight: weight})
+	}
+	admit("small", 7)
+	for range 100 {
+		admit("large", 3)
+	}
+	taken := map[fleet.GroupID]fleet.Workspace{}
+	for range 100 {
+		for _, name := range []fleet.Workspace{"small", "large"} {
+			id := r.Route(routing.Request{Service: "s", Workspace: name}).Chosen.Group
+			other, known := taken[id]
+			assert.Assert(t, !known || other == name, "%s is used by both", id)
+			taken[id] = name
+		}
+	}
+	assert.Equal(t, len(taken), 10, "%v", taken)
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -5,6 +5,7 @@
 package datastore
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -150,7 +151,8 @@
 	return s.cfg.Policy.Choose(req, candidates, s.cfg.Rand)
 }
 
-// Candidates returns the groups of a service. Who belongs to a group and
+// Candidates returns the groups of a service in the order of their names, so
+// that a part of them is the same for each request. Who belongs to a group and
 // whether it is whole may be viewFor old; Recheck tells what holds now. The
 // load is of now.
 func (s *Store) Candidates(name fleet.ServiceName, now time.Time) []routing.Candidate {
@@ -178,6 +180,7 @@
 		return v.candidates
 	}
 	v := view{at: now, candidates: s.look(name, now)}
+	slices.SortFunc(v.candidates, func(a, b routing.Candidate) int { return cmp.Compare(a.Group, b.Group) })
 	if v.candidates == nil {
 		delete(s.views, name)
 	} else {
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -110,6 +110,14 @@
 	}
 }
 
+func TestCandidatesStandInTheOrderOfTheirNames(t *testing.T) {
+	candidates := newWorld(9, 1).store.Candidates("s", time.Now())
+	assert.Equal(t, len(candidates), 9)
+	for i, c := range candidates {
+		assert.Equal(t, c.Group, fleet.GroupID(fmt.Sprintf("g%d", i)))
+	}
+}
+
 func TestOwnDispatchesCountUntilTheyEnd(t *testing.T) {
 	w := newWorld(1, 1)
 	w.store.Started("g0", 100)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -91,6 +91,7 @@
 	assert.Equal(t, len(asked.Prefixes), 3)
 	assert.Equal(t, asked.Version, fleet.Version("v2"))
 	assert.Equal(t, asked.MaxTokens, uint32(64))
+	assert.Equal(t, asked.Workspace, fleet.Workspace("w"))
 	assert.Assert(t, asked.PromptTokens > 100)
 }
 
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -95,6 +95,7 @@
 		Service:      g.Service,
 		Version:      g.Version,
 		Adapter:      g.Adapter,
+		Workspace:    g.Workspace,
 		Zone:         d.cfg.Zone,
 		PromptTokens: uint32(len(g.Prompt)/bytesPerToken + 1),
 		MaxTokens:    g.MaxTokens,
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -67,7 +67,7 @@
 	c := &invocation{req: i, ws: ws}
 	version := fleet.Version(i.Method)
 	c.attempts = attempts{d: d, id: i.ID, spec: spec, print: suspect.FingerprintOf(i.Service, version, i.Body)}
-	c.route = routing.Request{Service: i.Service, Zone: d.cfg.Zone}
+	c.route = routing.Request{Service: i.Service, Workspace: i.Workspace, Zone: d.cfg.Zone}
 	d.budgetOf(spec).Request()
 	return c
 }
