Let the users choose what a cut-off region does

Cause: a region that is cut off and has lost the log refuses after 5 s, for as long as the cut lasts; an hour now and then is expected. The policy to serve on was there, unused and untested, and the choice is the users'.

Ruled out: serving on by default, which breaks that an accepted configuration is in force everywhere within seconds; using the lenient rule where a daemon judges an outage of the log or another's end, since spares are promoted and open keys settled by that.

Before: no setting; AnyPeer had no test.

--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -66,7 +66,7 @@
 const staleRetryAfter = 2 * time.Second
 
 func (k knowledge) Catalog() (*service.Catalog, *fleet.Failure) {
-	if ok, reason := k.d.informed(); !ok {
+	if ok, reason := k.d.serves(); !ok {
 		return nil, fleet.Refuse(fleet.ReasonStale, staleRetryAfter, "this daemon is not up to date: %s", reason)
 	}
 	return k.d.services.Catalog(), nil
--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -7,6 +7,7 @@
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/membership"
+	"carawayproxy.example/caraway/internal/settings"
 )
 
 // readinessEvery is the time between two looks at the daemon's readiness.
@@ -45,12 +46,23 @@
 	if d.draining.Load() {
 		return false, "draining"
 	}
-	return d.informed()
+	return d.serves()
 }
 
-// informed reports whether the daemon knows enough of the present to act.
+// serves reports whether the daemon may serve requests by what it knows. With
+// CutOffServe one peer suffices for that.
+func (d *Daemon) serves() (bool, string) {
+	return d.readiness(membership.ReadinessPolicy{AnyPeer: d.set.WhenCutOff == settings.CutOffServe})
+}
+
+// informed reports whether the daemon knows enough of the present to act for
+// others: to judge an outage of the log or another daemon's end.
 func (d *Daemon) informed() (bool, string) {
-	return membership.Readiness(time.Now(), d.mesh.View(), d.statuses(), d.mesh.EverHadPeers(), membership.ReadinessPolicy{})
+	return d.readiness(membership.ReadinessPolicy{})
+}
+
+func (d *Daemon) readiness(policy membership.ReadinessPolicy) (bool, string) {
+	return membership.Readiness(time.Now(), d.mesh.View(), d.statuses(), d.mesh.EverHadPeers(), policy)
 }
 
 // outage reports whether the log is down for all: this daemon has not heard it
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -155,12 +155,14 @@
 	}
 }
 
-func (m *member) ready(now time.Time) (bool, string) {
+func (m *member) ready(now time.Time) (bool, string) { return m.readyBy(now, ReadinessPolicy{}) }
+
+func (m *member) readyBy(now time.Time, policy ReadinessPolicy) (bool, string) {
 	var statuses []journal.Status
 	for _, r := range m.replicas {
 		statuses = append(statuses, r.Status())
 	}
-	return Readiness(now, m.View(), statuses, m.EverHadPeers(), ReadinessPolicy{})
+	return Readiness(now, m.View(), statuses, m.EverHadPeers(), policy)
 }
 
 // cluster is a set of members over an in-memory network.
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -119,7 +119,16 @@
 		for i, m := range c.members {
 			ok, why := m.ready(time.Now())
 			assert.Equal(t, ok, i >= 4, why)
+			ok, why = m.readyBy(time.Now(), ReadinessPolicy{AnyPeer: true})
+			assert.Assert(t, ok, why)
+		}
+		lone := c.members[0]
+		for _, other := range c.members[1:4] {
+			c.net.CutBoth(lone.ip, other.ip)
 		}
+		time.Sleep(configBound)
+		ok, _ := lone.readyBy(time.Now(), ReadinessPolicy{AnyPeer: true})
+		assert.Assert(t, !ok, "no peer answers")
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	PeersListen      string        `long:"peers-listen" env:"CARAWAY_PEERS_LISTEN" description:"ip:port for other daemons" default:"127.0.0.1:7402"`
 	PeersAdvertise   string        `long:"peers-advertise" env:"CARAWAY_PEERS_ADVERTISE" description:"ip:port other daemons dial; the peers listener's address when empty"`
 	PeerLinks        string        `long:"peer-links" env:"CARAWAY_PEER_LINKS" description:"which daemons this one links to: full (all, up to 14 daemons) or bounded (a few, the same at every daemon)" default:"full"`
+	WhenCutOff       string        `long:"when-cut-off" env:"CARAWAY_WHEN_CUT_OFF" description:"what a daemon does that has lost the log and most of its peers: refuse, or serve what needs no log by the configuration that it knows, which may be old" default:"refuse"`
 	Platform         string        `long:"platform" env:"CARAWAY_PLATFORM" description:"ip:port of the platform's services"`
 	LedgerShards     int           `long:"ledger-shards" env:"CARAWAY_LEDGER_SHARDS" description:"ledger streams, 1 to 64, the same at every daemon" default:"4"`
 	PlacementScopes  int           `long:"placement-scopes" env:"CARAWAY_PLACEMENT_SCOPES" description:"lease scopes of placement, 1 to 64, the same at every daemon" default:"8"`
@@ -44,6 +45,12 @@
 	ExplainDecisions int           `long:"explain-decisions" env:"CARAWAY_EXPLAIN_DECISIONS" description:"decisions kept in memory for carawayctl explain, 0 to 1000000" default:"20000"`
 }
 
+// Values of WhenCutOff.
+const (
+	CutOffRefuse = "refuse"
+	CutOffServe  = "serve"
+)
+
 // Mistakes are all that is wrong with the settings.
 type Mistakes []error
 
@@ -92,6 +99,7 @@
 	check(isAddress(s.PeersListen), "peers-listen", "ip:port", strconv.Quote(s.PeersListen))
 	check(s.PeersAdvertise == "" || isAddress(s.PeersAdvertise), "peers-advertise", "ip:port", strconv.Quote(s.PeersAdvertise))
 	check(s.PeerLinks == "full" || s.PeerLinks == "bounded", "peer-links", "full or bounded", strconv.Quote(s.PeerLinks))
+	check(s.WhenCutOff == CutOffRefuse || s.WhenCutOff == CutOffServe, "when-cut-off", "refuse or serve", strconv.Quote(s.WhenCutOff))
 	check(isAddress(s.Platform), "platform", "ip:port", strconv.Quote(s.Platform))
 	check(within(s.LedgerShards, 1, 64), "ledger-shards", "1 to 64", s.LedgerShards)
 	check(within(s.PlacementScopes, 1, 64), "placement-scopes", "1 to 64", s.PlacementScopes)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,8 @@
 		"unknown flag":  {args: []string{"--no-such-flag"}, want: "no-such-flag"},
 		"host name":     {args: []string{"--availability-zone=a", "--platform=db:9"}, want: "--platform"},
 		"half of TLS":   {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--tls-key=k"}, want: "--tls-key"},
+		"cut off":       {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--when-cut-off=guess"}, want: "refuse or serve"},
+		"clients' CA":   {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--admin-client-ca=ca"}, want: "--admin-client-ca"},
 		"stray word":    {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "serve"}, want: "serve"},
 		"not a number":  {args: []string{"--ledger-shards=many"}, want: "ledger-shards"},
 		"out of bounds": {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--append-rate=0"}, want: "1 to 1000"},
