Tell peers at once when polls of a backend server begin to fail

Cause: a dead engine showed at daemons that do not poll it after 1.2 s, where it was 0.5 s.

The first failing poll makes a heartbeat leave within 100 ms and names the instance; a receiver polls it at once, and takes it for nothing else. One that was made to look does not tell again.

Ruled out: counting a watcher's failing as the engine's, which would declare an engine dead for one cut; telling it with the next heartbeat, 1.0 s.

Guards taken out: no look when told, TestDeathIsKnownSoon "rank 2 has not looked"; no early heartbeat, TestHurryTellsOfTheSilent finds nothing told.

--- a/internal/backend/share.go
+++ b/internal/backend/share.go
@@ -67,7 +67,9 @@
 	endedAt     time.Time // of the own last poll
 	failedSince time.Time // when the first of the own failing polls was asked, zero for none
 	failedAt    time.Time // when the last of them was asked
-	doubted     bool      // an attempt failed since the own last poll
+	doubted     bool      // an attempt failed since the own last poll, or a peer's poll
+	prompted    bool      // by a peer's poll
+	tell        bool      // own polls began to fail and peers were not told
 }
 
 // failing reports whether this daemon's own last poll failed.
@@ -114,6 +116,7 @@
 func (s *seen) unanswered(asked time.Time) {
 	if !s.failing() {
 		s.failedSince = asked
+		s.tell = !s.prompted
 	}
 	s.failedAt = asked
 }
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -59,6 +59,9 @@
 	// Rank gives this daemon's place among those that watch a unit, zero for
 	// the first; nil when it watches alone.
 	Rank func(unit string) int
+	// Hurry is called when polls of a backend server begin to fail, so that
+	// peers are told soon by Silent; nil for none. It must not block.
+	Hurry func()
 	// CacheEvents takes an engine's cache events; may be nil.
 	CacheEvents func(id fleet.InstanceID, events []CacheEvent)
 	Events      *event.Logger
@@ -81,6 +84,9 @@
 	if cfg.Rank == nil {
 		cfg.Rank = func(string) int { return 0 }
 	}
+	if cfg.Hurry == nil {
+		cfg.Hurry = func() {}
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -148,6 +154,32 @@
 	return out
 }
 
+// Silent returns the instances whose own polls began to fail since the last
+// call, but for those where a peer said so first.
+func (w *Watcher) Silent() []fleet.InstanceID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []fleet.InstanceID
+	for id, s := range w.seen {
+		if s.tell {
+			s.tell = false
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Prompt makes this daemon poll instances soon, as a peer's polls of them
+// began to fail. It proves nothing else.
+func (w *Watcher) Prompt(ids []fleet.InstanceID) {
+	for _, id := range ids {
+		w.change(id, nil, func(s *seen) {
+			s.prompted = !s.failing()
+			s.doubt()
+		})
+	}
+}
+
 // Relayed takes the reports of a peer's successful polls. ReceivedAt must be a
 // moment on the own clock before which the peer surely did not ask. Reports of
 // instances that are not watched are dropped.
@@ -300,15 +332,21 @@
 		return
 	}
 	r.ReceivedAt = asked
+	hurry := false
 	w.change(t.Instance, s, func(s *seen) {
 		s.endedAt = time.Now()
-		s.doubted = false
 		if err == nil && r.Instance == t.Instance {
 			s.answered(r, s.endedAt)
 		} else {
 			s.unanswered(asked)
 		}
+		s.doubted = false
+		s.prompted = false
+		hurry = s.tell
 	})
+	if hurry {
+		w.cfg.Hurry()
+	}
 }
 
 // cacheReading is how far an engine's cache events were read.
--- a/internal/backend/watch_test.go
+++ b/internal/backend/watch_test.go
@@ -61,6 +61,7 @@
 			ds[Rank("e0", id, ids)] = newDaemon(targets, func(unit string) int { return Rank(unit, id, ids) })
 		}
 		for i, d := range ds {
+			d.cfg.Hurry = func() { d.relay(ds) }
 			d.start(ds, time.Duration(i)*37*time.Millisecond)
 			defer d.stop()
 		}
@@ -91,12 +92,7 @@
 	tasks.Go(func() {
 		time.Sleep(after)
 		for ; ctx.Err() == nil; time.Sleep(PollEvery) {
-			reports := d.Offer()
-			for _, other := range all {
-				if other != d {
-					other.Relayed(reports)
-				}
-			}
+			d.relay(all)
 		}
 	})
 	d.stop = func() {
@@ -105,6 +101,17 @@
 	}
 }
 
+// relay tells the others what a heartbeat does.
+func (d *daemon) relay(all []*daemon) {
+	reports, silent := d.Offer(), d.Silent()
+	for _, other := range all {
+		if other != d {
+			other.Relayed(reports)
+			other.Prompt(silent)
+		}
+	}
+}
+
 // each calls f every 10 ms with each daemon's report of the first engine and
 // its age.
 func each(ds []*daemon, during time.Duration, f func(rank int, r fleet.Report, age time.Duration)) {
@@ -189,6 +196,20 @@
 	})
 }
 
+// TestDeathIsKnownSoon: the first daemon to find an engine silent makes all
+// the others look.
+func TestDeathIsKnownSoon(t *testing.T) {
+	runDaemons(t, 1, func(ds []*daemon) {
+		for _, d := range ds {
+			d.engines.cut.Store(true)
+		}
+		time.Sleep(PollEvery + 10*time.Millisecond)
+		each(ds, time.Second, func(rank int, r fleet.Report, _ time.Duration) {
+			assert.Assert(t, r.Failed, "rank %d has not looked", rank)
+		})
+	})
+}
+
 // TestOlderReportsReplaceNothing covers what a relayed report may change.
 func TestOlderReportsReplaceNothing(t *testing.T) {
 	start := time.Now()
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -251,6 +251,7 @@
 		InFlight:       d.store.InFlight(),
 		Sightings:      d.tracker.Sightings(),
 		Reports:        d.watcher.Offer(),
+		Silent:         d.watcher.Silent(),
 	}
 	for id := range d.watched() {
 		if d.leavingBySelf(id) {
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -114,6 +114,7 @@
 	sightings []suspect.Sighting
 	polled    func(now time.Time) []fleet.Report // by this member, nil for none
 	reports   []fleet.Report                     // heard
+	silent    []fleet.InstanceID                 // heard
 }
 
 func (m *member) Heartbeat() Heartbeat {
@@ -222,6 +223,9 @@
 		OnReports: func(r []fleet.Report) {
 			m.set(func(m *member) { m.reports = append(m.reports, r...) })
 		},
+		OnSilent: func(ids []fleet.InstanceID) {
+			m.set(func(m *member) { m.silent = append(m.silent, ids...) })
+		},
 		OnSightings: func(s []suspect.Sighting) {
 			m.set(func(m *member) { m.sightings = append(m.sightings, s...) })
 		},
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -74,8 +74,11 @@
 	// not block. ReceivedAt of each is a moment on the own clock before which
 	// the peer surely did not ask for it.
 	OnReports func([]fleet.Report)
-	Events    *event.Logger
-	Metrics   metrics.Registry // nil for none
+	// OnSilent receives the instances whose polls by a peer began to fail; nil
+	// for none. It must not block.
+	OnSilent func([]fleet.InstanceID)
+	Events   *event.Logger
+	Metrics  metrics.Registry // nil for none
 	// Policy chooses the peers to dial, FullMesh when nil.
 	Policy LinkPolicy
 	// Beat is the time between heartbeats, DefaultBeat when zero.
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -81,6 +81,7 @@
 		ConfigRevision: h.ConfigRevision,
 	}
 	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
+	l.numbering.packSilent(&b, h.Silent)
 	l.numbering.pack(&b, h.Streams, h.InFlight)
 	frame, err := encode(&b)
 	if err != nil {
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -23,6 +23,7 @@
 	meters  meters
 	pending *pending
 	view    atomic.Pointer[View]
+	hurried atomic.Bool // a heartbeat is wanted before its time
 	// heard wakes the relay after a heartbeat.
 	heard chan struct{}
 	// wanted wakes the dialing after a change of the known places.
@@ -197,7 +198,7 @@
 	tick := time.NewTicker(m.cfg.Beat / ticksPerBeat)
 	defer tick.Stop()
 	for n := 0; ; n++ {
-		if n%ticksPerBeat == 0 {
+		if n%ticksPerBeat == 0 || m.hurried.Load() {
 			m.beat()
 		}
 		m.tick(n%ticksPerBeat == 0)
@@ -209,8 +210,12 @@
 	}
 }
 
+// Hurry makes the next heartbeat leave within a fifth of a beat.
+func (m *Mesh) Hurry() { m.hurried.Store(true) }
+
 // beat sends a heartbeat over each link and takes in the source's news.
 func (m *Mesh) beat() {
+	m.hurried.Store(false)
 	h := m.cfg.Source.Heartbeat()
 	now := time.Now()
 	h.Streams = m.positions(now)
@@ -321,14 +326,10 @@
 		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
 	}
 	shown := l.heard(now, b)
-	reports, err := l.names.unpackReports(b, shown.sentAt, l.reportsHeard)
-	if err != nil {
+	if err := m.handleReports(l, b, shown.sentAt); err != nil {
 		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
 		return err
 	}
-	if len(reports) > 0 && m.cfg.OnReports != nil {
-		m.cfg.OnReports(reports)
-	}
 	m.mu.Lock()
 	taken := m.table.observe(now, h, shown)
 	p := m.table.peers[h.From]
@@ -341,6 +342,25 @@
 	return nil
 }
 
+// handleReports hands on what a heartbeat tells of backend servers.
+func (m *Mesh) handleReports(l *link, b *beatMessage, sentAt time.Time) error {
+	reports, err := l.names.unpackReports(b, sentAt, l.reportsHeard)
+	if err != nil {
+		return err
+	}
+	silent, err := l.names.unpackSilent(b)
+	if err != nil {
+		return err
+	}
+	if len(reports) > 0 && m.cfg.OnReports != nil {
+		m.cfg.OnReports(reports)
+	}
+	if len(silent) > 0 && m.cfg.OnSilent != nil {
+		m.cfg.OnSilent(silent)
+	}
+	return nil
+}
+
 func (m *Mesh) handleNews(l *link, b *newsMessage) {
 	m.mu.Lock()
 	leaving, sightings := m.news.takePeer(time.Now(), l.peer.From, b)
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -80,6 +80,8 @@
 	Reports []wireReport `cbor:"9,keyasint,omitempty"`
 	Loads   []wireLoad   `cbor:"10,keyasint,omitempty"`
 	Asked   []uint64     `cbor:"11,keyasint,omitempty"`
+	// Silent are the numbers of instances whose polls began to fail.
+	Silent []uint32 `cbor:"12,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -25,6 +25,7 @@
 			Reports: []wireReport{{Instance: 0, Incarnation: 7, Ready: true, Progress: 999, Assignment: &wireAssignment{Group: "g-1", Epoch: 2, Members: []string{"10.0.0.1:1"}}}},
 			Loads:   []wireLoad{{Instance: 0, Running: 3, PendingTokens: 900, Age: 20}},
 			Asked:   []uint64{0, 24},
+			Silent:  []uint32{0},
 		},
 		&newsMessage{
 			Leaving:   []leavingNews{{Instance: "i", AgeMilli: 5}},
@@ -109,6 +110,7 @@
 			var n names
 			_, _, _ = n.unpack(b)
 			_, _ = n.unpackReports(b, time.Now(), map[uint32]fleet.Report{})
+			_, _ = n.unpackSilent(b)
 		}
 		again, err := encode(body)
 		assert.NilError(t, err)
--- a/internal/membership/reports.go
+++ b/internal/membership/reports.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// packSilent writes the instances whose polls began to fail.
+func (n *numbering) packSilent(b *beatMessage, silent []fleet.InstanceID) {
+	for _, id := range silent[:min(len(silent), maxReports)] {
+		b.Silent = append(b.Silent, n.number(string(id)))
+	}
+}
+
+// unpackSilent reads them after the heartbeat's names were taken in.
+func (n names) unpackSilent(b *beatMessage) ([]fleet.InstanceID, error) {
+	out := make([]fleet.InstanceID, 0, len(b.Silent))
+	for _, i := range b.Silent {
+		id, err := n.get(i)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, fleet.InstanceID(id))
+	}
+	return out, nil
+}
+
 // unpackReports reads a heartbeat's reports after its names were taken in.
 // told holds the link's last report of each number. ReceivedAt of a report is
 // sentAt less the age at which it was asked for; without sentAt there is no
--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -149,3 +149,14 @@
 		assert.Assert(t, !last.ReceivedAt.After(lastAsked()), "counts from %v after it was asked for", last.ReceivedAt.Sub(lastAsked()))
 	})
 }
+
+// What is silent crosses before the next heartbeat is due.
+func TestHurryTellsOfTheSilent(t *testing.T) {
+	runCluster(t, 2, func(t *testing.T, c *cluster) {
+		time.Sleep(DefaultBeat / ticksPerBeat / 2)
+		c.members[1].set(func(m *member) { m.heartbeat.Silent = []fleet.InstanceID{"i-1"} })
+		c.members[1].Hurry()
+		time.Sleep(DefaultBeat/ticksPerBeat + 2*oneWay)
+		c.members[0].set(func(m *member) { assert.DeepEqual(t, m.silent, []fleet.InstanceID{"i-1"}) })
+	})
+}
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -34,6 +34,9 @@
 	// Reports are those of the sender's own polls of backend servers since its
 	// last heartbeat. ReceivedAt is when each was asked for.
 	Reports []fleet.Report `cbor:"-"`
+	// Silent are the instances whose polls by the sender began to fail since
+	// its last heartbeat.
+	Silent []fleet.InstanceID `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
