--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -34,6 +34,9 @@
 	// Reports are the newest of the sender's own polls of backend servers. Each
 	// crosses a link once. ReceivedAt is when it was asked for.
 	Reports []fleet.Report `cbor:"-"`
+	// Silent are the instances whose polls by the sender began to fail since
+	// its last heartbeat.
+	Silent []fleet.InstanceID `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
