Name silent instances without taking them away

Cause: like Offer before, Watcher.Silent forgot at each call, so whoever looked at Daemon.Heartbeat took the first word of a dead engine from the peers; a heartbeat that a congested link dropped lost it too.

Ruled out: a call of its own for the mesh, one more port beside the heartbeat.

Before: with each heartbeat telling all, TestSilenceIsToldOnceAndAgainAfterItsEnd counts 2 in place of 1.

Conclusion: Heartbeat is a value without an effect again.

--- a/internal/backend/share.go
+++ b/internal/backend/share.go
@@ -68,7 +68,7 @@
 	failedAt    time.Time // when the last of them was asked
 	doubted     bool      // an attempt failed since the own last poll, or a peer's poll
 	prompted    bool      // by a peer's poll
-	tell        bool      // own polls began to fail and peers were not told
+	found       bool      // own polls fail, and began to before a peer said so
 }
 
 // failing reports whether this daemon's own last poll failed.
@@ -101,6 +101,7 @@
 func (s *seen) answered(r fleet.Report, at time.Time) {
 	s.failedSince = time.Time{}
 	s.failedAt = time.Time{}
+	s.found = false
 	if s.known && !r.ReceivedAt.After(s.newest.ReceivedAt) {
 		return
 	}
@@ -114,7 +115,7 @@
 func (s *seen) unanswered(asked time.Time) {
 	if !s.failing() {
 		s.failedSince = asked
-		s.tell = !s.prompted
+		s.found = !s.prompted
 	}
 	s.failedAt = asked
 }
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -153,15 +153,14 @@
 	return out
 }
 
-// Silent returns the instances whose own polls began to fail since the last
-// call, but for those where a peer said so first.
+// Silent returns the instances that do not answer this daemon's polls, but for
+// those of which a peer said so first.
 func (w *Watcher) Silent() []fleet.InstanceID {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.mu.RLock()
+	defer w.mu.RUnlock()
 	var out []fleet.InstanceID
 	for id, s := range w.seen {
-		if s.tell {
-			s.tell = false
+		if s.found {
 			out = append(out, id)
 		}
 	}
@@ -334,6 +333,7 @@
 	hurry := false
 	w.change(t.Instance, s, func(s *seen) {
 		s.endedAt = time.Now()
+		known := s.found
 		if err == nil && r.Instance == t.Instance {
 			s.answered(r, s.endedAt)
 		} else {
@@ -341,7 +341,7 @@
 		}
 		s.doubted = false
 		s.prompted = false
-		hurry = s.tell
+		hurry = s.found && !known
 	})
 	if hurry {
 		w.cfg.Hurry()
--- a/internal/backend/watch_test.go
+++ b/internal/backend/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,9 @@
 	*Watcher
 	engines *engines
 	stop    func()
+
+	mu     sync.Mutex
+	silent []fleet.InstanceID // told last
 }
 
 // engines is a daemon's way to them.
@@ -101,9 +105,15 @@
 	}
 }
 
-// relay tells the others what a heartbeat does.
+// relay tells the others what a heartbeat does: of an instance that stays
+// silent it tells once.
 func (d *daemon) relay(all []*daemon) {
+	d.mu.Lock()
 	reports, silent := d.Offer(), d.Silent()
+	known := d.silent
+	d.silent = silent
+	silent = slices.DeleteFunc(slices.Clone(silent), func(id fleet.InstanceID) bool { return slices.Contains(known, id) })
+	d.mu.Unlock()
 	for _, other := range all {
 		if other != d {
 			other.Relayed(reports)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -36,10 +36,11 @@
 
 	numbering *numbering // of names sent, used by one goroutine at a time
 	names     names      // received, used by the reader only
-	// reportsSent and reportsHeard are the last of each instance, by the same
-	// goroutines.
+	// reportsSent and reportsHeard are the last of each instance, silentSent
+	// the instances last named as silent, by the same goroutines.
 	reportsSent  map[fleet.InstanceID]fleet.Report
 	reportsHeard map[uint32]fleet.Report
+	silentSent   map[fleet.InstanceID]bool
 }
 
 // errCongested ends a link whose peer does not read.
@@ -58,6 +59,7 @@
 
 		numbering:    newNumbering(),
 		reportsSent:  map[fleet.InstanceID]fleet.Report{},
+		silentSent:   map[fleet.InstanceID]bool{},
 		reportsHeard: map[uint32]fleet.Report{},
 	}
 }
@@ -81,7 +83,7 @@
 		ConfigRevision: h.ConfigRevision,
 	}
 	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
-	l.numbering.packSilent(&b, h.Silent)
+	l.numbering.packSilent(&b, h.Silent, l.silentSent)
 	l.numbering.pack(&b, h.Streams, h.InFlight)
 	frame, err := encode(&b)
 	if err != nil {
--- a/internal/membership/reports.go
+++ b/internal/membership/reports.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -103,11 +104,18 @@
 	}
 }
 
-// packSilent writes the instances whose polls began to fail.
-func (n *numbering) packSilent(b *beatMessage, silent []fleet.InstanceID) {
+// packSilent writes the instances that have become silent. told holds those
+// that the link's last heartbeat knew of and is brought up to date.
+func (n *numbering) packSilent(b *beatMessage, silent []fleet.InstanceID, told map[fleet.InstanceID]bool) {
+	now := make(map[fleet.InstanceID]bool, len(silent))
 	for _, id := range silent[:min(len(silent), maxReports)] {
-		b.Silent = append(b.Silent, n.number(string(id)))
+		now[id] = true
+		if !told[id] {
+			b.Silent = append(b.Silent, n.number(string(id)))
+		}
 	}
+	clear(told)
+	maps.Copy(told, now)
 }
 
 // unpackSilent reads them after the heartbeat's names were taken in.
--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -155,6 +155,24 @@
 	})
 }
 
+func TestSilenceIsToldOnceAndAgainAfterItsEnd(t *testing.T) {
+	n, told := newNumbering(), map[fleet.InstanceID]bool{}
+	for i, step := range []struct {
+		silent []fleet.InstanceID
+		told   int
+	}{
+		{[]fleet.InstanceID{"i-1"}, 1},
+		{[]fleet.InstanceID{"i-1", "i-2"}, 1},
+		{[]fleet.InstanceID{"i-1", "i-2"}, 0},
+		{[]fleet.InstanceID{"i-2"}, 0},
+		{[]fleet.InstanceID{"i-1", "i-2"}, 1},
+	} {
+		var b beatMessage
+		n.packSilent(&b, step.silent, told)
+		assert.Equal(t, len(b.Silent), step.told, "step %d", i)
+	}
+}
+
 // What is silent crosses before the next heartbeat is due.
 func TestHurryTellsOfTheSilent(t *testing.T) {
 	runCluster(t, 2, func(t *testing.T, c *cluster) {
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -34,8 +34,8 @@
 	// Reports are the newest of the sender's own polls of backend servers. Each
 	// crosses a link once. ReceivedAt is when it was asked for.
 	Reports []fleet.Report `cbor:"-"`
-	// Silent are the instances whose polls by the sender began to fail since
-	// its last heartbeat.
+	// Silent are the instances that do not answer the sender's polls. Each
+	// crosses a link once for as long as it stays silent.
 	Silent []fleet.InstanceID `cbor:"-"`
 }
 
