Turn the order of the bench's daemons round in every second round

Cause: the daemon that comes second was refused by admission in its second turn in two runs of three, once with the same build as the first: a turn finds the limits that the turns before have left. Ruled out: fresh daemons for each turn, which would measure their start. Before: one order. After: both in turn. Conclusion: a ratio is no longer of one order.

--- a/standin/bench/turns.go
+++ b/standin/bench/turns.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"runtime/pprof"
+	"slices"
 	"strings"
 	"time"
 
@@ -66,13 +67,14 @@
 }
 
 // phase puts one load on the engines directly and then through each daemon in
-// turn.
+// turn, in the other order in every second round.
 func phase(s *stack.Stack, opt options, targets []target) error {
 	fmt.Printf("\n%.0f requests/s offered\n", opt.Rate)
 	direct := drive(opt, directCalls(targets))
 	var turns []*turn
+	order := slices.Clone(s.Daemons)
 	for range opt.Rounds {
-		for _, d := range s.Daemons {
+		for _, d := range order {
 			t, err := takeTurn(s, d, opt)
 			if err != nil {
 				return err
@@ -80,6 +82,7 @@
 			report(direct, t)
 			turns = append(turns, t)
 		}
+		slices.Reverse(order)
 	}
 	compare(turns)
 	return nil
