Compare a daemon with the engines of the same turn

Cause: processor time for a token moves with what else the machine does, since a full machine wakes fewer processors: the same two builds gave ratios of 0.95 and 1.17 at 235 requests/s, the second with 8.3 and 9.3 cores busy in the one's turns and 7.3 and 8.1 in the other's. Ruled out: waiting for a quiet machine. Before: processor time for a token only.

--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -60,18 +60,24 @@
 	}
 	fmt.Printf("  processor time for a token: %.1f us in %d turns against %.1f us in %d, ratio %.2f\n",
 		now.micros(), now.turns, base.micros(), base.turns, now.micros()/base.micros())
+	fmt.Printf("  daemon's processor time against the engines' in the same turns: %.3f against %.3f, ratio %.2f\n",
+		now.toEngines(), base.toEngines(), now.toEngines()/base.toEngines())
 }
 
 // sum is what the turns of one daemon took together.
 type sum struct {
-	turns, tokens int
-	spent         time.Duration
+	turns, tokens  int
+	spent, engines time.Duration
 }
 
 func (s sum) micros() float64 {
 	return float64(s.spent.Nanoseconds()) / float64(s.tokens) / float64(time.Microsecond)
 }
 
+// toEngines is the daemon's processor time for each second of the engines'.
+// Both rise and fall with what else the machine does.
+func (s sum) toEngines() float64 { return s.spent.Seconds() / s.engines.Seconds() }
+
 func total(turns []*turn, name string) sum {
 	var s sum
 	for _, t := range turns {
@@ -81,6 +87,7 @@
 		s.turns++
 		s.tokens += t.result.tokens
 		s.spent += t.spent.daemon
+		s.engines += t.spent.engines
 	}
 	return s
 }
