Learn the limit from how long requests wait

Now a limit rises by half a window while requests wait under a hundredth of their time, a decrease is by the part in flight that waits (a tenth to a half), and ends count only of requests begun since the last change, a rise included.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -51,12 +51,17 @@
 	windowTime  = time.Second
 	// busyShare is the part of the limit that must be used for it to grow.
 	busyShare = 0.8
-	// decreaseTo is the factor of a decrease.
-	decreaseTo = 0.9
-	// growth is the factor of an increase, by one at least, and firstGrowth
-	// that before the first decrease.
+	// decreaseLeast and decreaseMost bound the factor of a decrease.
+	decreaseLeast = 0.9
+	decreaseMost  = 0.5
+	// growth is the factor of an increase, by one at least, idleGrowth that
+	// while requests hardly wait, and firstGrowth that before the first
+	// decrease.
 	growth      = 1.05
+	idleGrowth  = 1.5
 	firstGrowth = 2.0
+	// idleWaiting is the part of their time that requests hardly wait.
+	idleWaiting = 0.01
 	// aim is the part of the target at which a request counts as late, so
 	// that the target itself is kept while the limit goes up and down.
 	aim = 0.6
@@ -77,23 +82,25 @@
 	Initial float64
 }
 
-// AIMD raises the limit while the target is kept and the limit is used, and
-// lowers it, from what was really in flight, when more than 5 in 100 of a
-// window miss the target. Until the first such window it starts from the
-// service's capacity, or doubles. Requests that started before the last
-// decrease tell nothing of it and are passed over.
+// AIMD raises the limit while the target is kept and the limit is used, fast
+// while requests hardly wait, and lowers it when more than 5 in 100 of a window
+// miss the target: by the part of what was really in flight that only waited.
+// Until the first such window it starts from the service's capacity, or
+// doubles. Requests that started before the last change tell nothing of it and
+// are passed over.
 type AIMD struct {
 	cfg     AIMDConfig
 	limit   float64
 	lowered bool          // once a window has missed the target
-	cut     time.Time     // of the last such window
+	changed time.Time     // when the limit last did
 	floor   time.Duration // lowest mean of a window, slowly rising
 
 	start   time.Time
 	seen    int
 	late    int
 	busiest int
-	sum     time.Duration
+	sum     time.Duration // of latencies
+	total   time.Duration // of whole times
 }
 
 // NewAIMD returns an AIMD limiter.
@@ -119,8 +126,8 @@
 
 // Observe implements Limiter.
 func (a *AIMD) Observe(now time.Time, inFlight int, res Result) {
-	if res.Failed || now.Add(-res.Total).Before(a.cut) {
-		return // tells nothing, or of the time before the last decrease
+	if res.Failed || now.Add(-res.Total).Before(a.changed) {
+		return // tells nothing, or of the time before the last change
 	}
 	if a.start.IsZero() {
 		a.start = now
@@ -128,6 +135,7 @@
 	latency := latencyOf(res)
 	a.seen++
 	a.sum += latency
+	a.total += max(res.Total, latency)
 	a.busiest = max(a.busiest, inFlight)
 	if latency > a.bound() {
 		a.late++
@@ -148,21 +156,46 @@
 	mean := a.sum / time.Duration(a.seen)
 	switch {
 	case float64(a.late) > lateShare*float64(a.seen):
-		a.limit = max(min(a.limit, float64(a.busiest))*decreaseTo, DefaultMin)
+		a.change(now, min(a.limit, float64(a.busiest))*a.decrease(mean))
 		a.lowered = true
-		a.cut = now
 	case float64(a.busiest) < busyShare*a.limit:
-	case a.lowered:
-		a.limit = min(max(a.limit*growth, a.limit+1), DefaultMax)
+	case !a.lowered:
+		a.change(now, a.limit*firstGrowth)
+	case a.waiting(mean) < idleWaiting:
+		a.change(now, a.limit*idleGrowth)
 	default:
-		a.limit = min(a.limit*firstGrowth, DefaultMax)
+		a.change(now, max(a.limit*growth, a.limit+1))
 	}
 	if a.floor == 0 || mean < a.floor {
 		a.floor = mean
 	} else {
 		a.floor += time.Duration(floorRise * float64(a.floor))
 	}
-	a.seen, a.late, a.busiest, a.sum = 0, 0, 0, 0
+	a.seen, a.late, a.busiest, a.sum, a.total = 0, 0, 0, 0, 0
+}
+
+// change sets the limit within its bounds.
+func (a *AIMD) change(now time.Time, limit float64) {
+	a.limit = min(max(limit, DefaultMin), DefaultMax)
+	a.changed = now
+}
+
+// decrease is the factor of a decrease: a deeper one than by the requests that
+// only wait would leave groups idle.
+func (a *AIMD) decrease(mean time.Duration) float64 {
+	return min(max(1-a.waiting(mean), decreaseMost), decreaseLeast)
+}
+
+// waiting is the part of the requests' time in flight by which their latency,
+// with the given mean, exceeds the lowest. It is also the part of those in
+// flight that wait, as both are the rate of ends times their time.
+func (a *AIMD) waiting(mean time.Duration) float64 {
+	least := a.floor
+	if least == 0 {
+		least = a.bound()
+	}
+	excess := max(mean-least, 0) * time.Duration(a.seen)
+	return float64(excess) / float64(max(a.total, 1))
 }
 
 // latencyOf is the latency that limits are learned from: to the first token,
