--- a/internal/routing/part_test.go
+++ b/internal/routing/part_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,6 +34,13 @@
 	assert.Equal(t, len(times), 4)
 }
 
+func TestPartIsTheSameWhateverTheOrderOfTheSnapshot(t *testing.T) {
+	candidates := whole(8)
+	slices.Reverse(candidates)
+	times := chosenOf(Request{Service: model, Part: Part{From: 0, To: 0.25}}, candidates)
+	assert.Equal(t, times["g0"]+times["g1"], 200)
+}
+
 func TestOtherGroupsAreUsedOnceThePartIsFarBehind(t *testing.T) {
 	candidates := whole(8)
 	for i := range 4 {
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,7 +30,8 @@
 // Picker chooses among candidates that passed all filters.
 type Picker interface {
 	// Pick returns an index into scored, which is never empty and stands in
-	// the order of the snapshot.
+	// the order of the snapshot, or of the groups' ids for a request with a
+	// part.
 	Pick(rng *rand.Rand, scored []Scored) int
 }
 
@@ -86,6 +88,9 @@
 	if len(scored) == 0 {
 		return d
 	}
+	if req.Part != (Part{}) {
+		sortByGroup(scored)
+	}
 	req.meanInFlight = meanInFlight(scored, req.Part)
 	for i := range scored {
 		if !req.Part.Holds(i, len(scored)) {
@@ -183,6 +188,15 @@
 	return others
 }
 
+// sortByGroup puts candidates in the order of their ids, so that all daemons
+// see the same part.
+func sortByGroup(scored []Scored) {
+	byGroup := func(a, b Scored) int { return strings.Compare(string(a.Candidate.Group), string(b.Candidate.Group)) }
+	if !slices.IsSortedFunc(scored, byGroup) {
+		slices.SortFunc(scored, byGroup)
+	}
+}
+
 // meanInFlight is the mean estimate of requests at a group of the part, zero
 // when the part has no group.
 func meanInFlight(scored []Scored, part Part) float64 {
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -70,8 +70,8 @@
 	meanInFlight float64
 }
 
-// Part is a part of the groups that passed the filters, in the order of the
-// snapshot: those from the fraction From to the fraction To of them, 0 to 1.
+// Part is a part of the groups that passed the filters, in the order of their
+// ids: those from the fraction From to the fraction To of them, 0 to 1.
 // The zero value is all of them.
 type Part struct {
 	From float64
