Refuse suspects from lower odds, after two deaths of different causes

Cause: odds from 0.5 to 20 meant "alone". In a fleet that flaps a second death gives such odds, and the group on which the request then ran alone was the third it killed. A threshold of 20 says that one refused caller costs twenty groups; by the stated costs a lost group costs 60 callers for the Council and 461 for the Trust.

--- a/internal/suspect/policy.go
+++ b/internal/suspect/policy.go
@@ -19,6 +19,17 @@
 	RunTime time.Duration
 }
 
+// causes counts the deaths that do not repeat an earlier one's cause.
+func (e Evidence) causes() int {
+	n := 0
+	for _, d := range e.Deaths {
+		if !d.Repeat {
+			n++
+		}
+	}
+	return n
+}
+
 // DeathEvidence is one death at which a fingerprint was in flight.
 type DeathEvidence struct {
 	// InFlight counts the distinct fingerprints there, this one included.
@@ -66,9 +77,14 @@
 	// Crash is the chance that such a request crashes a group that runs it,
 	// 0.9 when zero.
 	Crash float64
-	// ConvictAt and AloneAt are the odds from which a request is refused and
-	// from which it runs alone, 20 and 0.5 when zero.
+	// ConvictAt is the odds from which a request is refused: what one refused
+	// caller costs over what one lost group costs, 0.3 when zero. AloneAt is
+	// the odds from which it runs alone, a tenth of ConvictAt when zero.
 	ConvictAt, AloneAt float64
+	// MinDeaths is how many deaths that do not share a cause it takes to
+	// treat a request other than as usual, 2 when zero: of those in flight at
+	// one death all but one are innocent.
+	MinDeaths int
 	// Overall takes the hazard over all groups in place of that of the
 	// least affected ones.
 	Overall bool
@@ -77,8 +93,10 @@
 const (
 	defaultPrior     = 1e-5
 	defaultCrash     = 0.9
-	defaultConvictAt = 20
-	defaultAloneAt   = 0.5
+	defaultConvictAt = 0.3
+	defaultMinDeaths = 2
+	// aloneShare is AloneAt as a share of ConvictAt.
+	aloneShare = 0.1
 )
 
 func (o Odds) withDefaults() Odds {
@@ -92,7 +110,10 @@
 		o.ConvictAt = defaultConvictAt
 	}
 	if o.AloneAt == 0 {
-		o.AloneAt = defaultAloneAt
+		o.AloneAt = aloneShare * o.ConvictAt
+	}
+	if o.MinDeaths == 0 {
+		o.MinDeaths = defaultMinDeaths
 	}
 	return o
 }
@@ -111,6 +132,7 @@
 	odds *= math.Pow(1-o.Crash, float64(e.Survivals))
 	a := Assessment{Odds: odds}
 	switch {
+	case e.causes() < o.MinDeaths:
 	case odds >= o.ConvictAt:
 		a.Standing = Convicted
 	case odds >= o.AloneAt:
--- a/standin/experiment/suspects/scenario.go
+++ b/standin/experiment/suspects/scenario.go
@@ -65,13 +65,19 @@
 	Policy suspect.Policy
 }
 
-// Policies are those compared.
+// Policies are those compared: both baselines, the odds with a high threshold,
+// with either base rate, and by the odds from which they refuse.
 func Policies() []NamedPolicy {
 	return []NamedPolicy{
 		{"two-strikes", suspect.Strikes{Limit: 2}},
 		{"three-strikes", suspect.Strikes{Limit: 3}},
-		{"odds-overall", suspect.Odds{Overall: true}},
+		{"odds-20", suspect.Odds{ConvictAt: 20, AloneAt: 0.5, MinDeaths: 1}},
 		{"odds-least", suspect.Odds{}},
+		{"odds-overall", suspect.Odds{Overall: true}},
+		{"odds-1", suspect.Odds{ConvictAt: 1}},
+		{"odds-0.1", suspect.Odds{ConvictAt: 0.1}},
+		{"odds-0.01", suspect.Odds{ConvictAt: 0.01}},
+		{"odds-first-death", suspect.Odds{ConvictAt: 0.01, MinDeaths: 1}},
 	}
 }
 
--- a/standin/experiment/suspects/table.go
+++ b/standin/experiment/suspects/table.go
@@ -8,6 +8,9 @@
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/placement"
+	placementexp "carawayproxy.example/caraway/standin/experiment/placement"
 )
 
 // Row is one scenario under one policy, over all seeds.
@@ -26,6 +29,20 @@
 	return float64(r.Outcome.Crashed) / float64(r.Scenario.Crashers*r.Seeds)
 }
 
+// healthyAccelerators is what a dead group leaves idle: of four instances of
+// eight accelerators three are healthy.
+const healthyAccelerators = 24
+
+// Cost weighs the groups lost to crashing requests and the innocents refused,
+// in group-seconds of downtime. A lost group is down while it is repaired, and
+// its healthy accelerators are idle. A refused caller costs the group time
+// that would have served it.
+func (r Row) Cost(w placement.Weights) float64 {
+	group := repair.Seconds() * (w.Downtime + w.Stranded*healthyAccelerators)
+	caller := w.Downtime * float64(r.Scenario.Domains*r.Scenario.Groups) / r.Scenario.Rate
+	return group*float64(r.Outcome.Crashed) + caller*float64(r.Outcome.Refused+r.Outcome.NoIdle)
+}
+
 // Rows runs every scenario under every policy with seeds 1 to seeds.
 func Rows(seeds int) []Row {
 	var rows []Row
@@ -48,11 +65,12 @@
 // Table writes the comparison for people.
 func Table(w io.Writer, seeds int) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "scenario\tpolicy\tgroups lost per crashing request\tinnocents refused\tno idle group\tinnocents failed\tgroups lost\trequests\t")
+	fmt.Fprintln(t, "scenario\tpolicy\tgroups lost per crashing request\tinnocents refused\tno idle group\tinnocents failed\tgroups lost\trequests\tcost council\tcost trust\t")
 	for _, r := range Rows(seeds) {
 		o := r.Outcome
-		fmt.Fprintf(t, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t\n",
-			r.Scenario.Name, r.Policy, r.LostPerCrasher(), o.Refused, o.NoIdle, o.Failed, o.Lost, o.Requests)
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t\n",
+			r.Scenario.Name, r.Policy, r.LostPerCrasher(), o.Refused, o.NoIdle, o.Failed, o.Lost, o.Requests,
+			r.Cost(placementexp.Council), r.Cost(placementexp.Trust))
 	}
 	return errors.WithStack(t.Flush())
 }
