--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -281,6 +281,7 @@
 		paused, spare := r.engineOf(g.Members[1]), r.engineOf(g.Spares[0])
 		paused.kill()
 		r.await("promoted", 5*time.Second, func() bool { rep, _ := spare.state(); return rep.Assignment != nil })
+		time.Sleep(50 * time.Millisecond) // the others have their orders too
 		paused.resume()
 		r.await("whole again", rigLoad/2, isWhole(d, 1))
 		assert.DeepEqual(t, group.Compose(g, truth(r.engines)), g.Members)
