Share the main function of the stand-ins' commands

Ruled out: the same for experiment, whose command runs no stack and has another meaning of its exit codes.

Conclusion: no change of what is measured.

--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
@@ -48,17 +47,14 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		os.Exit(2)
-	}
-	if opt.Duration > time.Minute {
-		fmt.Fprintln(os.Stderr, "--duration: want 60s at most")
-		os.Exit(2)
-	}
-	if err := run(opt); err != nil {
-		fmt.Fprintln(os.Stderr, "bench failed:", err)
-		os.Exit(1)
+	stack.Main("bench", &opt, opt.check, func() error { return run(opt) })
+}
+
+func (o *options) check() error {
+	if o.Duration > time.Minute {
+		return errors.Errorf("--duration: %s is not allowed, want 60s at most", o.Duration)
 	}
+	return nil
 }
 
 func run(opt options) error {
--- a/standin/bench/spent.go
+++ b/standin/bench/spent.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"carawayproxy.example/caraway/standin/proc"
 	"carawayproxy.example/caraway/standin/stack"
+	"carawayproxy.example/caraway/standin/usage"
 )
 
 // clockTick is the kernel's unit of processor time.
@@ -27,11 +27,11 @@
 func spentSoFar(s *stack.Stack, d *stack.Daemon) (spent, error) {
 	var out spent
 	var err error
-	if out.daemon, err = proc.CPUTime(d.Process); err != nil {
+	if out.daemon, err = usage.CPUTime(d.Process); err != nil {
 		return out, err
 	}
 	for _, e := range s.Engines {
-		used, err := proc.CPUTime(e.Process)
+		used, err := usage.CPUTime(e.Process)
 		if err != nil {
 			return out, err
 		}
--- a/standin/bench/turns.go
+++ b/standin/bench/turns.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"carawayproxy.example/caraway/standin/proc"
 	"carawayproxy.example/caraway/standin/stack"
+	"carawayproxy.example/caraway/standin/usage"
 )
 
 // Names of the daemons.
@@ -92,7 +92,7 @@
 func takeTurn(s *stack.Stack, d *stack.Daemon, opt options) (*turn, error) {
 	t := &turn{name: d.Name}
 	var err error
-	if t.idle, err = proc.Memory(d.Process); err != nil {
+	if t.idle, err = usage.Memory(d.Process); err != nil {
 		return nil, err
 	}
 	before, err := spentSoFar(s, d)
@@ -106,7 +106,7 @@
 		}
 		defer stop()
 	}
-	late := time.AfterFunc(opt.Duration*9/10, func() { t.loaded, _ = proc.Memory(d.Process) })
+	late := time.AfterFunc(opt.Duration*9/10, func() { t.loaded, _ = usage.Memory(d.Process) })
 	t.result = drive(opt, daemonCalls(d, opt.Clients))
 	late.Stop()
 	after, err := spentSoFar(s, d)
@@ -117,7 +117,7 @@
 // profile begins the processor profiles that the options ask for.
 func profile(d *stack.Daemon, opt options) (stop func(), err error) {
 	if opt.Profile != "" {
-		go func() { _ = proc.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
+		go func() { _ = usage.Profile(d.Admin, opt.Profile, opt.Duration/2) }()
 	}
 	if opt.Callers == "" {
 		return func() {}, nil
--- a/standin/control/main.go
+++ b/standin/control/main.go
@@ -12,12 +12,11 @@
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/standin/platform"
-	"carawayproxy.example/caraway/standin/proc"
 	"carawayproxy.example/caraway/standin/stack"
+	"carawayproxy.example/caraway/standin/usage"
 )
 
 const (
@@ -34,17 +33,14 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		os.Exit(2)
-	}
-	if opt.Duration > time.Minute {
-		fmt.Fprintln(os.Stderr, "--duration: want 60s at most")
-		os.Exit(2)
-	}
-	if err := run(opt); err != nil {
-		fmt.Fprintln(os.Stderr, "control failed:", err)
-		os.Exit(1)
+	stack.Main("control", &opt, opt.check, func() error { return run(opt) })
+}
+
+func (o *options) check() error {
+	if o.Duration > time.Minute {
+		return errors.Errorf("--duration: %s is not allowed, want 60s at most", o.Duration)
 	}
+	return nil
 }
 
 func run(opt options) error {
@@ -108,7 +104,7 @@
 		return err
 	}
 	if opt.Profile != "" {
-		go func() { _ = proc.Profile(s.Daemons[0].Admin, opt.Profile, d/2) }()
+		go func() { _ = usage.Profile(s.Daemons[0].Admin, opt.Profile, d/2) }()
 	}
 	time.Sleep(d)
 	after, err := count(s)
@@ -117,7 +113,7 @@
 	}
 	var memory uint64
 	for _, x := range s.Daemons {
-		m, err := proc.Memory(x.Process)
+		m, err := usage.Memory(x.Process)
 		if err != nil {
 			return err
 		}
@@ -172,7 +168,7 @@
 func count(s *stack.Stack) (counts, error) {
 	var c counts
 	for _, x := range s.Daemons {
-		cpu, err := proc.CPUTime(x.Process)
+		cpu, err := usage.CPUTime(x.Process)
 		if err != nil {
 			return c, err
 		}
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -18,7 +18,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
@@ -52,17 +51,14 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
-		os.Exit(2)
-	}
-	if opt.Target < 1 || opt.Target > daemonCount {
-		fmt.Fprintf(os.Stderr, "--target: %d is not allowed, want 1 to %d\n", opt.Target, daemonCount)
-		os.Exit(2)
-	}
-	if err := run(opt); err != nil {
-		fmt.Fprintln(os.Stderr, "demo failed:", err)
-		os.Exit(1)
+	stack.Main("demo", &opt, opt.check, func() error { return run(opt) })
+}
+
+func (o *options) check() error {
+	if o.Target < 1 || o.Target > daemonCount {
+		return errors.Errorf("--target: %d is not allowed, want 1 to %d", o.Target, daemonCount)
 	}
+	return nil
 }
 
 func run(opt options) error {
--- a/standin/proc/profile.go
+++ b/standin/usage/profile.go
@@ -1,4 +1,4 @@
-package proc
+package usage
 
 import (
 	"fmt"
--- a/standin/proc/proc.go
+++ b/standin/usage/usage.go
@@ -1,6 +1,6 @@
-// Package proc reads what the operating system counts of a process of the
+// Package usage reads what the operating system counts of a process of the
 // stack.
-package proc
+package usage
 
 import (
 	"fmt"
