Let the users choose what a flood may use; describe service files

And no page said what a service file may hold: a reader had the two examples and the errors.

Ruled out: a field of the service file for the choice, which needs a newer syntax that older daemons stop at, for what a whole deployment decides; making the page from tags in the code, which says everything twice there.

Before: with a row taken out and a default changed, TestServicesPage names limits.retry_ratio and limits.max_attempts.

--- a/cmd/carawayd/docs_test.go
+++ b/cmd/carawayd/docs_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/golden"
 
 	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/service"
 	"carawayproxy.example/caraway/internal/settings"
 )
 
@@ -46,6 +47,54 @@
 	samePage(t, "../../docs/SETTINGS.md", b.String())
 }
 
+var serviceField = regexp.MustCompile("(?m)^\\| `([a-z_.\\[\\]]+)` \\| `?([^|`]+)`? \\|")
+
+// TestServicesPage holds the fields and defaults on docs/SERVICES.md to those
+// of a service file, both ways.
+func TestServicesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SERVICES.md")
+	assert.NilError(t, err)
+	listed := map[string]string{}
+	for _, m := range serviceField.FindAllStringSubmatch(string(page), -1) {
+		listed[m[1]] = m[2]
+	}
+	engine, err := service.Parse("engine", []byte("{service: s, kind: engine, model: m, versions: [{name: v}], workspaces: [{name: w}]}"))
+	assert.NilError(t, err)
+	plain, err := service.Parse("plain", []byte("{service: s, kind: plain, methods: [{name: m}], workspaces: [{name: w}]}"))
+	assert.NilError(t, err)
+	plain.Versions, plain.Replicas = engine.Versions, engine.Replicas
+	fields := map[string]reflect.Value{}
+	serviceFields("", reflect.ValueOf(*plain), fields)
+	for path, value := range fields {
+		def, ok := listed[path]
+		assert.Check(t, ok, "%s is a field and not on the page", path)
+		if def != "required" && def != "none" {
+			assert.Check(t, def == fmt.Sprint(value), "%s: default is %v, on the page %s", path, value, def)
+		}
+		delete(listed, path)
+	}
+	assert.Equal(t, len(listed), 0, "on the page and no fields: %v", listed)
+}
+
+// serviceFields collects the fields of a spec by their paths. Structs are no
+// fields themselves; of a list the first item stands for all.
+func serviceFields(path string, v reflect.Value, into map[string]reflect.Value) {
+	if v.Kind() == reflect.Struct {
+		for i := range v.NumField() {
+			name := v.Type().Field(i).Tag.Get("yaml")
+			if path != "" {
+				name = path + "." + name
+			}
+			serviceFields(name, v.Field(i), into)
+		}
+		return
+	}
+	into[path] = v
+	if v.Kind() == reflect.Slice && v.Len() > 0 && v.Index(0).Kind() == reflect.Struct {
+		serviceFields(path+"[]", v.Index(0), into)
+	}
+}
+
 func samePage(t *testing.T, path, want string) {
 	t.Helper()
 	if golden.FlagUpdate() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -258,7 +258,10 @@
 		Metrics:  d.metrics,
 		Groups:   d.groupsByFabric,
 	})
-	d.admission = admission.NewController(admission.Config{Seed: d.random(admissionStream).Uint64()})
+	d.admission = admission.NewController(admission.Config{
+		Seed:      d.random(admissionStream).Uint64(),
+		AllGroups: d.set.WhenFlooded == settings.FloodedAll,
+	})
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self:      d.id,
 		Zone:      fleet.Zone(d.set.Zone),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,7 @@
 	PeersAdvertise   string        `long:"peers-advertise" env:"CARAWAY_PEERS_ADVERTISE" description:"ip:port other daemons dial; the peers listener's address when empty"`
 	PeerLinks        string        `long:"peer-links" env:"CARAWAY_PEER_LINKS" description:"which daemons this one links to: full (all, up to 14 daemons) or bounded (a few, the same at every daemon)" default:"full"`
 	WhenCutOff       string        `long:"when-cut-off" env:"CARAWAY_WHEN_CUT_OFF" description:"what a daemon does that has lost the log and most of its peers: refuse, or serve what needs no log by the configuration that it knows, which may be old" default:"refuse"`
+	WhenFlooded      string        `long:"when-flooded" env:"CARAWAY_WHEN_FLOODED" description:"groups that a workspace gets which floods a service: part, its share of them while the others keep to the rest, or all, which uses idle groups at the cost of the others' latency; the same at every daemon" default:"part"`
 	Platform         string        `long:"platform" env:"CARAWAY_PLATFORM" description:"ip:port of the platform's services"`
 	LedgerShards     int           `long:"ledger-shards" env:"CARAWAY_LEDGER_SHARDS" description:"ledger streams, 1 to 64, the same at every daemon" default:"4"`
 	PlacementScopes  int           `long:"placement-scopes" env:"CARAWAY_PLACEMENT_SCOPES" description:"lease scopes of placement, 1 to 64, the same at every daemon" default:"8"`
@@ -51,6 +52,12 @@
 	CutOffServe  = "serve"
 )
 
+// Values of WhenFlooded.
+const (
+	FloodedPart = "part"
+	FloodedAll  = "all"
+)
+
 // Mistakes are all that is wrong with the settings.
 type Mistakes []error
 
@@ -100,6 +107,7 @@
 	check(s.PeersAdvertise == "" || isAddress(s.PeersAdvertise), "peers-advertise", "ip:port", strconv.Quote(s.PeersAdvertise))
 	check(s.PeerLinks == "full" || s.PeerLinks == "bounded", "peer-links", "full or bounded", strconv.Quote(s.PeerLinks))
 	check(s.WhenCutOff == CutOffRefuse || s.WhenCutOff == CutOffServe, "when-cut-off", "refuse or serve", strconv.Quote(s.WhenCutOff))
+	check(s.WhenFlooded == FloodedPart || s.WhenFlooded == FloodedAll, "when-flooded", "part or all", strconv.Quote(s.WhenFlooded))
 	check(isAddress(s.Platform), "platform", "ip:port", strconv.Quote(s.Platform))
 	check(within(s.LedgerShards, 1, 64), "ledger-shards", "1 to 64", s.LedgerShards)
 	check(within(s.PlacementScopes, 1, 64), "placement-scopes", "1 to 64", s.PlacementScopes)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,7 @@
 		"host name":     {args: []string{"--availability-zone=a", "--platform=db:9"}, want: "--platform"},
 		"half of TLS":   {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--tls-key=k"}, want: "--tls-key"},
 		"cut off":       {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--when-cut-off=guess"}, want: "refuse or serve"},
+		"flooded":       {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--when-flooded=none"}, want: "part or all"},
 		"clients' CA":   {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "--admin-client-ca=ca"}, want: "--admin-client-ca"},
 		"stray word":    {args: []string{"--availability-zone=a", "--platform=127.0.0.1:9", "serve"}, want: "serve"},
 		"not a number":  {args: []string{"--ledger-shards=many"}, want: "ledger-shards"},
