--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -49,10 +49,13 @@
 	return d.serves()
 }
 
-// serves reports whether the daemon may serve requests by what it knows. With
-// CutOffServe one peer suffices for that.
-func (d *Daemon) serves() (bool, string) {
-	return d.readiness(membership.ReadinessPolicy{AnyPeer: d.set.WhenCutOff == settings.CutOffServe})
+// serves reports whether the daemon may serve requests by what it knows.
+func (d *Daemon) serves() (bool, string) { return d.readiness(d.callersPolicy()) }
+
+// callersPolicy is the readiness for callers. With CutOffServe one peer
+// suffices for that.
+func (d *Daemon) callersPolicy() membership.ReadinessPolicy {
+	return membership.ReadinessPolicy{AnyPeer: d.set.WhenCutOff == settings.CutOffServe}
 }
 
 // informed reports whether the daemon knows enough of the present to act for
