membership: see the guards on reports of peers fail, and test two more

Cause: TestReportsThatAreNotUsed and TestOlderReleasePassesOverReports had passed without being seen to fail. The bounds on how many reports and loads one heartbeat may have could go without a test failing: two cases more, which fail without them.

--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -91,6 +91,14 @@
 	now := time.Now()
 	_, got := x.tell(t, now, time.Time{}, sampleReport())
 	assert.Equal(t, len(got), 0, "no bound in time")
+	states := make([]wireReport, maxReports+1)
+	loads := make([]wireLoad, maxReports+1)
+	for number := range x.heard {
+		for i := range states {
+			states[i].Instance = number
+			loads[i].Instance = number
+		}
+	}
 	for name, b := range map[string]beatMessage{
 		"no age":          {Asked: []uint64{0}},
 		"never told":      {Asked: []uint64{7, 1}},
@@ -98,6 +106,8 @@
 		"load never told": {Loads: []wireLoad{{Instance: 7}}},
 		"no name":         {Reports: []wireReport{{Instance: 7}}},
 		"too many":        {Asked: make([]uint64, 2*maxReports+2)},
+		"too many states": {Reports: states},
+		"too many loads":  {Loads: loads},
 	} {
 		_, err := x.in.unpackReports(&b, now, x.heard)
 		assert.Assert(t, err != nil, name)
