datastore: look again at whole groups every half second, and after a doubt

Most groups are whole and stay so. Now a group found whole stands in views for 500 ms, one that is not is looked at for each view as before, and an attempt whose group does not stand at the recheck makes the next view look at every group, so that where a fabric domain went dark the eight rechecks of an attempt do not meet one silent group after the other. The recheck before sending is as before of the present.

Ruled out: counters of changes at each source of what a view rests on (reports, the platform's list, peers' words, reachability): four more ports for a tenth of what is left.

Found with it: the recheck asked for the record, wholeness and leaving, not whether the instance chosen still led the group. Between a view and the recheck a spare can take rank zero.

Shown failing: "led by a spare" without the question; TestOneFailedRecheckRenews- TheView without the doubt; TestGroupThatIsNotWholeIsLookedAtSoon when such are kept as well; TestWholeGroupsAreSeldomLookedAt as it was before (200 looks in 10 s, at most 21 asked).

--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -5,7 +5,6 @@
 package datastore
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -50,7 +49,7 @@
 	randMu sync.Mutex
 
 	viewMu sync.Mutex
-	views  map[fleet.ServiceName]view
+	views  map[fleet.ServiceName]*view
 }
 
 type shard struct {
@@ -78,7 +77,7 @@
 	if cfg.Unreached == nil {
 		cfg.Unreached = func(fleet.InstanceID) bool { return false }
 	}
-	s := &Store{cfg: cfg, views: map[fleet.ServiceName]view{}}
+	s := &Store{cfg: cfg, views: map[fleet.ServiceName]*view{}}
 	for i := range s.shards {
 		s.shards[i].loads = map[fleet.GroupID]*load{}
 	}
@@ -153,7 +152,7 @@
 
 // Candidates returns the groups of a service in the order of their names, so
 // that a part of them is the same for each request. Who belongs to a group and
-// whether it is whole may be viewFor old; Recheck tells what holds now. The
+// whether it is whole may be wholeFor old; Recheck tells what holds now. The
 // load is of now.
 func (s *Store) Candidates(name fleet.ServiceName, now time.Time) []routing.Candidate {
 	candidates := slices.Clone(s.view(name, now))
@@ -163,128 +162,6 @@
 	return candidates
 }
 
-// viewFor is how long a service's view is used again. Finding out whether a
-// group of 16 is whole takes about as long as routing over five groups.
-const viewFor = 50 * time.Millisecond
-
-// view is the groups of a service without their loads. It is not changed.
-type view struct {
-	at         time.Time
-	candidates []routing.Candidate
-}
-
-func (s *Store) view(name fleet.ServiceName, now time.Time) []routing.Candidate {
-	s.viewMu.Lock()
-	defer s.viewMu.Unlock()
-	if v, ok := s.views[name]; ok && now.Sub(v.at) < viewFor {
-		return v.candidates
-	}
-	v := view{at: now, candidates: s.look(name, now)}
-	slices.SortFunc(v.candidates, func(a, b routing.Candidate) int { return cmp.Compare(a.Group, b.Group) })
-	if v.candidates == nil {
-		delete(s.views, name)
-	} else {
-		s.views[name] = v
-	}
-	return v.candidates
-}
-
-// look makes the view of a service anew.
-func (s *Store) look(name fleet.ServiceName, now time.Time) []routing.Candidate {
-	pub := s.cfg.Catalog().Services[name]
-	if pub == nil {
-		return nil
-	}
-	if pub.Spec.Kind == fleet.KindPlain {
-		return s.plainCandidates(pub, now)
-	}
-	var out []routing.Candidate
-	for _, g := range s.cfg.Groups().Groups {
-		if g.Service == name {
-			out = append(out, s.groupCandidate(g, now))
-		}
-	}
-	return out
-}
-
-// unreached is why a group is not used whose leader answers other daemons only.
-const unreached = "does not answer this daemon"
-
-func (s *Store) groupCandidate(g *group.Group, now time.Time) routing.Candidate {
-	w := group.Whole(g, s.cfg.Reports, now, Freshness)
-	members := group.Compose(g, s.cfg.Reports)
-	leader := members[0]
-	if w.Whole && s.cfg.Unreached(leader.Instance) {
-		w = group.Wholeness{Reason: string(leader.Instance) + " " + unreached}
-	}
-	return routing.Candidate{
-		Group:       g.ID,
-		Epoch:       g.Epoch,
-		Service:     g.Service,
-		Leader:      leader.Instance,
-		Address:     leader.Address,
-		Zone:        leader.Zone,
-		Fabric:      g.Fabric,
-		Version:     g.Version,
-		Adapters:    g.Adapters,
-		Role:        g.Role,
-		Whole:       w.Whole,
-		WholeReason: w.Reason,
-		Draining:    g.Phase == group.PhaseDraining,
-		Leaving:     s.anyLeaving(members),
-	}
-}
-
-func (s *Store) anyLeaving(members []group.Member) bool {
-	for _, m := range members {
-		if s.cfg.Leaving(m.Instance) {
-			return true
-		}
-	}
-	return false
-}
-
-// plainCandidates makes a group of one of each instance of a plain service.
-func (s *Store) plainCandidates(pub *service.Published, now time.Time) []routing.Candidate {
-	var out []routing.Candidate
-	for _, i := range s.cfg.Instances() {
-		if i.Kind != fleet.KindPlain || i.Pool != pub.Spec.Pool {
-			continue
-		}
-		c := routing.Candidate{
-			Group:   PlainGroup(i.ID),
-			Service: pub.Spec.Service,
-			Leader:  i.ID,
-			Address: i.Address,
-			Zone:    i.Zone,
-			Fabric:  i.Fabric,
-			Leaving: s.cfg.Leaving(i.ID),
-		}
-		c.Whole, c.WholeReason = s.plainWhole(i.ID, now)
-		out = append(out, c)
-	}
-	return out
-}
-
-// PlainGroup is the id of the group of one that a plain instance makes.
-func PlainGroup(id fleet.InstanceID) fleet.GroupID { return fleet.GroupID("plain/" + string(id)) }
-
-func (s *Store) plainWhole(id fleet.InstanceID, now time.Time) (bool, string) {
-	r, ok := s.cfg.Reports.Report(id)
-	switch {
-	case !ok || r.Failed:
-		return false, "does not answer"
-	case s.cfg.Unreached(id):
-		return false, unreached
-	case now.Sub(r.ReceivedAt) > Freshness:
-		return false, "report is old"
-	case !r.Ready:
-		return false, "not ready"
-	default:
-		return true, ""
-	}
-}
-
 // fillLoad adds the leader's reported load and the dispatches since.
 func (s *Store) fillLoad(c *routing.Candidate, now time.Time) {
 	r, _ := s.cfg.Reports.Report(c.Leader)
@@ -311,11 +188,21 @@
 }
 
 // Recheck reports whether a chosen group still may be used: its record still
-// has that epoch, it is whole by fresh reports, and it is not on its way out.
+// has that epoch, the same instance leads it, it is whole by fresh reports, and
+// it is not on its way out. When it may not, the next choice among the groups
+// of its service rests on none that was looked at before.
 func (s *Store) Recheck(c routing.Candidate) bool {
-	now := time.Now()
+	ok := s.stands(c, time.Now())
+	if !ok {
+		s.doubt(c.Service)
+	}
+	return ok
+}
+
+func (s *Store) stands(c routing.Candidate, now time.Time) bool {
 	if g, ok := s.cfg.Groups().Groups[c.Group]; ok {
-		return g.Epoch == c.Epoch && g.Phase == group.PhaseActive && !s.anyLeaving(group.Compose(g, s.cfg.Reports)) &&
+		members := group.Compose(g, s.cfg.Reports)
+		return g.Epoch == c.Epoch && g.Phase == group.PhaseActive && members[0].Instance == c.Leader && !s.anyLeaving(members) &&
 			!s.cfg.Unreached(c.Leader) && group.Whole(g, s.cfg.Reports, now, Freshness).Whole
 	}
 	if c.Group != PlainGroup(c.Leader) {
--- a/internal/datastore/store_test.go
+++ b/internal/datastore/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,11 +15,15 @@
 	"carawayproxy.example/caraway/internal/service"
 )
 
-// reports is a fixed set of reports.
-type reports map[fleet.InstanceID]fleet.Report
+// reports is a fixed set of reports that counts how often each is read.
+type reports struct {
+	of   map[fleet.InstanceID]fleet.Report
+	read map[fleet.InstanceID]int
+}
 
 func (r reports) Report(id fleet.InstanceID) (fleet.Report, bool) {
-	x, ok := r[id]
+	r.read[id]++
+	x, ok := r.of[id]
 	return x, ok
 }
 
@@ -36,7 +41,7 @@
 func newWorld(groups, size int) *world {
 	w := &world{
 		groups:  &group.View{Groups: map[fleet.GroupID]*group.Group{}},
-		reports: reports{},
+		reports: reports{map[fleet.InstanceID]fleet.Report{}, map[fleet.InstanceID]int{}},
 		leaving: map[fleet.InstanceID]bool{},
 
 		unreached: map[fleet.InstanceID]bool{},
@@ -50,7 +55,7 @@
 		w.groups.Groups[g.ID] = g
 		for rank, m := range g.Members {
 			a := group.AssignmentOf(g, g.Members, fleet.Rank(rank))
-			w.reports[m.Instance] = fleet.Report{Instance: m.Instance, Assignment: &a, Ready: true, MaxRunning: 16, ReceivedAt: time.Now(), Incarnation: 1}
+			w.reports.of[m.Instance] = fleet.Report{Instance: m.Instance, Assignment: &a, Ready: true, MaxRunning: 16, ReceivedAt: time.Now(), Incarnation: 1}
 		}
 	}
 	spec := &service.Published{Spec: service.Spec{Service: "s", Kind: fleet.KindEngine}}
@@ -71,9 +76,9 @@
 }
 
 func (w *world) change(id fleet.InstanceID, change func(*fleet.Report)) {
-	r := w.reports[id]
+	r := w.reports.of[id]
 	change(&r)
-	w.reports[id] = r
+	w.reports.of[id] = r
 }
 
 // TestRecheckSeesWhatTheViewDoesNot: a view may be a moment old; the gate
@@ -84,6 +89,18 @@
 		"report old": func(w *world) {
 			w.change("g0-1", func(r *fleet.Report) { r.ReceivedAt = r.ReceivedAt.Add(-3 * time.Second) })
 		},
+		"led by a spare": func(w *world) {
+			g := *w.groups.Groups["g0"]
+			spare := group.Member{Instance: "spare", Address: "spare"}
+			g.Spares = []group.Member{spare}
+			w.groups = &group.View{Groups: map[fleet.GroupID]*group.Group{"g0": &g}}
+			w.reports.of["spare"] = fleet.Report{Instance: "spare", Ready: true, ReceivedAt: time.Now(), Incarnation: 1}
+			now := []group.Member{spare, g.Members[1]}
+			for rank, m := range now {
+				a := group.AssignmentOf(&g, now, fleet.Rank(rank))
+				w.change(m.Instance, func(r *fleet.Report) { r.Assignment = &a })
+			}
+		},
 		"leader cut off":   func(w *world) { w.unreached["g0-0"] = true },
 		"member not ready": func(w *world) { w.change("g0-0", func(r *fleet.Report) { r.Ready = false }) },
 		"member leaving":   func(w *world) { w.leaving["g0-1"] = true },
@@ -110,6 +127,55 @@
 	}
 }
 
+// TestOneFailedRecheckRenewsTheView: where many groups went silent together,
+// the next choice is not another of them.
+func TestOneFailedRecheckRenewsTheView(t *testing.T) {
+	w := newWorld(20, 2)
+	now := time.Now()
+	assert.Equal(t, len(w.store.Candidates("s", now)), 20)
+	for n := range 19 {
+		w.change(fleet.InstanceID(fmt.Sprintf("g%d-1", n)), func(r *fleet.Report) { r.Failed = true })
+	}
+	now = now.Add(viewFor)
+	candidates := w.store.Candidates("s", now)
+	assert.Assert(t, candidates[0].Whole, "looked at again early")
+	assert.Assert(t, !w.store.Recheck(candidates[0]))
+	var whole []fleet.GroupID
+	for _, c := range w.store.Candidates("s", now) {
+		if c.Whole {
+			whole = append(whole, c.Group)
+		}
+	}
+	assert.DeepEqual(t, whole, []fleet.GroupID{"g19"})
+}
+
+// TestGroupThatIsNotWholeIsLookedAtSoon: only what was whole stands for long.
+func TestGroupThatIsNotWholeIsLookedAtSoon(t *testing.T) {
+	w := newWorld(1, 2)
+	now := time.Now()
+	w.change("g0-1", func(r *fleet.Report) { r.Ready = false })
+	assert.Assert(t, !w.store.Candidates("s", now)[0].Whole)
+	w.change("g0-1", func(r *fleet.Report) { r.Ready = true })
+	assert.Assert(t, w.store.Candidates("s", now.Add(viewFor))[0].Whole)
+}
+
+func TestWholeGroupsAreSeldomLookedAt(t *testing.T) {
+	w := newWorld(20, 16)
+	now := time.Now()
+	const length = 10 * time.Second
+	for at := time.Duration(0); at < length; at += viewFor / 2 {
+		for id := range w.reports.of {
+			w.change(id, func(r *fleet.Report) { r.ReceivedAt = now.Add(at) })
+		}
+		w.store.Candidates("s", now.Add(at))
+	}
+	for id, n := range w.reports.read {
+		if !strings.HasSuffix(string(id), "-0") { // leaders' loads are read each time
+			assert.Assert(t, n <= int(length/wholeFor)+1, "%s: %d", id, n)
+		}
+	}
+}
+
 func TestCandidatesStandInTheOrderOfTheirNames(t *testing.T) {
 	candidates := newWorld(9, 1).store.Candidates("s", time.Now())
 	assert.Equal(t, len(candidates), 9)
@@ -190,3 +256,26 @@
 		}
 	}
 }
+
+// BenchmarkSteady is one of 47 decisions a second at 225 groups of 16: with
+// every group looked at for each view, and with those found whole kept.
+func BenchmarkSteady(b *testing.B) {
+	const interval = time.Second / 47
+	for _, keep := range []bool{false, true} {
+		b.Run(fmt.Sprintf("keep=%t", keep), func(b *testing.B) {
+			w := newWorld(225, 16)
+			now := time.Now()
+			for id := range w.reports.of {
+				w.change(id, func(r *fleet.Report) { r.ReceivedAt = now.Add(time.Hour) })
+			}
+			for b.Loop() {
+				now = now.Add(interval)
+				if v := w.store.views["s"]; v != nil && !keep {
+					clear(v.looks)
+				}
+				candidates := w.store.Candidates("s", now)
+				w.store.cfg.Policy.Choose(routing.Request{Service: "s", Version: "v", MaxTokens: 100}, candidates, w.store.cfg.Rand)
+			}
+		})
+	}
+}
