experiment: CSV, plot and filters for every suite

The table of the serving suites is a package (standin/experiment/table) that all suites fill; the curve of placement is a table over the weights.

--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -14,6 +14,7 @@
 	placementexp "carawayproxy.example/caraway/standin/experiment/placement"
 	"carawayproxy.example/caraway/standin/experiment/serving"
 	"carawayproxy.example/caraway/standin/experiment/suspects"
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // options are the command's flags.
@@ -22,7 +23,7 @@
 	Seeds    int    `long:"seeds" env:"CARAWAY_EXPERIMENT_SEEDS" default:"0" description:"runs of each case, with the seeds 1 and up; 0 makes as many as the suite's table in docs/design/ is of"`
 	Scenario string `long:"scenario" env:"CARAWAY_EXPERIMENT_SCENARIO" description:"only the cases whose name contains this"`
 	Policy   string `long:"policy" env:"CARAWAY_EXPERIMENT_POLICY" description:"only the policies whose name contains this"`
-	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table of the first five suites; none are written without it"`
+	Out      string `long:"out" env:"CARAWAY_EXPERIMENT_OUT" description:"directory for a CSV file and a plot of each table; none are written without it"`
 }
 
 // Runs of each case in the tables of the design notes.
@@ -34,38 +35,38 @@
 	suspectSeeds = 16
 )
 
-// suite makes one table.
+// suite makes tables.
 type suite struct {
-	name  string
-	seeds int // of its table in the design notes
-	write func(o options, w io.Writer) error
+	name   string
+	seeds  int // of its tables in the design notes
+	tables func(o options) []*table.Table
 }
 
 func suites() []suite {
 	return []suite{
-		{"routing", customarySeeds, tabled(routing)},
-		{"admission", customarySeeds, tabled(admission)},
-		{"flood", customarySeeds, tabled(flood)},
-		{"delay", customarySeeds, tabled(delay)},
-		{"retries", customarySeeds, tabled(retries)},
+		{"routing", customarySeeds, routing},
+		{"admission", customarySeeds, admission},
+		{"flood", customarySeeds, flood},
+		{"delay", customarySeeds, delay},
+		{"retries", customarySeeds, retries},
 		{"placement", customarySeeds, placement},
 		{"promotion", promotionSeeds, promotion},
 		{"suspects", suspectSeeds, suspected},
 	}
 }
 
-// tabled writes a table of the serving suites, and its files.
-func tabled(table func(o options) *serving.Table) func(o options, w io.Writer) error {
-	return func(o options, w io.Writer) error {
-		t := table(o)
-		if err := t.WriteText(w); err != nil {
-			return err
-		}
-		if o.Out == "" || len(t.Rows) == 0 {
-			return nil
-		}
-		return t.Save(o.Out)
+// write writes a table, and its files when they are asked for.
+func (o options) write(t *table.Table, w io.Writer) error {
+	if err := t.WriteText(w); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return errors.WithStack(err)
 	}
+	if o.Out == "" || len(t.Rows) == 0 {
+		return nil
+	}
+	return t.Save(o.Out)
 }
 
 // with returns the options with the suite's own seeds where they name none.
@@ -101,11 +102,10 @@
 			continue
 		}
 		found = true
-		if err := s.write(s.with(o), w); err != nil {
-			return errors.Wrap(err, s.name)
-		}
-		if _, err := fmt.Fprintln(w); err != nil {
-			return errors.Wrap(err, s.name)
+		for _, t := range s.tables(s.with(o)) {
+			if err := o.write(t, w); err != nil {
+				return errors.Wrap(err, s.name)
+			}
 		}
 	}
 	if !found {
@@ -114,38 +114,51 @@
 	return nil
 }
 
-func routing(o options) *serving.Table {
+func routing(o options) []*table.Table {
 	cases := only(serving.RoutingCases(), o.Scenario, func(c serving.RoutingCase) string { return c.Name })
 	policies := only(serving.Policies(), o.Policy, func(p serving.NamedPolicy) string { return p.Name })
-	return serving.RoutingTable(cases, policies, o.Seeds)
+	return []*table.Table{serving.RoutingTable(cases, policies, o.Seeds)}
 }
 
-func admission(o options) *serving.Table {
+func admission(o options) []*table.Table {
 	loads := only([]float64{1, 2, 5}, o.Scenario, func(l float64) string { return fmt.Sprintf("%gx", l) })
-	return serving.AdmissionTable(limits(o), loads, o.Seeds)
+	return []*table.Table{serving.AdmissionTable(limits(o), loads, o.Seeds)}
 }
 
-func flood(o options) *serving.Table {
+func flood(o options) []*table.Table {
 	loads := only([]float64{0.7, 1}, o.Scenario, func(l float64) string { return fmt.Sprint(l) })
-	return serving.FloodTable(limits(o), loads, o.Seeds)
+	return []*table.Table{serving.FloodTable(limits(o), loads, o.Seeds)}
 }
 
-func delay(o options) *serving.Table {
+func delay(o options) []*table.Table {
 	loads := only([]float64{0.7, 1}, o.Scenario, func(l float64) string { return fmt.Sprint(l) })
-	return serving.DelayTable(limits(o), loads, o.Seeds)
+	return []*table.Table{serving.DelayTable(limits(o), loads, o.Seeds)}
 }
 
-func retries(o options) *serving.Table {
+func retries(o options) []*table.Table {
 	cases := only(serving.RetryCases(), o.Scenario, func(c serving.RetryCase) string { return c.Name })
 	variants := only(serving.RetryVariants(), o.Policy, func(v serving.NamedRetries) string { return v.Name })
-	return serving.RetriesTable(cases, variants, o.Seeds)
+	return []*table.Table{serving.RetriesTable(cases, variants, o.Seeds)}
 }
 
-func placement(o options, w io.Writer) error { return placementexp.Table(w, o.Seeds) }
+func placement(o options) []*table.Table {
+	scenarios := only(placementexp.Scenarios(), o.Scenario, func(s placementexp.Scenario) string { return s.Name })
+	return placementexp.Tables(scenarios, placers(o), o.Seeds)
+}
 
-func promotion(o options, w io.Writer) error { return placementexp.PromotionTable(w, o.Seeds) }
+func promotion(o options) []*table.Table {
+	return []*table.Table{placementexp.PromotionTable(placers(o), o.Seeds)}
+}
 
-func suspected(o options, w io.Writer) error { return suspects.Table(w, o.Seeds) }
+func suspected(o options) []*table.Table {
+	scenarios := only(suspects.Scenarios(), o.Scenario, func(s suspects.Scenario) string { return s.Name })
+	policies := only(suspects.Policies(), o.Policy, func(p suspects.NamedPolicy) string { return p.Name })
+	return []*table.Table{suspects.Table(scenarios, policies, o.Seeds)}
+}
+
+func placers(o options) []placementexp.NamedPolicy {
+	return only(placementexp.Policies(), o.Policy, func(p placementexp.NamedPolicy) string { return p.Name })
+}
 
 func limits(o options) []serving.NamedLimit {
 	return only(serving.Limits(), o.Policy, func(l serving.NamedLimit) string { return l.Name })
--- a/standin/experiment/placement/experiment_test.go
+++ b/standin/experiment/placement/experiment_test.go
@@ -1,9 +1,6 @@
 package placementexp
 
 import (
-	"bytes"
-	"encoding/csv"
-	"io"
 	"testing"
 	"time"
 
@@ -102,16 +99,18 @@
 	assert.Equal(t, Run(7, s, p.Name, p.Policy), Run(7, s, p.Name, p.Policy))
 }
 
-func TestCSVHasALineForEachResult(t *testing.T) {
-	var out bytes.Buffer
-	assert.NilError(t, WriteCSV(&out, []Result{{Scenario: "a"}, {Scenario: "b"}}))
-	lines, err := csv.NewReader(&out).ReadAll()
-	assert.NilError(t, err)
-	assert.Equal(t, len(lines), 3)
+func TestOneRowForEachScenarioAndPolicy(t *testing.T) {
+	results := []Result{
+		{Scenario: "a", Policy: "p", Seed: 1, Downtime: 2}, {Scenario: "a", Policy: "p", Seed: 2, Downtime: 3},
+		{Scenario: "a", Policy: "q", Seed: 1}, {Scenario: "b", Policy: "p", Seed: 1},
+	}
+	rows := measures("n", "N", results, 2).Rows
+	assert.Equal(t, len(rows), 3)
+	assert.DeepEqual(t, rows[0][:3], []string{"a", "p", "5"})
 }
 
-func BenchmarkTable(b *testing.B) {
+func BenchmarkTables(b *testing.B) {
 	for b.Loop() {
-		assert.NilError(b, Table(io.Discard, 1))
+		Tables(Scenarios(), Policies(), 1)
 	}
 }
--- a/standin/experiment/placement/table.go
+++ b/standin/experiment/placement/table.go
@@ -1,14 +1,12 @@
 package placementexp
 
 import (
-	"encoding/csv"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
-	"text/tabwriter"
 
 	"carawayproxy.example/caraway/internal/placement"
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // workers bounds the runs under way at once.
@@ -95,35 +93,40 @@
 
 // curve runs the planner over the ratios on the scenario of a flapping member
 // beside ordinary losses.
-func curve(seeds int) []Result {
-	var policies []NamedPolicy
+func curve(seeds int) *table.Table {
+	t := &table.Table{
+		Name:   "trade-off",
+		Title:  fmt.Sprintf("Trade-off over the weight of stranded accelerators, downtime 1, sums over %d seeds.", seeds),
+		Header: []string{"stranded weight", "scenario", "down s", "stranded acc s", "loads"},
+		Value:  2,
+	}
 	for _, ratio := range Ratios {
 		w := placement.Weights{Downtime: 1, Stranded: ratio}
-		policies = append(policies, NamedPolicy{fmt.Sprintf("stranded %g", ratio), placement.Policy{Weights: w}})
+		policies := []NamedPolicy{{fmt.Sprint(ratio), placement.Policy{Weights: w}}}
+		for _, r := range Sum(RunAll(seeds, beginningWith("flapping"), policies)) {
+			t.Rows = append(t.Rows, []string{r.Policy, r.Scenario, whole(r.Downtime), whole(r.Stranded), fmt.Sprint(r.Loads)})
+		}
 	}
-	return RunAll(seeds, beginningWith("flapping"), policies)
+	return t
 }
 
-// Table writes the measures of all scenarios, the trade-off curve and the
-// rollouts, summed over seeds 1 to seeds.
-func Table(w io.Writer, seeds int) error {
-	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "Placement, sums over %d seeds.\n", seeds)
-	rows(t, Sum(RunAll(seeds, Scenarios(), Policies())))
-	fmt.Fprintln(t, "\nTrade-off over the weight of stranded accelerators.")
-	rows(t, Sum(curve(seeds)))
-	fmt.Fprintln(t, "\nRollouts.")
-	rows(t, Sum(RunAll(seeds, Rollouts(), Policies()[:2])))
-	return t.Flush()
+// Tables returns the measures of scenarios under policies, the trade-off curve
+// and the rollouts, summed over seeds 1 to seeds. The last two are of all
+// scenarios and of their own policies, and left out when some were left out.
+func Tables(scenarios []Scenario, policies []NamedPolicy, seeds int) []*table.Table {
+	tables := []*table.Table{measures("placement", "Placement", RunAll(seeds, scenarios, policies), seeds)}
+	if len(scenarios) < len(Scenarios()) || len(policies) < len(Policies()) {
+		return tables
+	}
+	rollouts := RunAll(seeds, Rollouts(), Policies()[:2])
+	return append(tables, curve(seeds), measures("rollouts", "Rollouts", rollouts, seeds))
 }
 
-// PromotionTable writes the measures of the outages of the log in which spares
-// can be promoted, summed over seeds 1 to seeds.
-func PromotionTable(w io.Writer, seeds int) error {
-	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "Promotion of spares with the log down, sums over %d seeds.\n", seeds)
-	rows(t, Sum(RunAll(seeds, beginningWith("log-down+spare"), Policies())))
-	return t.Flush()
+// PromotionTable returns the measures of the outages of the log in which
+// spares can be promoted, summed over seeds 1 to seeds.
+func PromotionTable(policies []NamedPolicy, seeds int) *table.Table {
+	results := RunAll(seeds, beginningWith("log-down+spare"), policies)
+	return measures("promotion", "Promotion of spares with the log down", results, seeds)
 }
 
 // beginningWith returns the scenarios whose name begins with prefix.
@@ -137,31 +140,27 @@
 	return kept
 }
 
-func rows(w io.Writer, results []Result) {
-	fmt.Fprintln(w, "scenario\tpolicy\tdown s\tslow s\tstranded acc s\tidle acc s\tloads\tcut\tlosses\twhole\thalted\tcost council\tcost trust\t")
-	for _, r := range results {
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%t\t%.0f\t%.0f\t\n", r.Scenario, r.Policy, r.Downtime, r.Slow,
-			r.Stranded, r.Idle, r.Loads, r.Cut, r.Losses, r.Whole, r.Halted, r.Cost(Council), r.Cost(Trust))
+// measures makes a table of results summed up by scenario and policy.
+func measures(name, title string, results []Result, seeds int) *table.Table {
+	header := []string{
+		"scenario", "policy", "down s", "slow s", "stranded acc s", "idle acc s", "loads", "cut", "losses", "whole", "halted",
+		"cost council", "cost trust",
 	}
-}
-
-// WriteCSV writes one line for each result.
-func WriteCSV(w io.Writer, results []Result) error {
-	c := csv.NewWriter(w)
-	header := []string{"scenario", "policy", "seed", "downtime_s", "slow_s", "stranded_acc_s", "idle_acc_s", "loads", "cut", "losses", "whole", "halted"}
-	if err := c.Write(header); err != nil {
-		return err
+	t := &table.Table{
+		Name:   name,
+		Title:  fmt.Sprintf("%s, sums over %d seeds.", title, seeds),
+		Header: header,
+		Value:  len(header) - 1,
 	}
-	for _, r := range results {
-		line := []string{
-			r.Scenario, r.Policy, fmt.Sprint(r.Seed), fmt.Sprintf("%.0f", r.Downtime), fmt.Sprintf("%.0f", r.Slow),
-			fmt.Sprintf("%.0f", r.Stranded), fmt.Sprintf("%.0f", r.Idle), fmt.Sprint(r.Loads), fmt.Sprint(r.Cut),
-			fmt.Sprint(r.Losses), fmt.Sprint(r.Whole), fmt.Sprint(r.Halted),
-		}
-		if err := c.Write(line); err != nil {
-			return err
-		}
+	for _, r := range Sum(results) {
+		t.Rows = append(t.Rows, []string{
+			r.Scenario, r.Policy, whole(r.Downtime), whole(r.Slow), whole(r.Stranded), whole(r.Idle),
+			fmt.Sprint(r.Loads), fmt.Sprint(r.Cut), fmt.Sprint(r.Losses), fmt.Sprint(r.Whole), fmt.Sprint(r.Halted),
+			whole(r.Cost(Council)), whole(r.Cost(Trust)),
+		})
 	}
-	c.Flush()
-	return c.Error()
+	return t
 }
+
+// whole writes a figure without decimals.
+func whole(v float64) string { return fmt.Sprintf("%.0f", v) }
--- a/standin/experiment/serving/admission_suite.go
+++ b/standin/experiment/serving/admission_suite.go
@@ -9,6 +9,8 @@
 	"carawayproxy.example/caraway/internal/admission"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/routing"
+
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 const (
@@ -81,15 +83,15 @@
 }
 
 // AdmissionTable compares goodput under load.
-func AdmissionTable(limits []NamedLimit, loads []float64, seeds int) *Table {
-	t := &Table{
+func AdmissionTable(limits []NamedLimit, loads []float64, seeds int) *table.Table {
+	t := &table.Table{
 		Name:   "admission",
 		Title:  "Admission: answers a second within 15 s, and the first token for 95 in 100 of the admitted",
 		Header: []string{"load", "limit", "goodput", "late", "refused", "first token ms", "between tokens ms"},
 		Value:  2,
 	}
 	capacity := Capacity(fleetGroups)
-	t.fill(len(loads)*len(limits), func(i int) []string {
+	t.Fill(len(loads)*len(limits), func(i int) []string {
 		return admissionRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
 	})
 	return t
@@ -182,8 +184,8 @@
 }
 
 // FloodTable shows what a large workspace's flood does to small ones.
-func FloodTable(limits []NamedLimit, loads []float64, seeds int) *Table {
-	t := &Table{
+func FloodTable(limits []NamedLimit, loads []float64, seeds int) *table.Table {
+	t := &table.Table{
 		Name:  "flood",
 		Title: "A large workspace asks for ten times its load: small ones, 95 in 100, against the same seeds without",
 		Header: []string{"load before", "limit", "first token ms, calm", "flood", "moved %",
@@ -191,7 +193,7 @@
 		Value: 4,
 	}
 	capacity := Capacity(fleetGroups)
-	t.fill(len(loads)*len(limits), func(i int) []string {
+	t.Fill(len(loads)*len(limits), func(i int) []string {
 		return floodRow(limits[i%len(limits)], loads[i/len(limits)], capacity, seeds)
 	})
 	return t
--- a/standin/experiment/serving/delay.go
+++ b/standin/experiment/serving/delay.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // Delay takes the time to a first token apart.
@@ -58,8 +60,8 @@
 
 // DelayTable takes the small workspaces' first token apart, without and with
 // a flood.
-func DelayTable(limits []NamedLimit, loads []float64, seeds int) *Table {
-	t := &Table{
+func DelayTable(limits []NamedLimit, loads []float64, seeds int) *table.Table {
+	t := &table.Table{
 		Name:  "delay",
 		Title: "Where the first token of small workspaces goes, mean of those around the 95th in 100, ms",
 		Header: []string{"load before", "limit", "total", "queue", "own prompt", "others' prompts", "batch", "steps",
@@ -68,7 +70,7 @@
 	}
 	capacity := Capacity(fleetGroups)
 	variants := 2 * len(limits)
-	t.fill(len(loads)*variants, func(i int) []string {
+	t.Fill(len(loads)*variants, func(i int) []string {
 		l := limits[i%variants/2]
 		return delayRow(l, loads[i/variants], capacity, seeds, i%2 == 1)
 	})
--- a/standin/experiment/serving/retries_suite.go
+++ b/standin/experiment/serving/retries_suite.go
@@ -6,6 +6,8 @@
 
 	"carawayproxy.example/caraway/internal/admission"
 	"carawayproxy.example/caraway/internal/routing"
+
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // The runs with faults: a fault from faultFrom to faultTo, then time to
@@ -119,15 +121,15 @@
 }
 
 // RetriesTable compares the ways of retrying under each fault.
-func RetriesTable(cases []RetryCase, variants []NamedRetries, seeds int) *Table {
-	t := &Table{
+func RetriesTable(cases []RetryCase, variants []NamedRetries, seeds int) *table.Table {
+	t := &table.Table{
 		Name:   "retries",
 		Title:  "Retries: a fault of 30 s, callers who repeat thrice after a second; recovery is the slowest seed's",
 		Header: []string{"fault", "retries", "goodput before", "during", "extra attempts %", "retried", "recovery s"},
 		Value:  3,
 	}
 	capacity := Capacity(fleetGroups)
-	t.fill(len(cases)*len(variants), func(i int) []string {
+	t.Fill(len(cases)*len(variants), func(i int) []string {
 		return retriesRow(cases[i/len(variants)], variants[i%len(variants)], capacity, seeds)
 	})
 	return t
--- a/standin/experiment/serving/routing_suite.go
+++ b/standin/experiment/serving/routing_suite.go
@@ -6,6 +6,8 @@
 
 	"carawayproxy.example/caraway/internal/admission"
 	"carawayproxy.example/caraway/internal/routing"
+
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // Sizes of the runs: one family's fleet of today.
@@ -94,15 +96,15 @@
 }
 
 // RoutingTable compares the policies under each load.
-func RoutingTable(cases []RoutingCase, policies []NamedPolicy, seeds int) *Table {
-	t := &Table{
+func RoutingTable(cases []RoutingCase, policies []NamedPolicy, seeds int) *table.Table {
+	t := &table.Table{
 		Name:   "routing",
 		Title:  "Routing: 20 groups, 9 daemons, 95 in 100; targets 770 ms to the first token, 38 ms between tokens",
 		Header: []string{"load", "policy", "first token ms", "between tokens ms", "cache hits %", "spread %", "answered %"},
 		Value:  2,
 	}
 	capacity := Capacity(fleetGroups)
-	t.fill(len(cases)*len(policies), func(i int) []string {
+	t.Fill(len(cases)*len(policies), func(i int) []string {
 		return routingRow(cases[i/len(policies)], policies[i%len(policies)], capacity, seeds)
 	})
 	return t
--- a/standin/experiment/serving/serving_test.go
+++ b/standin/experiment/serving/serving_test.go
@@ -1,10 +1,7 @@
 package serving
 
 import (
-	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -118,20 +115,6 @@
 	assert.Assert(t, o.Retried > o.RetryBound(), "the baseline keeps the budget: %d", o.Retried)
 }
 
-func TestTableFiles(t *testing.T) {
-	t.Parallel()
-	table := &Table{Name: "t", Title: "T", Header: []string{"load", "policy", "value"}, Value: 2}
-	table.fill(4, func(i int) []string { return []string{fmt.Sprint(i / 2), fmt.Sprint("p", i%2), fmt.Sprint(i)} })
-	var text bytes.Buffer
-	assert.NilError(t, table.WriteText(&text))
-	assert.Equal(t, bytes.Count(text.Bytes(), []byte("\n")), 6)
-	dir := t.TempDir()
-	assert.NilError(t, table.Save(dir))
-	file, err := os.ReadFile(filepath.Join(dir, "t.csv"))
-	assert.NilError(t, err)
-	assert.Equal(t, string(file), "load,policy,value\n0,p0,0\n0,p1,1\n1,p0,2\n1,p1,3\n")
-}
-
 // TestAFloodLeavesOthersRequestsAlone asks for the same requests of a source
 // whatever another source does, so that runs with and without a flood differ
 // in nothing else.
--- a/standin/experiment/suspects/suspects_test.go
+++ b/standin/experiment/suspects/suspects_test.go
@@ -1,7 +1,6 @@
 package suspects
 
 import (
-	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,9 +45,8 @@
 	}
 }
 
-// BenchmarkTable prints the table of the design note.
 func BenchmarkTable(b *testing.B) {
-	for range b.N {
-		assert.NilError(b, Table(os.Stdout, 3))
+	for b.Loop() {
+		Table(Scenarios(), Policies(), 3)
 	}
 }
--- a/standin/experiment/suspects/table.go
+++ b/standin/experiment/suspects/table.go
@@ -1,17 +1,11 @@
 package suspects
 
 import (
-	"encoding/csv"
 	"fmt"
-	"io"
-	"strconv"
-	"sync"
-	"text/tabwriter"
-
-	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/placement"
 	placementexp "carawayproxy.example/caraway/standin/experiment/placement"
+	"carawayproxy.example/caraway/standin/experiment/table"
 )
 
 // Row is one scenario under one policy, over all seeds.
@@ -44,27 +38,6 @@
 	return group*float64(r.Outcome.Crashed) + caller*float64(r.Outcome.Refused+r.Outcome.NoIdle)
 }
 
-// rowsAtOnce is how many rows are made at once; each run has one goroutine.
-const rowsAtOnce = 4
-
-// Rows runs every scenario under every policy with seeds 1 to seeds.
-func Rows(seeds int) []Row {
-	scenarios, policies := Scenarios(), Policies()
-	rows := make([]Row, len(scenarios)*len(policies))
-	places := make(chan struct{}, rowsAtOnce)
-	var wg sync.WaitGroup
-	for i := range rows {
-		s, p := scenarios[i/len(policies)], policies[i%len(policies)]
-		places <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-places }()
-			rows[i] = rowOf(s, p, seeds)
-		})
-	}
-	wg.Wait()
-	return rows
-}
-
 func rowOf(s Scenario, p NamedPolicy, seeds int) Row {
 	row := Row{Scenario: s, Policy: p.Name, Seeds: seeds}
 	for seed := range seeds {
@@ -73,30 +46,30 @@
 	return row
 }
 
-// Table writes the comparison for people.
-func Table(w io.Writer, seeds int) error {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "scenario\tpolicy\tgroups lost per crashing request\tinnocents refused\tno idle group\tinnocents failed\tgroups lost\trequests\tcost council\tcost trust\t")
-	for _, r := range Rows(seeds) {
-		o := r.Outcome
-		fmt.Fprintf(t, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t\n",
-			r.Scenario.Name, r.Policy, r.LostPerCrasher(), o.Refused, o.NoIdle, o.Failed, o.Lost, o.Requests,
-			r.Cost(placementexp.Council), r.Cost(placementexp.Trust))
+// Table returns the comparison of policies over scenarios with seeds 1 to
+// seeds.
+func Table(scenarios []Scenario, policies []NamedPolicy, seeds int) *table.Table {
+	header := []string{
+		"scenario", "policy", "groups lost per crashing request", "innocents refused", "no idle group", "innocents failed",
+		"groups lost", "requests", "cost council", "cost trust",
+	}
+	t := &table.Table{
+		Name:   "suspects",
+		Title:  fmt.Sprintf("Requests that crash backend servers, sums over %d seeds.", seeds),
+		Header: header,
+		Value:  len(header) - 1,
 	}
-	return errors.WithStack(t.Flush())
+	t.Fill(len(scenarios)*len(policies), func(i int) []string {
+		return rowOf(scenarios[i/len(policies)], policies[i%len(policies)], seeds).cells()
+	})
+	return t
 }
 
-// CSV writes the comparison for programs.
-func CSV(w io.Writer, seeds int) error {
-	c := csv.NewWriter(w)
-	_ = c.Write([]string{"scenario", "policy", "seeds", "lost_per_crasher", "innocents_refused", "no_idle_group", "innocents_failed", "groups_lost", "requests"})
-	for _, r := range Rows(seeds) {
-		o := r.Outcome
-		_ = c.Write([]string{
-			r.Scenario.Name, r.Policy, strconv.Itoa(seeds), strconv.FormatFloat(r.LostPerCrasher(), 'f', 3, 64),
-			strconv.Itoa(o.Refused), strconv.Itoa(o.NoIdle), strconv.Itoa(o.Failed), strconv.Itoa(o.Lost), strconv.Itoa(o.Requests),
-		})
+func (r Row) cells() []string {
+	o := r.Outcome
+	return []string{
+		r.Scenario.Name, r.Policy, fmt.Sprintf("%.2f", r.LostPerCrasher()), fmt.Sprint(o.Refused), fmt.Sprint(o.NoIdle),
+		fmt.Sprint(o.Failed), fmt.Sprint(o.Lost), fmt.Sprint(o.Requests),
+		fmt.Sprintf("%.0f", r.Cost(placementexp.Council)), fmt.Sprintf("%.0f", r.Cost(placementexp.Trust)),
 	}
-	c.Flush()
-	return errors.WithStack(c.Error())
 }
--- a/standin/experiment/serving/table.go
+++ b/standin/experiment/table/table.go
@@ -1,4 +1,6 @@
-package serving
+// Package table holds what a suite of experiments found, and writes it for
+// people, as CSV and as a plot.
+package table
 
 import (
 	"encoding/csv"
@@ -29,10 +31,10 @@
 }
 
 // rowsAtOnce is how many rows are made at once; each run has one goroutine.
-const rowsAtOnce = 3
+const rowsAtOnce = 4
 
-// fill makes n rows and appends them in order.
-func (t *Table) fill(n int, row func(i int) []string) {
+// Fill makes n rows and appends them in order.
+func (t *Table) Fill(n int, row func(i int) []string) {
 	made := make([][]string, n)
 	places := make(chan struct{}, rowsAtOnce)
 	var wg sync.WaitGroup
