dispatch: borrowers go to the engine with the lowest priority

Found on the way: a priority over 9 was taken, though the API says 0 to 9.

Now: zero for a borrower, one more than the caller's priority for the others; a priority over 9 is refused as NOT_RUN with its field. Ruled out: scaling the caller's ten levels down for borrowers (borrowers of high priority would still go before others within their share).

Shown failing: TestBorrowersGoLastAtTheEngine in three of four cases (priorities 0, 9 and 9 in place of 1, 10 and 0), TestBadRequestsNameTheField/priority. After: both pass, and the package's other tests. Not measured here: what it moves end to end; the stand-in engine orders its queue by priority, not its prompts.

--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -58,6 +58,7 @@
 func (q *quick) Lapsed(fleet.GroupID, fleet.Epoch) <-chan struct{}           { return q.lapsed }
 func (q *quick) Admit(time.Time, admission.Request) (Ticket, *fleet.Failure) { return q, nil }
 func (q *quick) Release(time.Time, admission.Result)                         {}
+func (q *quick) Borrowed() bool                                              { return false }
 func (q *quick) Standing(suspect.Fingerprint) suspect.Standing               { return suspect.Clear }
 func (q *quick) Cancel(context.Context, string, fleet.AttemptID) error       { return nil }
 func (q *quick) Report(context.Context, string) (fleet.Report, error)        { return fleet.Report{}, nil }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -47,6 +47,7 @@
 		{"version", "allowed: v1, v2", fleet.ReasonUnknown, func(g *dispatch.Generation) { g.Version = "x" }},
 		{"adapter", "allowed: nepali", fleet.ReasonUnknown, func(g *dispatch.Generation) { g.Adapter = "x" }},
 		{"max_tokens", "allowed: 1 to 64", fleet.ReasonInvalid, func(g *dispatch.Generation) { g.MaxTokens = 65 }},
+		{"priority", "allowed: 0 to 9", fleet.ReasonInvalid, func(g *dispatch.Generation) { g.Priority = 10 }},
 		{"prompt", "at most 1000", fleet.ReasonInvalid, func(g *dispatch.Generation) { g.Prompt = strings.Repeat("x", 1001) }},
 	}
 	for _, c := range cases {
@@ -342,3 +343,28 @@
 		assert.Equal(t, b.servers.ran["r2"], 1)
 	})
 }
+
+// TestBorrowersGoLastAtTheEngine: a request beyond its workspace's fair share
+// comes after all others there, whatever its caller asks for.
+func TestBorrowersGoLastAtTheEngine(t *testing.T) {
+	for name, tc := range map[string]struct {
+		borrowed      bool
+		asked, passed uint32
+	}{
+		"within the share":             {asked: 0, passed: 1},
+		"within the share, more asked": {asked: 9, passed: 10},
+		"borrowed":                     {borrowed: true, asked: 0, passed: 0},
+		"borrowed, more asked":         {borrowed: true, asked: 9, passed: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(1)
+			defer b.Close()
+			b.door.borrowed = tc.borrowed
+			g := generation()
+			g.Priority = tc.asked
+			_, f := b.Generate(t.Context(), g, discard)
+			assert.Assert(t, f == nil)
+			assert.DeepEqual(t, b.servers.priorities, []uint32{tc.passed})
+		})
+	}
+}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -107,8 +107,9 @@
 
 // door admits everything and counts its tickets.
 type door struct {
-	mu   sync.Mutex
-	open int
+	mu       sync.Mutex
+	open     int
+	borrowed bool
 }
 
 func (d *door) Admit(time.Time, admission.Request) (dispatch.Ticket, *fleet.Failure) {
@@ -118,6 +119,8 @@
 	return d, nil
 }
 
+func (d *door) Borrowed() bool { return d.borrowed }
+
 func (d *door) Release(time.Time, admission.Result) { d.mu.Lock(); d.open--; d.mu.Unlock() }
 
 // catalog is a fixed configuration.
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -72,13 +72,14 @@
 // generation is one generation on its way.
 type generation struct {
 	attempts
-	req    Generation
-	sink   Sink
-	cursor cursor
-	batch  batch
-	start  time.Time
-	first  time.Time // of the first token
-	moved  bool      // away from a straggler, once
+	req      Generation
+	sink     Sink
+	cursor   cursor
+	batch    batch
+	start    time.Time
+	first    time.Time // of the first token
+	moved    bool      // away from a straggler, once
+	priority uint32    // at the engine
 }
 
 func (d *Dispatcher) prepare(spec *service.Spec, g Generation, sink Sink) (*generation, *fleet.Failure) {
@@ -116,11 +117,23 @@
 		return backend.End{}, f
 	}
 	r.next = &dec
+	r.priority = enginePriority(r.req.Priority, ticket.Borrowed())
 	end, f := r.run(ctx)
 	ticket.Release(time.Now(), r.result(f != nil))
 	return end, f
 }
 
+// enginePriority is the priority of a request at the engine, where larger
+// values go first: zero for one that uses places beyond its workspace's fair
+// share, else one more than the caller asked for. So a workspace that floods a
+// service does not delay the others, whatever priority its callers name.
+func enginePriority(asked uint32, borrowed bool) uint32 {
+	if borrowed {
+		return 0
+	}
+	return asked + 1
+}
+
 func (r *generation) result(failed bool) admission.Result {
 	now := time.Now()
 	res := admission.Result{Total: now.Sub(r.start), Failed: failed}
@@ -204,7 +217,7 @@
 		Adapter:    r.req.Adapter,
 		Prompt:     r.req.Prompt,
 		MaxTokens:  r.req.MaxTokens,
-		Priority:   r.req.Priority,
+		Priority:   r.priority,
 		ResumeFrom: r.cursor.next,
 	}
 }
--- a/internal/dispatch/servers_test.go
+++ b/internal/dispatch/servers_test.go
@@ -37,7 +37,8 @@
 	real   backend.Engines         // runs go there when set
 	cancel int
 	// attempts that streamed, in order
-	attempts []fleet.AttemptID
+	attempts   []fleet.AttemptID
+	priorities []uint32
 }
 
 func (s *servers) next() behaviour {
@@ -71,6 +72,7 @@
 	s.mark(a.Request)
 	s.mu.Lock()
 	s.attempts = append(s.attempts, a.ID)
+	s.priorities = append(s.priorities, a.Priority)
 	s.mu.Unlock()
 	st := &stream{ctx: ctx, s: s, a: a, b: b, at: a.ResumeFrom, group: fleet.GroupID(address)}
 	if s.burst > 1 {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -73,6 +73,9 @@
 // Ticket is an admitted request's place; it is returned exactly once.
 type Ticket interface {
 	Release(now time.Time, res admission.Result)
+	// Borrowed reports whether the request goes beyond its workspace's fair
+	// share.
+	Borrowed() bool
 }
 
 // Ledger records non-idempotent requests.
--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -10,8 +10,12 @@
 	"carawayproxy.example/caraway/internal/service"
 )
 
-// maxKeyBytes bounds an idempotency key.
-const maxKeyBytes = 256
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+	// maxPriority is the highest priority that a caller may ask for.
+	maxPriority = 9
+)
 
 // unknownField refuses a request that names something that does not exist.
 func unknownField[T ~string](field string, got T, allowed []T) *fleet.Failure {
@@ -82,6 +86,9 @@
 	if g.MaxTokens > limit {
 		return fleet.RefuseField("max_tokens", "%d is over the service's limit; allowed: 1 to %d", g.MaxTokens, limit)
 	}
+	if g.Priority > maxPriority {
+		return fleet.RefuseField("priority", "%d; allowed: 0 to %d", g.Priority, maxPriority)
+	}
 	return checkSize("prompt", len(g.Prompt), spec)
 }
 
