--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,19 +16,11 @@
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/standin/platform"
+	"carawayproxy.example/caraway/standin/property"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Seeded("20261203")) }
 
 // step is one event of a drawn schedule.
 type step struct {
--- a/internal/lease/helper_test.go
+++ b/internal/lease/helper_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -16,19 +14,11 @@
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/standin/platform"
+	"carawayproxy.example/caraway/standin/property"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Seeded("20261203")) }
 
 // gate is a daemon's way to the log. While it is shut, calls wait: the daemon
 // is as if it were paused.
--- a/internal/service/helper_test.go
+++ b/internal/service/helper_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -16,19 +14,11 @@
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/service"
 	"carawayproxy.example/caraway/standin/platform"
+	"carawayproxy.example/caraway/standin/property"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Seeded("20261203")) }
 
 var errCut = errors.New("cut off")
 
