Bench: tell the cores of full load and the callers' waits

Cause: a phase's means also hold its start and its tail, so ten times the share for 8 s showed 6.7 cores of ten although all streams run side by side for under 2 s of it. Nothing told whether a late token was the daemon's or the callers', who were late to look. Ruled out: longer phases alone, which the bound of 60 s and other work on the machine make dear. Now: cores used between the first stream's end and the last one's begin, for the direct run too, and how long the callers' goroutines that could run waited for a processor, 95 in 100. A phase shorter than its streams has no such window and prints none.

--- a/standin/bench/drive.go
+++ b/standin/bench/drive.go
@@ -27,6 +27,7 @@
 	failed   int
 	lastErr  error
 	took     time.Duration
+	waited   time.Duration // of the callers' goroutines for a processor, 95 in 100
 }
 
 func (r *result) tokensPerSecond() float64 { return float64(r.tokens) / r.took.Seconds() }
@@ -47,6 +48,7 @@
 func drive(opt options, begin open) *result {
 	r := &result{first: hdrhistogram.New(1, 60_000_000, 3), gap: hdrhistogram.New(1, 60_000_000, 3)}
 	var wg sync.WaitGroup
+	waits := beginWaits()
 	began := time.Now()
 	tick := time.NewTicker(time.Second / ticksASec)
 	defer tick.Stop()
@@ -61,6 +63,7 @@
 	}
 	wg.Wait()
 	r.took = time.Since(began)
+	r.waited = waits.quantile(95)
 	return r
 }
 
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	spent  spent
 	idle   uint64 // bytes of the daemon before the phase
 	loaded uint64 // bytes of the daemon late in the phase
+	full   *window
 }
 
 // perThousand is the daemon's processor time for a thousand tokens.
@@ -26,7 +28,8 @@
 }
 
 // report prints what one turn added to calling the engines directly.
-func report(direct *result, t *turn) {
+func report(directly *turn, t *turn) {
+	direct := directly.result
 	fmt.Printf("  %-28s %12s %12s %8s\n", "", "direct", t.name, "ratio")
 	row := func(name string, a, b int64) {
 		fmt.Printf("  %-28s %10.2fms %10.2fms %8.2f\n", name, float64(a)/1000, float64(b)/1000, float64(b)/float64(max(a, 1)))
@@ -40,6 +43,7 @@
 	fmt.Printf("  %-28s %12d %12d\n", "requests failed", direct.failed, through.failed)
 	fmt.Printf("  %-28s %12.0f %12.0f\n", "tokens/s", direct.tokensPerSecond(), through.tokensPerSecond())
 	fmt.Printf("  %-28s %12.2f %12.2f\n", "tokens a message", direct.tokensPerMessage(), through.tokensPerMessage())
+	row("callers' wait for a processor", direct.waited.Microseconds(), through.waited.Microseconds())
 	if through.lastErr != nil {
 		fmt.Println("  last failure:", through.lastErr)
 	}
@@ -47,10 +51,23 @@
 	fmt.Printf("  daemon's processor time: %s for 1,000 tokens\n", t.perThousand().Round(10*time.Microsecond))
 	fmt.Printf("  cores: daemon %.2f, engines %.2f, callers %.2f, whole machine %.2f\n",
 		cores(t.spent.daemon), cores(t.spent.engines), cores(t.spent.callers), cores(t.spent.machine))
+	directly.reportFull()
+	t.reportFull()
 	fmt.Printf("  daemon's memory: %d MiB before, %d MiB late in the phase\n", t.idle>>20, t.loaded>>20)
 	fmt.Printf("  target (%s between tokens, first within %s, for 95 in 100, none failed): kept %t\n", gapTarget, firstTarget, t.kept())
 }
 
+// reportFull prints the cores that were used while all streams of a turn ran.
+func (t *turn) reportFull() {
+	used, over, ok := t.full.used()
+	if !ok {
+		return
+	}
+	cores := func(d time.Duration) float64 { return d.Seconds() / over.Seconds() }
+	fmt.Printf("  cores with all streams at once, %s: daemon %.2f, engines %.2f, callers %.2f, whole machine %.2f of %d\n",
+		t.name, cores(used.daemon), cores(used.engines), cores(used.callers), cores(used.machine), runtime.NumCPU())
+}
+
 // compare prints the processor time of two builds under the same load. A turn
 // with failures carried less and is left out.
 func compare(turns []*turn) {
--- a/standin/bench/turns.go
+++ b/standin/bench/turns.go
@@ -14,8 +14,9 @@
 	"carawayproxy.example/caraway/standin/usage"
 )
 
-// Names of the daemons.
+// Names of the turns.
 const (
+	directName   = "direct"
 	daemonName   = "daemon"
 	baselineName = "baseline"
 )
@@ -70,7 +71,9 @@
 // turn, in the other order in every second round.
 func phase(s *stack.Stack, opt options, targets []target) error {
 	fmt.Printf("\n%.0f requests/s offered\n", opt.Rate)
-	direct := drive(opt, directCalls(targets))
+	full := new(window)
+	full.watch(s, s.Daemons[0], opt)
+	direct := &turn{name: directName, result: drive(opt, directCalls(targets)), full: full}
 	var turns []*turn
 	order := slices.Clone(s.Daemons)
 	for range opt.Rounds {
@@ -106,11 +109,14 @@
 		}
 		defer stop()
 	}
+	full := new(window)
+	full.watch(s, d, opt)
 	late := time.AfterFunc(opt.Duration*9/10, func() { t.loaded, _ = usage.Memory(d.Process) })
 	t.result = drive(opt, daemonCalls(d, opt.Clients))
 	late.Stop()
 	after, err := spentSoFar(s, d)
 	t.spent = after.since(before)
+	t.full = full
 	return t, err
 }
 
