Bench: run each engine on one processor and collect seldom

Cause: the bench's own processes take more of the machine than the daemon. Each of the 12 engines has a runtime with as many processors as the machine, whose idle ones are woken and parked for each token, though an engine takes a small part of one core.

--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	startLimit = 40 * time.Second
 	callLimit  = 60 * time.Second
 	ticksASec  = 200
+	// callersGCPercent lets the callers' memory grow to this many percent of
+	// what is in use, so that collecting takes less of the machine.
+	callersGCPercent = 400
 )
 
 type options struct {
@@ -42,6 +46,7 @@
 	Rounds   int           `long:"rounds" description:"turns of each daemon at full load" default:"1"`
 	Env      []string      `long:"env" description:"KEY=VALUE for the daemon measured"`
 
+	EngineEnv   []string `long:"engine-env" description:"KEY=VALUE for each engine; one takes a small part of a core" default:"GOMAXPROCS=1" default:"GOGC=400"`
 	BaselineEnv []string `long:"baseline-env" description:"KEY=VALUE for the baseline"`
 }
 
@@ -58,6 +63,7 @@
 }
 
 func run(opt options) error {
+	debug.SetGCPercent(callersGCPercent)
 	dir, err := os.MkdirTemp("", "caraway-bench-")
 	if err != nil {
 		return err
@@ -113,12 +119,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	for i := range opt.Engines {
-		_, err := s.AddEngine(fmt.Sprintf("engine-%d", i), "engines", fmt.Sprintf("fabric-%d", i),
-			"--max-running=1000", "--load-time=100ms", "--token-interval="+opt.Interval.String())
-		if err != nil {
-			return s, nil, err
-		}
+	if err := addEngines(s, opt); err != nil {
+		return s, nil, err
 	}
 	if err := addDaemons(s, opt); err != nil {
 		return s, nil, err
@@ -137,6 +139,23 @@
 	return s, targets, err
 }
 
+// addEngines starts the engines with variables of their own.
+func addEngines(s *stack.Stack, opt options) error {
+	restore, err := setEnv(opt.EngineEnv)
+	if err != nil {
+		return err
+	}
+	defer restore()
+	for i := range opt.Engines {
+		_, err := s.AddEngine(fmt.Sprintf("engine-%d", i), "engines", fmt.Sprintf("fabric-%d", i),
+			"--max-running=1000", "--load-time=100ms", "--token-interval="+opt.Interval.String())
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func wholeGroups(s *stack.Stack, want int) ([]target, error) {
 	var targets []target
 	err := stack.Until(startLimit, func() error {
--- a/standin/bench/turns.go
+++ b/standin/bench/turns.go
@@ -53,10 +53,10 @@
 	for _, p := range pairs {
 		key, value, ok := strings.Cut(p, "=")
 		if !ok {
-			return nil, errors.Errorf("--env: want KEY=VALUE, got %q", p)
+			return nil, errors.Errorf("want KEY=VALUE, got %q", p)
 		}
 		if err := os.Setenv(key, value); err != nil {
-			return nil, errors.Wrap(err, "--env")
+			return nil, errors.Wrap(err, p)
 		}
 		set = append(set, key)
 	}
