--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -46,7 +46,7 @@
 	Rounds   int           `long:"rounds" description:"turns of each daemon at full load" default:"1"`
 	Env      []string      `long:"env" description:"KEY=VALUE for the daemon measured"`
 
-	EngineEnv   []string `long:"engine-env" description:"KEY=VALUE for each engine; one takes a small part of a core" default:"GOMAXPROCS=1"`
+	EngineEnv   []string `long:"engine-env" description:"KEY=VALUE for each engine"`
 	BaselineEnv []string `long:"baseline-env" description:"KEY=VALUE for the baseline"`
 }
 
