Let others use the last of a flood's groups

Cause: by time since a flood's start, small workspaces' first token in the first second waits for the flood's prompts, from then to about 10 s for prefixes that they read anew on their part of the groups: 825 uncached tokens around the 95th in 100 in place of 500. Others now keep out of the first half of a flood's groups only. The flood still keeps to its whole share.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -94,7 +94,7 @@
 // Part returns the part of a service's groups that requests of a workspace
 // should go to at present, the zero value for all of them. While a workspace
 // asks for clearly more than its fair share, it keeps to its share of the
-// groups and others keep to the rest.
+// groups and others to the rest and the last of its groups.
 func (c *Controller) Part(now time.Time, name fleet.ServiceName, from fleet.Workspace) routing.Part {
 	sh := &c.shards[xxhash.Sum64String(string(name))%shardCount]
 	sh.mu.Lock()
