Keep others out of a flood's groups as far as they are busy

How many they keep out of now follows their average use: all when it is 0.65 of their share of the limit, fewer below.

--- a/internal/admission/flood.go
+++ b/internal/admission/flood.go
@@ -17,11 +17,11 @@
 	// mostFlooding is the part of all weights that may flood for parts to be
 	// set apart. Beyond it nearly all would be confined.
 	mostFlooding = 0.5
-	// keptClear is the part of the flooding workspaces' groups, from the
-	// first on, that others keep out of. They may use the rest as well, so
-	// that fewer of their cached prefixes are read anew when a flood begins;
-	// the cost of a group's load tells them when it is full.
-	keptClear = 0.5
+	// busyPart is the part of their share of the limit that workspaces which
+	// do not flood use on average for them to keep out of all groups of those
+	// that do. With less in use they keep out of fewer, from the first on, so
+	// that fewer of their cached prefixes are read anew when a flood begins.
+	busyPart = 0.65
 	// deviations is how many standard deviations of a number of independent
 	// requests, the root of its mean, count as usual.
 	deviations = 2.0
@@ -58,9 +58,9 @@
 // part returns the part of the groups that requests of a workspace should go
 // to. Flooding workspaces get their share of the groups, one after the other
 // in order of their names, so that daemons agree without a word; all others
-// get the rest and the last of the flooding ones' groups.
+// get the rest, and the last of the flooding ones' groups while they use little.
 func (s *service) part(now time.Time, name fleet.Workspace) routing.Part {
-	weights, flooding, before, own := 0.0, 0.0, 0.0, 0.0
+	weights, flooding, before, own, used := 0.0, 0.0, 0.0, 0.0, 0.0
 	if s.allGroups {
 		return routing.Part{}
 	}
@@ -68,6 +68,7 @@
 	for _, w := range s.workspaces {
 		weights += w.weight
 		if !w.floods(now, share) {
+			used += w.averageAt(now)
 			continue
 		}
 		flooding += w.weight
@@ -82,7 +83,8 @@
 		return routing.Part{}
 	}
 	if own == 0 {
-		return routing.Part{From: keptClear * flooding / weights, To: 1}
+		clear := min(used/(busyPart*share*(weights-flooding)), 1)
+		return routing.Part{From: clear * flooding / weights, To: 1}
 	}
 	return routing.Part{From: before / weights, To: (before + own) / weights}
 }
--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -27,21 +28,28 @@
 	return admitted
 }
 
+// hold has so many requests in flight since long before start.
+func hold(c *Controller, name fleet.Workspace, weight float64, n int) {
+	for range n {
+		_, _ = weighted(c, start.Add(-time.Minute), name, weight)
+	}
+}
+
 // floodOfLarge is a controller with a limit of 100 where large, with three
 // tenths of the weights, floods.
 func floodOfLarge(cfg Config) (*Controller, []Ticket) {
 	cfg.NewLimiter = func() Limiter { return Fixed(100) }
 	c := NewController(cfg)
 	_, _ = weighted(c, start, "small", 1)
-	_, _ = weighted(c, start, "other", 6)
+	hold(c, "other", 6, 50)
 	return c, flood(c, start, "large", 3)
 }
 
 func TestFloodKeepsToItsShareOfTheGroups(t *testing.T) {
 	c, held := floodOfLarge(Config{})
 	assert.DeepEqual(t, c.Part(start, "drafting", "large"), routing.Part{From: 0, To: 0.3})
-	assert.DeepEqual(t, c.Part(start, "drafting", "small"), routing.Part{From: 0.15, To: 1})
-	assert.DeepEqual(t, c.Part(start, "drafting", "new"), routing.Part{From: 0.15, To: 1})
+	assert.DeepEqual(t, c.Part(start, "drafting", "small"), routing.Part{From: 0.3, To: 1})
+	assert.DeepEqual(t, c.Part(start, "drafting", "new"), routing.Part{From: 0.3, To: 1})
 	for len(held) >= 30 {
 		held[0].Release(start, Result{})
 		held = held[1:]
@@ -52,6 +60,19 @@
 	assert.ErrorContains(t, failure, "limit", "no room beyond it")
 }
 
+// TestOthersKeepOutOfAFloodsGroupsAsFarAsTheyAreBusy asks that others lose no
+// more groups, and the prefixes cached there, than their load calls for.
+func TestOthersKeepOutOfAFloodsGroupsAsFarAsTheyAreBusy(t *testing.T) {
+	for used, from := range map[int]float64{1: 0.007, 23: 0.15, 40: 0.26, 46: 0.3, 60: 0.3} {
+		c := NewController(Config{NewLimiter: func() Limiter { return Fixed(100) }})
+		hold(c, "other", 7, used)
+		flood(c, start, "large", 3)
+		assert.DeepEqual(t, c.Part(start, "drafting", "large"), routing.Part{From: 0, To: 0.3})
+		part := c.Part(start, "drafting", "other")
+		assert.Assert(t, math.Abs(part.From-from) < 0.01 && part.To == 1, "%d in use: %v", used, part)
+	}
+}
+
 func TestPartsEndWithTheFlood(t *testing.T) {
 	c, held := floodOfLarge(Config{})
 	for _, ticket := range held {
@@ -82,12 +103,12 @@
 
 func TestTwoFloodsGetDifferentGroupsInOrderOfTheirNames(t *testing.T) {
 	c := NewController(Config{NewLimiter: func() Limiter { return Fixed(100) }})
-	_, _ = weighted(c, start, "rest", 6)
+	hold(c, "rest", 6, 50)
 	flood(c, start, "b", 2)
 	flood(c, start, "a", 2)
 	assert.DeepEqual(t, c.Part(start, "drafting", "a"), routing.Part{From: 0, To: 0.2})
 	assert.DeepEqual(t, c.Part(start, "drafting", "b"), routing.Part{From: 0.2, To: 0.4})
-	assert.DeepEqual(t, c.Part(start, "drafting", "rest"), routing.Part{From: 0.2, To: 1})
+	assert.DeepEqual(t, c.Part(start, "drafting", "rest"), routing.Part{From: 0.4, To: 1})
 }
 
 func TestAllGroupsSetsNoneApart(t *testing.T) {
