--- /dev/null
+++ b/internal/placement/rig_daemon_test.go
@@ -0,0 +1,108 @@
+package placement_test
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
+	"carawayproxy.example/caraway/internal/placement"
+)
+
+// rigDaemon is one daemon's packages. It implements backend.Engines for the
+// executor.
+type rigDaemon struct {
+	backend.Engines
+	rig     *rig
+	id      fleet.DaemonID
+	log     *gatedLog
+	replica *journal.Replica
+	leases  *lease.Book
+	keeper  *lease.Keeper
+	book    *group.Book
+	metrics metrics.Registry
+	stop    context.CancelFunc
+	sink    event.Sink    // may be nil
+	hold    chan struct{} // while open, orders are held back after the check
+	delay   atomic.Int64  // of orders on their way, at most, in nanoseconds
+}
+
+func (d *rigDaemon) Apply(ctx context.Context, address string, o backend.Order) (backend.OrderResult, error) {
+	if d.hold != nil {
+		<-d.hold
+	}
+	i := slices.IndexFunc(d.rig.engines, func(e *rigEngine) bool { return e.instance.Address == address })
+	if i < 0 {
+		return backend.OrderResult{}, errGone
+	}
+	e := d.rig.engines[i]
+	late := time.Duration(d.delay.Load()) * time.Duration(i) / time.Duration(len(d.rig.engines))
+	if late == 0 {
+		return e.apply(o)
+	}
+	d.rig.running.Go(func() {
+		time.Sleep(late)
+		_, _ = e.apply(o)
+	})
+	<-ctx.Done()
+	return backend.OrderResult{}, ctx.Err()
+}
+
+// add starts a daemon after the setup functions have changed it.
+func (r *rig) add(id fleet.DaemonID, setup ...func(*rigDaemon)) *rigDaemon {
+	d := &rigDaemon{rig: r, id: id, log: &gatedLog{Log: r.log, running: &r.running}, leases: lease.NewBook(), metrics: metrics.NewRegistry()}
+	for _, s := range setup {
+		s(d)
+	}
+	d.book = group.NewBook(d.leases)
+	d.replica = journal.NewReplica(journal.Config{Stream: journal.StreamControl, Self: id, Log: d.log, Fold: journal.NewMux(d.leases, d.book)})
+	d.keeper = lease.NewKeeper(lease.KeeperConfig{
+		Self: id, Proposer: d.replica, Book: d.leases, Scopes: []lease.Scope{rigScope},
+		Alive: func() []fleet.DaemonID { return []fleet.DaemonID{id} }, RebalanceAfter: 24 * time.Hour,
+	})
+	exec := placement.NewExecutor(placement.ExecutorConfig{
+		Self: id, Planner: placement.NewPlanner(placement.Policy{}), Proposer: d.replica, Book: d.book, Leases: d.keeper, Terms: d.leases,
+		Scopes:   func() []lease.Scope { return []lease.Scope{rigScope} },
+		ScopeOf:  func(fleet.ServiceName) lease.Scope { return rigScope },
+		Outage:   func() bool { return d.lostLog() && !d.log.isCut() },
+		Snapshot: d.snapshot, Engines: d, Metrics: d.metrics,
+		Events: event.NewLogger(r.t.Output(), 0, d.sink),
+	})
+	ctx, stop := context.WithCancel(r.t.Context())
+	d.stop = stop
+	r.running.Go(func() { d.replica.Run(ctx) })
+	r.running.Go(func() { d.keeper.Run(ctx) })
+	r.running.Go(func() { exec.Run(ctx) })
+	return d
+}
+
+func (d *rigDaemon) lostLog() bool { return time.Since(d.replica.Status().LogAt) > 5*time.Second }
+
+func (d *rigDaemon) snapshot(lease.Scope) placement.Snapshot {
+	s := placement.Snapshot{
+		Revision:  1,
+		Instances: map[fleet.InstanceID]placement.InstanceState{},
+		LogDown:   d.lostLog(),
+		InFlight:  map[fleet.GroupID]uint32{},
+		Wanted: []placement.Wanted{{
+			Service: "drafting", Revision: 1, Pool: "p", Model: "m", Version: "v1", Role: "serve",
+			Groups: d.rig.wanted(), Size: d.rig.size, Spares: d.rig.spares, LoadTime: rigLoad,
+		}},
+	}
+	for _, e := range d.rig.engines {
+		rep, alive := e.state()
+		s.Instances[e.instance.ID] = placement.InstanceState{Instance: e.instance, Report: rep, Listed: true, Alive: alive}
+	}
+	for id := range d.book.View().Groups {
+		s.InFlight[id] = d.rig.inFlight
+	}
+	return s
+}
