placement: give recorded places back while a scope's holder is gone

No promotion, no release, nothing to a member that has a place; nothing to a group of which any instance shows another place; no more once an engine shows a higher fencing token. Ruled out: a deputy that promotes too needs a new kind of lease record.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -244,6 +244,7 @@
 		Scopes:   d.placementScopes,
 		Terms:    d.leases,
 		Outage:   d.outage,
+		Alive:    d.heardDaemons,
 		ScopeOf:  d.scopeOf,
 		Snapshot: d.planningSnapshot,
 		Engines:  d.engines,
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -100,6 +100,18 @@
 	return out
 }
 
+// heardDaemons lists this daemon and all that it hears, also those on their
+// way out.
+func (d *Daemon) heardDaemons() []fleet.DaemonID {
+	out := []fleet.DaemonID{d.id}
+	for id, p := range d.mesh.View().Peers {
+		if p.Alive {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // cacheEvents passes an engine's cache events on to the router's index, under
 // the group that the engine leads.
 func (d *Daemon) cacheEvents(id fleet.InstanceID, events []backend.CacheEvent) {
--- a/internal/lease/spread.go
+++ b/internal/lease/spread.go
@@ -6,6 +6,12 @@
 	"carawayproxy.example/caraway/internal/fleet"
 )
 
+// First reports whether a daemon is the first of the live ones in the order of
+// a scope. Daemons that see the same others agree without a message.
+func First(scope Scope, self fleet.DaemonID, alive []fleet.DaemonID) bool {
+	return rank(scope, self, alive) == 0
+}
+
 // rank returns a daemon's place in the order of a scope by rendezvous
 // hashing: how many live daemons come before it.
 func rank(scope Scope, self fleet.DaemonID, alive []fleet.DaemonID) int {
--- /dev/null
+++ b/internal/placement/caretaker.go
@@ -0,0 +1,121 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+// care is a caretaker's work on a scope whose last holder is gone while the
+// log is down: members that return without a place get their recorded one.
+// Nothing is decided anew, so two caretakers at once send the same orders.
+type care struct {
+	term  lease.Term
+	since time.Time // when this daemon first was the caretaker
+	newer atomic.Bool
+}
+
+// careFor gives recorded places back if this daemon is the scope's caretaker.
+// It begins once the orders of the last holder have expired.
+func (e *Executor) careFor(ctx context.Context, scope lease.Scope, now time.Time) {
+	term, ok := e.caretaker(scope)
+	if !ok {
+		delete(e.cares, scope)
+		return
+	}
+	c := e.cares[scope]
+	if c == nil || c.term != term {
+		c = &care{term: term, since: now}
+		e.cares[scope] = c
+	}
+	if c.newer.Load() || now.Sub(c.since) < e.cfg.OrderTimeout+e.cfg.Every {
+		return
+	}
+	s := e.snapshot(scope)
+	s.Term = term
+	e.sendAll(ctx, e.careRight(scope, c), e.returned(s), now)
+}
+
+// caretaker reports whether this daemon is the caretaker of a scope, and under
+// which term: the log is down, the last holder gave the scope up or is not
+// heard, and this daemon is the first of those heard in the scope's order.
+func (e *Executor) caretaker(scope lease.Scope) (lease.Term, bool) {
+	if e.cfg.Alive == nil || e.cfg.Terms == nil || e.cfg.Outage == nil || !e.cfg.Outage() {
+		return 0, false
+	}
+	l, ok := e.cfg.Terms.Current(scope)
+	alive := e.cfg.Alive()
+	if !ok || !l.Released && slices.Contains(alive, l.Holder) {
+		return 0, false
+	}
+	return l.Term, lease.First(scope, e.cfg.Self, alive)
+}
+
+// careRight is the right of a caretaker. It ends when an engine shows that
+// there is a newer term than this daemon knows.
+func (e *Executor) careRight(scope lease.Scope, c *care) right {
+	permit := func(time.Time) (time.Duration, bool) {
+		term, ok := e.caretaker(scope)
+		return e.cfg.OrderTimeout, ok && term == c.term && !c.newer.Load()
+	}
+	return right{scope: scope, term: c.term, permit: permit, newer: &c.newer, decision: eventPlaceGivenBack}
+}
+
+// returned lists the orders to the members that report no place.
+func (e *Executor) returned(s Snapshot) []order {
+	var due []order
+	admitted := AdmitOrders(s, e.cfg.Planner.policy.MaxLoads)
+	for id, g := range s.Groups.Groups {
+		if g.Scope != s.Scope || g.Phase != group.PhaseActive || !admitted[id] {
+			continue
+		}
+		c := group.Compose(g, aliveReports(s.Instances))
+		if !undisturbed(g, c, s) {
+			continue
+		}
+		for rank, m := range c {
+			if o, ok := e.giveBack(g, c, rank, s.Instances[m.Instance]); ok {
+				due = append(due, o)
+			}
+		}
+	}
+	return due
+}
+
+// undisturbed reports whether nothing shows that a group is other than the
+// record says: its instances report no place, or that of the composition.
+func undisturbed(g *group.Group, c []group.Member, s Snapshot) bool {
+	for m := range g.All() {
+		st := s.Instances[m.Instance]
+		reported := st.Report.Assignment
+		if superseded(g, reported) {
+			return false
+		}
+		if reported == nil || !st.Alive {
+			continue
+		}
+		rank := slices.IndexFunc(c, func(o group.Member) bool { return o.Instance == m.Instance })
+		if rank < 0 {
+			return false
+		}
+		if a := group.AssignmentOf(g, c, fleet.Rank(rank)); !sameAssignment(&a, reported) {
+			return false
+		}
+	}
+	return true
+}
+
+// giveBack returns the order for the instance of a rank, if it is there and
+// reports no place.
+func (e *Executor) giveBack(g *group.Group, c []group.Member, rank int, st InstanceState) (order, bool) {
+	if !st.Alive || st.Report.Assignment != nil {
+		return order{}, false
+	}
+	a := group.AssignmentOf(g, c, fleet.Rank(rank))
+	return order{instance: c[rank].Instance, address: st.Instance.Address, assign: &a, reportedAt: st.Report.ReceivedAt}, true
+}
--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -36,6 +36,11 @@
 	// both a lapsed holder orders nothing.
 	Terms  lease.Terms
 	Outage func() bool
+	// Alive lists the daemons that this one hears, those on their way out and
+	// itself included. With it, the first of them in the order of a scope
+	// gives members that return without a place their recorded one, while the
+	// log is down and the scope's last holder is not heard. Nil for never.
+	Alive func() []fleet.DaemonID
 	// Snapshot gives what a scope's plan rests on. Scope, Term and Groups
 	// are filled in by the executor.
 	Snapshot func(scope lease.Scope) Snapshot
@@ -56,6 +61,7 @@
 type Executor struct {
 	cfg     ExecutorConfig
 	scopes  map[lease.Scope]*scopeRun // of the loop alone
+	cares   map[lease.Scope]*care     // of the loop alone
 	orders  *orderBook
 	running sync.WaitGroup
 }
@@ -91,7 +97,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
-	return &Executor{cfg: cfg, scopes: map[lease.Scope]*scopeRun{}, orders: newOrderBook()}
+	return &Executor{cfg: cfg, scopes: map[lease.Scope]*scopeRun{}, cares: map[lease.Scope]*care{}, orders: newOrderBook()}
 }
 
 // Run works until ctx ends and returns once its orders and proposals have.
@@ -114,8 +120,10 @@
 	for _, scope := range e.cfg.Scopes() {
 		run := e.enter(scope)
 		if run == nil {
+			e.careFor(ctx, scope, time.Now())
 			continue
 		}
+		delete(e.cares, scope)
 		snap := e.snapshot(scope)
 		snap.Term = run.term
 		snap.LogDown = snap.LogDown || run.outage
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -4,13 +4,16 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
 	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
 )
 
 // orderBook remembers the orders under way and the last one answered.
@@ -65,15 +68,33 @@
 	reportedAt time.Time
 }
 
-// order sends the orders that are due, in parallel.
+// right is what orders about a scope rest on.
+type right struct {
+	scope lease.Scope
+	term  lease.Term
+	// permit tells whether an order may be written at a moment, and for how
+	// long it is valid. It is called immediately before the order is written.
+	permit func(now time.Time) (time.Duration, bool)
+	// newer is set once an engine has shown a higher fencing token.
+	newer *atomic.Bool
+	// decision is the event of each order, nil for none.
+	decision *event.Event
+}
+
+// order sends the orders that are due.
 func (e *Executor) order(ctx context.Context, run *scopeRun, s Snapshot, now time.Time) {
-	permit := run.permit(e)
-	for _, o := range e.due(run, s, now) {
+	r := right{scope: run.scope, term: run.term, permit: run.permit(e), newer: new(atomic.Bool)}
+	e.sendAll(ctx, r, e.due(run, s, now), now)
+}
+
+// sendAll sends orders in parallel.
+func (e *Executor) sendAll(ctx context.Context, r right, orders []order, now time.Time) {
+	for _, o := range orders {
 		if !e.orders.begin(o, e.cfg.MaxOrders, 2*e.cfg.OrderTimeout, now) {
 			continue
 		}
 		e.running.Go(func() {
-			accepted := e.send(ctx, permit, run, o)
+			accepted := e.send(ctx, r, o)
 			e.orders.end(o, accepted, time.Now())
 		})
 	}
@@ -149,8 +170,8 @@
 		sameAdapters(a.Adapters, b.Adapters) && slices.Equal(a.Members, b.Members)
 }
 
-// permit returns a check whether an order may be written at a moment, and for
-// how long it is valid. It is called immediately before the order is written.
+// permit returns the check of a right that rests on a hold, or in an outage on
+// the last one.
 func (run *scopeRun) permit(e *Executor) func(now time.Time) (time.Duration, bool) {
 	if run.outage {
 		return func(time.Time) (time.Duration, bool) {
@@ -167,22 +188,28 @@
 }
 
 // send writes one order and reports whether it was accepted.
-func (e *Executor) send(ctx context.Context, permit func(time.Time) (time.Duration, bool), run *scopeRun, o order) bool {
+func (e *Executor) send(ctx context.Context, r right, o order) bool {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.OrderTimeout)
 	defer cancel()
 	id := uuid.NewString()
-	validFor, ok := permit(time.Now())
+	validFor, ok := r.permit(time.Now())
 	if !ok {
-		e.cfg.Events.Emit(eventOrderDropped, "instance", o.instance, "scope", run.scope, "term", run.term)
+		e.cfg.Events.Emit(eventOrderDropped, "instance", o.instance, "scope", r.scope, "term", r.term)
 		return false
 	}
+	if r.decision != nil {
+		e.cfg.Events.Emit(r.decision, "instance", o.instance, "group", o.assign.Group, "epoch", o.assign.Epoch, "rank", o.assign.Rank, "scope", r.scope, "term", r.term)
+	}
 	res, err := e.cfg.Engines.Apply(ctx, o.address, backend.Order{
 		ID:           id,
-		Scope:        string(run.scope),
-		FencingToken: uint64(run.term),
+		Scope:        string(r.scope),
+		FencingToken: uint64(r.term),
 		Assign:       o.assign,
 		ValidFor:     validFor,
 	})
+	if err == nil && res.HighestToken > uint64(r.term) {
+		r.newer.Store(true)
+	}
 	switch {
 	case err != nil:
 		e.cfg.Events.Emit(eventOrderFailed, "instance", o.instance, "order", id, "error", err)
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -78,6 +78,7 @@
 		d.log.setCut(true)
 	case 1:
 		r.log.SetFaults(platform.LogFaults{Down: true})
+		d.unheard.Store(rng.IntN(2) == 0)
 	case 2:
 		r.log.SetFaults(platform.LogFaults{LoseAnswers: 3, Delay: time.Duration(rng.IntN(2000)) * time.Millisecond})
 	case 3, 4:
@@ -100,6 +101,7 @@
 	r.log.SetFaults(platform.LogFaults{})
 	for _, d := range daemons {
 		d.log.setCut(false)
+		d.unheard.Store(false)
 		d.log.setLate(0)
 		d.delay.Store(0)
 	}
--- a/internal/placement/rig_daemon_test.go
+++ b/internal/placement/rig_daemon_test.go
@@ -33,6 +33,27 @@
 	sink    event.Sink    // may be nil
 	hold    chan struct{} // while open, orders are held back after the check
 	delay   atomic.Int64  // of orders on their way, at most, in nanoseconds
+	stopped atomic.Bool
+	unheard atomic.Bool // by the other daemons, though it runs
+}
+
+// kill ends the daemon as kill -9 would.
+func (d *rigDaemon) kill() {
+	d.stopped.Store(true)
+	d.stop()
+}
+
+// alive lists the daemons that this one hears, and itself.
+func (d *rigDaemon) alive() []fleet.DaemonID {
+	d.rig.mu.Lock()
+	defer d.rig.mu.Unlock()
+	ids := []fleet.DaemonID{d.id}
+	for _, o := range d.rig.daemons {
+		if o != d && !o.stopped.Load() && !o.unheard.Load() {
+			ids = append(ids, o.id)
+		}
+	}
+	return ids
 }
 
 func (d *rigDaemon) Apply(ctx context.Context, address string, o backend.Order) (backend.OrderResult, error) {
@@ -72,10 +93,14 @@
 		Self: id, Planner: placement.NewPlanner(placement.Policy{}), Proposer: d.replica, Book: d.book, Leases: d.keeper, Terms: d.leases,
 		Scopes:   func() []lease.Scope { return []lease.Scope{rigScope} },
 		ScopeOf:  func(fleet.ServiceName) lease.Scope { return rigScope },
+		Alive:    d.alive,
 		Outage:   func() bool { return d.lostLog() && !d.log.isCut() },
 		Snapshot: d.snapshot, Engines: d, Metrics: d.metrics,
 		Events: event.NewLogger(r.t.Output(), 0, d.sink),
 	})
+	r.mu.Lock()
+	r.daemons = append(r.daemons, d)
+	r.mu.Unlock()
 	ctx, stop := context.WithCancel(r.t.Context())
 	d.stop = stop
 	r.running.Go(func() { d.replica.Run(ctx) })
--- a/internal/placement/rig_engine_test.go
+++ b/internal/placement/rig_engine_test.go
@@ -25,8 +25,10 @@
 }
 
 type rigOrder struct {
-	token uint64
-	at    time.Time
+	token  uint64
+	at     time.Time
+	assign *fleet.Assignment
+	was    *fleet.Assignment // what the engine reported before
 }
 
 func (e *rigEngine) apply(o backend.Order) (backend.OrderResult, error) {
@@ -40,7 +42,7 @@
 		return backend.OrderResult{Reason: "old fencing token", HighestToken: e.highest}, nil
 	}
 	e.highest = max(e.highest, o.FencingToken)
-	e.orders = append(e.orders, rigOrder{o.FencingToken, time.Now()})
+	e.orders = append(e.orders, rigOrder{o.FencingToken, time.Now(), o.Assign, e.report.Assignment})
 	e.report.Assignment, e.report.Ready = o.Assign, false
 	switch {
 	case o.Assign == nil:
--- a/internal/placement/rig_test.go
+++ b/internal/placement/rig_test.go
@@ -25,7 +25,8 @@
 	t        *testing.T
 	log      *platform.Log
 	engines  []*rigEngine
-	mu       sync.Mutex // of groups once daemons run
+	mu       sync.Mutex // of groups and daemons once daemons run
+	daemons  []*rigDaemon
 	groups   int
 	size     int
 	spares   int
