placement: let the last holder go on after a gap before an outage is known

Cause: a hold lapses 6 s after its last renewal was sent, an outage is known 5 s after the log last answered. Ruled out: the caretaker (the holder is heard, so it rightly does nothing). Before: TestLastHolderGoesOnAfterAGap not whole within 20 s. The rig now waits for its daemons also when a test ends early, so that a failure isn't hidden by a panic of synctest.

--- a/internal/placement/caretaker_test.go
+++ b/internal/placement/caretaker_test.go
@@ -165,3 +165,21 @@
 		})
 	}
 }
+
+// TestLastHolderGoesOnAfterAGap lets a hold lapse some seconds before the log
+// is known to be down: appends get no answer while reads still do.
+func TestLastHolderGoesOnAfterAGap(t *testing.T) {
+	inRig(t, 3, true, func(t *testing.T, r *rig) {
+		d := r.add("d1")
+		r.await("whole", time.Minute, isWhole(d, 1))
+		time.Sleep(5 * time.Second)
+		d.log.setLate(time.Minute)
+		time.Sleep(5 * time.Second)
+		r.log.SetFaults(platform.LogFaults{Down: true})
+		r.await("lapsed", 5*time.Second, func() bool { return !d.holds() })
+		assert.Assert(t, !d.lostLog(), "the outage is not known yet")
+		time.Sleep(time.Second)
+		r.engineOf(r.onlyGroup(d).Members[0]).restart()
+		r.await("whole by the last holder", rigLoad+10*time.Second, isWhole(d, 1))
+	})
+}
--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -162,7 +162,10 @@
 		run.outage = false
 		return run
 	}
-	if run != nil && e.lastHolder(run) {
+	if term, last := e.lastHolder(scope); last {
+		if run == nil || run.term != term {
+			run = e.newRun(scope, term)
+		}
 		run.outage = true
 		return run
 	}
@@ -189,12 +192,12 @@
 }
 
 // lastHolder reports whether the log is down and this daemon was the last to
-// hold the scope, as far as anyone it hears knows. Its orders stay within the
-// records of the log, so that they need no agreement.
-func (e *Executor) lastHolder(run *scopeRun) bool {
+// hold the scope, as far as anyone it hears knows, and under which term. Its
+// orders stay within the records of the log, so that they need no agreement.
+func (e *Executor) lastHolder(scope lease.Scope) (lease.Term, bool) {
 	if e.cfg.Terms == nil || e.cfg.Outage == nil || !e.cfg.Outage() {
-		return false
+		return 0, false
 	}
-	l, ok := e.cfg.Terms.Current(run.scope)
-	return ok && !l.Released && l.Term == run.term && l.Holder == e.cfg.Self
+	l, ok := e.cfg.Terms.Current(scope)
+	return l.Term, ok && !l.Released && l.Holder == e.cfg.Self
 }
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -23,8 +23,8 @@
 func inRig(t *testing.T, engines int, checksFencing bool, test func(t *testing.T, r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, engines, checksFencing)
-		test(t, r)
 		t.Cleanup(r.running.Wait)
+		test(t, r)
 	})
 }
 
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -175,7 +175,8 @@
 func (run *scopeRun) permit(e *Executor) func(now time.Time) (time.Duration, bool) {
 	if run.outage {
 		return func(time.Time) (time.Duration, bool) {
-			return e.cfg.OrderTimeout, e.lastHolder(run)
+			term, last := e.lastHolder(run.scope)
+			return e.cfg.OrderTimeout, last && term == run.term
 		}
 	}
 	return func(now time.Time) (time.Duration, bool) {
