daemon: make TestInPlaceIsWhatTheRecordSays hold each guard

Cause: the test was never shown failing. With a guard of inPlace out in the working tree at a time it failed without the epoch, and passed without the group's id: the only other epoch was in the same group. Added: a member that names another group at the same epoch, and an instance of no group that names none. Seen failing with each out in turn: epoch, group, the check for no assignment, the check that a group has the instance; and with all out. Passes with them. Conclusion: each part of the condition is held by the test.

--- a/internal/daemon/watching_test.go
+++ b/internal/daemon/watching_test.go
@@ -19,6 +19,8 @@
 	}
 	assert.Assert(t, in("member", &fleet.Assignment{Group: "g", Epoch: 2}))
 	assert.Assert(t, !in("member", &fleet.Assignment{Group: "g", Epoch: 1}))
+	assert.Assert(t, !in("member", &fleet.Assignment{Group: "other", Epoch: 2}))
 	assert.Assert(t, !in("member", nil))
 	assert.Assert(t, !in("free", &fleet.Assignment{Group: "g", Epoch: 2}))
+	assert.Assert(t, !in("free", &fleet.Assignment{}))
 }
