daemon: a log that a peer has is not down

Cause: outage() asked only when the log itself last answered this daemon. A daemon that lost its own way to the log, while its peers confirm the log's end, counted as informed and so took it for an outage, against what ExecutorConfig.Outage states: a lapsed holder went on ordering while another daemon could claim its scope, and a caretaker would act. Before: TestLogOfAPeerIsNoOutage failed ("a peer has the log"). After: it passes; what a peer confirms counts like the log's own answer. Conclusion: the rule is as strict as its comment.

--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -69,13 +69,19 @@
 // for a while, its peers answer, and none of them has it.
 func (d *Daemon) outage() bool {
 	now := time.Now()
-	if now.Sub(d.control.Status().LogAt) <= membership.DefaultMaxAge {
+	if !logSilent(d.control.Status(), now) {
 		return false
 	}
 	informed, _ := d.informed()
 	return informed && d.mesh.View().AliveAt(now, membership.DefaultAliveFor) > 0
 }
 
+// logSilent reports whether neither the log nor a peer on its behalf has been
+// heard for a while.
+func logSilent(s journal.Status, now time.Time) bool {
+	return now.Sub(s.LogAt) > membership.DefaultMaxAge && now.Sub(s.ConfirmedAt) > membership.DefaultMaxAge
+}
+
 // gone reports whether a daemon is known to have stopped for good: it is not
 // announced in the log and not heard. One that is announced again a moment
 // later costs a caller a wait, never a second run.
