--- a/internal/placement/rig_daemon_test.go
+++ b/internal/placement/rig_daemon_test.go
@@ -67,11 +67,11 @@
 	e := d.rig.engines[i]
 	late := time.Duration(d.delay.Load()) * time.Duration(i) / time.Duration(len(d.rig.engines))
 	if late == 0 {
-		return e.apply(o)
+		return e.apply(d.id, o)
 	}
 	d.rig.running.Go(func() {
 		time.Sleep(late)
-		_, _ = e.apply(o)
+		_, _ = e.apply(d.id, o)
 	})
 	<-ctx.Done()
 	return backend.OrderResult{}, ctx.Err()
--- a/internal/placement/rig_engine_test.go
+++ b/internal/placement/rig_engine_test.go
@@ -25,13 +25,13 @@
 }
 
 type rigOrder struct {
+	by     fleet.DaemonID
 	token  uint64
 	at     time.Time
 	assign *fleet.Assignment
-	was    *fleet.Assignment // what the engine reported before
 }
 
-func (e *rigEngine) apply(o backend.Order) (backend.OrderResult, error) {
+func (e *rigEngine) apply(by fleet.DaemonID, o backend.Order) (backend.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -42,7 +42,7 @@
 		return backend.OrderResult{Reason: "old fencing token", HighestToken: e.highest}, nil
 	}
 	e.highest = max(e.highest, o.FencingToken)
-	e.orders = append(e.orders, rigOrder{o.FencingToken, time.Now(), o.Assign, e.report.Assignment})
+	e.orders = append(e.orders, rigOrder{by, o.FencingToken, time.Now(), o.Assign})
 	e.report.Assignment, e.report.Ready = o.Assign, false
 	switch {
 	case o.Assign == nil:
