runs: draw when-cut-off and when-flooded for each seed

Cause: both settings' other values were in no randomised run. Tests of the checkers keep the defaults. New checker cut-off: a daemon in a part of at most a third of the daemons without a way to the log is not ready 9 s later, unless it is set to serve. Seen to report: TestCheckersReport/cut-off tells the checker that daemons refuse which serve. Now the network is asked which hosts are separated.

--- a/standin/runs/checkers_test.go
+++ b/standin/runs/checkers_test.go
@@ -11,6 +11,7 @@
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/settings"
 	"carawayproxy.example/caraway/standin/engine"
 	"carawayproxy.example/caraway/standin/plain"
 )
@@ -23,7 +24,7 @@
 
 func TestCalmRunFindsNothing(t *testing.T) {
 	t.Parallel()
-	r := inBubble(t, Options{Seed: 1, Length: 4 * time.Minute, calm: true, size: small})
+	r := inBubble(t, Options{Seed: 1, Length: 4 * time.Minute, calm: true, size: small, choices: defaultChoices})
 	assert.Equal(t, len(r.Findings), 0, "%v", r.Findings)
 	assert.Assert(t, r.Counts["calls whole"] > 300, "%v", r.Counts)
 	assert.Assert(t, r.Counts["calls during a planned stop"] >= least["calls during a planned stop"], "%v", r.Counts)
@@ -95,16 +96,28 @@
 			}
 			m.faults.lone(longOutage, m.random())
 		},
+		// The world's daemons serve; the checker is told that they refuse.
+		CheckCutOff: func(m *tampering) {
+			z := zone{daemons: m.world.daemons[:2]}
+			m.world.choices.cutOff = settings.CutOffRefuse
+			end := m.faults.cutZone(z)
+			pause(m.ctx, 2*cutOffBound)
+			end()
+		},
 		// The small world's engines are all in one zone.
 		CheckZone: func(m *tampering) { m.faults.lone(zoneKilled, m.random()) },
 	}
 	for checker, tamper := range tests {
 		t.Run(string(checker), func(t *testing.T) {
 			t.Parallel()
-			o := Options{Seed: 1, Length: shortRun, calm: true, size: small, tamper: tamper}
+			o := Options{Seed: 1, Length: shortRun, calm: true, size: small, tamper: tamper, choices: defaultChoices}
 			if checker == CheckPlannedStop {
 				o.every = 200 * time.Millisecond // so that a kill finds calls under way
 			}
+			if checker == CheckCutOff {
+				o.choices = choices{cutOff: settings.CutOffServe, flooded: settings.FloodedPart}
+				o.size.Daemons = 6 // two of them hear each other
+			}
 			r := inBubble(t, o)
 			for _, f := range r.Findings {
 				if f.Checker == checker {
@@ -137,7 +150,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := inBubble(t, Options{
-				Seed: 1, Length: retention + 3*time.Minute, calm: true, size: small, tamper: restart, snapshots: tc.every,
+				Seed: 1, Length: retention + 3*time.Minute, calm: true, size: small, tamper: restart, snapshots: tc.every, choices: defaultChoices,
 			})
 			assert.Equal(t, r.Counts["daemons started behind expired records"] >= small.Daemons, true, "%v", r.Counts)
 			assert.Equal(t, r.Counts["finding "+string(CheckConfig)] > 0, tc.found, "%v %v", r.Findings, r.Counts)
--- /dev/null
+++ b/standin/runs/choices_test.go
@@ -0,0 +1,30 @@
+package runs
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/settings"
+)
+
+func TestMostSeedsKeepTheDefaults(t *testing.T) {
+	const all = 200
+	serve, flooded, defaults := 0, 0, 0
+	for seed := range uint64(all) {
+		switch c := drawChoices(seed + 1); {
+		case c == defaultChoices:
+			defaults++
+		case c.cutOff == settings.CutOffServe && c.flooded == settings.FloodedAll:
+			serve++
+			flooded++
+		case c.cutOff == settings.CutOffServe:
+			serve++
+		default:
+			flooded++
+		}
+	}
+	t.Logf("of %d seeds %d serve when cut off, %d use all groups, %d have the defaults", all, serve, flooded, defaults)
+	assert.Assert(t, 2*defaults > all)
+	assert.Assert(t, serve > all/8 && flooded > all/8)
+}
--- a/standin/runs/network/network.go
+++ b/standin/runs/network/network.go
@@ -173,6 +173,10 @@
 	}
 }
 
+// Separated reports whether bytes between two hosts are held in both
+// directions.
+func (n *Network) Separated(a, b string) bool { return n.held(a, b) && n.held(b, a) }
+
 // held reports whether bytes from one host to another are held.
 func (n *Network) held(from, to string) bool {
 	f := n.faults.Load()
--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -32,6 +32,7 @@
 const (
 	callerStreams  = 100 // and on
 	operatorStream = 200
+	settingsStream = 300
 )
 
 // Options of one run.
@@ -52,6 +53,8 @@
 	snapshots time.Duration
 	// size of the world, drawn from the seed when zero.
 	size Size
+	// choices of the settings, drawn from the seed when zero.
+	choices choices
 }
 
 // tampering is what a seeded fault can touch.
@@ -85,6 +88,9 @@
 	if o.size == (Size{}) {
 		o.size = Size{Daemons: 7 + int(o.Seed%3), Fabrics: 2, Engines: 3, Plains: 2}
 	}
+	if o.choices == (choices{}) {
+		o.choices = drawChoices(o.Seed)
+	}
 	if o.snapshots == 0 {
 		o.snapshots = snapshotEvery
 	}
@@ -93,6 +99,7 @@
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
 	defer world.close()
+	o.choices.count(watch)
 	err = drive(o, r, world)
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
@@ -222,11 +229,16 @@
 func (s *schedule) sampleDaemons() {
 	for _, d := range s.world.daemons {
 		running, _ := d.daemon()
-		since, reachable := s.reachableSince(d)
-		if running == nil || !reachable {
+		if running == nil {
+			delete(s.apart, d)
 			continue
 		}
 		ready, _ := running.Ready()
+		s.sampleCutOff(d, ready)
+		since, reachable := s.reachableSince(d)
+		if !reachable {
+			continue
+		}
 		s.watch.sampleConfig(running.ID(), running.Heartbeat().ConfigRevision, ready, since)
 	}
 }
--- a/standin/runs/schedule.go
+++ b/standin/runs/schedule.go
@@ -44,13 +44,16 @@
 	// lost is since when a daemon has had no fault that cuts it off.
 	lost map[*daemonHost]int
 	back map[*daemonHost]time.Time
+	// apart is since when a daemon was found in a small part of the daemons
+	// that has lost the log; of the sampling alone.
+	apart map[*daemonHost]time.Time
 	// down counts the faults that keep the log down.
 	down int
 }
 
 func newSchedule(ctx context.Context, w *World, c *callers, o *operators) *schedule {
 	return &schedule{world: w, watch: w.watch, callers: c, ops: o, ctx: ctx,
-		lost: map[*daemonHost]int{}, back: map[*daemonHost]time.Time{}}
+		lost: map[*daemonHost]int{}, back: map[*daemonHost]time.Time{}, apart: map[*daemonHost]time.Time{}}
 }
 
 // run injects faults until the time, then waits until all have ended.
--- a/standin/runs/watch.go
+++ b/standin/runs/watch.go
@@ -26,6 +26,7 @@
 	CheckRecovery    Checker = "recovery"       // all is well again after the last fault
 	CheckRace        Checker = "publish-race"   // of two racing publications at most one is accepted
 	CheckOutage      Checker = "log-outage"     // requests that need no log are served while it is down
+	CheckCutOff      Checker = "cut-off"        // a daemon that is cut off refuses, unless it is set to serve
 	CheckZone        Checker = "zone-lost"      // the other zones serve while one is away
 )
 
--- a/standin/runs/world.go
+++ b/standin/runs/world.go
@@ -78,6 +78,7 @@
 	logs     io.Writer // of the daemons, nil for none
 	// snapshots is the time between two snapshots of a stream.
 	snapshots time.Duration
+	choices   choices
 }
 
 // newWorld starts the platform, the backend servers and the daemons.
@@ -94,6 +95,7 @@
 		logs:  o.Log,
 
 		snapshots: o.snapshots,
+		choices:   o.choices,
 		platform: &platform.Platform{
 			Log:       platform.NewLog(platform.LogConfig{Retention: retention}),
 			Instances: platform.NewInstances(platform.InstancesConfig{}),
@@ -246,6 +248,8 @@
 		MaxConnections:   4096,
 		LogLevel:         level,
 		ExplainDecisions: 0,
+		WhenCutOff:       d.world.choices.cutOff,
+		WhenFlooded:      d.world.choices.flooded,
 	}
 }
 
