placement: read an engine's refusals under its lock

Cause: go test -race -cpu 1 found TestCaretakerEndsAtANewerTerm reading rigEngine.refused beside a daemon's order, a race of the test alone. After: the package passes under -race -cpu 1.

--- a/internal/placement/caretaker_test.go
+++ b/internal/placement/caretaker_test.go
@@ -247,12 +247,12 @@
 		e.highest = 2
 		e.mu.Unlock()
 		time.Sleep(20 * time.Second)
-		assert.Equal(r.t, e.refused, 1)
+		assert.Equal(r.t, e.refusals(), 1)
 		start := time.Now()
 		r.engineOf(g.Members[1]).restart()
 		time.Sleep(time.Minute)
 		assert.Equal(r.t, len(r.ordersSince(start)), 0)
-		assert.Equal(r.t, e.refused, 1)
+		assert.Equal(r.t, e.refusals(), 1)
 	})
 }
 
--- a/internal/placement/rig_engine_test.go
+++ b/internal/placement/rig_engine_test.go
@@ -55,6 +55,13 @@
 	return backend.OrderResult{Accepted: true, HighestToken: e.highest}, nil
 }
 
+// refusals counts the orders that were refused.
+func (e *rigEngine) refusals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refused
+}
+
 func (e *rigEngine) finish(a *fleet.Assignment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
