--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -36,6 +36,11 @@
 	// both a lapsed holder orders nothing.
 	Terms  lease.Terms
 	Outage func() bool
+	// Alive lists the daemons that this one hears, those on their way out and
+	// itself included. With it, the first of them in the order of a scope
+	// gives members that return without a place their recorded one, while the
+	// log is down and the scope's last holder is not heard. Nil for never.
+	Alive func() []fleet.DaemonID
 	// Snapshot gives what a scope's plan rests on. Scope, Term and Groups
 	// are filled in by the executor.
 	Snapshot func(scope lease.Scope) Snapshot
@@ -56,6 +61,7 @@
 type Executor struct {
 	cfg     ExecutorConfig
 	scopes  map[lease.Scope]*scopeRun // of the loop alone
+	cares   map[lease.Scope]*care     // of the loop alone
 	orders  *orderBook
 	running sync.WaitGroup
 }
@@ -91,7 +97,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
-	return &Executor{cfg: cfg, scopes: map[lease.Scope]*scopeRun{}, orders: newOrderBook()}
+	return &Executor{cfg: cfg, scopes: map[lease.Scope]*scopeRun{}, cares: map[lease.Scope]*care{}, orders: newOrderBook()}
 }
 
 // Run works until ctx ends and returns once its orders and proposals have.
@@ -114,8 +120,10 @@
 	for _, scope := range e.cfg.Scopes() {
 		run := e.enter(scope)
 		if run == nil {
+			e.careFor(ctx, scope, time.Now())
 			continue
 		}
+		delete(e.cares, scope)
 		snap := e.snapshot(scope)
 		snap.Term = run.term
 		snap.LogDown = snap.LogDown || run.outage
@@ -154,7 +162,10 @@
 		run.outage = false
 		return run
 	}
-	if run != nil && e.lastHolder(run) {
+	if term, last := e.lastHolder(scope); last {
+		if run == nil || run.term != term {
+			run = e.newRun(scope, term)
+		}
 		run.outage = true
 		return run
 	}
@@ -181,12 +192,12 @@
 }
 
 // lastHolder reports whether the log is down and this daemon was the last to
-// hold the scope, as far as anyone it hears knows. Its orders stay within the
-// records of the log, so that they need no agreement.
-func (e *Executor) lastHolder(run *scopeRun) bool {
+// hold the scope, as far as anyone it hears knows, and under which term. Its
+// orders stay within the records of the log, so that they need no agreement.
+func (e *Executor) lastHolder(scope lease.Scope) (lease.Term, bool) {
 	if e.cfg.Terms == nil || e.cfg.Outage == nil || !e.cfg.Outage() {
-		return false
+		return 0, false
 	}
-	l, ok := e.cfg.Terms.Current(run.scope)
-	return ok && !l.Released && l.Term == run.term && l.Holder == e.cfg.Self
+	l, ok := e.cfg.Terms.Current(scope)
+	return l.Term, ok && !l.Released && l.Holder == e.cfg.Self
 }
