--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,18 +14,11 @@
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/invariant"
 	"carawayproxy.example/caraway/internal/routing"
+	"carawayproxy.example/caraway/standin/property"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Seeded("1").With("rapid.checks", "400")) }
 
 func generation() dispatch.Generation {
 	return dispatch.Generation{ID: "r1", Workspace: "w", Service: "svc", Prompt: "p"}
--- a/internal/group/whole_test.go
+++ b/internal/group/whole_test.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"flag"
 	"slices"
 	"strings"
 	"testing"
@@ -11,19 +10,11 @@
 	"pgregory.net/rapid"
 
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/standin/property"
 )
 
-// TestMain fixes rapid's seed, so that CI gives the same verdict each time.
-// A seed on the command line stands.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) { property.Main(m, property.Seeded("1")) }
 
 type testReports map[fleet.InstanceID]fleet.Report
 
