--- /dev/null
+++ b/internal/membership/handle.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+// handle takes in one message of a link. An error drops the link.
+func (m *Mesh) handle(l *link, frame []byte) error {
+	body, err := decode(frame)
+	if isUnknownType(err) {
+		m.cfg.Events.Emit(eventUnknownMessage, "peer", l.peer.From, "err", err)
+		return nil
+	}
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
+	switch b := body.(type) {
+	case *beatMessage:
+		return m.handleBeat(l, b)
+	case *newsMessage:
+		m.handleNews(l, b)
+	case *goodbyeMessage:
+		m.handleGoodbye(l)
+	case *requestMessage:
+		return m.handleRequest(l, b)
+	case *responseMessage:
+		m.pending.resolve(l, b)
+	}
+	return nil
+}
+
+func (m *Mesh) handleBeat(l *link, b *beatMessage) error {
+	now := time.Now()
+	streams, inFlight, err := l.names.unpack(b)
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
+	h := Heartbeat{
+		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
+		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
+		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
+	}
+	shown := l.heard(now, b)
+	if err := m.handleReports(l, b, shown.sentAt); err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
+	m.mu.Lock()
+	taken := m.table.observe(now, h, shown)
+	p := m.table.peers[h.From]
+	m.dirty = true
+	m.mu.Unlock()
+	if taken {
+		m.confirm(p)
+		wake(m.heard)
+	}
+	return nil
+}
+
+// handleReports hands on what a heartbeat tells of backend servers.
+func (m *Mesh) handleReports(l *link, b *beatMessage, sentAt time.Time) error {
+	reports, err := l.names.unpackReports(b, sentAt, l.reportsHeard)
+	if err != nil {
+		return err
+	}
+	silent, err := l.names.unpackSilent(b)
+	if err != nil {
+		return err
+	}
+	if len(reports) > 0 && m.cfg.OnReports != nil {
+		m.cfg.OnReports(reports)
+	}
+	if len(silent) > 0 && m.cfg.OnSilent != nil {
+		m.cfg.OnSilent(silent)
+	}
+	return nil
+}
+
+func (m *Mesh) handleNews(l *link, b *newsMessage) {
+	m.mu.Lock()
+	leaving, sightings := m.news.takePeer(time.Now(), l.peer.From, b)
+	m.dirty = true
+	m.mu.Unlock()
+	m.tell(leaving, sightings)
+}
+
+func (m *Mesh) tell(leaving []fleet.InstanceID, sightings []suspect.Sighting) {
+	if len(leaving) > 0 && m.cfg.OnLeaving != nil {
+		m.cfg.OnLeaving(leaving)
+	}
+	if len(sightings) > 0 && m.cfg.OnSightings != nil {
+		m.cfg.OnSightings(sightings)
+	}
+}
+
+func (m *Mesh) handleGoodbye(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.depart(l.peer.From)
+	m.publish(time.Now())
+}
+
+func (m *Mesh) handleRequest(l *link, req *requestMessage) error {
+	frame, err := encode(m.serve(req))
+	if err != nil {
+		return err
+	}
+	l.send(frame)
+	return nil
+}
