--- a/standin/runs/run.go
+++ b/standin/runs/run.go
@@ -46,6 +46,8 @@
 	tamper func(*tampering)
 	// calm leaves out the schedule's faults.
 	calm bool
+	// settled leaves out the operators' changes after the first publication.
+	settled bool
 	// every is the mean time between two requests of one caller, 3 s when
 	// zero.
 	every time.Duration
@@ -125,7 +127,9 @@
 		source := rand.New(rand.NewPCG(o.Seed, callerStreams+uint64(i)))
 		w.tasks.Go(func() { c.run(ctx, source, request) })
 	}
-	w.tasks.Go(func() { ops.run(ctx, rand.New(rand.NewPCG(o.Seed, operatorStream))) })
+	if !o.settled {
+		w.tasks.Go(func() { ops.run(ctx, rand.New(rand.NewPCG(o.Seed, operatorStream))) })
+	}
 	pause(ctx, warmUp/2)
 	if o.tamper != nil {
 		o.tamper(&tampering{ctx: ctx, world: w, watch: w.watch, callers: c, ops: ops, faults: s})
