admission: take a cut in a flood from who floods

Cause: TestFloodOfWholeDaemons, new, had 2 to 7% of a small workspace's calls refused though it used eight tenths of its share: late first tokens of the flood's first seconds cut the limit, and each workspace's share with it. Now, while another workspace floods and the capacity is known, who does not flood keeps to its share of the whole capacity. Ruled out: borrowers' late ends as the cause (tried, reverted); sparing a workspace whose own in-flight rises beyond its share (that is a flood).

Shown failing: TestACutInAFloodIsTakenFromWhoFloods (4 of 14 admitted).

--- a/internal/admission/flood.go
+++ b/internal/admission/flood.go
@@ -49,6 +49,21 @@
 	return inFlight > w.fair(share) && inFlight > average+spread(average)
 }
 
+// spared reports whether one more request of w is within its fair share of the
+// whole capacity while another workspace floods and w does not. A limit that
+// was cut in a flood is then taken from who floods.
+func (s *service) spared(now time.Time, w *workspace, share, wholeShare float64) bool {
+	if float64(w.inFlight+1) > w.fair(wholeShare) || w.floods(now, wholeShare) {
+		return false
+	}
+	for _, other := range s.workspaces {
+		if other != w && other.floods(now, share) {
+			return true
+		}
+	}
+	return false
+}
+
 // confines reports whether the workspace keeps to its share of the groups now,
 // so that it finds no room beyond its fair share.
 func (s *service) confines(now time.Time, w *workspace) bool {
--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -149,3 +149,40 @@
 	small.Release(start, Result{FirstToken: time.Second})
 	assert.Equal(t, told, 1)
 }
+
+// TestACutInAFloodIsTakenFromWhoFloods: others keep their share of the whole
+// capacity, and no more.
+func TestACutInAFloodIsTakenFromWhoFloods(t *testing.T) {
+	for name, tc := range map[string]struct {
+		flood    bool
+		admitted int
+	}{
+		"flood":    {flood: true, admitted: 14}, // seven tenths of 20
+		"no flood": {admitted: 10},              // the limit
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewController(Config{NewLimiter: func() Limiter { return Fixed(10) }})
+			ask := func(name fleet.Workspace, weight float64) bool {
+				req := from(name)
+				req.Weight = weight
+				req.Capacity = 20
+				_, failure := c.Admit(start, req)
+				return failure == nil
+			}
+			large, small := 0, 0
+			ask("small", 7)
+			for range 100 {
+				if tc.flood && ask("large", 3) {
+					large++
+				}
+			}
+			for range 100 {
+				if ask("small", 7) {
+					small++
+				}
+			}
+			assert.Assert(t, large <= 10)
+			assert.Equal(t, small+1, tc.admitted)
+		})
+	}
+}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -71,6 +71,9 @@
 	limit := s.limit(req)
 	share := s.share(limit)
 	s.lastLimit = limit
+	if whole := float64(req.Capacity); whole > limit && s.spared(now, w, share, s.share(whole)) {
+		limit, share = whole, s.share(whole)
+	}
 	borrowed = w.borrows(now, share)
 	hasRoom := s.hasRoom(now, w, limit, share, borrowed)
 	w.asked.add(now)
--- a/standin/runs/flood_test.go
+++ b/standin/runs/flood_test.go
@@ -140,13 +140,14 @@
 				choices: choices{cutOff: settings.CutOffRefuse, flooded: setting},
 				tamper:  func(m *tampering) { f.tampering = m; f.run() },
 			})
+			t.Log(f.whole, f.failed)
 			overloaded := " " + connect.CodeResourceExhausted.String()
 			assert.Assert(t, f.whole[floodSmall] > 500 && f.whole[floodLarge] > 100, "%v", f.whole)
 			assert.Assert(t, f.failed[floodLarge+overloaded] > 100, "no flood: %v", f.failed)
-			delete(f.failed, floodSmall+overloaded) // see docs/design/admission.md
+			assert.Assert(t, 20*f.failed[floodSmall+overloaded] <= f.whole[floodSmall], "95 in 100 of the small workspace's: %v", f.failed)
+			delete(f.failed, floodSmall+overloaded)
 			assert.Equal(t, len(f.failed), 1, "not for lack of room: %v", f.failed)
 			shared, all := f.beside(log.String())
-			t.Log(f.whole, f.failed, shared, all)
 			assert.Assert(t, all > 100)
 			assert.Equal(t, 2*shared < all, apart, "%d of %d choices beside the small workspace", shared, all)
 		})
