admission: the bounds of a request in a function of their own

Cause: admit had grown by the sparing of a flood. A move only; the tests of admission, daemon and serving pass.

--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -68,12 +68,7 @@
 	if req.MaxInFlight > 0 && w.inFlight >= int(req.MaxInFlight) {
 		return nil, false, s.refuse(now, w, "workspace %s has %d requests in flight, its limit", w.name, w.inFlight)
 	}
-	limit := s.limit(req)
-	share := s.share(limit)
-	s.lastLimit = limit
-	if whole := float64(req.Capacity); whole > limit && s.spared(now, w, share, s.share(whole)) {
-		limit, share = whole, s.share(whole)
-	}
+	limit, share := s.bounds(now, w, req)
 	borrowed = w.borrows(now, share)
 	hasRoom := s.hasRoom(now, w, limit, share, borrowed)
 	w.asked.add(now)
@@ -92,6 +87,19 @@
 	return w, borrowed, nil
 }
 
+// bounds returns the limit for a request of w, and the fair share of it for
+// each unit of weight. A workspace that is spared has those of the capacity.
+func (s *service) bounds(now time.Time, w *workspace, req Request) (limit, share float64) {
+	limit = s.limit(req)
+	share = s.share(limit)
+	s.lastLimit = limit
+	whole := float64(req.Capacity)
+	if whole > limit && s.spared(now, w, share, s.share(whole)) {
+		return whole, s.share(whole)
+	}
+	return limit, share
+}
+
 // release gives a place back.
 func (s *service) release(now time.Time, w *workspace, res Result) {
 	if !s.confines(now, w) { // else late in groups of its own
