admission, daemon: names that hid built-in ones

Cause: read-through; clear and any were names of variables. The tests of both packages pass and the linter is clean, before and after; nothing else changes.

--- a/internal/admission/flood.go
+++ b/internal/admission/flood.go
@@ -98,8 +98,8 @@
 		return routing.Part{}
 	}
 	if own == 0 {
-		clear := min(used/(busyPart*share*(weights-flooding)), 1)
-		return routing.Part{From: clear * flooding / weights, To: 1}
+		kept := min(used/(busyPart*share*(weights-flooding)), 1)
+		return routing.Part{From: kept * flooding / weights, To: 1}
 	}
 	return routing.Part{From: before / weights, To: (before + own) / weights}
 }
--- a/internal/daemon/choices_test.go
+++ b/internal/daemon/choices_test.go
@@ -25,12 +25,12 @@
 }
 
 func TestWhenCutOffDecidesHowManyPeersSuffice(t *testing.T) {
-	for arg, any := range map[string]bool{
+	for arg, one := range map[string]bool{
 		"--when-cut-off=refuse": false,
 		"--when-cut-off=serve":  true,
 	} {
 		t.Run(arg, func(t *testing.T) {
-			assert.Equal(t, madeOf(t, arg).callersPolicy().AnyPeer, any)
+			assert.Equal(t, madeOf(t, arg).callersPolicy().AnyPeer, one)
 		})
 	}
 	assert.Equal(t, madeOf(t).callersPolicy().AnyPeer, false)
