--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -8,14 +8,17 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/daemon"
+	"carawayproxy.example/caraway/internal/edge"
 	"carawayproxy.example/caraway/internal/httpx"
 	"carawayproxy.example/caraway/internal/settings"
+	"carawayproxy.example/caraway/platform"
 )
 
 // Exit codes.
@@ -24,6 +27,10 @@
 	exitMistake = 2
 )
 
+// collectPart of the memory limit is what the collector keeps the heap below:
+// the rest is for stacks, buffers of the kernel, and bytes not read yet.
+const collectPart = 0.6
+
 func main() {
 	set, err := settings.Parse(os.Args[1:])
 	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
@@ -34,19 +41,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitMistake)
 	}
+	if set.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(collectPart * float64(set.MemoryLimit<<20)))
+	}
 	if err := run(set); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
 }
 
+// served is a daemon of either kind.
+type served interface {
+	Run(ctx context.Context) error
+	Drain()
+}
+
 // run serves until a planned stop, which SIGTERM or SIGINT begins, has ended.
 func run(set *settings.Settings) error {
-	env, err := listen(set)
-	if err != nil {
-		return err
-	}
-	d, err := daemon.New(set, env)
+	d, err := newDaemon(set)
 	if err != nil {
 		return err
 	}
@@ -59,25 +71,63 @@
 	return d.Run(context.Background())
 }
 
-// listen opens the three listeners and loads the certificates.
-func listen(set *settings.Settings) (daemon.Env, error) {
-	env := daemon.Env{Dial: httpx.Dialer(), Log: os.Stderr}
-	for _, l := range []struct {
-		address string
-		into    *net.Listener
-	}{
+// newDaemon picks the adapters: those of the operators' platform when the
+// settings name its store, else the product's own protocols.
+func newDaemon(set *settings.Settings) (served, error) {
+	if set.Store != "" {
+		return newEdge(set)
+	}
+	env, err := listen(set)
+	if err != nil {
+		return nil, err
+	}
+	return daemon.New(set, env)
+}
+
+func newEdge(set *settings.Settings) (*edge.Daemon, error) {
+	// Its only settings file is the environment, which a running process keeps.
+	signal.Ignore(syscall.SIGHUP)
+	env := edge.Env{Dial: platform.Dialer(), Log: os.Stdout, Elapsed: platform.Elapsed}
+	err := openAll([]listener{
 		{set.CallersListen, &env.Callers},
+		{set.ReadinessListen, &env.Readiness},
 		{set.AdminListen, &env.Admin},
 		{set.PeersListen, &env.Peers},
-	} {
+	})
+	if err != nil {
+		return nil, err
+	}
+	env.Platform = platform.New(env.Dial, set.Store)
+	return edge.New(set, env)
+}
+
+// listener is an address to listen on and where the listener goes.
+type listener struct {
+	address string
+	into    *net.Listener
+}
+
+func openAll(listeners []listener) error {
+	for _, l := range listeners {
 		opened, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return env, errors.Wrap(err, "listen")
+			return errors.Wrap(err, "listen")
 		}
 		*l.into = opened
 	}
-	if set.TLSCertificate == "" {
-		return env, nil
+	return nil
+}
+
+// listen opens the three listeners and loads the certificates.
+func listen(set *settings.Settings) (daemon.Env, error) {
+	env := daemon.Env{Dial: httpx.Dialer(), Log: os.Stderr}
+	err := openAll([]listener{
+		{set.CallersListen, &env.Callers},
+		{set.AdminListen, &env.Admin},
+		{set.PeersListen, &env.Peers},
+	})
+	if err != nil || set.TLSCertificate == "" {
+		return env, err
 	}
 	config, err := httpx.ReloadingTLS(set.TLSCertificate, set.TLSKey)
 	if err != nil {
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -37,8 +37,14 @@
 	// Unreached reports whether this daemon itself can't reach an instance,
 	// whatever peers report of it; nil when reports are its own.
 	Unreached func(id fleet.InstanceID) bool
-	Policy    routing.Policy
-	Rand      *rand.Rand
+	// Silent reports whether a group that takes requests seems to have
+	// stopped; nil for not knowing.
+	Silent func(id fleet.GroupID, now time.Time) bool
+	// Limit is how many requests a group may have, given how many it can run
+	// at once; nil for no limit.
+	Limit  func(c *routing.Candidate) uint32
+	Policy routing.Policy
+	Rand   *rand.Rand
 }
 
 // Store is safe for concurrent use.
@@ -173,6 +179,12 @@
 	c.TokensPerSecond = r.TokensPerSecond
 	c.ReportAge = now.Sub(figuresAt)
 	c.PeerInFlight = s.cfg.PeerInFlight(c.Group)
+	if s.cfg.Silent != nil {
+		c.Silent = s.cfg.Silent(c.Group, now)
+	}
+	if s.cfg.Limit != nil {
+		c.Limit = s.cfg.Limit(c)
+	}
 	sh := s.shard(c.Group)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -43,6 +43,7 @@
 	spec       *service.Spec
 	print      suspect.Fingerprint
 	route      routing.Request
+	most       int // attempts, zero for the service's limit
 	made       int
 	began      time.Time // of the first attempt
 	mayHaveRun bool      // an attempt may have run
@@ -116,7 +117,7 @@
 	if f := a.over(ctx); f != nil {
 		return f
 	}
-	if a.made >= orDefault(a.spec.Limits.MaxAttempts, defaultMaxAttempts) {
+	if a.made >= a.maxAttempts() {
 		return a.fail(fleet.ReasonBackendFailed, spread(retryAfterFailed), "every attempt failed, the last one: "+cause.Error())
 	}
 	alone, f := a.d.standing(a.id, a.spec.Service, a.print)
@@ -139,6 +140,11 @@
 	return nil
 }
 
+// maxAttempts is how many attempts the request may have.
+func (a *attempts) maxAttempts() int {
+	return orDefault(a.most, orDefault(a.spec.Limits.MaxAttempts, defaultMaxAttempts))
+}
+
 // pay takes another attempt from the service's retry budget, once for each.
 func (a *attempts) pay() bool {
 	if !a.paid {
@@ -158,18 +164,23 @@
 	a.avoid(t.Candidate)
 	a.d.count(cause)
 	a.d.cfg.Events.Emit(eventAttemptFailed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address, "cause", cause)
-	if errors.Is(cause, errCrossed) {
+	if crossed(cause) {
 		a.d.cfg.Events.Emit(eventCrossed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address)
 	}
 }
 
+// crossed reports whether an answer named another request or attempt.
+func crossed(cause error) bool {
+	return errors.Is(cause, errCrossed) || errors.Is(cause, backend.ErrCrossed)
+}
+
 func (d *Dispatcher) count(cause error) {
 	switch {
-	case errors.Is(cause, errCrossed):
+	case crossed(cause):
 		d.metrics.crossed.Inc(1)
 	case errors.Is(cause, errLapsed):
 		d.metrics.lapsed.Inc(1)
-	case errors.Is(cause, errStalled), errors.Is(cause, errStraggler):
+	case errors.Is(cause, errStalled), errors.Is(cause, errStraggler), errors.Is(cause, errSilent):
 		d.metrics.stalled.Inc(1)
 	default:
 		d.metrics.broken.Inc(1)
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -21,8 +21,12 @@
 	Knowledge Knowledge
 	Engines   backend.Engines
 	Plains    backend.Plains
-	Events    *event.Logger
-	Metrics   metrics.Registry
+	// Opaques takes the requests of Forward, and Pulse tells which groups
+	// have stopped; nil for not following them.
+	Opaques backend.Opaques
+	Pulse   Pulse
+	Events  *event.Logger
+	Metrics metrics.Registry
 	// Daemons tells how many daemons share the groups' capacity; one when
 	// nil.
 	Daemons func() int
@@ -46,6 +50,9 @@
 	// OutcomeGrace is how long a non-idempotent call that was sent goes on
 	// after its caller's deadline, so that its outcome is recorded. 10 s.
 	OutcomeGrace time.Duration
+	// SilencePatience is how long a stream that has had events stays with a
+	// group that has stopped before it goes on elsewhere. 300 ms.
+	SilencePatience time.Duration
 	// BackoffBase and BackoffMax bound the wait before another attempt.
 	// 10 ms and 250 ms.
 	BackoffBase, BackoffMax time.Duration
@@ -87,6 +94,7 @@
 	set(&t.CancelTimeout, 2*time.Second)
 	set(&t.DeathGrace, 5*time.Second)
 	set(&t.OutcomeGrace, 10*time.Second)
+	set(&t.SilencePatience, 300*time.Millisecond)
 	set(&t.BackoffBase, 10*time.Millisecond)
 	set(&t.BackoffMax, 250*time.Millisecond)
 	set(&t.DefaultDeadline, time.Minute)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,6 +79,9 @@
 // callers are answered and whose outcomes are still awaited.
 func (d *Dispatcher) InFlight() int { return int(d.inFlight.Load()) }
 
+// Asked reports whether any request has come yet.
+func (d *Dispatcher) Asked() bool { return d.metrics.requests.Count() > 0 }
+
 // Drain refuses new requests from now on. Those in flight go on.
 func (d *Dispatcher) Drain() {
 	if !d.draining.Swap(true) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -230,7 +230,7 @@
 		return err
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errLapsed) || errors.Is(cause, errStalled) {
+	if errors.Is(cause, errLapsed) || errors.Is(cause, errStalled) || errors.Is(cause, errSilent) {
 		return cause
 	}
 	return err
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -10,6 +10,7 @@
 type dispatchMetrics struct {
 	requests, refused, attempts, retries, resumed, noBudget      metrics.Counter
 	crossed, broken, stalled, lapsed, cancels, uncertain, tokens metrics.Counter
+	events                                                       metrics.Counter
 	firstToken                                                   metrics.Histogram // milliseconds
 }
 
@@ -32,6 +33,7 @@
 		cancels:    count("cancels"),
 		uncertain:  count("uncertain"),
 		tokens:     count("tokens"),
+		events:     count("events"),
 		firstToken: metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
 	}
 }
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,165 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/feed"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/membership"
+	"carawayproxy.example/caraway/internal/routes"
+)
+
+const (
+	// documentWait is how long one read waits for a new routing document. A
+	// connection that has gone silent is noticed after it.
+	documentWait = 1500 * time.Millisecond
+	// serversEvery is the time between two readings of the list, and
+	// leaderServersEvery that of the daemon that forms groups. Each reading
+	// takes in all that changed.
+	serversEvery       = 500 * time.Millisecond
+	leaderServersEvery = 200 * time.Millisecond
+	serversWait        = time.Second
+	// daemonsWait is how long one read waits for news of daemons.
+	daemonsWait = 10 * time.Second
+	// announceAgain is the pause after an announcement that failed.
+	announceAgain = 500 * time.Millisecond
+)
+
+func (d *Daemon) followDocument(ctx context.Context) {
+	take := func(items []feed.Item[*routes.Document]) {
+		for _, item := range items {
+			d.takeDocument(item)
+		}
+	}
+	f := feed.Follower[*routes.Document]{
+		Source: d.env.Platform.Documents,
+		Wait:   documentWait,
+		Sink: feed.Sink[*routes.Document]{
+			All: take, Changes: take,
+			Failed: func(err error) { d.events.Emit(eventReadFailed, "what", "routing document", "error", err) },
+		},
+	}
+	f.Run(ctx)
+}
+
+func (d *Daemon) takeDocument(item feed.Item[*routes.Document]) {
+	switch {
+	case item.Err != nil:
+		d.events.Emit(eventBadRecord, "what", "routing document", "key", item.Key, "error", item.Err)
+	case item.Dropped:
+	case d.routes.Offer(item.Value):
+		d.events.Emit(eventDocument, "version", item.Value.Version, "routes", len(item.Value.Routes),
+			"services", len(item.Value.Services), "workspaces", len(item.Value.Workspaces))
+	}
+}
+
+func (d *Daemon) followServers(ctx context.Context) {
+	f := feed.Follower[directory.Server]{
+		Source: d.env.Platform.Servers,
+		Wait:   serversWait,
+		Every: func() time.Duration {
+			if d.conductor.Leads() {
+				return leaderServersEvery
+			}
+			return serversEvery
+		},
+		Sink: feed.Sink[directory.Server]{
+			All: d.takeServers, Changes: d.takeServerChanges,
+			Read: func(at time.Time) {
+				if away := d.directory.ListRead(at); away > 0 {
+					d.events.Emit(eventListBack, "away", away.Round(time.Millisecond))
+				}
+			},
+			Failed: func(err error) {
+				d.directory.ListAway(time.Now())
+				d.events.Emit(eventReadFailed, "what", "list of backend servers", "error", err)
+			},
+		},
+	}
+	f.Run(ctx)
+}
+
+func (d *Daemon) takeServers(items []feed.Item[directory.Server]) {
+	now := time.Now()
+	listed := map[fleet.InstanceID]bool{}
+	for _, item := range items {
+		listed[fleet.InstanceID(item.Key)] = !item.Dropped
+	}
+	d.takeServerChanges(items)
+	d.directory.Retain(listed, now)
+	d.listed.Store(true)
+}
+
+func (d *Daemon) takeServerChanges(items []feed.Item[directory.Server]) {
+	now := time.Now()
+	for _, item := range items {
+		switch {
+		case item.Err != nil:
+			d.events.Emit(eventBadRecord, "what", "list of backend servers", "key", item.Key, "error", item.Err)
+		case item.Dropped:
+			d.events.Emit(eventUnlisted, "instance", item.Key)
+			d.directory.Withdraw(fleet.InstanceID(item.Key), now)
+		default:
+			d.directory.Announce(item.Value, now)
+		}
+	}
+}
+
+// placeBook is where the other daemons can be reached.
+type placeBook struct {
+	mu sync.Mutex
+	at map[string]string // address by name
+}
+
+func (b *placeBook) take(items []feed.Item[string], whole bool) []membership.Place {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if whole || b.at == nil {
+		b.at = map[string]string{}
+	}
+	for _, item := range items {
+		if item.Err == nil && !item.Dropped {
+			b.at[item.Key] = item.Value
+		} else {
+			delete(b.at, item.Key)
+		}
+	}
+	var out []membership.Place
+	for _, name := range slices.Sorted(maps.Keys(b.at)) {
+		out = append(out, membership.Place{Address: b.at[name]})
+	}
+	return out
+}
+
+func (d *Daemon) followDaemons(ctx context.Context) {
+	f := feed.Follower[string]{
+		Source: d.env.Platform.Daemons,
+		Wait:   daemonsWait,
+		Every:  func() time.Duration { return announceAgain },
+		Sink: feed.Sink[string]{
+			All:     func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, true)) },
+			Changes: func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, false)) },
+			Failed:  func(err error) { d.events.Emit(eventReadFailed, "what", "daemons", "error", err) },
+		},
+	}
+	f.Run(ctx)
+}
+
+// announce tells the other daemons where this one is, once.
+func (d *Daemon) announce(ctx context.Context) {
+	for {
+		err := d.env.Platform.Announce(ctx, d.set.Name, d.peerAddress())
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		d.events.Emit(eventAnnounceFailed, "error", err)
+		if !pause(ctx, announceAgain) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/policy.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"time"
+
+	"carawayproxy.example/caraway/internal/placement"
+	"carawayproxy.example/caraway/internal/routing"
+)
+
+const (
+	// returnGrace is how long after the store's return a server that is not
+	// listed may still come back, by the operators' word.
+	returnGrace = 2 * time.Second
+	// scopeTTL is how long a scope outlasts its holder's last renewal, and
+	// scopeRenewal the time between renewals: three fit into a TTL. Two
+	// seconds for a takeover are the target.
+	scopeTTL     = 1200 * time.Millisecond
+	scopeRenewal = 400 * time.Millisecond
+	// takeoverSettle covers the orders that the last holder may have sent
+	// before it knew that it holds the scope no more.
+	takeoverSettle = 700 * time.Millisecond
+	// rejoinTime is how long an engine takes to join a group of its last
+	// model, openTime how long a group takes to open.
+	rejoinTime = 200 * time.Millisecond
+	openTime   = 300 * time.Millisecond
+	// loadRate and loadBurst keep the loads of any five seconds below the
+	// weight store's five a second with a tenth and three to spare.
+	loadRate  = 4.2
+	loadBurst = 6
+	// retryBackoff is the pause before another attempt: the next one goes to
+	// another group, so that there is nothing to wait for.
+	retryBackoff = time.Millisecond
+	// reservePart of the engines is kept free to repair groups with.
+	reservePart = 0.18
+	// fullGroup is how many requests a group may have, as a multiple of those
+	// that it can run at once. What waits in an engine is started without a
+	// pause; what waits longer is late.
+	fullGroup = 1.35
+)
+
+// planningPolicy suits groups that form in a second or two from engines that
+// have the model at hand.
+var planningPolicy = placement.Policy{
+	BrokenSettle: time.Millisecond,
+	DrainSettle:  time.Second,
+	DrainBound:   10 * time.Second,
+	FlapWindow:   20 * time.Second,
+	MaxLoads:     64,
+	StoreRate:    64,
+	Spread:       true,
+	Hysteresis:   1.2,
+}
+
+// limitOf is how many requests a group may have at once.
+func limitOf(c *routing.Candidate) uint32 {
+	return uint32(fullGroup * float64(c.MaxRunning))
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,271 @@
+// Package entry is the HTTP/1.1 entry for requests that are passed on byte for
+// byte. It finds the route and the workspace of a request and hands it to
+// dispatch.
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/dispatch"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/internal/routes"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+// Meta is what a request's headers say of it.
+type Meta struct {
+	Request fleet.RequestID
+	Key     string
+	// Left is how long the caller waits, zero for not stated.
+	Left  time.Duration
+	Model string
+	// PromptTokens and MaxTokens are the request's size; AnswerTokens is the
+	// caller's estimate of the answer's, zero for none.
+	PromptTokens, MaxTokens, AnswerTokens uint32
+	// Parts are ids of the parts of the prompt, in order.
+	Parts []uint64
+	// LastEvent is the id of the last event that the caller has of a stream
+	// that broke off.
+	LastEvent string
+}
+
+// Codec reads the headers of requests.
+type Codec interface {
+	// Decode returns what the headers say. The error names the header at fault.
+	Decode(h http.Header) (Meta, error)
+}
+
+// Dispatcher carries requests through their life.
+type Dispatcher interface {
+	Forward(ctx context.Context, f dispatch.Forwarding, relay dispatch.Relay) *fleet.Failure
+}
+
+// Config sets up a Handler.
+type Config struct {
+	Codec      Codec
+	Routes     *routes.Book
+	Dispatcher Dispatcher
+	// Draining reports whether the daemon is stopping: its connections are
+	// closed after the answers.
+	Draining func() bool
+	Events   *event.Logger
+}
+
+// Handler takes callers' requests.
+type Handler struct {
+	cfg Config
+}
+
+// NewHandler returns a handler.
+func NewHandler(cfg Config) *Handler { return &Handler{cfg: cfg} }
+
+const (
+	// defaultBodyBytes bounds a request's body when the document does not.
+	defaultBodyBytes = 4 << 20
+	// defaultLeft is how long a caller waits that does not say.
+	defaultLeft = 30 * time.Second
+	// retryWithoutDocument is when callers may come back to a daemon that has
+	// no routing document yet; others have one.
+	retryWithoutDocument = 300 * time.Millisecond
+)
+
+// request is one request with what was found out about it.
+type request struct {
+	meta      Meta
+	arrived   time.Time
+	route     *routes.Route
+	service   *routes.Service
+	workspace fleet.Workspace
+	priority  int
+	body      []byte
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.cfg.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	req, refusal := h.examine(w, r)
+	if refusal != nil {
+		h.refuse(w, req, r, *refusal)
+		return
+	}
+	deadline := req.deadline()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	relay := &relay{w: w, control: http.NewResponseController(w), stream: req.route.Kind == routes.KindStream}
+	if err := relay.control.SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
+		h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "reason", "write deadline", "error", err)
+	}
+	if f := h.cfg.Dispatcher.Forward(ctx, h.forwarding(r, req), relay); f != nil {
+		relay.fail(f)
+	}
+}
+
+// refusal is a final answer to a request that was not passed on.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// examine finds the route and workspace of a request and reads its body.
+func (h *Handler) examine(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	req := &request{arrived: time.Now()}
+	table := h.cfg.Routes.Table()
+	if table == nil {
+		return req, &refusal{http.StatusServiceUnavailable, "no routing document yet", retryWithoutDocument}
+	}
+	var err error
+	if req.meta, err = h.cfg.Codec.Decode(r.Header); err != nil {
+		return req, &refusal{http.StatusBadRequest, err.Error(), 0}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	var found bool
+	if req.route, found = table.Match(r.Host, path); !found {
+		return req, &refusal{http.StatusNotFound, "no route for " + r.Host + path, 0}
+	}
+	if f := req.identify(table); f != nil {
+		return req, f
+	}
+	if req.service, found = table.Service(req.route.Pick(rand.Float64())); !found {
+		return req, &refusal{http.StatusServiceUnavailable, "the route's service is not in the document", retryWithoutDocument}
+	}
+	return req, req.read(w, r, table.Document.Limits)
+}
+
+// identify finds the workspace that the request's key belongs to.
+func (q *request) identify(table *routes.Table) *refusal {
+	q.workspace, q.priority = routes.PublicWorkspace, q.route.Priority
+	w, known := table.Workspace(q.meta.Key)
+	if !known {
+		if table.NeedsKey(q.route) {
+			return &refusal{http.StatusUnauthorized, "the key is not known", 0}
+		}
+		return nil
+	}
+	q.workspace = w.Name
+	if w.Priority >= 0 {
+		q.priority = w.Priority
+	}
+	return nil
+}
+
+// read takes the whole body in, so that the request can be sent again.
+func (q *request) read(w http.ResponseWriter, r *http.Request, limits routes.Limits) *refusal {
+	limit := int64(limits.MaxBodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, "the body has " + strconv.FormatInt(r.ContentLength, 10) + " bytes", 0}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{http.StatusRequestEntityTooLarge, "the body has more than " + strconv.FormatInt(limit, 10) + " bytes", 0}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, "the body broke off: " + err.Error(), 0}
+	}
+	q.body = body
+	return nil
+}
+
+// deadline is when the request must have its final answer.
+func (q *request) deadline() time.Time {
+	left := q.meta.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if q.route.Timeout > 0 {
+		left = min(left, q.route.Timeout)
+	}
+	return q.arrived.Add(left)
+}
+
+// answerPart stands in for the length of an answer whose caller gives no
+// estimate, as a part of the longest that it allows.
+const answerPart = 0.5
+
+func (h *Handler) forwarding(r *http.Request, req *request) dispatch.Forwarding {
+	header := r.Header.Clone()
+	httpx.DropConnectionHeaders(header)
+	header.Del("Expect")
+	f := dispatch.Forwarding{
+		Workspace:    req.workspace,
+		Service:      fleet.ServiceName(req.service.Name),
+		Kind:         fleet.KindPlain,
+		Stream:       req.route.Kind == routes.KindStream,
+		Repeatable:   req.route.Repeatable(),
+		MaxAttempts:  req.route.MaxAttempts,
+		PromptTokens: req.meta.PromptTokens,
+		AnswerTokens: req.meta.AnswerTokens,
+		Prefixes:     req.meta.Parts,
+		Print:        fingerprint(r, req),
+		Message: backend.Opaque{
+			Request:     req.meta.Request,
+			Workspace:   req.named(),
+			Method:      r.Method,
+			Target:      r.RequestURI,
+			Host:        r.Host,
+			Header:      header,
+			Body:        req.body,
+			ResumeAfter: req.meta.LastEvent,
+		},
+	}
+	if f.AnswerTokens == 0 {
+		f.AnswerTokens = uint32(answerPart * float64(req.meta.MaxTokens))
+	}
+	if req.service.Engine != nil {
+		f.Service = routes.ModelService(req.service.Name, req.meta.Model)
+		f.Kind = fleet.KindEngine
+	}
+	return f
+}
+
+// named is the workspace that backend servers are told, empty for callers
+// without one.
+func (q *request) named() fleet.Workspace {
+	if q.workspace == routes.PublicWorkspace {
+		return ""
+	}
+	return q.workspace
+}
+
+// fingerprint is the same for a request that comes again with the same path,
+// caller and body.
+func fingerprint(r *http.Request, req *request) suspect.Fingerprint {
+	digest := xxhash.New()
+	for _, text := range []string{r.Method, r.Host, r.RequestURI, string(req.workspace)} {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(req.body)
+	return suspect.Fingerprint(digest.Sum64())
+}
+
+// refuse gives a request that was not passed on its final answer.
+func (h *Handler) refuse(w http.ResponseWriter, req *request, r *http.Request, f refusal) {
+	h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "host", r.Host, "status", f.status, "reason", f.reason, "retry_after", f.retryAfter)
+	setRetryAfter(w.Header(), f.retryAfter)
+	http.Error(w, f.reason, f.status)
+}
+
+func setRetryAfter(h http.Header, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,139 @@
+// Package feed follows a source that tells the newest value of each key and
+// then the changes, through failures and gaps of the source.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrGap tells that changes were lost: everything has to be read again.
+var ErrGap = errors.New("changes were lost")
+
+// Item is the newest value of a key, or the news that the key was dropped.
+type Item[T any] struct {
+	Key     string
+	Value   T
+	Dropped bool
+	// Err says why the value can't be read; Value is zero then.
+	Err error
+}
+
+// Source is what is followed. Positions grow with each change.
+type Source[T any] interface {
+	// All returns the newest value of each key, and where to read on.
+	All(ctx context.Context) ([]Item[T], uint64, error)
+	// Since returns the changes from a position on and the next position. It
+	// waits up to wait for one.
+	Since(ctx context.Context, from uint64, wait time.Duration) ([]Item[T], uint64, error)
+}
+
+// Sink takes what a Follower reads. Its methods are called one at a time.
+type Sink[T any] struct {
+	// All takes a whole reading, Changes what came after it.
+	All     func(items []Item[T])
+	Changes func(items []Item[T])
+	// Read is told of each answer of the source, Failed of each error; nil
+	// for not interested.
+	Read   func(at time.Time)
+	Failed func(err error)
+}
+
+// Follower keeps up with a source.
+type Follower[T any] struct {
+	Source Source[T]
+	Sink   Sink[T]
+	// Every is the least time between the starts of two reads, for sources
+	// whose every change is not worth a call.
+	Every func() time.Duration
+	// Wait is how long one read may wait for a change.
+	Wait time.Duration
+	// Nudge makes the follower read at once when something comes; nil for none.
+	Nudge <-chan struct{}
+}
+
+// Pauses after errors: the first one, doubled up to the longest. Each is cut
+// short by up to half so that daemons do not return together.
+const (
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Run follows the source until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	var position uint64
+	whole := false
+	pause := firstPause
+	for ctx.Err() == nil {
+		began := time.Now()
+		var err error
+		if !whole {
+			position, err = f.readAll(ctx)
+			whole = err == nil
+		} else {
+			position, err = f.readChanges(ctx, position)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, ErrGap) {
+				whole = false
+			}
+			f.failed(err)
+			f.sleep(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		pause = firstPause
+		if f.Sink.Read != nil {
+			f.Sink.Read(time.Now())
+		}
+		if f.Every != nil {
+			f.sleep(ctx, f.Every()-time.Since(began))
+		}
+	}
+}
+
+func (f *Follower[T]) readAll(ctx context.Context) (uint64, error) {
+	items, next, err := f.Source.All(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.Sink.All(items)
+	return next, nil
+}
+
+func (f *Follower[T]) readChanges(ctx context.Context, from uint64) (uint64, error) {
+	items, next, err := f.Source.Since(ctx, from, f.Wait)
+	if err != nil {
+		return from, err
+	}
+	if len(items) > 0 {
+		f.Sink.Changes(items)
+	}
+	return next, nil
+}
+
+func (f *Follower[T]) failed(err error) {
+	if f.Sink.Failed != nil {
+		f.Sink.Failed(err)
+	}
+}
+
+// sleep waits, unless it is nudged.
+func (f *Follower[T]) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.Nudge:
+	case <-ctx.Done():
+	}
+}
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -10,6 +10,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -131,3 +132,22 @@
 func (e *dialError) Error() string        { return "dial: " + e.err.Error() }
 func (e *dialError) Unwrap() error        { return e.err }
 func (e *dialError) Is(target error) bool { return target == ErrDial }
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// DropConnectionHeaders removes the headers that concern one connection only,
+// also those that Connection names.
+func DropConnectionHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+}
--- a/internal/lease/events.go
+++ b/internal/lease/events.go
@@ -18,3 +18,12 @@
 	eventReleased = event.Define(1303, "lease.released", log.InfoLevel,
 		"The daemon gave up scopes, for a planned stop or to spread the work.", "Nothing.")
 )
+
+var (
+	eventShareTaken = event.Define(1306, "lease.share-taken", log.InfoLevel,
+		"This daemon was dealt a scope of control work and acts for it under the term given.", "None.")
+	eventShareLost = event.Define(1307, "lease.share-lost", log.InfoLevel,
+		"A scope of control work was dealt to another daemon.", "None.")
+	eventShareFailed = event.Define(1308, "lease.share-failed", log.WarnLevel,
+		"The store did not renew this daemon's share of the control work; holds end by themselves.", "See whether the store answers.")
+)
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -77,8 +77,11 @@
 	// OnSilent receives the instances whose polls by a peer began to fail; nil
 	// for none. It must not block.
 	OnSilent func([]fleet.InstanceID)
-	Events   *event.Logger
-	Metrics  metrics.Registry // nil for none
+	// OnStalled receives the groups at which a peer's streams have stopped; nil
+	// for none. It must not block.
+	OnStalled func([]fleet.GroupID)
+	Events    *event.Logger
+	Metrics   metrics.Registry // nil for none
 	// Policy chooses the peers to dial, FullMesh when nil.
 	Policy LinkPolicy
 	// Beat is the time between heartbeats, DefaultBeat when zero.
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -68,7 +68,11 @@
 	if err != nil {
 		return err
 	}
-	silent, err := l.names.unpackSilent(b)
+	silent, err := unpackNew[fleet.InstanceID](l.names, b.Silent)
+	if err != nil {
+		return err
+	}
+	stalled, err := unpackNew[fleet.GroupID](l.names, b.Stalled)
 	if err != nil {
 		return err
 	}
@@ -78,6 +82,9 @@
 	if len(silent) > 0 && m.cfg.OnSilent != nil {
 		m.cfg.OnSilent(silent)
 	}
+	if len(stalled) > 0 && m.cfg.OnStalled != nil {
+		m.cfg.OnStalled(stalled)
+	}
 	return nil
 }
 
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -41,6 +41,7 @@
 	reportsSent  map[fleet.InstanceID]fleet.Report
 	reportsHeard map[uint32]fleet.Report
 	silentSent   map[fleet.InstanceID]bool
+	stalledSent  map[fleet.GroupID]bool
 }
 
 // errCongested ends a link whose peer does not read.
@@ -60,6 +61,7 @@
 		numbering:    newNumbering(),
 		reportsSent:  map[fleet.InstanceID]fleet.Report{},
 		silentSent:   map[fleet.InstanceID]bool{},
+		stalledSent:  map[fleet.GroupID]bool{},
 		reportsHeard: map[uint32]fleet.Report{},
 	}
 }
@@ -83,7 +85,8 @@
 		ConfigRevision: h.ConfigRevision,
 	}
 	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
-	l.numbering.packSilent(&b, h.Silent, l.silentSent)
+	b.Silent = packNew(l.numbering, h.Silent, l.silentSent)
+	b.Stalled = packNew(l.numbering, h.Stalled, l.stalledSent)
 	l.numbering.pack(&b, h.Streams, h.InFlight)
 	frame, err := encode(&b)
 	if err != nil {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -82,6 +82,8 @@
 	Asked   []uint64     `cbor:"11,keyasint,omitempty"`
 	// Silent are the numbers of instances whose polls began to fail.
 	Silent []uint32 `cbor:"12,keyasint,omitempty"`
+	// Stalled are the numbers of groups whose streams have stopped.
+	Stalled []uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -110,7 +110,8 @@
 			var n names
 			_, _, _ = n.unpack(b)
 			_, _ = n.unpackReports(b, time.Now(), map[uint32]fleet.Report{})
-			_, _ = n.unpackSilent(b)
+			_, _ = unpackNew[fleet.InstanceID](n, b.Silent)
+			_, _ = unpackNew[fleet.GroupID](n, b.Stalled)
 		}
 		again, err := encode(body)
 		assert.NilError(t, err)
--- a/internal/membership/reports.go
+++ b/internal/membership/reports.go
@@ -104,29 +104,31 @@
 	}
 }
 
-// packSilent writes the instances that have become silent. told holds those
-// that the link's last heartbeat knew of and is brought up to date.
-func (n *numbering) packSilent(b *beatMessage, silent []fleet.InstanceID, told map[fleet.InstanceID]bool) {
-	now := make(map[fleet.InstanceID]bool, len(silent))
-	for _, id := range silent[:min(len(silent), maxReports)] {
+// packNew returns the numbers of the names that were not listed in the link's
+// last heartbeat. told holds those that were and is brought up to date.
+func packNew[T ~string](n *numbering, listed []T, told map[T]bool) []uint32 {
+	var fresh []uint32
+	now := make(map[T]bool, len(listed))
+	for _, id := range listed[:min(len(listed), maxReports)] {
 		now[id] = true
 		if !told[id] {
-			b.Silent = append(b.Silent, n.number(string(id)))
+			fresh = append(fresh, n.number(string(id)))
 		}
 	}
 	clear(told)
 	maps.Copy(told, now)
+	return fresh
 }
 
-// unpackSilent reads them after the heartbeat's names were taken in.
-func (n names) unpackSilent(b *beatMessage) ([]fleet.InstanceID, error) {
-	out := make([]fleet.InstanceID, 0, len(b.Silent))
-	for _, i := range b.Silent {
+// unpackNew reads them after the heartbeat's names were taken in.
+func unpackNew[T ~string](n names, numbers []uint32) ([]T, error) {
+	out := make([]T, 0, len(numbers))
+	for _, i := range numbers {
 		id, err := n.get(i)
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, fleet.InstanceID(id))
+		out = append(out, T(id))
 	}
 	return out, nil
 }
--- a/internal/membership/reports_test.go
+++ b/internal/membership/reports_test.go
@@ -178,7 +178,7 @@
 		{[]fleet.InstanceID{"i-1", "i-2"}, 1},
 	} {
 		var b beatMessage
-		n.packSilent(&b, step.silent, told)
+		b.Silent = packNew(n, step.silent, told)
 		assert.Equal(t, len(b.Silent), step.told, "step %d", i)
 	}
 }
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -37,6 +37,9 @@
 	// Silent are the instances that do not answer the sender's polls. Each
 	// crosses a link once for as long as it stays silent.
 	Silent []fleet.InstanceID `cbor:"-"`
+	// Stalled are the groups at which none of the sender's streams moves. Each
+	// crosses a link once for as long as it stays so.
+	Stalled []fleet.GroupID `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
--- /dev/null
+++ b/internal/placement/conduct_orders.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// order sends each engine the next order on its way to the place that it is
+// to have.
+func (c *Conductor) order(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, now time.Time) {
+	groups := t.view()
+	for id, l := range servers {
+		if l.Failed {
+			continue
+		}
+		g := t.groups[groups.ByInstance[id]]
+		o, due := c.next(t, g, l, servers, now)
+		if !due || !c.due(l.Instance, o, now) {
+			continue
+		}
+		if _, near := c.near(t, l)[o.Model]; o.Kind == backend.OrderJoin && !near && !c.mayLoad(now) {
+			continue
+		}
+		c.send(ctx, t, l, o, now)
+	}
+}
+
+// next is the order that an engine is due, given the group that it is to be
+// in, nil for none.
+func (c *Conductor) next(t *tenure, g *group.Group, l directory.Listing, servers map[fleet.InstanceID]directory.Listing, now time.Time) (backend.GroupOrder, bool) {
+	switch {
+	case g != nil && at(l.Place, g):
+		return t.advance(g, l, servers)
+	case l.Place != nil && l.Place.Rank == 0 && l.Place.State != directory.PlaceBroken:
+		// The head goes first: the others may be placed anew once it is gone.
+		return leave(l.Place), true
+	case l.Place != nil && c.headIsAway(t, l.Place, servers):
+		// A head that can't be asked stands still once a member has left.
+		return leave(l.Place), true
+	}
+	e := t.places.engines[l.Instance]
+	if e != nil && !t.places.over(e.key, now, c.cfg.StallAfter+stallMargin) {
+		return backend.GroupOrder{}, false
+	}
+	if g == nil {
+		if l.Place != nil {
+			return leave(l.Place), true
+		}
+		return backend.GroupOrder{}, false
+	}
+	if t.places.wasIn(l.Instance, g) || g.Phase != group.PhaseActive {
+		return backend.GroupOrder{}, false
+	}
+	return backend.GroupOrder{Kind: backend.OrderJoin, Group: g.ID, Epoch: g.Epoch, Model: g.Model, Members: instances(g.Members)}, true
+}
+
+// advance is the next order of an engine that has its place.
+func (t *tenure) advance(g *group.Group, l directory.Listing, servers map[fleet.InstanceID]directory.Listing) (backend.GroupOrder, bool) {
+	if l.Place.Rank != 0 {
+		return backend.GroupOrder{}, false
+	}
+	o := backend.GroupOrder{Group: g.ID, Epoch: g.Epoch}
+	switch {
+	case g.Phase == group.PhaseDraining && l.Place.State == directory.PlaceOpen:
+		o.Kind = backend.OrderClose
+	case g.Phase == group.PhaseActive && l.Place.State == directory.PlaceReady && allReady(g, servers):
+		o.Kind = backend.OrderOpen
+	default:
+		return o, false
+	}
+	return o, true
+}
+
+// allReady reports whether every member tells that it is ready in the group's
+// present epoch. Engines do not check that of each other.
+func allReady(g *group.Group, servers map[fleet.InstanceID]directory.Listing) bool {
+	return !slices.ContainsFunc(g.Members, func(m group.Member) bool {
+		l, listed := servers[m.Instance]
+		return !listed || l.Failed || !at(l.Place, g) || l.Place.State != directory.PlaceReady
+	})
+}
+
+// headIsAway reports whether the head of a place is known and can't be asked.
+func (c *Conductor) headIsAway(t *tenure, p *directory.Place, servers map[fleet.InstanceID]directory.Listing) bool {
+	m := t.places.membership(placeKey{p.Group, p.Epoch})
+	if m.over {
+		return false
+	}
+	head, listed := servers[m.head]
+	return m.head == "" || !listed || head.Failed
+}
+
+func leave(p *directory.Place) backend.GroupOrder {
+	return backend.GroupOrder{Kind: backend.OrderLeave, Group: p.Group, Epoch: p.Epoch}
+}
+
+// due reports whether an order may be sent now: none is under way to the
+// engine, and the same one was not sent so lately that it may still show.
+func (c *Conductor) due(id fleet.InstanceID, o backend.GroupOrder, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.orders[id]
+	if last == nil {
+		return true
+	}
+	waits := orderAgain
+	if !last.accepted {
+		waits = orderAgain / 2 << min(last.failures, maxOrderBackoff)
+	}
+	return !last.underWay && (!sameOrder(last.order, o) || now.Sub(last.sentAt) >= waits)
+}
+
+// send sends an order that is due.
+func (c *Conductor) send(ctx context.Context, t *tenure, l directory.Listing, o backend.GroupOrder, now time.Time) {
+	c.mu.Lock()
+	is := c.orders[l.Instance]
+	if is == nil || !sameOrder(is.order, o) {
+		is = &issued{order: o}
+		c.orders[l.Instance] = is
+	}
+	is.sentAt, is.underWay, is.accepted = now, true, false
+	c.mu.Unlock()
+	c.running.Go(func() { c.carryOut(ctx, t, l, is) })
+}
+
+// maxOrderBackoff bounds how often the pause after a failed order doubles.
+const maxOrderBackoff = 3
+
+// carryOut sends one order and takes in what came of it.
+func (c *Conductor) carryOut(ctx context.Context, t *tenure, l directory.Listing, is *issued) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	o := is.order
+	var err error
+	if hold, ok := c.cfg.Leases.Held(c.cfg.Scope); !ok || hold.Term != t.term {
+		err = errors.New("the scope is no longer held")
+		c.cfg.Events.Emit(eventOrderDropped, "instance", l.Instance, "scope", c.cfg.Scope, "term", t.term)
+	} else {
+		err = c.cfg.Engines.Order(ctx, l.Instance, l.Address, o)
+		c.cfg.Events.Emit(eventOrdered, "instance", l.Instance, "order", o.Kind, "group", o.Group, "epoch", o.Epoch, "model", o.Model, "outcome", outcomeOf(err))
+	}
+	c.mu.Lock()
+	is.underWay = false
+	is.accepted = err == nil
+	if err == nil {
+		is.failures = 0
+	} else {
+		is.failures++
+	}
+	c.mu.Unlock()
+	if err != nil {
+		if !errors.Is(err, backend.ErrRefused) {
+			c.prober.ask(l.Instance)
+		}
+		return
+	}
+	c.prober.accepted(t, l, o)
+}
+
+func outcomeOf(err error) any {
+	if err == nil {
+		return "accepted"
+	}
+	return err
+}
+
+func sameOrder(a, b backend.GroupOrder) bool {
+	return a.Kind == b.Kind && a.Group == b.Group && a.Epoch == b.Epoch && a.Model == b.Model
+}
--- /dev/null
+++ b/internal/placement/conductor.go
@@ -0,0 +1,390 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
+)
+
+// GroupEngines is the port to engines that keep their own place in a group.
+type GroupEngines interface {
+	Order(ctx context.Context, id fleet.InstanceID, address string, o backend.GroupOrder) error
+	Report(ctx context.Context, id fleet.InstanceID, address string) (directory.Status, error)
+}
+
+// Servers is what a Conductor knows of the engines; *directory.Directory is
+// one.
+type Servers interface {
+	Servers() map[fleet.InstanceID]directory.Listing
+	Groups() *group.View
+	Answered(s directory.Server, now time.Time)
+	Fail(id fleet.InstanceID, now time.Time)
+}
+
+// ConductorConfig is what a Conductor works with.
+type ConductorConfig struct {
+	Planner *Planner
+	Leases  lease.Holder
+	Scope   lease.Scope
+	Servers Servers
+	Engines GroupEngines
+	// Wanted tells what is wanted now; Revision that of the configuration, zero
+	// for not known.
+	Wanted   func(now time.Time) (wanted []Wanted, revision uint64)
+	InFlight func() map[fleet.GroupID]uint32
+	// Failed is told when an engine was found not to answer; nil for nobody.
+	Failed func(id fleet.InstanceID)
+	Events *event.Logger
+	// Rejoin is how long an engine needs to join a group of its last model,
+	// Staged how long for a model that is staged on its host.
+	Rejoin time.Duration
+	Staged func(model string) time.Duration
+	// StallAfter is how long a head that has lost a member stands still
+	// before it serves no more.
+	StallAfter time.Duration
+	// Open is the time from an order to open until a group serves.
+	Open time.Duration
+	// LoadRate is how many engines may begin to load from the weight store in
+	// a second, LoadBurst how many at once. They do not bind while Idle.
+	LoadRate  float64
+	LoadBurst int
+	// Idle reports whether the deployment has just begun and no request has
+	// come yet.
+	Idle func() bool
+	// Heartbeat is the time between two announcements of an engine.
+	Heartbeat time.Duration
+	// Settle is how long a new holder watches before it acts, so that the
+	// orders of the last one have arrived.
+	Settle time.Duration
+}
+
+// Defaults of a conductor.
+const (
+	// conductEvery is the time between two rounds; one comes at once after an
+	// order was answered.
+	conductEvery = 200 * time.Millisecond
+	// orderTimeout bounds an order, many times an engine's usual answer.
+	orderTimeout = 600 * time.Millisecond
+	// orderAgain is how long an order that was accepted may take to show.
+	orderAgain = 700 * time.Millisecond
+	// stallMargin covers the way of the news of a stall.
+	stallMargin = 700 * time.Millisecond
+)
+
+// Conductor carries out the plans of one scope on engines that keep their own
+// place in a group. What it knows of groups it takes from the engines, so that
+// any daemon can go on for another.
+type Conductor struct {
+	cfg    ConductorConfig
+	prober *prober
+
+	mu      sync.Mutex
+	orders  map[fleet.InstanceID]*issued
+	running sync.WaitGroup
+	wake    chan struct{}
+	loads   *rate.Limiter
+
+	// Of the loop alone.
+	tenure *tenure
+	// counter numbers epochs. It never starts again, so that no epoch of this
+	// process is used twice.
+	counter uint64
+}
+
+// issued is the last order to an instance.
+type issued struct {
+	order    backend.GroupOrder
+	sentAt   time.Time
+	underWay bool
+	accepted bool
+	failures int
+}
+
+// tenure is the work under one term.
+type tenure struct {
+	term    lease.Term
+	since   time.Time
+	adopted bool
+	planner *Planner
+	groups  map[fleet.GroupID]*group.Group
+	issued  map[lease.Scope]group.IDMark
+	places  *places
+	staging map[fleet.InstanceID]string
+	said    map[fleet.GroupID]string
+	whole   map[fleet.GroupID]bool
+}
+
+// NewConductor returns a conductor; it does nothing until Run.
+func NewConductor(cfg ConductorConfig) *Conductor {
+	c := &Conductor{cfg: cfg, orders: map[fleet.InstanceID]*issued{}, wake: make(chan struct{}, 1)}
+	c.loads = rate.NewLimiter(rate.Limit(cfg.LoadRate), cfg.LoadBurst)
+	c.prober = newProber(c)
+	return c
+}
+
+// Run works until ctx ends and returns once its orders have.
+func (c *Conductor) Run(ctx context.Context) {
+	defer c.running.Wait()
+	tick := time.NewTicker(conductEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-c.wake:
+		}
+		c.round(ctx, time.Now())
+	}
+}
+
+// Doubt asks the members of a group, of which a daemon's streams have stopped,
+// whether they are there.
+func (c *Conductor) Doubt(id fleet.GroupID) { c.prober.doubt(id) }
+
+// Leads reports whether this daemon does the work of the scope now.
+func (c *Conductor) Leads() bool {
+	hold, ok := c.cfg.Leases.Held(c.cfg.Scope)
+	return ok && hold.Valid(time.Now())
+}
+
+func (c *Conductor) nudge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// round looks, plans and orders once.
+func (c *Conductor) round(ctx context.Context, now time.Time) {
+	hold, ok := c.cfg.Leases.Held(c.cfg.Scope)
+	if !ok || !hold.Valid(now) {
+		if c.tenure != nil {
+			c.cfg.Events.Emit(eventScopeLeft, "scope", c.cfg.Scope, "term", c.tenure.term)
+			c.tenure = nil
+		}
+		return
+	}
+	if c.tenure == nil || c.tenure.term != hold.Term {
+		c.enter(hold.Term, now)
+	}
+	t := c.tenure
+	servers := c.cfg.Servers.Servers()
+	t.places.observe(servers, now)
+	c.prober.round(ctx, t, servers, now)
+	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 {
+		return
+	}
+	wanted, revision := c.cfg.Wanted(now)
+	if len(wanted) == 0 {
+		return
+	}
+	if !t.adopted {
+		t.adopt(c.cfg.Servers.Groups(), c.cfg.Scope)
+		c.cfg.Events.Emit(eventAdopted, "scope", c.cfg.Scope, "term", t.term, "groups", len(t.groups), "servers", len(servers))
+	}
+	s := c.snapshot(t, servers, wanted, revision)
+	for _, a := range t.planner.Plan(s, now) {
+		c.apply(t, a)
+	}
+	c.sayWholeness(t, s, now)
+	c.order(ctx, t, servers, now)
+	s.Groups = t.view()
+	c.stage(ctx, t, servers, s, now)
+}
+
+// enter begins the work under a new term.
+func (c *Conductor) enter(term lease.Term, now time.Time) {
+	c.tenure = &tenure{
+		term:    term,
+		since:   now,
+		planner: c.cfg.Planner.Fork(),
+		groups:  map[fleet.GroupID]*group.Group{},
+		issued:  map[lease.Scope]group.IDMark{},
+		places:  newPlaces(),
+		staging: map[fleet.InstanceID]string{},
+		said:    map[fleet.GroupID]string{},
+		whole:   map[fleet.GroupID]bool{},
+	}
+	c.cfg.Events.Emit(eventScopeTaken, "scope", c.cfg.Scope, "term", term)
+}
+
+// adopt takes over the groups that the engines tell of. A rank of which none
+// tells is a lost member.
+func (t *tenure) adopt(view *group.View, scope lease.Scope) {
+	t.adopted = true
+	for id, g := range view.Groups {
+		own := *g
+		own.Scope, own.Term = scope, t.term
+		t.groups[id] = &own
+	}
+}
+
+// snapshot is what one plan rests on.
+func (c *Conductor) snapshot(t *tenure, servers map[fleet.InstanceID]directory.Listing, wanted []Wanted, revision uint64) Snapshot {
+	s := Snapshot{
+		Scope:     c.cfg.Scope,
+		Term:      t.term,
+		Revision:  revision,
+		Wanted:    wanted,
+		Groups:    t.view(),
+		Instances: map[fleet.InstanceID]InstanceState{},
+		InFlight:  c.cfg.InFlight(),
+	}
+	pools := map[fleet.Pool]bool{}
+	for _, w := range wanted {
+		pools[w.Pool] = true
+	}
+	for id, l := range servers {
+		if pools[fleet.Pool(l.Service)] {
+			s.Instances[id] = c.instance(t, s.Groups, l)
+		}
+	}
+	return s
+}
+
+// view is the groups of the tenure as the planner takes them.
+func (t *tenure) view() *group.View {
+	v := &group.View{Groups: t.groups, ByInstance: map[fleet.InstanceID]fleet.GroupID{}, Issued: t.issued}
+	for id, g := range t.groups {
+		for _, m := range g.Members {
+			if m.Instance != "" {
+				v.ByInstance[m.Instance] = id
+			}
+		}
+	}
+	return v
+}
+
+// instance is one engine as the planner takes it.
+func (c *Conductor) instance(t *tenure, groups *group.View, l directory.Listing) InstanceState {
+	st := InstanceState{
+		Instance: fleet.Instance{
+			ID: l.Instance, Address: l.Address, Zone: l.Zone, Fabric: l.Fabric,
+			Pool: fleet.Pool(l.Service), Kind: fleet.KindEngine, Accelerators: 1, Leaving: l.Leaving,
+		},
+		Report: fleet.Report{Instance: l.Instance, Incarnation: l.Incarnation, Ready: true, ReceivedAt: time.Now()},
+		Listed: true,
+		Alive:  !l.Failed,
+		Near:   c.near(t, l),
+	}
+	g := t.groups[groups.ByInstance[l.Instance]]
+	if g == nil {
+		st.Bound = !t.places.free(l, time.Now(), c.cfg.StallAfter+stallMargin)
+		return st
+	}
+	rank := rankOf(g, l.Instance)
+	if at(l.Place, g) {
+		st.Report.Ready = l.Place.State == directory.PlaceOpen || rank > 0 && l.Place.State == directory.PlaceReady
+		a := group.AssignmentOf(g, g.Members, fleet.Rank(rank))
+		st.Report.Assignment = &a
+		st.Fallen = l.Place.State == directory.PlaceBroken
+		return st
+	}
+	st.Report.Ready = false
+	st.Fallen = t.places.wasIn(l.Instance, g)
+	return st
+}
+
+// near lists the models that an engine has at hand.
+func (c *Conductor) near(t *tenure, l directory.Listing) map[string]time.Duration {
+	near := map[string]time.Duration{}
+	for _, model := range l.Staged {
+		near[model] = c.cfg.Staged(model)
+	}
+	if model := t.places.lastModel(l.Server); model != "" {
+		near[model] = c.cfg.Rejoin
+	}
+	return near
+}
+
+// at reports whether a place is the one in a group's present epoch.
+func at(p *directory.Place, g *group.Group) bool {
+	return p != nil && p.Group == g.ID && p.Epoch == g.Epoch
+}
+
+func rankOf(g *group.Group, id fleet.InstanceID) int {
+	for i, m := range g.Members {
+		if m.Instance == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// apply takes an action of a plan into the groups of the tenure.
+func (c *Conductor) apply(t *tenure, a Action) {
+	switch a.Kind {
+	case ActionWait, ActionHalt:
+		what := string(a.Kind) + " " + a.Reason
+		if t.said[a.Group.ID] != what {
+			t.said[a.Group.ID] = what
+			c.say(t, a)
+		}
+		return
+	case ActionForm:
+		g := *a.Group
+		_, mark, _ := group.ParseID(g.ID)
+		t.issued[c.cfg.Scope] = mark
+		g.ID = group.FormatID(lease.Scope(g.Model), mark)
+		g.Epoch = c.nextEpoch(t)
+		t.groups[g.ID] = &g
+		a.Group = &g
+	case ActionRepair:
+		g := *a.Group
+		g.Epoch = c.nextEpoch(t)
+		t.groups[g.ID] = &g
+		a.Group = &g
+	case ActionDrain:
+		g := *a.Group
+		g.Phase = group.PhaseDraining
+		t.groups[g.ID] = &g
+	case ActionDissolve:
+		delete(t.groups, a.Group.ID)
+	}
+	c.say(t, a)
+}
+
+// epochsPerTerm leaves room for the epochs of one term below those of the
+// next. Engines refuse an epoch below one that they have seen, so a holder
+// whose term is over can't place an engine anew.
+const epochsPerTerm = 1 << 20
+
+func (c *Conductor) nextEpoch(t *tenure) fleet.Epoch {
+	c.counter++
+	return fleet.Epoch(uint64(t.term)*epochsPerTerm + c.counter)
+}
+
+func (c *Conductor) say(t *tenure, a Action) {
+	c.cfg.Events.Emit(eventDecision, "kind", a.Kind, "service", a.Service, "group", a.Group.ID, "epoch", a.Group.Epoch,
+		"members", instances(a.Group.Members), "scope", c.cfg.Scope, "term", t.term, "reason", a.Reason, "cost", a.Cost)
+}
+
+// sayWholeness logs the groups that began or ceased to serve.
+func (c *Conductor) sayWholeness(t *tenure, s Snapshot, now time.Time) {
+	for id := range t.whole {
+		if t.groups[id] == nil {
+			delete(t.whole, id)
+			delete(t.said, id)
+		}
+	}
+	for id, g := range t.groups {
+		w := group.Whole(g, aliveReports(s.Instances), now, 0)
+		switch was := t.whole[id]; {
+		case w.Whole && !was:
+			c.cfg.Events.Emit(eventGroupWhole, "service", g.Service, "group", id, "epoch", g.Epoch)
+		case !w.Whole && was:
+			c.cfg.Events.Emit(eventGroupBroken, "service", g.Service, "group", id, "epoch", g.Epoch, "reason", w.Reason)
+		}
+		t.whole[id] = w.Whole
+	}
+}
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -50,3 +50,13 @@
 		"The log is down and the holder of the scope is gone; a member that returned without a place is ordered into its recorded one.",
 		"Nothing; the next holder takes over when the log is back.")
 )
+
+// Events of a Conductor.
+var (
+	eventAdopted = event.Define(1420, "placement.adopted", log.InfoLevel,
+		"A new holder of a scope took over the groups that the engines tell of.", "None.")
+	eventOrdered = event.Define(1421, "placement.ordered", log.InfoLevel,
+		"An engine was given an order about its place in a group, with its answer.", "See the outcome when a group does not become whole.")
+	eventEngineDown = event.Define(1422, "placement.engine-down", log.WarnLevel,
+		"An engine did not answer and counts as down until it announces itself or answers again.", "See whether the instance is there and reachable.")
+)
--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
@@ -61,11 +62,20 @@
 	maps.DeleteFunc(room, func(_ fleet.FabricDomain, n int) bool { return n < w.Size })
 	domains := slices.Collect(maps.Keys(room))
 	slices.SortFunc(domains, func(a, b fleet.FabricDomain) int {
+		if r.policy.Spread {
+			return cmp.Or(cmp.Compare(r.timeIn(w, a), r.timeIn(w, b)), cmp.Compare(room[b], room[a]), cmp.Compare(a, b))
+		}
 		return cmp.Or(cmp.Compare(room[a], room[b]), cmp.Compare(a, b))
 	})
 	return domains
 }
 
+// timeIn is how long a new group in a fabric domain would need.
+func (r *round) timeIn(w *Wanted, f fleet.FabricDomain) time.Duration {
+	took, _ := r.timeFor(w, r.freeIn(w.Pool, f, w.Model)[:w.Size])
+	return took
+}
+
 // freeByDomain counts the free instances of a pool.
 func (r *round) freeByDomain(pool fleet.Pool) map[fleet.FabricDomain]int {
 	room := map[fleet.FabricDomain]int{}
@@ -79,7 +89,8 @@
 
 // form adds a new group in a fabric domain that has room for it.
 func (r *round) form(w *Wanted, f fleet.FabricDomain, reason string) {
-	ids := r.freeIn(w.Pool, f)
+	ids := r.freeIn(w.Pool, f, w.Model)
+	took, loads := r.timeFor(w, ids[:w.Size])
 	mark := r.snap.Groups.NextID(r.snap.Scope, r.snap.Term)
 	mark.Counter += uint64(r.forms)
 	g := &group.Group{
@@ -99,9 +110,11 @@
 	g.Members = r.take(ids[:w.Size])
 	g.Spares = r.take(ids[w.Size : w.Size+r.sparesFor(w, len(ids))])
 	r.forms++
-	r.startLoad()
+	if loads {
+		r.startLoad()
+	}
 	weights := r.weights(w)
-	cost := (weights.Downtime + weights.Stranded*float64(accelerators(g.Members))) * r.loadTime(w).Seconds()
+	cost := (weights.Downtime + weights.Stranded*float64(accelerators(g.Members))) * took.Seconds()
 	r.add(Action{Kind: ActionForm, Service: w.Service, Group: g, Reason: reason, Cost: cost})
 }
 
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -83,6 +83,10 @@
 	// MaxBackoff bounds the wait between tries to load outside a rollout,
 	// 10 min.
 	MaxBackoff time.Duration
+	// Spread forms groups in the fabric domains with the most free instances,
+	// so that each domain keeps some to repair with. By default the fullest
+	// domain is filled first, and large rooms are kept.
+	Spread bool
 	// LogOutage is the expected length of an outage of the log, 5 min.
 	LogOutage time.Duration
 }
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -31,6 +31,7 @@
 	kind   ActionKind
 	cost   float64
 	reason string
+	loads  bool // from the weight store
 	do     func()
 }
 
@@ -100,8 +101,7 @@
 	default:
 		best = slices.MinFunc(ways, func(a, b way) int { return cmp.Compare(a.cost, b.cost) })
 	}
-	needsLoad := best.kind == ActionRepair || best.kind == ActionPromote || best.kind == ActionForm
-	if needsLoad && !r.canLoad() {
+	if best.loads && !r.canLoad() {
 		wait.reason = "the weight store has no room"
 		return r.plainWait(c, wait)
 	}
@@ -185,9 +185,14 @@
 // reserved spares first; nil when there are too few.
 func (r *round) substitutes(c *condition) []group.Member {
 	subs := r.usableSpares(c)
-	for _, id := range r.freeIn(c.want.Pool, c.group.Fabric) {
+	for _, id := range r.freeIn(c.want.Pool, c.group.Fabric, c.want.Model) {
 		subs = append(subs, r.member(id))
 	}
+	for _, m := range lostOf(c) {
+		if st := r.snap.Instances[m.Instance]; st.Fallen && r.usable(m.Instance, st) {
+			subs = append(subs, r.member(m.Instance))
+		}
+	}
 	return firstOf(subs, len(c.lost))
 }
 
@@ -221,10 +226,13 @@
 func (r *round) substituteWay(c *condition, kind ActionKind, subs []group.Member) way {
 	w := r.weights(c.want)
 	idle := float64(c.healthy + accelerators(subs))
-	cost := (w.Downtime + w.Stranded*idle) * r.loadTime(c.want).Seconds()
+	took, loads := r.timeFor(c.want, instances(subs))
+	cost := (w.Downtime + w.Stranded*idle) * took.Seconds()
 	reason := fmt.Sprintf("%s replaces %s", names(subs), names(lostOf(c)))
-	return way{kind: kind, cost: cost, reason: reason, do: func() {
-		r.startLoad()
+	return way{kind: kind, cost: cost, reason: reason, loads: loads, do: func() {
+		if loads {
+			r.startLoad()
+		}
 		r.add(Action{
 			Kind:     kind,
 			Service:  c.group.Service,
@@ -274,9 +282,11 @@
 
 // moveWay forms the group anew in another fabric domain.
 func (r *round) moveWay(c *condition, f fleet.FabricDomain) way {
-	cost := r.reloadCost(c) * r.policy.Hysteresis
+	took, loads := r.timeFor(c.want, r.freeIn(c.want.Pool, f, c.want.Model)[:c.want.Size])
+	w := r.weights(c.want)
+	cost := (w.Downtime + w.Stranded*float64(accelerators(c.composition))) * took.Seconds() * r.policy.Hysteresis
 	reason := fmt.Sprintf("moves from fabric domain %s to %s", c.group.Fabric, f)
-	return way{kind: ActionForm, cost: cost, reason: reason, do: func() {
+	return way{kind: ActionForm, cost: cost, reason: reason, loads: loads, do: func() {
 		r.form(c.want, f, reason)
 		r.dissolve(c, reason)
 	}}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -79,7 +80,7 @@
 	c.whole = group.Whole(g, r, r.now, r.policy.Freshness).Whole
 	for rank, m := range c.composition {
 		st, known := r.snap.Instances[m.Instance]
-		if !known || !st.Alive {
+		if !known || !st.Alive || st.Fallen {
 			c.lost = append(c.lost, rank)
 			continue
 		}
@@ -164,7 +165,7 @@
 
 // usable reports whether an instance may take a place in a group.
 func (r *round) usable(id fleet.InstanceID, st InstanceState) bool {
-	return present(st) && !r.hist.instance(id, r.now).shunned(r.policy, r.now)
+	return present(st) && !st.Bound && !r.hist.instance(id, r.now).shunned(r.policy, r.now)
 }
 
 // present reports whether an instance is an engine that is there to stay, be
@@ -187,15 +188,15 @@
 		if _, taken := r.snap.Groups.ByInstance[id]; taken || r.placed[id] {
 			continue
 		}
-		if st.Instance.Pool == pool && present(st) {
+		if st.Instance.Pool == pool && present(st) && !st.Bound {
 			r.free[id] = true
 		}
 	}
 }
 
-// freeIn returns the free instances of a pool and fabric domain, steady ones
-// first.
-func (r *round) freeIn(pool fleet.Pool, f fleet.FabricDomain) []fleet.InstanceID {
+// freeIn returns the free instances of a pool and fabric domain, those first
+// that have the model at hand, then steady ones.
+func (r *round) freeIn(pool fleet.Pool, f fleet.FabricDomain, model string) []fleet.InstanceID {
 	var ids []fleet.InstanceID
 	for id := range r.free {
 		in := r.snap.Instances[id].Instance
@@ -207,7 +208,7 @@
 		return r.hist.instance(id, r.now).recentLosses(r.policy.FlapWindow, r.now)
 	}
 	slices.SortFunc(ids, func(a, b fleet.InstanceID) int {
-		return cmp.Or(cmp.Compare(losses(a), losses(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(r.nearness(a, model), r.nearness(b, model)), cmp.Compare(losses(a), losses(b)), cmp.Compare(a, b))
 	})
 	return ids
 }
@@ -234,6 +235,28 @@
 	r.starts--
 }
 
+// nearness is how long an instance needs for a model that it has at hand, and
+// longer than that for any other.
+func (r *round) nearness(id fleet.InstanceID, model string) time.Duration {
+	if near, ok := r.snap.Instances[id].Near[model]; ok {
+		return near
+	}
+	return math.MaxInt64
+}
+
+// timeFor is how long the instances need to be ready for a service together,
+// and whether one of them loads from the weight store.
+func (r *round) timeFor(w *Wanted, ids []fleet.InstanceID) (took time.Duration, loads bool) {
+	for _, id := range ids {
+		near, ok := r.snap.Instances[id].Near[w.Model]
+		if !ok {
+			return r.loadTime(w), true
+		}
+		took = max(took, near)
+	}
+	return took, len(ids) == 0
+}
+
 // loadTime is how long a load would take that is asked for now.
 func (r *round) loadTime(w *Wanted) time.Duration {
 	turns := 1 + r.loads/r.policy.MaxLoads
--- /dev/null
+++ b/internal/routes/table.go
@@ -0,0 +1,149 @@
+package routes
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/service"
+)
+
+// Table answers lookups in one document. It is immutable.
+type Table struct {
+	Document *Document
+	// Catalog names each plain service, and each model of an engine service,
+	// as a service of its own.
+	Catalog *service.Catalog
+
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[string]*Workspace
+	services map[string]*Service
+}
+
+// NewTable indexes a document.
+func NewTable(d *Document) *Table {
+	t := &Table{
+		Document: d,
+		byHost:   map[string][]*Route{},
+		byKey:    map[string]*Workspace{},
+		services: map[string]*Service{},
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range d.Workspaces {
+		for _, key := range d.Workspaces[i].Keys {
+			t.byKey[key] = &d.Workspaces[i]
+		}
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	t.Catalog = catalogOf(d)
+	return t
+}
+
+// Match returns the route of a request: of the routes of its host, the one
+// with the longest prefix that begins the path. The host may have a port.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Workspace returns the workspace that holds a key.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.byKey[key]
+	return w, ok
+}
+
+// NeedsKey reports whether requests of the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Document.Workspaces) > 0 && !r.Public }
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Pick chooses one of the route's services by their weights; at is a point
+// between zero and one.
+func (r *Route) Pick(at float64) string {
+	total := 0.0
+	for _, w := range r.Targets {
+		total += w.Weight
+	}
+	at *= total
+	for _, w := range r.Targets {
+		if at < w.Weight {
+			return w.Service
+		}
+		at -= w.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Repeatable reports whether a request may be sent to another backend server
+// after it may have begun to run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe || (r.Kind == KindStream && r.Resumable)
+}
+
+// Model returns an engine's model by its name.
+func (e *Engine) Model(name string) (*Model, bool) {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i], true
+		}
+	}
+	return nil, false
+}
+
+// PublicWorkspace stands for callers of public routes.
+const PublicWorkspace fleet.Workspace = "(public)"
+
+// catalogOf lists what requests are routed to.
+func catalogOf(d *Document) *service.Catalog {
+	c := &service.Catalog{Revision: d.Version, Services: map[fleet.ServiceName]*service.Published{}}
+	workspaces := []service.WorkspaceSpec{{Name: PublicWorkspace}}
+	for _, w := range d.Workspaces {
+		workspaces = append(workspaces, service.WorkspaceSpec{Name: w.Name})
+	}
+	add := func(spec service.Spec) {
+		spec.Workspaces = workspaces
+		c.Services[spec.Service] = &service.Published{Spec: spec, Revision: d.Version}
+	}
+	for i := range d.Services {
+		s := &d.Services[i]
+		if s.Engine == nil {
+			add(service.Spec{Service: fleet.ServiceName(s.Name), Kind: fleet.KindPlain, Pool: fleet.Pool(s.Name)})
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			add(service.Spec{
+				Service:  ModelService(s.Name, m.Name),
+				Kind:     fleet.KindEngine,
+				Pool:     fleet.Pool(s.Name),
+				Model:    m.Name,
+				Replicas: service.ReplicaSpec{Instances: m.Size, LoadTime: m.LoadTime},
+			})
+		}
+	}
+	return c
+}
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -18,7 +18,7 @@
 
 // DefaultFilters returns the filters of DefaultPolicy, in order.
 func DefaultFilters() []Filter {
-	return []Filter{Service{}, Whole{}, Staying{}, Untried{}, Alone{}, Limit{}}
+	return []Filter{Service{}, Whole{}, Staying{}, Moving{}, Untried{}, Alone{}, Limit{}}
 }
 
 // Service keeps groups that serve what the request names: its service,
@@ -86,6 +86,20 @@
 	return true, ""
 }
 
+// Moving drops groups that take requests and seem to have stopped.
+type Moving struct{}
+
+// Name implements Filter.
+func (Moving) Name() string { return "moving" }
+
+// Keep implements Filter.
+func (Moving) Keep(_ *Request, c *Candidate) (bool, string) {
+	if c.Silent {
+		return false, "no stream of it moves"
+	}
+	return true, ""
+}
+
 // Untried drops groups that earlier attempts failed on. It is a Preference:
 // a tried group is used again only when nothing else exists.
 type Untried struct{}
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -44,6 +44,7 @@
 		{"reason of wholeness", func(_ *Request, c *Candidate) { c.Whole, c.WholeReason = false, "rank 2 missing" }, "whole", "rank 2 missing"},
 		{"draining", func(_ *Request, c *Candidate) { c.Draining = true }, "staying", "draining"},
 		{"leaving", func(_ *Request, c *Candidate) { c.Leaving = true }, "staying", "a member is leaving"},
+		{"silent", func(_ *Request, c *Candidate) { c.Silent = true }, "moving", "no stream of it moves"},
 		{"alone, own", func(r *Request, c *Candidate) { r.Alone, c.OwnInFlight = true, 1 }, "alone", "others in flight"},
 		{"alone, peer", func(r *Request, c *Candidate) { r.Alone, c.PeerInFlight = true, 1 }, "alone", "others in flight"},
 		{"alone, reported", func(r *Request, c *Candidate) { r.Alone, c.Queued = true, 1 }, "alone", "others in flight"},
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -26,6 +26,7 @@
 	WholeReason string
 	Draining    bool
 	Leaving     bool // a member is leaving
+	Silent      bool // it seems to have stopped
 
 	// Load as the engine last reported it, ReportAge ago.
 	Running         uint32
