--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,7 @@
 	dispatcher *dispatch.Dispatcher
 
 	listed   atomic.Bool // the list was read whole
+	demand   demand
 	places   placeBook
 	draining atomic.Bool
 	drainNow chan struct{}
@@ -179,7 +180,6 @@
 		Staged:     d.stagedTime,
 		Open:       openTime,
 		StallAfter: d.set.StallAfter,
-		Heartbeat:  d.set.Heartbeat,
 		Settle:     takeoverSettle,
 		LoadRate:   loadRate,
 		LoadBurst:  loadBurst,
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -11,7 +11,6 @@
 	"carawayproxy.example/caraway/internal/dispatch"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/membership"
-	"carawayproxy.example/caraway/internal/placement"
 	"carawayproxy.example/caraway/internal/routes"
 	"carawayproxy.example/caraway/internal/service"
 	"carawayproxy.example/caraway/internal/suspect"
@@ -224,43 +223,3 @@
 	s, ok := t.Service(name)
 	return ok && s.Engine != nil
 }
-
-// wanted is what placement is to form: the engines of each service, divided
-// over its models.
-func (d *Daemon) wanted(time.Time) ([]placement.Wanted, uint64) {
-	t := d.routes.Table()
-	if t == nil || !d.listed.Load() {
-		return nil, 0
-	}
-	engines := map[string]int{}
-	for _, l := range d.directory.Servers() {
-		if !l.Leaving && !l.Failed {
-			engines[l.Service]++
-		}
-	}
-	var out []placement.Wanted
-	for i := range t.Document.Services {
-		s := &t.Document.Services[i]
-		if s.Engine == nil {
-			continue
-		}
-		n := engines[s.Name]
-		var demand []placement.ModelDemand
-		for _, m := range s.Engine.Models {
-			demand = append(demand, placement.ModelDemand{Size: m.Size, Work: m.Share * float64(m.Size)})
-		}
-		groups := placement.SplitEngines(demand, n, int(reservePart*float64(n)))
-		for k, m := range s.Engine.Models {
-			out = append(out, placement.Wanted{
-				Service:  routes.ModelService(s.Name, m.Name),
-				Revision: t.Document.Version,
-				Pool:     fleet.Pool(s.Name),
-				Model:    m.Name,
-				Groups:   groups[k],
-				Size:     m.Size,
-				LoadTime: m.LoadTime,
-			})
-		}
-	}
-	return out, t.Document.Version
-}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -37,7 +37,7 @@
 	callers := entry.NewHandler(entry.Config{
 		Codec:      d.env.Platform.Codec,
 		Routes:     d.routes,
-		Dispatcher: d.dispatcher,
+		Dispatcher: measured{d},
 		Draining:   d.draining.Load,
 		Events:     d.events,
 	})
--- /dev/null
+++ b/internal/edge/wanted.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"carawayproxy.example/caraway/internal/dispatch"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/placement"
+	"carawayproxy.example/caraway/internal/routes"
+)
+
+const (
+	// demandTime is the time over which the work of each model is averaged.
+	demandTime = 8 * time.Second
+	// demandRequests is how many requests must have come before they count in
+	// place of the shares that the document expects.
+	demandRequests = 150
+)
+
+// demand measures the work that requests of each model bring, refused ones
+// included. The balancer spreads callers over the daemons, so that the ratio
+// at one daemon stands for that at all.
+type demand struct {
+	mu       sync.Mutex
+	work     map[fleet.ServiceName]float64 // seconds of a group, fading
+	at       time.Time
+	requests int
+}
+
+// add counts one request's work.
+func (d *demand) add(name fleet.ServiceName, work time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.work == nil {
+		d.work = map[fleet.ServiceName]float64{}
+	}
+	fade := math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
+	for n := range d.work {
+		d.work[n] *= fade
+	}
+	d.at = now
+	d.work[name] += work.Seconds()
+	d.requests++
+}
+
+// of returns a model's work and whether enough was seen for it to count.
+func (d *demand) of(name fleet.ServiceName) (float64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.work[name], d.requests >= demandRequests
+}
+
+// measured counts the work of the requests that it hands on.
+type measured struct{ d *Daemon }
+
+// Forward implements entry.Dispatcher.
+func (m measured) Forward(ctx context.Context, f dispatch.Forwarding, relay dispatch.Relay) *fleet.Failure {
+	if f.Kind == fleet.KindEngine {
+		if engine, model := m.d.modelOf(f.Service); model != nil {
+			work := engine.ServiceTime(model, float64(f.PromptTokens), float64(f.AnswerTokens))
+			m.d.demand.add(f.Service, work, time.Now())
+		}
+	}
+	return m.d.dispatcher.Forward(ctx, f, relay)
+}
+
+// modelOf returns the engine and model behind the name of a service, nil when
+// it is none.
+func (d *Daemon) modelOf(name fleet.ServiceName) (*routes.Engine, *routes.Model) {
+	t := d.routes.Table()
+	pub := t.Catalog.Services[name]
+	if pub == nil {
+		return nil, nil
+	}
+	s, m := d.engineOf(pub.Spec.Model)
+	if m == nil {
+		return nil, nil
+	}
+	return s.Engine, m
+}
+
+// wanted is what placement is to form: the engines of each service, divided
+// over its models by their work.
+func (d *Daemon) wanted(standing map[fleet.ServiceName]int) ([]placement.Wanted, uint64) {
+	t := d.routes.Table()
+	if t == nil || !d.listed.Load() {
+		return nil, 0
+	}
+	engines := map[string]int{}
+	for _, l := range d.directory.Servers() {
+		if !l.Leaving {
+			engines[l.Service]++
+		}
+	}
+	var out []placement.Wanted
+	for i := range t.Document.Services {
+		s := &t.Document.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		n := engines[s.Name]
+		groups := placement.SplitEngines(d.demands(s, standing), n, int(reservePart*float64(n)))
+		for k, m := range s.Engine.Models {
+			out = append(out, placement.Wanted{
+				Service:  routes.ModelService(s.Name, m.Name),
+				Revision: t.Document.Version,
+				Pool:     fleet.Pool(s.Name),
+				Model:    m.Name,
+				Groups:   groups[k],
+				Size:     m.Size,
+				LoadTime: m.LoadTime,
+			})
+		}
+	}
+	return out, t.Document.Version
+}
+
+// demands is the work of each model: as measured, or by the shares of the
+// engines that the document expects.
+func (d *Daemon) demands(s *routes.Service, standing map[fleet.ServiceName]int) []placement.ModelDemand {
+	out := make([]placement.ModelDemand, len(s.Engine.Models))
+	for i, m := range s.Engine.Models {
+		name := routes.ModelService(s.Name, m.Name)
+		work, known := d.demand.of(name)
+		if !known {
+			work = m.Share / float64(m.Size)
+		}
+		out[i] = placement.ModelDemand{Size: m.Size, Work: work, Standing: standing[name]}
+	}
+	return out
+}
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -39,7 +39,8 @@
 	Engines GroupEngines
 	// Wanted tells what is wanted now; Revision that of the configuration, zero
 	// for not known.
-	Wanted   func(now time.Time) (wanted []Wanted, revision uint64)
+	// standing counts the groups that there are of each service.
+	Wanted   func(standing map[fleet.ServiceName]int) (wanted []Wanted, revision uint64)
 	InFlight func() map[fleet.GroupID]uint32
 	// Failed is told when an engine was found not to answer; nil for nobody.
 	Failed func(id fleet.InstanceID)
@@ -60,8 +61,6 @@
 	// Idle reports whether the deployment has just begun and no request has
 	// come yet.
 	Idle func() bool
-	// Heartbeat is the time between two announcements of an engine.
-	Heartbeat time.Duration
 	// Settle is how long a new holder watches before it acts, so that the
 	// orders of the last one have arrived.
 	Settle time.Duration
@@ -184,14 +183,14 @@
 	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 {
 		return
 	}
-	wanted, revision := c.cfg.Wanted(now)
-	if len(wanted) == 0 {
-		return
-	}
 	if !t.adopted {
 		t.adopt(c.cfg.Servers.Groups(), c.cfg.Scope)
 		c.cfg.Events.Emit(eventAdopted, "scope", c.cfg.Scope, "term", t.term, "groups", len(t.groups), "servers", len(servers))
 	}
+	wanted, revision := c.cfg.Wanted(t.standing())
+	if len(wanted) == 0 {
+		return
+	}
 	s := c.snapshot(t, servers, wanted, revision)
 	for _, a := range t.planner.Plan(s, now) {
 		c.apply(t, a)
@@ -229,6 +228,17 @@
 	}
 }
 
+// standing counts the groups of each service that are not on their way out.
+func (t *tenure) standing() map[fleet.ServiceName]int {
+	n := map[fleet.ServiceName]int{}
+	for _, g := range t.groups {
+		if g.Phase == group.PhaseActive {
+			n[g.Service]++
+		}
+	}
+	return n
+}
+
 // snapshot is what one plan rests on.
 func (c *Conductor) snapshot(t *tenure, servers map[fleet.InstanceID]directory.Listing, wanted []Wanted, revision uint64) Snapshot {
 	s := Snapshot{
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -21,15 +21,12 @@
 	// to one whose change is awaited longer than it should take.
 	probeAgain      = time.Second
 	probeChangeSoon = 120 * time.Millisecond
-	// lateHeartbeats is how many intervals an engine in a group may go without
-	// an announcement before it is asked.
-	lateHeartbeats = 2.2
 	// maxProbes bounds the questions under way.
 	maxProbes = 48
 )
 
 // prober asks engines what they are, when the list would tell too late: after
-// an order, when a group has stopped, when an engine is overdue.
+// an order, when a group has stopped, while an engine is down.
 type prober struct {
 	c *Conductor
 
@@ -110,7 +107,7 @@
 		}
 	}
 	p.doubts = nil
-	p.addOverdue(servers, now)
+	p.addFailed(servers, now)
 	for id, a := range p.asks {
 		l, listed := servers[id]
 		if !listed {
@@ -126,18 +123,12 @@
 	}
 }
 
-// addOverdue asks the engines that count as down, and those in groups that
-// have not announced themselves for too long.
-func (p *prober) addOverdue(servers map[fleet.InstanceID]directory.Listing, now time.Time) {
-	overdue := time.Duration(lateHeartbeats * float64(p.c.cfg.Heartbeat))
+// addFailed asks the engines that count as down. The list shows changes only,
+// so that an engine of which it tells nothing new may be well.
+func (p *prober) addFailed(servers map[fleet.InstanceID]directory.Listing, now time.Time) {
 	for id, l := range servers {
-		if p.asks[id] != nil {
-			continue
-		}
-		if l.Failed {
+		if l.Failed && p.asks[id] == nil {
 			p.request(id, now.Add(probeAgain))
-		} else if l.Place != nil && now.Sub(l.HeardAt) > overdue {
-			p.request(id, now)
 		}
 	}
 }
@@ -212,7 +203,7 @@
 	a.due = now.Add(probeAgain)
 	if a.failures == probeTries {
 		p.c.cfg.Events.Emit(eventEngineDown, "instance", l.Instance, "address", l.Address, "error", err,
-			"heard_ms", now.Sub(l.HeardAt).Milliseconds(), "tries", a.failures, "took_ms", now.Sub(began).Milliseconds())
+			"tries", a.failures, "took_ms", now.Sub(began).Milliseconds())
 	}
 	p.c.cfg.Servers.Fail(l.Instance, now)
 	if p.c.cfg.Failed != nil {
