--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -15,15 +15,17 @@
 )
 
 const (
-	// documentWait is how long one read waits for a new routing document. A
-	// connection that has gone silent is noticed after it.
-	documentWait = 1500 * time.Millisecond
+	// documentWait and serversWait are how long one read waits for news. A
+	// connection that has gone silent is noticed after it: within the time for
+	// which a daemon is excused from what it could not hear, and the bounds for
+	// taking news into force.
+	documentWait = 3500 * time.Millisecond
+	serversWait  = 3 * time.Second
 	// serversEvery is the time between two readings of the list, and
 	// leaderServersEvery that of the daemon that forms groups. Each reading
 	// takes in all that changed.
 	serversEvery       = 500 * time.Millisecond
 	leaderServersEvery = 200 * time.Millisecond
-	serversWait        = time.Second
 	// daemonsWait is how long one read waits for news of daemons.
 	daemonsWait = 10 * time.Second
 	// announceAgain is the pause after an announcement that failed.
--- a/internal/placement/conduct_orders.go
+++ b/internal/placement/conduct_orders.go
@@ -39,6 +39,10 @@
 	switch {
 	case g != nil && at(l.Place, g):
 		return t.advance(g, l, servers)
+	case l.Place != nil && isWarm(l.Place.Group):
+		if g == nil && l.Place.State != directory.PlaceJoining {
+			return leave(l.Place), true
+		}
 	case l.Place != nil && l.Place.Rank == 0 && l.Place.State != directory.PlaceBroken:
 		// The head goes first: the others may be placed anew once it is gone.
 		return leave(l.Place), true
@@ -51,7 +55,7 @@
 		return backend.GroupOrder{}, false
 	}
 	if g == nil {
-		if l.Place != nil {
+		if l.Place != nil && !isWarm(l.Place.Group) {
 			return leave(l.Place), true
 		}
 		return backend.GroupOrder{}, false
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -113,11 +113,21 @@
 	term    lease.Term
 	since   time.Time
 	adopted bool
+	// listed is how many engines were listed, and grownAt when there were more
+	// than before for the last time.
+	listed  int
+	grownAt time.Time
 	planner *Planner
 	groups  map[fleet.GroupID]*group.Group
 	issued  map[lease.Scope]group.IDMark
 	places  *places
 	staging map[fleet.InstanceID]string
+	// warming has the memberships that only load a model, and warmed counts
+	// them.
+	warming map[fleet.InstanceID]*group.Group
+	warmed  uint64
+	wanted  []Wanted
+	listing map[fleet.InstanceID]directory.Listing
 	said    map[fleet.GroupID]string
 	whole   map[fleet.GroupID]bool
 }
@@ -180,7 +190,7 @@
 	servers := c.cfg.Servers.Servers()
 	t.places.observe(servers, now)
 	c.prober.round(ctx, t, servers, now)
-	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 {
+	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 || !t.adopted && t.growing(servers, now) {
 		return
 	}
 	if !t.adopted {
@@ -198,7 +208,24 @@
 	c.sayWholeness(t, s, now)
 	c.order(ctx, t, servers, now)
 	s.Groups = t.view()
-	c.stage(ctx, t, servers, s, now)
+	t.wanted, t.listing = wanted, servers
+	c.prepare(ctx, t, servers, s, now)
+}
+
+// listGrows is how long a list that has grown may still grow: instances that
+// start together are listed one after the other, and groups are better formed
+// of all of them.
+const listGrows = 600 * time.Millisecond
+
+// growing reports whether the list still grows.
+func (t *tenure) growing(servers map[fleet.InstanceID]directory.Listing, now time.Time) bool {
+	if len(servers) > t.listed {
+		if t.listed > 0 {
+			t.grownAt = now
+		}
+		t.listed = len(servers)
+	}
+	return now.Sub(t.grownAt) < listGrows
 }
 
 // enter begins the work under a new term.
@@ -211,6 +238,7 @@
 		issued:  map[lease.Scope]group.IDMark{},
 		places:  newPlaces(),
 		staging: map[fleet.InstanceID]string{},
+		warming: map[fleet.InstanceID]*group.Group{},
 		said:    map[fleet.GroupID]string{},
 		whole:   map[fleet.GroupID]bool{},
 	}
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -55,11 +55,16 @@
 		if l.Place.Rank == 0 && m.head == "" {
 			m.head, m.headIncarnation = id, l.Incarnation
 		}
-		model := ""
-		if scope, _, ok := group.ParseID(l.Place.Group); ok {
-			model = string(scope)
+		m.over = m.over || isWarm(l.Place.Group)
+		e := p.engines[id]
+		if e == nil || e.incarnation != l.Incarnation {
+			e = &placed{incarnation: l.Incarnation}
+			p.engines[id] = e
+		}
+		e.key = key
+		if l.Place.State != directory.PlaceJoining {
+			e.model = modelOfID(l.Place.Group)
 		}
-		p.engines[id] = &placed{key: key, incarnation: l.Incarnation, model: model}
 	}
 	for id, e := range p.engines {
 		l, listed := servers[id]
@@ -115,7 +120,7 @@
 // free reports whether an engine may be placed anew at once, apart from the
 // order to leave that a head gets first.
 func (p *places) free(l directory.Listing, now time.Time, stall time.Duration) bool {
-	if l.Place != nil {
+	if l.Place != nil && !isWarm(l.Place.Group) {
 		return false
 	}
 	e := p.engines[l.Instance]
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// probeTimeout bounds one question to an engine, many times its usual
-	// answer.
-	probeTimeout = 250 * time.Millisecond
+	// probeTimeout bounds the first question to an engine, many times its
+	// usual answer, and probeLonger each one after it.
+	probeTimeout = 130 * time.Millisecond
+	probeLonger  = 250 * time.Millisecond
 	// probeTries is how many questions in a row stay unanswered before an
 	// engine counts as down.
 	probeTries = 2
@@ -119,7 +120,11 @@
 		}
 		a.underWay = true
 		p.out++
-		p.c.running.Go(func() { p.send(ctx, l) })
+		timeout := probeTimeout
+		if a.failures > 0 {
+			timeout = probeLonger
+		}
+		p.c.running.Go(func() { p.send(ctx, l, timeout) })
 	}
 }
 
@@ -163,8 +168,8 @@
 }
 
 // send asks one engine.
-func (p *prober) send(ctx context.Context, l directory.Listing) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (p *prober) send(ctx context.Context, l directory.Listing, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := time.Now()
 	status, err := p.c.cfg.Engines.Report(ctx, l.Instance, l.Address)
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -5,95 +5,170 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
 )
 
-// Staging is one model to be loaded onto the host of a free engine.
-type Staging struct {
+// Preparation is a model that a free engine is to have at hand.
+type Preparation struct {
 	Instance fleet.InstanceID
 	Model    string
 }
 
-// PlanStaging chooses a model for each free engine that has none at hand. In
-// each fabric domain the spares are divided over the models that its groups
-// run, the model with the most members for each spare first; a lost member is
-// then replaced within the time to load from the host.
-func PlanStaging(s Snapshot) []Staging {
+// PlanSpares chooses a model for each free engine. In each fabric domain the
+// spares are divided over the models that its groups run, the model with the
+// most members for each spare first; an engine that has a model at hand stays
+// with it.
+func PlanSpares(s Snapshot) []Preparation {
 	type domain struct {
 		members, spares map[string]int
-		bare            []fleet.InstanceID
+		free            []fleet.InstanceID
 	}
 	domains := map[fleet.FabricDomain]*domain{}
-	of := func(f fleet.FabricDomain) *domain {
-		if domains[f] == nil {
-			domains[f] = &domain{members: map[string]int{}, spares: map[string]int{}}
-		}
-		return domains[f]
-	}
 	for id, st := range s.Instances {
-		d := of(st.Instance.Fabric)
+		d := domains[st.Instance.Fabric]
+		if d == nil {
+			d = &domain{members: map[string]int{}, spares: map[string]int{}}
+			domains[st.Instance.Fabric] = d
+		}
 		if g := s.Groups.Groups[s.Groups.ByInstance[id]]; g != nil {
 			d.members[g.Model]++
-			continue
-		}
-		if !present(st) || st.Bound {
-			continue
-		}
-		if len(st.Near) == 0 {
-			d.bare = append(d.bare, id)
-		}
-		for model := range st.Near {
-			d.spares[model]++
+		} else if present(st) && !st.Bound {
+			d.free = append(d.free, id)
 		}
 	}
-	var out []Staging
+	var out []Preparation
 	for _, f := range slices.Sorted(maps.Keys(domains)) {
 		d := domains[f]
-		slices.Sort(d.bare)
-		for _, id := range d.bare {
-			model := neediest(s.Wanted, d.members, d.spares)
+		slices.SortFunc(d.free, func(a, b fleet.InstanceID) int {
+			return cmp.Or(cmp.Compare(nearest(s.Instances[a]), nearest(s.Instances[b])), cmp.Compare(a, b))
+		})
+		for _, id := range d.free {
+			model := nearest(s.Instances[id])
 			if model == "" {
-				break
+				model = neediest(s.Wanted, d.members, d.spares)
 			}
 			d.spares[model]++
-			out = append(out, Staging{Instance: id, Model: model})
+			out = append(out, Preparation{Instance: id, Model: model})
 		}
 	}
 	return out
 }
 
+// nearest is the model that an engine has closest at hand, "" for none.
+func nearest(st InstanceState) string {
+	best := ""
+	for _, model := range slices.Sorted(maps.Keys(st.Near)) {
+		if best == "" || st.Near[model] < st.Near[best] {
+			best = model
+		}
+	}
+	return best
+}
+
 // neediest is the model with the most members for each spare, counting the
 // one to come.
 func neediest(wanted []Wanted, members, spares map[string]int) string {
 	if len(wanted) == 0 {
 		return ""
 	}
+	need := func(w Wanted) float64 { return (float64(members[w.Model]) + 1) / float64(spares[w.Model]+1) }
 	w := slices.MaxFunc(wanted, func(a, b Wanted) int {
-		need := func(w Wanted) float64 { return (float64(members[w.Model]) + 1) / float64(spares[w.Model]+1) }
 		return cmp.Or(cmp.Compare(need(a), need(b)), cmp.Compare(a.Model, b.Model))
 	})
 	return w.Model
 }
 
-// stage orders the models that free engines are to have at hand.
-func (c *Conductor) stage(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, s Snapshot, now time.Time) {
-	for _, st := range PlanStaging(s) {
-		if t.staging[st.Instance] == st.Model || !c.mayLoad(now) {
-			continue
+// warmPrefix marks the names of memberships that only load an engine's model:
+// an engine rejoins the model of its last group much faster than it loads one
+// from its host. Such a membership has a single member that was told of it, and
+// is never opened.
+const warmPrefix = "warm/"
+
+func isWarm(id fleet.GroupID) bool { return strings.HasPrefix(string(id), warmPrefix) }
+
+// modelOfID returns the model of a group by its id, "" for one that placement
+// did not name.
+func modelOfID(id fleet.GroupID) string {
+	scope, _, ok := group.ParseID(id)
+	if !ok {
+		return ""
+	}
+	return strings.TrimPrefix(string(scope), warmPrefix)
+}
+
+// prepare has the free engines load the models that they are to have at hand:
+// first onto the host, then into a membership that is given up at once.
+func (c *Conductor) prepare(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, s Snapshot, now time.Time) {
+	planned := map[fleet.InstanceID]bool{}
+	for _, p := range PlanSpares(s) {
+		planned[p.Instance] = true
+		l, near := servers[p.Instance], s.Instances[p.Instance].Near
+		switch took, ok := near[p.Model]; {
+		case l.Place != nil || took == c.cfg.Rejoin && ok:
+		case ok || c.cfg.Idle():
+			c.warm(ctx, t, l, p.Model, now)
+		default:
+			o := backend.GroupOrder{Kind: backend.OrderStage, Model: p.Model}
+			if t.staging[p.Instance] != p.Model && c.due(p.Instance, o, now) && c.mayLoad(now) {
+				t.staging[p.Instance] = p.Model
+				c.send(ctx, t, l, o, now)
+			}
+		}
+	}
+	maps.DeleteFunc(t.warming, func(id fleet.InstanceID, _ *group.Group) bool {
+		_, listed := servers[id]
+		return !listed
+	})
+}
+
+// warm orders a free engine into a membership of its own.
+func (c *Conductor) warm(ctx context.Context, t *tenure, l directory.Listing, model string, now time.Time) {
+	g := t.warming[l.Instance]
+	if g == nil || g.Model != model || t.places.wasIn(l.Instance, g) {
+		size := 0
+		for _, w := range t.wanted {
+			if w.Model == model {
+				size = w.Size
+			}
+		}
+		members := companions(l, t.listing, size)
+		if len(members) < size || size == 0 {
+			return
+		}
+		t.warmed++
+		epoch := c.nextEpoch(t)
+		g = &group.Group{
+			ID:    group.FormatID(lease.Scope(warmPrefix+model), group.IDMark{Term: t.term, Counter: t.warmed}),
+			Epoch: epoch, Model: model, Members: members,
+		}
+		t.warming[l.Instance] = g
+	}
+	o := backend.GroupOrder{Kind: backend.OrderJoin, Group: g.ID, Epoch: g.Epoch, Model: model, Members: instances(g.Members)}
+	if c.due(l.Instance, o, now) {
+		c.send(ctx, t, l, o, now)
+	}
+}
+
+// companions lists an engine and others of its service, as many as a group has.
+func companions(l directory.Listing, servers map[fleet.InstanceID]directory.Listing, size int) []group.Member {
+	members := []group.Member{{Instance: l.Instance}}
+	for _, id := range slices.Sorted(maps.Keys(servers)) {
+		o := servers[id]
+		if len(members) < size && id != l.Instance && o.Service == l.Service && o.Fabric == l.Fabric {
+			members = append(members, group.Member{Instance: id})
 		}
-		t.staging[st.Instance] = st.Model
-		c.send(ctx, t, servers[st.Instance], backend.GroupOrder{Kind: backend.OrderStage, Model: st.Model}, now)
 	}
+	return members
 }
 
 // mayLoad takes one load from the weight store's rate.
 func (c *Conductor) mayLoad(now time.Time) bool {
-	if c.cfg.Idle() {
-		return true
-	}
-	return c.loads.AllowN(now, 1)
+	return c.cfg.Idle() || c.loads.AllowN(now, 1)
 }
