--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -179,7 +179,7 @@
 		Rejoin:     rejoinTime,
 		Staged:     d.stagedTime,
 		Open:       openTime,
-		StallAfter: d.set.StallAfter,
+		StallAfter: 0,
 		Settle:     takeoverSettle,
 		LoadRate:   loadRate,
 		LoadBurst:  loadBurst,
--- a/internal/edge/wanted.go
+++ b/internal/edge/wanted.go
@@ -46,11 +46,13 @@
 	d.requests++
 }
 
-// of returns a model's work and whether enough was seen for it to count.
-func (d *demand) of(name fleet.ServiceName) (float64, bool) {
+// of returns how many groups a model's requests keep busy, and whether enough
+// was seen for it to count.
+func (d *demand) of(name fleet.ServiceName, now time.Time) (float64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.work[name], d.requests >= demandRequests
+	fade := math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
+	return d.work[name] * fade / demandTime.Seconds(), d.requests >= demandRequests
 }
 
 // measured counts the work of the requests that it hands on.
@@ -102,7 +104,8 @@
 			continue
 		}
 		n := engines[s.Name]
-		groups := placement.SplitEngines(d.demands(s, standing), n, int(reservePart*float64(n)))
+		demands, measured := d.demands(s, standing)
+		groups := placement.SplitEngines(demands, n, int(reservePart*float64(n)), measured)
 		for k, m := range s.Engine.Models {
 			out = append(out, placement.Wanted{
 				Service:  routes.ModelService(s.Name, m.Name),
@@ -120,15 +123,16 @@
 
 // demands is the work of each model: as measured, or by the shares of the
 // engines that the document expects.
-func (d *Daemon) demands(s *routes.Service, standing map[fleet.ServiceName]int) []placement.ModelDemand {
-	out := make([]placement.ModelDemand, len(s.Engine.Models))
+func (d *Daemon) demands(s *routes.Service, standing map[fleet.ServiceName]int) (demands []placement.ModelDemand, measured bool) {
+	demands = make([]placement.ModelDemand, len(s.Engine.Models))
 	for i, m := range s.Engine.Models {
 		name := routes.ModelService(s.Name, m.Name)
-		work, known := d.demand.of(name)
+		work, known := d.demand.of(name, time.Now())
 		if !known {
 			work = m.Share / float64(m.Size)
 		}
-		out[i] = placement.ModelDemand{Size: m.Size, Work: work, Standing: standing[name]}
+		measured = known
+		demands[i] = placement.ModelDemand{Size: m.Size, Work: work * float64(d.daemons()), Standing: standing[name]}
 	}
-	return out
+	return demands, measured
 }
--- a/internal/placement/conduct_orders.go
+++ b/internal/placement/conduct_orders.go
@@ -51,7 +51,7 @@
 		return leave(l.Place), true
 	}
 	e := t.places.engines[l.Instance]
-	if e != nil && !t.places.over(e.key, now, c.cfg.StallAfter+stallMargin) {
+	if e != nil && !t.places.over(e.key, now, c.cfg.StallAfter) {
 		return backend.GroupOrder{}, false
 	}
 	if g == nil {
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -317,7 +317,7 @@
 	}
 	g := t.groups[groups.ByInstance[l.Instance]]
 	if g == nil {
-		st.Bound = !t.places.free(l, time.Now(), c.cfg.StallAfter+stallMargin)
+		st.Bound = !t.places.free(l, time.Now(), c.cfg.StallAfter)
 		return st
 	}
 	rank := rankOf(g, l.Instance)
--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -58,7 +58,10 @@
 // domainsWithRoom lists the fabric domains that have room for one group, the
 // fullest first, so that large rooms are kept for later.
 func (r *round) domainsWithRoom(w *Wanted) []fleet.FabricDomain {
-	room := r.freeByDomain(w.Pool)
+	room := map[fleet.FabricDomain]int{}
+	for f := range r.freeByDomain(w.Pool) {
+		room[f] = len(r.roomFor(w, f))
+	}
 	maps.DeleteFunc(room, func(_ fleet.FabricDomain, n int) bool { return n < w.Size })
 	domains := slices.Collect(maps.Keys(room))
 	slices.SortFunc(domains, func(a, b fleet.FabricDomain) int {
@@ -72,7 +75,7 @@
 
 // timeIn is how long a new group in a fabric domain would need.
 func (r *round) timeIn(w *Wanted, f fleet.FabricDomain) time.Duration {
-	took, _ := r.timeFor(w, r.freeIn(w.Pool, f, w.Model)[:w.Size])
+	took, _ := r.timeFor(w, r.roomFor(w, f)[:w.Size])
 	return took
 }
 
@@ -89,7 +92,7 @@
 
 // form adds a new group in a fabric domain that has room for it.
 func (r *round) form(w *Wanted, f fleet.FabricDomain, reason string) {
-	ids := r.freeIn(w.Pool, f, w.Model)
+	ids := r.roomFor(w, f)
 	took, loads := r.timeFor(w, ids[:w.Size])
 	mark := r.snap.Groups.NextID(r.snap.Scope, r.snap.Term)
 	mark.Counter += uint64(r.forms)
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -282,7 +282,7 @@
 
 // moveWay forms the group anew in another fabric domain.
 func (r *round) moveWay(c *condition, f fleet.FabricDomain) way {
-	took, loads := r.timeFor(c.want, r.freeIn(c.want.Pool, f, c.want.Model)[:c.want.Size])
+	took, loads := r.timeFor(c.want, r.roomFor(c.want, f)[:c.want.Size])
 	w := r.weights(c.want)
 	cost := (w.Downtime + w.Stranded*float64(accelerators(c.composition))) * took.Seconds() * r.policy.Hysteresis
 	reason := fmt.Sprintf("moves from fabric domain %s to %s", c.group.Fabric, f)
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -235,15 +235,37 @@
 	r.starts--
 }
 
-// nearness is how long an instance needs for a model that it has at hand, and
-// longer than that for any other.
+// nearness orders instances by how long they need for a model: those that have
+// it at hand, those that have none, those that would give another one up.
 func (r *round) nearness(id fleet.InstanceID, model string) time.Duration {
-	if near, ok := r.snap.Instances[id].Near[model]; ok {
-		return near
+	near := r.snap.Instances[id].Near
+	if took, ok := near[model]; ok {
+		return took
+	}
+	if len(near) == 0 {
+		return math.MaxInt64 - 1
 	}
 	return math.MaxInt64
 }
 
+// roomFor lists the free instances of a fabric domain that a whole new group
+// may take. Instances that have another model at hand are what its groups are
+// repaired with: they are taken only when they complete a group of which half
+// has its own model at hand.
+func (r *round) roomFor(w *Wanted, f fleet.FabricDomain) []fleet.InstanceID {
+	ids := r.freeIn(w.Pool, f, w.Model)
+	own := 0
+	for _, id := range ids {
+		if _, ok := r.snap.Instances[id].Near[w.Model]; ok {
+			own++
+		}
+	}
+	if 2*own >= w.Size && own > 0 {
+		return ids
+	}
+	return slices.DeleteFunc(ids, func(id fleet.InstanceID) bool { return r.nearness(id, w.Model) == math.MaxInt64 })
+}
+
 // timeFor is how long the instances need to be ready for a service together,
 // and whether one of them loads from the weight store.
 func (r *round) timeFor(w *Wanted, ids []fleet.InstanceID) (took time.Duration, loads bool) {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -3,34 +3,40 @@
 // ModelDemand is what one model asks of the engines that models share.
 type ModelDemand struct {
 	Size int // engines of one group
-	// Work is how many groups the model's requests keep busy, or any figure in
-	// proportion to it.
+	// Work is how many groups the model's requests keep busy, or while that is
+	// not known any figure in proportion to it.
 	Work float64
 	// Standing is how many groups the model has.
 	Standing int
 }
 
-// shortBy is how many of its groups a model must be short of before a group of
-// another one is taken apart for it: that costs a load.
-const shortBy = 2
+const (
+	// starvedAt is the part of its groups' time from which a model is starved,
+	// and idleBelow the one below which another model may give a group to it:
+	// a group that is taken apart serves nobody until its engines have loaded.
+	starvedAt = 0.95
+	idleBelow = 0.6
+)
 
 // SplitEngines divides engines over models and returns how many groups each is
 // to have: the next group goes to the model whose groups are the fullest, until
 // no more than reserve engines are left. A model keeps the groups that it has
-// unless another one is short of several.
-func SplitEngines(models []ModelDemand, engines, reserve int) []int {
-	target := targets(models, engines, reserve)
-	short := false
+// unless measured work shows that another one is starved while it is idle.
+func SplitEngines(models []ModelDemand, engines, reserve int, measured bool) []int {
+	groups := targets(models, engines, reserve)
+	starved := false
 	for i, m := range models {
-		short = short || m.Standing > 0 && target[i]-m.Standing >= shortBy
-	}
-	if short {
-		return target
+		starved = starved || groups[i] > m.Standing && m.Work > starvedAt*float64(m.Standing)
 	}
 	for i, m := range models {
-		target[i] = max(target[i], m.Standing)
+		idle := m.Work < idleBelow*float64(m.Standing-1)
+		if !measured || !starved || !idle {
+			groups[i] = max(groups[i], m.Standing)
+		} else {
+			groups[i] = max(groups[i], m.Standing-1)
+		}
 	}
-	return target
+	return groups
 }
 
 // targets is SplitEngines without regard to the groups that there are.
