standin/site: a store, engines and plain servers that speak the platform's protocols

What: whole daemons over an in-memory network in virtual time. The engines note what must not happen: a join while the head of the engine's group serves, a run in a group of which a member was never ready. Found by it: a gap in the store's history was taken for the store being away, so that a server that had left was kept for two seconds (TestHistoryIsForgotten failed with the answer of the server that was gone); the answer to a body over the limit was lost to a caller that still sent (TestRefusals, status 0). Before and after: both fail without the change and pass with it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -149,6 +149,10 @@
 	}
 }
 
+// lapseAfter is how long the list must be away for servers to lapse that are
+// there: less than the shortest time in which one announces itself again.
+const lapseAfter = 800 * time.Millisecond
+
 // ListRead tells that the list was read. It returns how long it had been away.
 func (d *Directory) ListRead(now time.Time) (away time.Duration) {
 	d.mu.Lock()
@@ -156,7 +160,9 @@
 	if !d.awaySince.IsZero() {
 		away = now.Sub(d.awaySince)
 		d.awaySince = time.Time{}
-		d.backAt = now
+		if away >= lapseAfter {
+			d.backAt = now
+		}
 	}
 	if d.lenient(now) {
 		return away
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/feed"
 	"carawayproxy.example/caraway/internal/fleet"
@@ -78,7 +80,9 @@
 				}
 			},
 			Failed: func(err error) {
-				d.directory.ListAway(time.Now())
+				if !errors.Is(err, feed.ErrGap) { // the store is there
+					d.directory.ListAway(time.Now())
+				}
 				d.events.Emit(eventReadFailed, "what", "list of backend servers", "error", err)
 			},
 		},
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -35,7 +35,7 @@
 	// fullGroup is how many requests a group may have, as a multiple of those
 	// that it can run at once. What waits in an engine is started without a
 	// pause; what waits longer is late.
-	fullGroup = 1.35
+	fullGroup = 1.25
 )
 
 // planningPolicy suits groups that form in a second or two from engines that
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/dispatch"
@@ -169,16 +168,16 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if r.ContentLength > limit {
-		return &refusal{http.StatusRequestEntityTooLarge, "the body has " + strconv.FormatInt(r.ContentLength, 10) + " bytes", 0}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return &refusal{http.StatusBadRequest, "the body broke off: " + err.Error(), 0}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if int64(len(body)) > limit {
+		// A caller that still sends would miss the answer: its connection is
+		// reset when it is closed with bytes unread.
+		_, _ = io.CopyN(io.Discard, r.Body, limit)
+		w.Header().Set("Connection", "close")
 		return &refusal{http.StatusRequestEntityTooLarge, "the body has more than " + strconv.FormatInt(limit, 10) + " bytes", 0}
-	case err != nil:
-		return &refusal{http.StatusBadRequest, "the body broke off: " + err.Error(), 0}
 	}
 	q.body = body
 	return nil
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,284 @@
+// Package site is a stand-in for the operators' platform and the backend
+// servers on it: a record store, engines that keep their own place in replica
+// groups, and plain servers, speaking the platform's protocols over any
+// listener. World runs them with whole daemons over an in-memory network.
+package site
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Store is a record store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	topics  map[string]*topic
+	groups  map[string]*memberGroup
+	away    bool
+	changed chan struct{} // closed at each change
+	calls   int
+}
+
+// topic is the only partition that the system uses of a topic.
+type topic struct {
+	first   uint64
+	records []record
+	newest  map[string]record
+}
+
+type record struct {
+	offset uint64
+	key    string
+	value  []byte
+}
+
+// memberGroup deals the first partition of a topic to one of its members.
+type memberGroup struct {
+	generation uint64
+	members    map[string]time.Time // until when
+	holder     string
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{topics: map[string]*topic{}, groups: map[string]*memberGroup{}, changed: make(chan struct{})}
+}
+
+// SetAway makes every call fail until it is set back.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes the newest value of a key; an empty one drops the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	r := record{offset: t.first + uint64(len(t.records)), key: key, value: value}
+	t.records = append(t.records, r)
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = r
+	}
+	s.wake()
+}
+
+// Forget drops a topic's history; the newest record of each key stays.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += uint64(len(t.records))
+	t.records = nil
+	s.wake()
+}
+
+// Holder returns the member that holds a group's first partition.
+func (s *Store) Holder(group string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[group]; g != nil {
+		return g.holder
+	}
+	return ""
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]record{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// wake ends all waits. Called with mu held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Handler serves the store's calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /carawayproxy/log-newest", s.serveNewest)
+	mux.HandleFunc("GET /carawayproxy/log-read", s.serveRead)
+	mux.HandleFunc("POST /carawayproxy/log-append", s.serveAppend)
+	mux.HandleFunc("POST /carawayproxy/log-join", s.serveJoin)
+	mux.HandleFunc("POST /carawayproxy/log-leave", s.serveLeave)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		away := s.away
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	type entry struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset uint64 `json:"offset"`
+	}
+	entries := []entry{}
+	for _, rec := range t.newest {
+		entries = append(entries, entry{rec.key, rec.value, rec.offset})
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return int(a.Offset) - int(b.Offset) })
+	answer(w, map[string]any{"entries": entries, "hasMore": false, "endOffset": t.first + uint64(len(t.records))})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	wait, errWait := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		end, changed, away := t.first+uint64(len(t.records)), s.changed, s.away
+		if away || from < t.first {
+			s.mu.Unlock()
+			status := http.StatusGone
+			if away {
+				status = http.StatusServiceUnavailable
+			}
+			w.WriteHeader(status)
+			return
+		}
+		if from < end {
+			body := encodeRecords(t, from, end)
+			s.mu.Unlock()
+			_, _ = w.Write(body)
+			return
+		}
+		first := t.first
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			_, _ = w.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, end), first))
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func encodeRecords(t *topic, from, end uint64) []byte {
+	body := binary.BigEndian.AppendUint64(nil, end)
+	body = binary.BigEndian.AppendUint64(body, t.first)
+	for _, rec := range t.records[from-t.first:] {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
+		body = append(body, byte(len(rec.key)))
+		body = append(append(body, rec.key...), rec.value...)
+	}
+	return body
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	key := int(body[4])
+	s.Put(r.URL.Query().Get("topic"), string(body[5:5+key]), body[5+key:])
+	answer(w, map[string]any{"offset": 0, "endOffset": 1})
+}
+
+func (s *Store) serveJoin(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Group  string   `json:"group"`
+		Member string   `json:"member"`
+		Topics []string `json:"topics"`
+		TTL    int      `json:"ttlMs"`
+	}
+	if json.NewDecoder(r.Body).Decode(&req) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[req.Group]
+	if g == nil {
+		g = &memberGroup{members: map[string]time.Time{}}
+		s.groups[req.Group] = g
+	}
+	now := time.Now()
+	for name, until := range g.members {
+		if now.After(until) {
+			g.drop(name)
+		}
+	}
+	if _, known := g.members[req.Member]; !known {
+		g.generation++
+	}
+	g.members[req.Member] = now.Add(time.Duration(req.TTL) * time.Millisecond)
+	if g.holder == "" {
+		g.holder = req.Member
+	}
+	parts := [][]any{}
+	if g.holder == req.Member {
+		parts = append(parts, []any{req.Topics[0], 0, 0})
+	}
+	answer(w, map[string]any{"generation": g.generation, "ttlMs": req.TTL, "parts": parts})
+}
+
+func (g *memberGroup) drop(name string) {
+	delete(g.members, name)
+	g.generation++
+	if g.holder == name {
+		g.holder = ""
+	}
+}
+
+func (s *Store) serveLeave(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Group  string `json:"group"`
+		Member string `json:"member"`
+	}
+	if json.NewDecoder(r.Body).Decode(&req) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[req.Group]; g != nil {
+		g.drop(req.Member)
+	}
+	answer(w, map[string]any{})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/site/world.go
@@ -0,0 +1,344 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"carawayproxy.example/caraway/internal/edge"
+	"carawayproxy.example/caraway/internal/settings"
+	"carawayproxy.example/caraway/platform"
+	"carawayproxy.example/caraway/standin/runs/network"
+)
+
+// Names in the stand-in's routing document.
+const (
+	EngineService = "engines"
+	PlainService  = "plains"
+	Host          = "site.example"
+	Key           = "key-of-trust"
+	Workspace     = "trust"
+	ModelOfTwo    = "duo"
+	ModelOfThree  = "trio"
+)
+
+// Ports on every host.
+const (
+	portStore, portServer                = "8000", "8001"
+	portCallers, portReady               = "7400", "7403"
+	portAdmin, portPeers                 = "7401", "7402"
+	storeIP, callerIP                    = "10.0.0.1", "10.9.0.1"
+	delayOneWay                          = time.Millisecond
+	domainSize                           = 8
+	leadTime               time.Duration = 8 * time.Second
+)
+
+// Options are the size of a world.
+type Options struct {
+	Daemons, Engines, Plains int
+	Log                      io.Writer // of the daemons, nil for none
+}
+
+// World is a platform with backend servers and daemons. It belongs inside
+// testing/synctest.
+type World struct {
+	Net     *network.Network
+	Store   *Store
+	Engines []*Engine
+	Plains  []*Plain
+	Daemons []*Daemon
+
+	site   *site
+	began  time.Time
+	ctx    context.Context
+	stop   context.CancelFunc
+	tasks  sync.WaitGroup
+	client *http.Client
+	log    io.Writer
+}
+
+// Daemon is one daemon of a world.
+type Daemon struct {
+	world *World
+	ip    string
+	name  string
+	host  *network.Host
+	run   *edge.Daemon
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// New starts a world.
+func New(o Options) (*World, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &World{
+		Net:   network.New(func(_, _ string) time.Duration { return delayOneWay }),
+		Store: NewStore(),
+		site:  newSite(),
+		began: time.Now(),
+		ctx:   ctx,
+		stop:  stop,
+		log:   o.Log,
+	}
+	if w.log == nil {
+		w.log = io.Discard
+	}
+	w.client = &http.Client{Transport: &http.Transport{DialContext: w.Net.Host(callerIP).Dial, DisableKeepAlives: true, DisableCompression: true}}
+	if err := w.serve(w.Net.Host(storeIP), portStore, w.Store.Handler()); err != nil {
+		return nil, err
+	}
+	w.Publish(Document(1))
+	for i := range o.Engines {
+		if err := w.addEngine(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Plains {
+		if err := w.addPlain(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Daemons {
+		d := &Daemon{world: w, ip: fmt.Sprintf("10.1.0.%d", i+1), name: fmt.Sprintf("edge-%d", i+1)}
+		w.Daemons = append(w.Daemons, d)
+		if err := d.Start(true); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// Close ends everything that the world started.
+func (w *World) Close() {
+	for _, d := range w.Daemons {
+		d.Kill()
+	}
+	w.stop()
+	w.client.CloseIdleConnections()
+	w.tasks.Wait()
+}
+
+func (w *World) serve(h *network.Host, port string, handler http.Handler) error {
+	l, err := h.Listen(port)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
+	w.tasks.Go(func() { _ = s.Serve(l) }) // ends by Close
+	w.tasks.Go(func() {
+		<-w.ctx.Done()
+		_ = s.Close()
+	})
+	return nil
+}
+
+// later runs f after a time unless the world has ended.
+func (w *World) later(after time.Duration, f func()) {
+	w.tasks.Go(func() {
+		select {
+		case <-time.After(after):
+			f()
+		case <-w.ctx.Done():
+		}
+	})
+}
+
+// fastLoads: before the first requests loads take a tenth of their time.
+func (w *World) fastLoads() bool { return time.Since(w.began) < leadTime }
+
+func (w *World) addEngine(i int) error {
+	ip := fmt.Sprintf("10.2.0.%d", i+1)
+	h := w.Net.Host(ip)
+	e := &Engine{
+		world: w, ID: fmt.Sprintf("i-%02d", i), addr: h.Addr(portServer), born: 1,
+		domain: fmt.Sprintf("domain-%d", i/domainSize), staged: []string{},
+	}
+	w.site.mu.Lock()
+	w.site.engines[e.ID] = e
+	w.site.mu.Unlock()
+	w.Engines = append(w.Engines, e)
+	e.announce()
+	return w.serve(h, portServer, e.handler())
+}
+
+func (w *World) addPlain(i int) error {
+	h := w.Net.Host(fmt.Sprintf("10.3.0.%d", i+1))
+	p := &Plain{world: w, ID: fmt.Sprintf("p-%02d", i), addr: h.Addr(portServer)}
+	w.Plains = append(w.Plains, p)
+	p.announce("ready")
+	return w.serve(h, portServer, p)
+}
+
+// Switch changes a backend server's behaviour.
+func (w *World) Switch(f func()) {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	f()
+}
+
+// Darken makes an engine fall silent for good: it answers nobody, and the list
+// drops it after three heartbeats.
+func (w *World) Darken(e *Engine) {
+	w.Switch(func() { e.dead = true })
+	w.Net.Freeze(strings.TrimSuffix(e.addr, ":"+portServer))
+	w.later(3600*time.Millisecond, func() { w.Store.Put("keyed.servers", e.ID, nil) })
+}
+
+// Violations lists what engines were made to do that must not happen.
+func (w *World) Violations() []string {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	return append([]string(nil), w.site.violations...)
+}
+
+// Runs returns how often a request began to run.
+func (w *World) Runs(id string) int {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	return w.site.runs[id]
+}
+
+// Open counts the open groups of a model that are whole.
+func (w *World) Open(model string) int {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	n := 0
+	for _, e := range w.site.engines {
+		p := e.place
+		if p != nil && !e.dead && p.Rank == 0 && p.State == "open" && p.model == model && w.site.whole(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// Member returns a live engine of the given rank in some open group.
+func (w *World) Member(model string, rank int) *Engine {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	for _, e := range w.Engines {
+		if p := e.place; p != nil && !e.dead && p.Rank == rank && p.model == model && w.site.headServes(p) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Orders returns how many orders engines have been given.
+func (w *World) Orders() int {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	n := 0
+	for _, e := range w.site.engines {
+		n += e.orders
+	}
+	return n
+}
+
+// Publish makes a routing document the newest one.
+func (w *World) Publish(document map[string]any) {
+	body, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	w.Store.Put("keyed.op", "config", body)
+}
+
+// Document is a routing document of a version, with routes for streams, safe
+// and unsafe requests.
+func Document(version int) map[string]any {
+	route := func(name, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 8000, "sloMs": 400,
+			"gapSloMs": 300, "priority": 1, "service": service, "maxAttempts": attempts, "resumable": kind == "streaming", "sticky": kind == "streaming",
+		}
+	}
+	model := func(name string, size int) map[string]any {
+		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1.0, "loadS": loadTime.Seconds(), "warmS": stagedTime.Seconds()}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("stream", "streaming", EngineService, 3),
+			route("safe", "safe", PlainService, 2),
+			route("unsafe", "unsafe", PlainService, 1),
+		},
+		"services": []any{
+			map[string]any{"name": EngineService, "healthPath": "/healthz", "maxConns": 200, "engine": map[string]any{
+				"slots": Slots, "step_ms": 8.0, "per_seq_ms": 0.1, "read_per_s": 45000.0, "formMs": 300.0, "loadsPerS": 5.0, "loads_at_once": 7,
+				"models": []any{model(ModelOfThree, 3), model(ModelOfTwo, 2)},
+			}},
+			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConns": 100},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": Workspace, "apiKeys": []string{Key}, "priority": 1}},
+	}
+}
+
+// Start starts a daemon, or starts it again after a Kill.
+func (d *Daemon) Start(first bool) error {
+	d.host = d.world.Net.Host(d.ip)
+	args := []string{
+		"--name=" + d.name, "--availability-zone=a", "--store=" + storeIP + ":" + portStore,
+		"--callers-listen=" + d.host.Addr(portCallers), "--readiness-listen=" + d.host.Addr(portReady),
+		"--admin-listen=" + d.host.Addr(portAdmin), "--peers-listen=" + d.host.Addr(portPeers),
+		"--drain-grace=2500ms", "--drain-timeout=8s",
+	}
+	if first {
+		args = append(args, "--first-start")
+	}
+	set, err := settings.Parse(args)
+	if err != nil {
+		return err
+	}
+	env := edge.Env{Dial: d.host.Dial, Log: d.world.log, Elapsed: func() time.Duration { return time.Since(d.world.began) }}
+	if env.Callers, err = d.host.Listen(portCallers); err != nil {
+		return err
+	}
+	if env.Readiness, err = d.host.Listen(portReady); err != nil {
+		return err
+	}
+	if env.Admin, err = d.host.Listen(portAdmin); err != nil {
+		return err
+	}
+	if env.Peers, err = d.host.Listen(portPeers); err != nil {
+		return err
+	}
+	env.Platform = platform.New(env.Dial, set.Store)
+	if d.run, err = edge.New(set, env); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(d.world.ctx)
+	d.stop, d.done = stop, make(chan struct{})
+	run, done := d.run, d.done
+	go func() {
+		defer close(done)
+		_ = run.Run(ctx) // it has no error of its own
+	}()
+	return nil
+}
+
+// Kill ends a daemon as a kill of its process does.
+func (d *Daemon) Kill() {
+	d.host.Kill()
+	d.stop()
+	<-d.done
+}
+
+// Drain begins a planned stop and returns when the daemon has ended.
+func (d *Daemon) Drain() {
+	d.run.Drain()
+	<-d.done
+}
+
+// Leads reports whether the daemon holds the scope of placement.
+func (d *Daemon) Leads() bool { return strings.HasPrefix(d.world.Store.Holder("caraway"), d.name+"-") }
+
+// URL is where callers reach the daemon.
+func (d *Daemon) URL(path string) string { return "http://" + d.host.Addr(portCallers) + path }
