--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -87,7 +87,9 @@
 	admission  *admission.Controller
 	dispatcher *dispatch.Dispatcher
 
-	listed   atomic.Bool // the list was read whole
+	listed   atomic.Bool  // the list was read whole
+	readAt   atomic.Int64 // when the list was read last, in nanoseconds since the start
+	seen     seenPositions
 	demand   demand
 	places   placeBook
 	draining atomic.Bool
@@ -136,6 +138,7 @@
 		Dial:        d.env.Dial,
 		OnSilent:    d.heardSilent,
 		OnStalled:   d.heardStalled,
+		OnBulletins: d.heardBulletins,
 		Policy:      linkPolicies[d.set.PeerLinks],
 		Events:      d.events,
 		Metrics:     d.metrics,
@@ -163,6 +166,7 @@
 		Member:  string(d.id),
 		TTL:     scopeTTL,
 		Every:   scopeRenewal,
+		Stands:  func() bool { return !d.hearsLeader() },
 		Elapsed: d.env.Elapsed,
 		Events:  d.events,
 	})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,13 +23,19 @@
 	// taking news into force.
 	documentWait = 3500 * time.Millisecond
 	serversWait  = 3 * time.Second
-	// serversEvery is the time between two readings of the list, and
-	// leaderServersEvery that of the daemon that forms groups. Each reading
-	// takes in all that changed.
-	serversEvery       = 500 * time.Millisecond
+	// serversEvery is the time between two readings of the list at a daemon
+	// that reads for others, and leaderServersEvery that of the daemon that
+	// forms groups. Each reading takes in all that changed.
+	serversEvery       = 400 * time.Millisecond
 	leaderServersEvery = 200 * time.Millisecond
+	// relayedServersEvery and relayedDocumentEvery are the times between two
+	// readings while another daemon posts the list's changes and tells of newer
+	// documents: they make up for news that were lost.
+	relayedServersEvery  = 2500 * time.Millisecond
+	relayedDocumentEvery = 6 * time.Second
 	// daemonsWait is how long one read waits for news of daemons.
-	daemonsWait = 10 * time.Second
+	daemonsWait  = 10 * time.Second
+	daemonsEvery = 1500 * time.Millisecond
 	// announceAgain is the pause after an announcement that failed.
 	announceAgain = 500 * time.Millisecond
 )
@@ -43,6 +49,7 @@
 	f := feed.Follower[*routes.Document]{
 		Source: d.env.Platform.Documents,
 		Wait:   documentWait,
+		Every:  d.documentEvery,
 		Sink: feed.Sink[*routes.Document]{
 			All: take, Changes: take,
 			Failed: func(err error) { d.events.Emit(eventReadFailed, "what", "routing document", "error", err) },
@@ -57,6 +64,7 @@
 		d.events.Emit(eventBadRecord, "what", "routing document", "key", item.Key, "error", item.Err)
 	case item.Dropped:
 	case d.routes.Offer(item.Value):
+		d.mesh.Hurry()
 		d.events.Emit(eventDocument, "version", item.Value.Version, "routes", len(item.Value.Routes),
 			"services", len(item.Value.Services), "workspaces", len(item.Value.Workspaces))
 	}
@@ -66,15 +74,11 @@
 	f := feed.Follower[directory.Server]{
 		Source: d.env.Platform.Servers,
 		Wait:   serversWait,
-		Every: func() time.Duration {
-			if d.conductor.Leads() {
-				return leaderServersEvery
-			}
-			return serversEvery
-		},
+		Every:  d.serversEvery,
 		Sink: feed.Sink[directory.Server]{
 			All: d.takeServers, Changes: d.takeServerChanges,
 			Read: func(at time.Time) {
+				d.readAt.Store(int64(at.Sub(d.started)))
 				if away := d.directory.ListRead(at); away > 0 {
 					d.events.Emit(eventListBack, "away", away.Round(time.Millisecond))
 				}
@@ -102,8 +106,20 @@
 }
 
 func (d *Daemon) takeServerChanges(items []feed.Item[directory.Server]) {
+	d.takeNews(items)
+	if d.reads() {
+		d.post(items)
+	}
+}
+
+// takeNews takes in changes of the list, read or posted by a peer. Those that
+// are older than what is known of a server are passed over.
+func (d *Daemon) takeNews(items []feed.Item[directory.Server]) {
 	now := time.Now()
 	for _, item := range items {
+		if !d.seen.newer(item.Key, item.Position) {
+			continue
+		}
 		switch {
 		case item.Err != nil:
 			d.events.Emit(eventBadRecord, "what", "list of backend servers", "key", item.Key, "error", item.Err)
@@ -146,7 +162,7 @@
 	f := feed.Follower[string]{
 		Source: d.env.Platform.Daemons,
 		Wait:   daemonsWait,
-		Every:  func() time.Duration { return announceAgain },
+		Every:  func() time.Duration { return daemonsEvery },
 		Sink: feed.Sink[string]{
 			All:     func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, true)) },
 			Changes: func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, false)) },
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -106,6 +106,8 @@
 		InFlight:       d.store.InFlight(),
 		Silent:         d.failures.list(),
 		Stalled:        d.stalls.list(),
+		Leads:          d.conductor.Leads(),
+		Reads:          d.reads(),
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,9 +15,11 @@
 
 // Item is the newest value of a key, or the news that the key was dropped.
 type Item[T any] struct {
-	Key     string
-	Value   T
-	Dropped bool
+	Key   string
+	Value T
+	// Position is that of the change in the source.
+	Position uint64
+	Dropped  bool
 	// Err says why the value can't be read; Value is zero then.
 	Err error
 }
@@ -51,10 +53,11 @@
 	Every func() time.Duration
 	// Wait is how long one read may wait for a change.
 	Wait time.Duration
-	// Nudge makes the follower read at once when something comes; nil for none.
-	Nudge <-chan struct{}
 }
 
+// paceEvery is the time between two looks at whether a read is due.
+const paceEvery = 100 * time.Millisecond
+
 // Pauses after errors: the first one, doubled up to the longest. Each is cut
 // short by up to half so that daemons do not return together.
 const (
@@ -92,9 +95,18 @@
 		if f.Sink.Read != nil {
 			f.Sink.Read(time.Now())
 		}
-		if f.Every != nil {
-			f.sleep(ctx, f.Every()-time.Since(began))
+		f.pace(ctx, began)
+	}
+}
+
+// pace waits until the next read is due. What Every says may change meanwhile.
+func (f *Follower[T]) pace(ctx context.Context, began time.Time) {
+	for f.Every != nil && ctx.Err() == nil {
+		left := f.Every() - time.Since(began)
+		if left <= 0 {
+			return
 		}
+		f.sleep(ctx, min(left, paceEvery))
 	}
 }
 
@@ -124,7 +136,6 @@
 	}
 }
 
-// sleep waits, unless it is nudged.
 func (f *Follower[T]) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -133,7 +144,6 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-f.Nudge:
 	case <-ctx.Done():
 	}
 }
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -33,6 +33,9 @@
 	// TTL is how long a share outlasts its last renewal, Every the time
 	// between two renewals. Every must be well below TTL.
 	TTL, Every time.Duration
+	// Stands reports whether this daemon should ask for scopes while it holds
+	// none; nil for always.
+	Stands func() bool
 	// Elapsed is a clock that also runs while the machine is suspended.
 	Elapsed func() time.Duration
 	Events  *event.Logger
@@ -77,7 +80,9 @@
 	tick := time.NewTicker(t.cfg.Every)
 	defer tick.Stop()
 	for {
-		t.renew(ctx)
+		if t.holds() || t.cfg.Stands == nil || t.cfg.Stands() {
+			t.renew(ctx)
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -103,6 +108,12 @@
 	t.take(share, sentAt)
 }
 
+func (t *Tenure) holds() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.terms) > 0
+}
+
 func (t *Tenure) lapsed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -77,6 +77,9 @@
 	// OnSilent receives the instances whose polls by a peer began to fail; nil
 	// for none. It must not block.
 	OnSilent func([]fleet.InstanceID)
+	// OnBulletins receives each of peers' bulletins once; nil for none. It must
+	// not block.
+	OnBulletins func([]Bulletin)
 	// OnStalled receives the groups at which a peer's streams have stopped; nil
 	// for none. It must not block.
 	OnStalled func([]fleet.GroupID)
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -44,6 +44,7 @@
 		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
 		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
+		Leads: b.Leads, Reads: b.Reads,
 	}
 	shown := l.heard(now, b)
 	if err := m.handleReports(l, b, shown.sentAt); err != nil {
@@ -91,9 +92,13 @@
 func (m *Mesh) handleNews(l *link, b *newsMessage) {
 	m.mu.Lock()
 	leaving, sightings := m.news.takePeer(time.Now(), l.peer.From, b)
+	bulletins := m.news.takeBulletins(time.Now(), l.peer.From, b.Bulletins)
 	m.dirty = true
 	m.mu.Unlock()
 	m.tell(leaving, sightings)
+	if len(bulletins) > 0 && m.cfg.OnBulletins != nil {
+		m.cfg.OnBulletins(bulletins)
+	}
 }
 
 func (m *Mesh) tell(leaving []fleet.InstanceID, sightings []suspect.Sighting) {
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -82,7 +82,7 @@
 func (l *link) sendBeat(now time.Time, h Heartbeat) error {
 	b := beatMessage{
 		Echo: l.echo(now), Sequence: h.Sequence, Ready: h.Ready, Draining: h.Draining,
-		ConfigRevision: h.ConfigRevision,
+		ConfigRevision: h.ConfigRevision, Leads: h.Leads, Reads: h.Reads,
 	}
 	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
 	b.Silent = packNew(l.numbering, h.Silent, l.silentSent)
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -144,6 +144,13 @@
 
 func (m *Mesh) self() Place { return Place{Address: m.cfg.Address, Zone: m.cfg.Zone} }
 
+// Post passes bulletins on to all daemons. They leave within a fifth of a beat.
+func (m *Mesh) Post(bulletins []Bulletin) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.news.takeBulletins(time.Now(), "", bulletins)
+}
+
 // View returns the membership as it stood at most a fifth of a beat ago.
 func (m *Mesh) View() View { return *m.view.Load() }
 
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -84,12 +84,15 @@
 	Silent []uint32 `cbor:"12,keyasint,omitempty"`
 	// Stalled are the numbers of groups whose streams have stopped.
 	Stalled []uint32 `cbor:"13,keyasint,omitempty"`
+	Leads   bool     `cbor:"14,keyasint,omitempty"`
+	Reads   bool     `cbor:"15,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
 type newsMessage struct {
 	Leaving   []leavingNews  `cbor:"1,keyasint,omitempty"`
 	Sightings []sightingNews `cbor:"2,keyasint,omitempty"`
+	Bulletins []Bulletin     `cbor:"3,keyasint,omitempty"`
 }
 
 type leavingNews struct {
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -18,6 +18,7 @@
 	at       time.Time
 	from     fleet.DaemonID // peer that told it, empty for the own source
 	sighting *suspect.Sighting
+	bulletin *Bulletin
 }
 
 // newsboard holds the items that are passed on: each once on each link, but
@@ -26,6 +27,7 @@
 	last      uint64
 	leaving   map[fleet.InstanceID]*newsItem
 	sightings map[[16]byte]*newsItem
+	bulletins map[string]*newsItem
 	// listed are the instances that the own source listed last, so that one
 	// that stays listed is news only once.
 	listed map[fleet.InstanceID]bool
@@ -35,6 +37,7 @@
 	return &newsboard{
 		leaving:   map[fleet.InstanceID]*newsItem{},
 		sightings: map[[16]byte]*newsItem{},
+		bulletins: map[string]*newsItem{},
 		listed:    map[fleet.InstanceID]bool{},
 	}
 }
@@ -95,6 +98,24 @@
 	return true
 }
 
+// takeBulletins adds bulletins and returns those that were new.
+func (b *newsboard) takeBulletins(now time.Time, from fleet.DaemonID, bulletins []Bulletin) []Bulletin {
+	var fresh []Bulletin
+	for _, n := range bulletins {
+		old := b.bulletins[n.Key]
+		if old != nil && old.bulletin.Version >= n.Version {
+			continue
+		}
+		fresh = append(fresh, n)
+		if old != nil || len(b.bulletins) < maxNews {
+			item := b.item(now, from)
+			item.bulletin = &n
+			b.bulletins[n.Key] = item
+		}
+	}
+	return fresh
+}
+
 func (b *newsboard) item(at time.Time, from fleet.DaemonID) *newsItem {
 	b.last++
 	return &newsItem{number: b.last, at: at, from: from}
@@ -112,6 +133,11 @@
 			delete(b.sightings, id)
 		}
 	}
+	for key, item := range b.bulletins {
+		if now.Sub(item.at) >= newsFor {
+			delete(b.bulletins, key)
+		}
+	}
 }
 
 // after returns the items numbered above last for a link to a peer, nil for
@@ -131,7 +157,12 @@
 			n.Sightings = append(n.Sightings, newSightingNews(now, item.sighting))
 		}
 	}
-	if len(n.Leaving)+len(n.Sightings) == 0 {
+	for _, item := range b.bulletins {
+		if item.number > last && item.from != to {
+			n.Bulletins = append(n.Bulletins, *item.bulletin)
+		}
+	}
+	if len(n.Leaving)+len(n.Sightings)+len(n.Bulletins) == 0 {
 		return nil
 	}
 	return n
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -40,6 +40,11 @@
 	// Stalled are the groups at which none of the sender's streams moves. Each
 	// crosses a link once for as long as it stays so.
 	Stalled []fleet.GroupID `cbor:"-"`
+	// Leads is set while the sender does the control work of a scope that it
+	// was dealt, Reads while it follows the platform's list and posts what it
+	// finds there.
+	Leads bool `cbor:"-"`
+	Reads bool `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
@@ -50,6 +55,14 @@
 	ConfirmedAgeMilli int64 `cbor:"2,keyasint"`
 }
 
+// Bulletin is news of one key that crosses every link once. Of two of a key the
+// one with the higher version counts.
+type Bulletin struct {
+	Key     string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Body    []byte `cbor:"3,keyasint"`
+}
+
 // Echo tells the receiver of a heartbeat which of its own heartbeats the
 // sender heard last on the same link. It bounds from below when the heartbeat
 // was sent, however long it lay in a buffer, and it shows that the sender
