placement: a second model at hand, members from broken groups, room where it is missing

What: engines stage a second model on their hosts beside the one that they have loaded, so that they change over in 1.1 to 1.6 s; of two broken groups of a domain one is repaired with the members of the other; a model's part counts that two of its groups may be missing; groups are taken apart first where that makes room for a missing one. Ruled out: the time to detect a loss (0.7 s) and to repair with a spare that has the model loaded (0.7 s), both as intended.

--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -21,11 +21,52 @@
 		}
 	}
 	slices.SortStableFunc(broken, func(a, b *condition) int { return cmp.Compare(len(a.lost), len(b.lost)) })
-	for _, c := range broken {
+	for at, c := range broken {
+		if r.given[c] {
+			continue
+		}
+		if !r.snap.LogDown {
+			r.findDonor(c, broken[at+1:])
+		}
 		r.treat(c, broken)
 	}
 }
 
+// findDonor takes a more broken group of the same service and fabric domain
+// apart when its members have at hand what this one's substitutes would have
+// to load: one whole group at once is better than two later.
+func (r *round) findDonor(c *condition, others []*condition) {
+	subs := r.substitutes(c)
+	if _, loads := r.timeFor(c.want, instances(subs)); subs != nil && !loads {
+		return
+	}
+	for _, o := range slices.Backward(others) {
+		near := r.nearMembers(o)
+		if o.want != c.want || o.group.Fabric != c.group.Fabric || r.given[o] || len(near) < len(c.lost) {
+			continue
+		}
+		r.given[o] = true
+		r.dissolve(o, "its instances repair "+string(c.group.ID))
+		for _, id := range near {
+			r.free[id] = true
+		}
+		return
+	}
+}
+
+// nearMembers lists the members of a broken group that are well and have its
+// model at hand.
+func (r *round) nearMembers(c *condition) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, m := range c.composition {
+		st := r.snap.Instances[m.Instance]
+		if _, near := st.Near[c.group.Model]; near && present(st) && !st.Fallen {
+			ids = append(ids, m.Instance)
+		}
+	}
+	return ids
+}
+
 // way is one way to treat a broken group.
 type way struct {
 	kind   ActionKind
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -41,9 +41,10 @@
 	free    map[fleet.InstanceID]bool
 	placed  map[fleet.InstanceID]bool // given a place in this round
 	dark    map[fleet.FabricDomain]bool
-	loads   int // groups that load now or by this plan
-	starts  int // loads that this plan may still begin
-	forms   int // groups formed by this plan
+	given   map[*condition]bool // taken apart for another group
+	loads   int                 // groups that load now or by this plan
+	starts  int                 // loads that this plan may still begin
+	forms   int                 // groups formed by this plan
 	actions []Action
 }
 
@@ -57,6 +58,7 @@
 	r := &round{policy: p, hist: h, snap: s, now: now, starts: starts}
 	r.free = map[fleet.InstanceID]bool{}
 	r.placed = map[fleet.InstanceID]bool{}
+	r.given = map[*condition]bool{}
 	r.findDark()
 	for _, id := range slices.Sorted(maps.Keys(s.Groups.Groups)) {
 		g := s.Groups.Groups[id]
@@ -248,18 +250,25 @@
 	return math.MaxInt64
 }
 
+// nearIn counts the free instances of a fabric domain that have a service's
+// model at hand.
+func (r *round) nearIn(w *Wanted, f fleet.FabricDomain) int {
+	n := 0
+	for _, id := range r.freeIn(w.Pool, f, w.Model) {
+		if _, ok := r.snap.Instances[id].Near[w.Model]; ok {
+			n++
+		}
+	}
+	return n
+}
+
 // roomFor lists the free instances of a fabric domain that a whole new group
 // may take. Instances that have another model at hand are what its groups are
 // repaired with: they are taken only when they complete a group of which half
 // has its own model at hand.
 func (r *round) roomFor(w *Wanted, f fleet.FabricDomain) []fleet.InstanceID {
 	ids := r.freeIn(w.Pool, f, w.Model)
-	own := 0
-	for _, id := range ids {
-		if _, ok := r.snap.Instances[id].Near[w.Model]; ok {
-			own++
-		}
-	}
+	own := r.nearIn(w, f)
 	if 2*own >= w.Size && own > 0 {
 		return ids
 	}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // ModelDemand is what one model asks of the engines that models share.
 type ModelDemand struct {
 	Size int // engines of one group
@@ -8,14 +10,21 @@
 	Work float64
 	// Standing is how many groups the model has.
 	Standing int
+
+	needs float64 // in proportion to the groups that it should have
 }
 
 const (
 	// starvedAt is the part of its groups' time from which a model is starved,
 	// and idleBelow the one below which another model may give a group to it:
 	// a group that is taken apart serves nobody until its engines have loaded.
-	starvedAt = 0.95
-	idleBelow = 0.6
+	starvedAt = 0.85
+	idleBelow = 0.7
+	// fullShare is the part of its groups' time that a model should use at
+	// most, and lostGroups how many of its groups it should be able to miss:
+	// of a model with few groups each one is a large part.
+	fullShare  = 0.7
+	lostGroups = 2
 )
 
 // SplitEngines divides engines over models and returns how many groups each is
@@ -23,6 +32,16 @@
 // no more than reserve engines are left. A model keeps the groups that it has
 // unless measured work shows that another one is starved while it is idle.
 func SplitEngines(models []ModelDemand, engines, reserve int, measured bool) []int {
+	if measured {
+		models = slices.Clone(models)
+		for i := range models {
+			models[i].needs = models[i].Work/fullShare + lostGroups
+		}
+	} else {
+		for i := range models {
+			models[i].needs = models[i].Work
+		}
+	}
 	groups := targets(models, engines, reserve)
 	starved := false
 	for i, m := range models {
@@ -45,7 +64,7 @@
 	for left := engines; ; {
 		best := -1
 		for i, m := range models {
-			if m.Work <= 0 || m.Size < 1 {
+			if m.needs <= 0 || m.Size < 1 {
 				continue
 			}
 			keep := reserve
@@ -70,5 +89,5 @@
 	if (groups[a] == 0) != (groups[b] == 0) {
 		return groups[a] == 0
 	}
-	return models[a].Work*float64(groups[b]) > models[b].Work*float64(groups[a])
+	return models[a].needs*float64(groups[b]) > models[b].needs*float64(groups[a])
 }
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -122,12 +122,50 @@
 			}
 		}
 	}
+	c.stageSeconds(ctx, t, servers, s, now)
 	maps.DeleteFunc(t.warming, func(id fleet.InstanceID, _ *group.Group) bool {
 		_, listed := servers[id]
 		return !listed
 	})
 }
 
+// stageSeconds has engines that have their model loaded load a second one onto
+// their hosts beside it. An engine then changes over within the time to load
+// from its host, and any spare or idle group can stand in for any other.
+func (c *Conductor) stageSeconds(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, s Snapshot, now time.Time) {
+	for _, whole := range t.whole {
+		if !whole {
+			return // what is needed now loads first
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Instances)) {
+		st, l := s.Instances[id], servers[id]
+		loaded := t.places.lastModel(l.Server)
+		second := secondModel(s.Wanted, loaded)
+		if loaded == "" || second == "" || !present(st) || slices.Contains(l.Staged, second) || t.staging[id] == second {
+			continue
+		}
+		o := backend.GroupOrder{Kind: backend.OrderStage, Model: second}
+		if !c.due(id, o, now) || !c.mayLoad(now) {
+			continue
+		}
+		t.staging[id] = second
+		c.send(ctx, t, l, o, now)
+	}
+}
+
+// secondModel is the model, other than the one that an engine has loaded, of
+// which most engines are wanted.
+func secondModel(wanted []Wanted, loaded string) string {
+	best, most := "", 0
+	for _, w := range wanted {
+		if n := w.Groups * w.Size; w.Model != loaded && n > most {
+			best, most = w.Model, n
+		}
+	}
+	return best
+}
+
 // warm orders a free engine into a membership of its own.
 func (c *Conductor) warm(ctx context.Context, t *tenure, l directory.Listing, model string, now time.Time) {
 	g := t.warming[l.Instance]
--- a/internal/placement/turnover.go
+++ b/internal/placement/turnover.go
@@ -202,13 +202,8 @@
 // beyond the number wanted, broken ones first.
 func (r *round) leastUseful(s fleet.ServiceName) []*condition {
 	var whole, rest []*condition
-	excess := map[*Wanted]int{}
-	for i := range r.snap.Wanted {
-		w := &r.snap.Wanted[i]
-		excess[w] = r.standing(w) - w.Groups
-	}
-	for i := len(r.groups) - 1; i >= 0; i-- {
-		c := r.groups[i]
+	excess := r.excess()
+	for _, c := range r.byRoom(excess) {
 		if c.group.Service != s || c.draining() || c.leaving {
 			continue
 		}
@@ -227,6 +222,44 @@
 	return append(rest, whole...)
 }
 
+// excess counts the groups of each kind beyond the number wanted.
+func (r *round) excess() map[*Wanted]int {
+	excess := map[*Wanted]int{}
+	for i := range r.snap.Wanted {
+		w := &r.snap.Wanted[i]
+		excess[w] = r.standing(w) - w.Groups
+	}
+	return excess
+}
+
+// byRoom lists the groups in the order in which they are taken apart when there
+// are too many: those first whose members make room in their fabric domain for
+// a group that is missing, then the latest.
+func (r *round) byRoom(excess map[*Wanted]int) []*condition {
+	groups := slices.Clone(r.groups)
+	slices.Reverse(groups)
+	makesRoom := func(c *condition) bool {
+		for w, n := range excess {
+			free := len(r.roomFor(w, c.group.Fabric))
+			if n < 0 && c.want != w && free < w.Size && r.nearIn(w, c.group.Fabric)+len(c.composition) >= w.Size {
+				return true
+			}
+		}
+		return false
+	}
+	slices.SortStableFunc(groups, func(a, b *condition) int {
+		switch roomA, roomB := makesRoom(a), makesRoom(b); {
+		case roomA == roomB:
+			return 0
+		case roomA:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return groups
+}
+
 // whyReplaced says why a group shall not stay.
 func (r *round) whyReplaced(c *condition) string {
 	switch {
