tests of the platform's parts; an engine leaves its head's group before it joins another

Cause: a member whose group's head was still open was ordered to join its next group in the same round as the head was ordered to leave (read off the code: a member that had started anew counted as the end of its group for all others). What: a membership is over only once its head serves no more; an engine that has left may join at once.

--- /dev/null
+++ b/internal/dispatch/events_reader_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+func TestEventReader(t *testing.T) {
+	long := "id: 7\ndata: " + strings.Repeat("x", 3*eventBufferBytes) + "\n\n"
+	for _, test := range []struct {
+		name   string
+		stream string
+		ids    []string
+		end    error
+	}{
+		{"plain", "id: 1\ndata: a\n\nid:2\ndata: b\n\n", []string{"1", "2"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"1"}, io.EOF},
+		{"without an id", "data: a\n\n", []string{""}, io.EOF},
+		{"id last", "data: a\nid: 3\n\n", []string{"3"}, io.EOF},
+		{"longer than the buffer", long, []string{"7"}, io.EOF},
+		{"cut in a line", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, errTruncated},
+		{"cut before the blank line", "id: 1\ndata: a\n", nil, errTruncated},
+		{"empty", "", nil, io.EOF},
+	} {
+		for _, read := range []func(io.Reader) io.Reader{
+			func(r io.Reader) io.Reader { return r }, iotest.OneByteReader, iotest.DataErrReader,
+		} {
+			e := newEventReader(read(strings.NewReader(test.stream)))
+			var all strings.Builder
+			var ids []string
+			var end error
+			for {
+				event, id, err := e.next()
+				if err != nil {
+					end = err
+					break
+				}
+				all.Write(event)
+				ids = append(ids, string(id))
+			}
+			assert.Assert(t, errors.Is(end, test.end), "%s: %v", test.name, end)
+			assert.DeepEqual(t, ids, test.ids)
+			if errors.Is(test.end, io.EOF) {
+				assert.Equal(t, all.String(), test.stream, test.name)
+			}
+		}
+	}
+}
+
+func TestEventIsBounded(t *testing.T) {
+	e := newEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes)))
+	_, _, err := e.next()
+	assert.Assert(t, errors.Is(err, errEventSize), "%v", err)
+}
+
+func TestRepeated(t *testing.T) {
+	for _, test := range []struct {
+		id, last string
+		repeated bool
+	}{
+		{"3", "", false}, {"3", "2", false}, {"3", "3", true}, {"2", "3", true}, {"10", "9", false}, {"", "3", false}, {"b", "a", false},
+	} {
+		assert.Equal(t, repeated(test.id, test.last), test.repeated, "%q after %q", test.id, test.last)
+	}
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,96 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// source answers reads from a script.
+type source struct {
+	all, since int
+	failures   int // of the next reads
+	gap        bool
+	waited     time.Duration
+}
+
+func (s *source) All(context.Context) ([]Item[string], uint64, error) {
+	s.all++
+	if s.failures > 0 {
+		s.failures--
+		return nil, 0, errors.New("away")
+	}
+	return []Item[string]{{Key: "a", Value: "1"}}, 10, nil
+}
+
+func (s *source) Since(ctx context.Context, from uint64, wait time.Duration) ([]Item[string], uint64, error) {
+	s.since++
+	switch {
+	case s.failures > 0:
+		s.failures--
+		return nil, from, errors.New("away")
+	case s.gap:
+		s.gap = false
+		return nil, from, ErrGap
+	}
+	select {
+	case <-time.After(min(wait, time.Second)):
+	case <-ctx.Done():
+		return nil, from, ctx.Err()
+	}
+	return []Item[string]{{Key: "b", Position: from}}, from + 1, nil
+}
+
+// follow runs a follower for a time of the bubble's clock.
+func follow(t *testing.T, s *source, every, forTime time.Duration) (whole, changes, failed int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), forTime)
+		defer stop()
+		f := Follower[string]{
+			Source: s, Wait: 5 * time.Second,
+			Sink: Sink[string]{
+				All:     func([]Item[string]) { whole++ },
+				Changes: func(items []Item[string]) { changes += len(items) },
+				Failed:  func(error) { failed++ },
+			},
+		}
+		if every > 0 {
+			f.Every = func() time.Duration { return every }
+		}
+		f.Run(ctx)
+	})
+	return whole, changes, failed
+}
+
+func TestFollowsChangesAfterReadingAll(t *testing.T) {
+	whole, changes, failed := follow(t, &source{}, 0, 10500*time.Millisecond)
+	assert.Equal(t, whole, 1)
+	assert.Equal(t, changes, 10)
+	assert.Equal(t, failed, 0)
+}
+
+func TestReadsAllAgainAfterAGap(t *testing.T) {
+	whole, _, failed := follow(t, &source{gap: true}, 0, 5*time.Second)
+	assert.Equal(t, whole, 2)
+	assert.Equal(t, failed, 1)
+}
+
+func TestPausesAfterErrorsAndGoesOn(t *testing.T) {
+	s := &source{failures: 8}
+	whole, changes, failed := follow(t, s, 0, 20*time.Second)
+	assert.Equal(t, failed, 8)
+	assert.Equal(t, whole, 1)
+	assert.Assert(t, changes > 10, "%d changes after the errors", changes)
+	assert.Assert(t, s.all <= 9)
+}
+
+func TestReadsNoMoreOftenThanEvery(t *testing.T) {
+	s := &source{}
+	follow(t, s, 2500*time.Millisecond, 25*time.Second)
+	assert.Assert(t, s.since >= 8 && s.since <= 10, "%d reads in 25 s", s.since)
+}
--- a/internal/placement/conduct_orders.go
+++ b/internal/placement/conduct_orders.go
@@ -50,8 +50,7 @@
 		// A head that can't be asked stands still once a member has left.
 		return leave(l.Place), true
 	}
-	e := t.places.engines[l.Instance]
-	if e != nil && !t.places.over(e.key, now, c.cfg.StallAfter) {
+	if !free(l) && !t.places.over(placeKey{l.Place.Group, l.Place.Epoch}) {
 		return backend.GroupOrder{}, false
 	}
 	if g == nil {
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -49,9 +49,6 @@
 	// Staged how long for a model that is staged on its host.
 	Rejoin time.Duration
 	Staged func(model string) time.Duration
-	// StallAfter is how long a head that has lost a member stands still
-	// before it serves no more.
-	StallAfter time.Duration
 	// Open is the time from an order to open until a group serves.
 	Open time.Duration
 	// LoadRate is how many engines may begin to load from the weight store in
@@ -75,8 +72,6 @@
 	orderTimeout = 600 * time.Millisecond
 	// orderAgain is how long an order that was accepted may take to show.
 	orderAgain = 700 * time.Millisecond
-	// stallMargin covers the way of the news of a stall.
-	stallMargin = 700 * time.Millisecond
 )
 
 // Conductor carries out the plans of one scope on engines that keep their own
@@ -188,7 +183,7 @@
 	}
 	t := c.tenure
 	servers := c.cfg.Servers.Servers()
-	t.places.observe(servers, now)
+	t.places.observe(servers)
 	c.prober.round(ctx, t, servers, now)
 	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 || !t.adopted && t.growing(servers, now) {
 		return
@@ -317,7 +312,7 @@
 	}
 	g := t.groups[groups.ByInstance[l.Instance]]
 	if g == nil {
-		st.Bound = !t.places.free(l, time.Now(), c.cfg.StallAfter)
+		st.Bound = !free(l)
 		return st
 	}
 	rank := rankOf(g, l.Instance)
--- /dev/null
+++ b/internal/placement/near_test.go
@@ -0,0 +1,179 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+const (
+	hot    = 200 * time.Millisecond
+	staged = 1600 * time.Millisecond
+)
+
+// nearWorld is a snapshot of engines of one pool that run two models, "duo" of
+// two engines and "quad" of four.
+type nearWorld struct {
+	s Snapshot
+}
+
+func newNearWorld(duos, quads int) *nearWorld {
+	w := &nearWorld{s: Snapshot{
+		Scope: "placement", Term: 1, Revision: 1,
+		Groups:    &group.View{Groups: map[fleet.GroupID]*group.Group{}, ByInstance: map[fleet.InstanceID]fleet.GroupID{}},
+		Instances: map[fleet.InstanceID]InstanceState{},
+	}}
+	for _, m := range []struct {
+		name         string
+		groups, size int
+	}{{"quad", quads, 4}, {"duo", duos, 2}} {
+		w.s.Wanted = append(w.s.Wanted, Wanted{
+			Service: fleet.ServiceName(m.name), Pool: "pool", Model: m.name, Groups: m.groups, Size: m.size, LoadTime: 16 * time.Second,
+		})
+	}
+	return w
+}
+
+// engine adds a free engine.
+func (w *nearWorld) engine(id fleet.InstanceID, domain fleet.FabricDomain, near map[string]time.Duration) {
+	w.s.Instances[id] = InstanceState{
+		Instance: fleet.Instance{ID: id, Address: string(id), Fabric: domain, Pool: "pool", Kind: fleet.KindEngine, Accelerators: 1},
+		Report:   fleet.Report{Instance: id, Ready: true, ReceivedAt: time.Now()},
+		Listed:   true, Alive: true, Near: near,
+	}
+}
+
+// group adds a whole group of new engines, of which the first lost ones are
+// down.
+func (w *nearWorld) group(id fleet.GroupID, model string, size int, domain fleet.FabricDomain, lost int) {
+	g := &group.Group{ID: id, Epoch: 1, Service: fleet.ServiceName(model), Model: model, Fabric: domain, Phase: group.PhaseActive, Scope: "placement", Term: 1}
+	for rank := range size {
+		member := fleet.InstanceID(fmt.Sprintf("%s-%d", id, rank))
+		w.engine(member, domain, map[string]time.Duration{model: hot})
+		g.Members = append(g.Members, group.Member{Instance: member, Address: string(member), Fabric: domain, Accelerators: 1})
+		w.s.Groups.ByInstance[member] = id
+	}
+	w.s.Groups.Groups[id] = g
+	for rank := range size {
+		st := w.s.Instances[g.Members[rank].Instance]
+		a := group.AssignmentOf(g, g.Members, fleet.Rank(rank))
+		st.Report.Assignment = &a
+		st.Alive = rank >= lost
+		w.s.Instances[g.Members[rank].Instance] = st
+	}
+}
+
+func (w *nearWorld) plan() []Action {
+	return NewPlanner(Policy{Spread: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64}).Plan(w.s, time.Now())
+}
+
+func kinds(actions []Action) []string {
+	var out []string
+	for _, a := range actions {
+		out = append(out, fmt.Sprintf("%s %s", a.Kind, a.Group.Service))
+	}
+	return out
+}
+
+// A lost member is replaced by the spare that has the model loaded, before one
+// that has it staged and before one without it.
+func TestRepairTakesTheNearestSpare(t *testing.T) {
+	w := newNearWorld(1, 0)
+	w.group("g1", "duo", 2, "d0", 1)
+	w.engine("bare", "d0", nil)
+	w.engine("b-staged", "d0", map[string]time.Duration{"duo": staged, "quad": hot})
+	w.engine("c-hot", "d0", map[string]time.Duration{"duo": hot})
+	actions := w.plan()
+	assert.DeepEqual(t, kinds(actions), []string{"repair duo"})
+	assert.Equal(t, actions[0].Group.Members[0].Instance, fleet.InstanceID("c-hot"))
+	assert.Assert(t, actions[0].Cost < 1, "cost %f is not that of %s", actions[0].Cost, hot)
+}
+
+// Two groups of a domain that lost a member each, and no spare: one is whole
+// again at once with a member of the other.
+func TestBrokenGroupsGiveEachOtherMembers(t *testing.T) {
+	w := newNearWorld(0, 2)
+	w.group("g1", "quad", 4, "d0", 1)
+	w.group("g2", "quad", 4, "d0", 2)
+	actions := w.plan()
+	assert.DeepEqual(t, kinds(actions), []string{"dissolve quad", "repair quad"})
+	assert.Equal(t, actions[0].Group.ID, fleet.GroupID("g2"))
+	assert.Equal(t, actions[1].Group.ID, fleet.GroupID("g1"))
+}
+
+// Spares of another model are what its groups are repaired with: a whole new
+// group leaves them alone unless it has half of its members at hand.
+func TestNewGroupsLeaveOtherModelsSpares(t *testing.T) {
+	w := newNearWorld(1, 0)
+	w.engine("q1", "d0", map[string]time.Duration{"quad": hot})
+	w.engine("q2", "d0", map[string]time.Duration{"quad": hot})
+	assert.Equal(t, len(w.plan()), 0)
+
+	w.engine("d1", "d0", map[string]time.Duration{"duo": hot})
+	actions := w.plan()
+	assert.DeepEqual(t, kinds(actions), []string{"form duo"})
+	assert.Equal(t, actions[0].Group.Members[0].Instance, fleet.InstanceID("d1"))
+}
+
+// New groups are spread over the domains, so that each keeps spares.
+func TestNewGroupsAreSpread(t *testing.T) {
+	w := newNearWorld(2, 0)
+	for _, domain := range []fleet.FabricDomain{"d0", "d1"} {
+		for n := range 4 {
+			w.engine(fleet.InstanceID(fmt.Sprintf("%s-%d", domain, n)), domain, nil)
+		}
+	}
+	actions := w.plan()
+	assert.Equal(t, len(actions), 2)
+	assert.Assert(t, actions[0].Group.Fabric != actions[1].Group.Fabric)
+}
+
+// Of groups beyond the number wanted the one goes whose members make room for
+// a missing group in their domain.
+func TestExcessGroupsMakeRoom(t *testing.T) {
+	w := newNearWorld(1, 1)
+	w.group("duo.1.1", "duo", 2, "d0", 0)
+	w.group("duo.1.2", "duo", 2, "d1", 0)
+	for n := range 3 {
+		w.engine(fleet.InstanceID(fmt.Sprintf("q%d", n)), "d0", map[string]time.Duration{"quad": hot})
+	}
+	actions := w.plan()
+	assert.DeepEqual(t, kinds(actions), []string{"drain duo"})
+	assert.Equal(t, actions[0].Group.ID, fleet.GroupID("duo.1.1"))
+}
+
+// A member that is there and has fallen out of its group counts as lost, and
+// may take a place in the group's next epoch.
+func TestFallenMemberIsReplaced(t *testing.T) {
+	w := newNearWorld(1, 0)
+	w.group("g1", "duo", 2, "d0", 0)
+	st := w.s.Instances["g1-1"]
+	st.Fallen, st.Report.Assignment = true, nil
+	w.s.Instances["g1-1"] = st
+	actions := w.plan()
+	assert.DeepEqual(t, kinds(actions), []string{"repair duo"})
+	assert.Equal(t, actions[0].Group.Members[1].Instance, fleet.InstanceID("g1-1"))
+	assert.Equal(t, actions[0].Group.Epoch, fleet.Epoch(2))
+}
+
+func TestPlanSpares(t *testing.T) {
+	w := newNearWorld(2, 1)
+	w.group("duo.1.1", "duo", 2, "d0", 0)
+	w.group("quad.1.1", "quad", 4, "d0", 0)
+	w.engine("s1", "d0", nil)
+	w.engine("s2", "d0", nil)
+	w.engine("s3", "d0", map[string]time.Duration{"duo": hot, "quad": staged})
+	got := map[string]int{}
+	for _, p := range PlanSpares(w.s) {
+		got[p.Model]++
+		if p.Instance == "s3" {
+			assert.Equal(t, p.Model, "duo", "an engine stays with what it has loaded")
+		}
+	}
+	assert.DeepEqual(t, got, map[string]int{"duo": 1, "quad": 2})
+}
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
@@ -28,9 +26,6 @@
 	headIncarnation uint64
 	// over is set once the head serves no more under this membership.
 	over bool
-	// strandedAt is when the membership surely lacked a member: from then on
-	// its head stands still.
-	strandedAt time.Time
 }
 
 // placed is the last place of an engine.
@@ -45,7 +40,7 @@
 }
 
 // observe takes in what the engines say of their places.
-func (p *places) observe(servers map[fleet.InstanceID]directory.Listing, now time.Time) {
+func (p *places) observe(servers map[fleet.InstanceID]directory.Listing) {
 	for id, l := range servers {
 		if l.Place == nil {
 			continue
@@ -66,14 +61,6 @@
 			e.model = modelOfID(l.Place.Group)
 		}
 	}
-	for id, e := range p.engines {
-		l, listed := servers[id]
-		if listed && (l.Place == nil || placeKey{l.Place.Group, l.Place.Epoch} != e.key) {
-			if m := p.membership(e.key); m.strandedAt.IsZero() {
-				m.strandedAt = now
-			}
-		}
-	}
 	for key, m := range p.memberships {
 		if m.over || m.head == "" {
 			continue
@@ -96,36 +83,22 @@
 }
 
 // left notes that an engine gave a place up, by its own answer.
-func (p *places) left(id fleet.InstanceID, key placeKey, now time.Time) {
-	m := p.membership(key)
-	if m.head == id {
+func (p *places) left(id fleet.InstanceID, key placeKey) {
+	if m := p.membership(key); m.head == id {
 		m.over = true
 	}
-	if m.strandedAt.IsZero() {
-		m.strandedAt = now
-	}
 }
 
-// over reports whether the head of a membership surely serves no more: it said
-// so, or the membership has lacked a member for longer than a head stands
-// still before it is broken.
-func (p *places) over(key placeKey, now time.Time, stall time.Duration) bool {
+// over reports whether a membership surely serves no more.
+func (p *places) over(key placeKey) bool {
 	m := p.memberships[key]
-	if m == nil {
-		return true
-	}
-	return m.over || (!m.strandedAt.IsZero() && now.Sub(m.strandedAt) > stall)
+	return m == nil || m.over
 }
 
-// free reports whether an engine may be placed anew at once, apart from the
-// order to leave that a head gets first.
-func (p *places) free(l directory.Listing, now time.Time, stall time.Duration) bool {
-	if l.Place != nil && !isWarm(l.Place.Group) {
-		return false
-	}
-	e := p.engines[l.Instance]
-	return e == nil || p.over(e.key, now, stall)
-}
+// free reports whether an engine may be placed anew at once. One that has left
+// its group may, also while the head does not know: a head that lacks a member
+// stands still until it breaks.
+func free(l directory.Listing) bool { return l.Place == nil || isWarm(l.Place.Group) }
 
 // wasIn reports whether an engine had its place in the group's present epoch.
 func (p *places) wasIn(id fleet.InstanceID, g *group.Group) bool {
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -145,7 +145,7 @@
 	s := d.server
 	switch d.order.Kind {
 	case backend.OrderLeave:
-		t.places.left(s.Instance, key, d.at)
+		t.places.left(s.Instance, key)
 		s.Place = nil
 		p.c.cfg.Servers.Answered(s, now)
 	case backend.OrderJoin:
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -47,7 +47,8 @@
 	for _, f := range slices.Sorted(maps.Keys(domains)) {
 		d := domains[f]
 		slices.SortFunc(d.free, func(a, b fleet.InstanceID) int {
-			return cmp.Or(cmp.Compare(nearest(s.Instances[a]), nearest(s.Instances[b])), cmp.Compare(a, b))
+			// Descending, so that those without a model come last.
+			return cmp.Or(cmp.Compare(nearest(s.Instances[b]), nearest(s.Instances[a])), cmp.Compare(a, b))
 		})
 		for _, id := range d.free {
 			model := nearest(s.Instances[id])
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,7 +35,6 @@
 	FirstStart       bool          `long:"first-start" env:"CARAWAY_FIRST_START" description:"the whole system starts for the first time: no request comes yet and replicas may be loaded at once, with --store only"`
 	MemoryLimit      int           `long:"memory-limit" env:"CARAWAY_MEMORY_LIMIT" description:"MiB that the process may use, which the collector keeps well below, 0 for no limit" default:"0"`
 	Heartbeat        time.Duration `long:"heartbeat" env:"CARAWAY_HEARTBEAT" description:"time between two announcements of a backend server in the list, 100ms to 1m, with --store only" default:"1200ms"`
-	StallAfter       time.Duration `long:"stall-after" env:"CARAWAY_STALL_AFTER" description:"how long the head of a group that lost a member stands still before it is broken, 100ms to 5m, with --store only" default:"5s"`
 	RetryRatio       float64       `long:"retry-ratio" env:"CARAWAY_RETRY_RATIO" description:"retries that all daemons may add for each request of a service, 0 to 1, with --store only" default:"0.2"`
 	RetrySlack       int           `long:"retry-slack" env:"CARAWAY_RETRY_SLACK" description:"retries that all daemons may add besides within retry-window, 0 to 100000, with --store only" default:"100"`
 	RetryWindow      time.Duration `long:"retry-window" env:"CARAWAY_RETRY_WINDOW" description:"time over which retries are counted, 1s to 10m, with --store only" default:"10s"`
@@ -122,7 +121,6 @@
 	check(isAddress(s.ReadinessListen), "readiness-listen", "ip:port", strconv.Quote(s.ReadinessListen))
 	check(within(s.MemoryLimit, 0, 1<<20), "memory-limit", "0 to 1048576 MiB", s.MemoryLimit)
 	check(within(s.Heartbeat, 100*time.Millisecond, time.Minute), "heartbeat", "100ms to 1m", s.Heartbeat)
-	check(within(s.StallAfter, 100*time.Millisecond, 5*time.Minute), "stall-after", "100ms to 5m", s.StallAfter)
 	check(within(s.RetryRatio, 0, 1), "retry-ratio", "0 to 1", s.RetryRatio)
 	check(within(s.RetrySlack, 0, 100_000), "retry-slack", "0 to 100000", s.RetrySlack)
 	check(within(s.RetryWindow, time.Second, 10*time.Minute), "retry-window", "1s to 10m", s.RetryWindow)
