placement: idle groups repair other models; lease: only the holder asks for its scope

What: a broken group without a near substitute has an idle group of its domain drained and takes its engines; one group at a time is given up; loads beside those that are needed are bounded; only the holder asks the store, and while nobody leads one daemon more each 0.9 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,7 @@
 
 	listed   atomic.Bool  // the list was read whole
 	readAt   atomic.Int64 // when the list was read last, in nanoseconds since the start
+	leaderAt atomic.Int64 // when another daemon was last heard to lead
 	seen     seenPositions
 	demand   demand
 	places   placeBook
@@ -166,27 +167,29 @@
 		Member:  string(d.id),
 		TTL:     scopeTTL,
 		Every:   scopeRenewal,
-		Stands:  func() bool { return !d.hearsLeader() },
+		Stands:  d.stands,
+		Taken:   d.mesh.Hurry,
 		Elapsed: d.env.Elapsed,
 		Events:  d.events,
 	})
 	d.conductor = placement.NewConductor(placement.ConductorConfig{
-		Planner:   placement.NewPlanner(planningPolicy),
-		Leases:    d.tenure,
-		Scope:     scopePlacement,
-		Servers:   d.directory,
-		Engines:   d.env.Platform.Engines,
-		Wanted:    d.wanted,
-		InFlight:  d.inFlightEverywhere,
-		Failed:    d.foundDown,
-		Events:    d.events,
-		Rejoin:    rejoinTime,
-		Staged:    d.stagedTime,
-		Open:      openTime,
-		Settle:    takeoverSettle,
-		LoadRate:  loadRate,
-		LoadBurst: loadBurst,
-		Idle:      d.idle,
+		Planner:     placement.NewPlanner(planningPolicy),
+		Leases:      d.tenure,
+		Scope:       scopePlacement,
+		Servers:     d.directory,
+		Engines:     d.env.Platform.Engines,
+		Wanted:      d.wanted,
+		InFlight:    d.inFlightEverywhere,
+		Failed:      d.foundDown,
+		Events:      d.events,
+		Rejoin:      rejoinTime,
+		Staged:      d.stagedTime,
+		Open:        openTime,
+		Settle:      takeoverSettle,
+		LoadRate:    loadRate,
+		LoadsAtOnce: loadsAtOnce,
+		LoadBurst:   loadBurst,
+		Idle:        d.idle,
 	})
 	d.admission = admission.NewController(admission.Config{
 		Seed:       rand.Uint64(),
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -27,6 +27,9 @@
 	// weight store's five a second with a tenth and three to spare.
 	loadRate  = 4.2
 	loadBurst = 6
+	// loadsAtOnce is how many engines load at the same time beside those that
+	// are needed at once, below the seven from which loads slow each other down.
+	loadsAtOnce = 5
 	// retryBackoff is the pause before another attempt: the next one goes to
 	// another group, so that there is nothing to wait for.
 	retryBackoff = time.Millisecond
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"carawayproxy.example/caraway/internal/directory"
@@ -24,9 +25,29 @@
 	readWithin = serversWait + time.Second
 )
 
-// hearsLeader reports whether another daemon forms groups now.
-func (d *Daemon) hearsLeader() bool {
-	return d.hears(func(p membership.Peer) bool { return p.Heartbeat.Leads })
+// The store deals a scope anew whenever the daemons change that ask for it, and
+// for a while nobody holds it then. So only its holder asks, and while nobody
+// leads one daemon more after each standAfter.
+const standAfter = 900 * time.Millisecond
+
+// stands reports whether this daemon asks for scopes. Those that hear each
+// other take turns in an order that has nothing to do with their places.
+func (d *Daemon) stands() bool {
+	ahead, leader := 0, false
+	own := xxhash.Sum64String(string(d.id))
+	d.hears(func(p membership.Peer) bool {
+		if !p.Heartbeat.Draining && xxhash.Sum64String(string(p.Heartbeat.From)) < own {
+			ahead++
+		}
+		leader = leader || p.Heartbeat.Leads
+		return false
+	})
+	now := time.Since(d.started)
+	if leader {
+		d.leaderAt.Store(int64(now))
+		return false
+	}
+	return now-time.Duration(d.leaderAt.Load()) > time.Duration(ahead)*standAfter
 }
 
 // hearsReader reports whether another daemon posts the list's changes.
--- a/internal/edge/wanted.go
+++ b/internal/edge/wanted.go
@@ -86,7 +86,7 @@
 
 // wanted is what placement is to form: the engines of each service, divided
 // over its models by their work.
-func (d *Daemon) wanted(standing map[fleet.ServiceName]int) ([]placement.Wanted, uint64) {
+func (d *Daemon) wanted(standing map[fleet.ServiceName]placement.Standing) ([]placement.Wanted, uint64) {
 	t := d.routes.Table()
 	if t == nil || !d.listed.Load() {
 		return nil, 0
@@ -115,15 +115,25 @@
 				Groups:   groups[k],
 				Size:     m.Size,
 				LoadTime: m.LoadTime,
+				Spare:    spareOf(demands[k], measured),
 			})
 		}
 	}
 	return out, t.Document.Version
 }
 
+// spareOf is how many of its groups a model can do without, none before its
+// work is known.
+func spareOf(m placement.ModelDemand, measured bool) int {
+	if !measured {
+		return 0
+	}
+	return m.Spare()
+}
+
 // demands is the work of each model: as measured, or by the shares of the
 // engines that the document expects.
-func (d *Daemon) demands(s *routes.Service, standing map[fleet.ServiceName]int) (demands []placement.ModelDemand, measured bool) {
+func (d *Daemon) demands(s *routes.Service, standing map[fleet.ServiceName]placement.Standing) (demands []placement.ModelDemand, measured bool) {
 	demands = make([]placement.ModelDemand, len(s.Engine.Models))
 	for i, m := range s.Engine.Models {
 		name := routes.ModelService(s.Name, m.Name)
--- a/internal/lease/tenure.go
+++ b/internal/lease/tenure.go
@@ -36,6 +36,8 @@
 	// Stands reports whether this daemon should ask for scopes while it holds
 	// none; nil for always.
 	Stands func() bool
+	// Taken is told when a scope was dealt to this daemon; nil for nobody.
+	Taken func()
 	// Elapsed is a clock that also runs while the machine is suspended.
 	Elapsed func() time.Duration
 	Events  *event.Logger
@@ -111,7 +113,7 @@
 func (t *Tenure) holds() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.terms) > 0
+	return len(t.terms) > 0 && t.until > t.cfg.Elapsed()
 }
 
 func (t *Tenure) lapsed() bool {
@@ -126,6 +128,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ended := t.until <= sentAt
+	if t.cfg.Taken != nil && len(share.Scopes) > 0 && (ended || len(t.terms) == 0) {
+		defer t.cfg.Taken()
+	}
 	terms := make(map[Scope]Term, len(share.Scopes))
 	for _, scope := range share.Scopes {
 		term, held := t.terms[scope]
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -39,8 +39,7 @@
 	Engines GroupEngines
 	// Wanted tells what is wanted now; Revision that of the configuration, zero
 	// for not known.
-	// standing counts the groups that there are of each service.
-	Wanted   func(standing map[fleet.ServiceName]int) (wanted []Wanted, revision uint64)
+	Wanted   func(standing map[fleet.ServiceName]Standing) (wanted []Wanted, revision uint64)
 	InFlight func() map[fleet.GroupID]uint32
 	// Failed is told when an engine was found not to answer; nil for nobody.
 	Failed func(id fleet.InstanceID)
@@ -51,6 +50,8 @@
 	Staged func(model string) time.Duration
 	// Open is the time from an order to open until a group serves.
 	Open time.Duration
+	// LoadsAtOnce is how many engines may load without slowing each other down.
+	LoadsAtOnce int
 	// LoadRate is how many engines may begin to load from the weight store in
 	// a second, LoadBurst how many at once. They do not bind while Idle.
 	LoadRate  float64
@@ -251,15 +252,28 @@
 	}
 }
 
-// standing counts the groups of each service that are not on their way out.
-func (t *tenure) standing() map[fleet.ServiceName]int {
-	n := map[fleet.ServiceName]int{}
-	for _, g := range t.groups {
+// Standing is how many groups of a service there are.
+type Standing struct {
+	// Groups are those that are not on their way out, Coming those of them
+	// that do not serve yet, Going those on their way out.
+	Groups, Coming, Going int
+}
+
+func (t *tenure) standing() map[fleet.ServiceName]Standing {
+	all := map[fleet.ServiceName]Standing{}
+	for id, g := range t.groups {
+		s := all[g.Service]
 		if g.Phase == group.PhaseActive {
-			n[g.Service]++
+			s.Groups++
+			if !t.whole[id] {
+				s.Coming++
+			}
+		} else {
+			s.Going++
 		}
+		all[g.Service] = s
 	}
-	return n
+	return all
 }
 
 // snapshot is what one plan rests on.
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -32,6 +32,44 @@
 	}
 }
 
+// borrow drains a whole group of another service in the broken group's fabric
+// domain, if that service can do without it and its instances can take the lost
+// ranks sooner than a load. The broken group waits for them.
+func (r *round) borrow(c *condition) bool {
+	if r.snap.LogDown {
+		return false
+	}
+	for _, o := range r.groups {
+		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !r.nearFor(o, c) {
+			continue
+		}
+		if o.draining() {
+			r.wait(c, "the instances of %s will repair it", o.group.ID)
+			return true
+		}
+		if o.whole && o.want != nil && !o.leaving && o.want.Spare > 0 {
+			o.want.Spare--
+			r.drain(o, "its instances repair "+string(c.group.ID))
+			r.wait(c, "the instances of %s will repair it", o.group.ID)
+			return true
+		}
+	}
+	return false
+}
+
+// nearFor reports whether enough members of a group have the model of another,
+// broken one at hand to take its lost ranks.
+func (r *round) nearFor(o, c *condition) bool {
+	n := 0
+	for _, m := range o.composition {
+		st := r.snap.Instances[m.Instance]
+		if _, near := st.Near[c.group.Model]; near && present(st) {
+			n++
+		}
+	}
+	return n >= len(c.lost)
+}
+
 // findDonor takes a more broken group of the same service and fabric domain
 // apart when its members have at hand what this one's substitutes would have
 // to load: one whole group at once is better than two later.
@@ -84,6 +122,9 @@
 	}
 	ways := r.openWays(c, broken)
 	best := r.choose(c, ways)
+	if (best.loads || r.substitutes(c) == nil) && best.kind != ActionDissolve && r.borrow(c) {
+		return
+	}
 	first := len(r.actions)
 	best.do()
 	for i := first; i < len(r.actions); i++ {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -8,8 +8,7 @@
 	// Work is how many groups the model's requests keep busy, or while that is
 	// not known any figure in proportion to it.
 	Work float64
-	// Standing is how many groups the model has.
-	Standing int
+	Standing
 
 	needs float64 // in proportion to the groups that it should have
 }
@@ -43,21 +42,25 @@
 		}
 	}
 	groups := targets(models, engines, reserve)
-	starved := false
+	starved, changing := false, false
 	for i, m := range models {
-		starved = starved || groups[i] > m.Standing && m.Work > starvedAt*float64(m.Standing)
+		starved = starved || groups[i] > m.Groups && m.Coming == 0 && m.Work > starvedAt*float64(m.Groups)
+		changing = changing || m.Going > 0
 	}
 	for i, m := range models {
-		idle := m.Work < idleBelow*float64(m.Standing-1)
-		if !measured || !starved || !idle {
-			groups[i] = max(groups[i], m.Standing)
-		} else {
-			groups[i] = max(groups[i], m.Standing-1)
+		groups[i] = max(groups[i], m.Groups)
+		if measured && starved && !changing && m.Spare() > 0 {
+			groups[i] = max(m.Groups-1, 0)
 		}
 	}
 	return groups
 }
 
+// Spare is how many of its groups the model can do without.
+func (m ModelDemand) Spare() int {
+	return max(int(float64(m.Groups)-m.Work/idleBelow), 0)
+}
+
 // targets is SplitEngines without regard to the groups that there are.
 func targets(models []ModelDemand, engines, reserve int) []int {
 	groups := make([]int, len(models))
--- a/internal/placement/split_test.go
+++ b/internal/placement/split_test.go
@@ -21,11 +21,15 @@
 		{"a model without work gets none", []ModelDemand{{Size: 4, Work: 0}, {Size: 2, Work: 1}}, 10, 2, false, []int{0, 4}},
 		{"no room for any", []ModelDemand{{Size: 4, Work: 1}}, 3, 0, false, []int{0}},
 		{"what stands is kept while nobody starves",
-			[]ModelDemand{{Size: 4, Work: 3.15, Standing: 4}, {Size: 2, Work: 6.5, Standing: 15}}, 50, 9, true, []int{5, 15}},
+			[]ModelDemand{{Size: 4, Work: 3.15, Standing: Standing{Groups: 4}}, {Size: 2, Work: 6.5, Standing: Standing{Groups: 15}}}, 50, 9, true, []int{5, 15}},
 		{"an idle model gives one group to a starved one",
-			[]ModelDemand{{Size: 4, Work: 3.15, Standing: 2}, {Size: 2, Work: 6.5, Standing: 15}}, 50, 9, true, []int{5, 14}},
+			[]ModelDemand{{Size: 4, Work: 3.15, Standing: Standing{Groups: 2}}, {Size: 2, Work: 6.5, Standing: Standing{Groups: 15}}}, 50, 9, true, []int{5, 14}},
 		{"a busy model gives none",
-			[]ModelDemand{{Size: 4, Work: 3.15, Standing: 2}, {Size: 2, Work: 9, Standing: 12}}, 50, 9, true, []int{5, 12}},
+			[]ModelDemand{{Size: 4, Work: 3.15, Standing: Standing{Groups: 2}}, {Size: 2, Work: 9, Standing: Standing{Groups: 12}}}, 50, 9, true, []int{5, 12}},
+		{"one at a time",
+			[]ModelDemand{{Size: 4, Work: 3.15, Standing: Standing{Groups: 2}}, {Size: 2, Work: 6.5, Standing: Standing{Groups: 14, Going: 1}}}, 50, 9, true, []int{5, 14}},
+		{"a group that is coming is waited for",
+			[]ModelDemand{{Size: 4, Work: 3.15, Standing: Standing{Groups: 3, Coming: 1}}, {Size: 2, Work: 6.5, Standing: Standing{Groups: 14}}}, 50, 9, true, []int{5, 14}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			assert.DeepEqual(t, SplitEngines(test.models, test.engines, test.reserve, test.measured), test.groups)
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -134,9 +134,13 @@
 // their hosts beside it. An engine then changes over within the time to load
 // from its host, and any spare or idle group can stand in for any other.
 func (c *Conductor) stageSeconds(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, s Snapshot, now time.Time) {
-	for _, whole := range t.whole {
-		if !whole {
-			return // what is needed now loads first
+	room := c.cfg.LoadsAtOnce - t.loading(servers)
+	if c.cfg.Idle() {
+		room = len(servers)
+		for _, whole := range t.whole {
+			if !whole {
+				return // what is needed for the first groups loads first
+			}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Instances)) {
@@ -147,14 +151,33 @@
 			continue
 		}
 		o := backend.GroupOrder{Kind: backend.OrderStage, Model: second}
-		if !c.due(id, o, now) || !c.mayLoad(now) {
+		if room <= 0 || !c.due(id, o, now) || !c.mayLoad(now) {
 			continue
 		}
+		room--
 		t.staging[id] = second
 		c.send(ctx, t, l, o, now)
 	}
 }
 
+// loading counts the engines that load from the weight store now: more at once
+// would only slow each other down.
+func (t *tenure) loading(servers map[fleet.InstanceID]directory.Listing) int {
+	n := 0
+	for id, model := range t.staging {
+		if l, listed := servers[id]; listed && !l.Failed && !slices.Contains(l.Staged, model) {
+			n++
+		}
+	}
+	for id, l := range servers {
+		joins := l.Place != nil && l.Place.State == directory.PlaceJoining
+		if joins && t.staging[id] == "" && !slices.Contains(l.Staged, modelOfID(l.Place.Group)) {
+			n++
+		}
+	}
+	return n
+}
+
 // secondModel is the model, other than the one that an engine has loaded, of
 // which most engines are wanted.
 func secondModel(wanted []Wanted, loaded string) string {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -36,6 +36,9 @@
 	// weight store is free.
 	LoadTime time.Duration
 	Weights  Weights
+	// Spare is how many of its groups the service can do without, so that their
+	// instances may repair another service's.
+	Spare int
 }
 
 // InstanceState is one instance as the planner sees it.
