event: lines of failed requests whole and first, those of served ones by rate; explain from logs

What: a spool keeps a request's lines until it ends; failed and late ones are written whole, others up to 60 lines a second; what is left out is counted, told and a metric. Lines at acceptance and at the final answer; a routing line tells the instance, the load that it rests on and its age.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -11,6 +11,7 @@
 
 type explainCommand struct {
 	ctl  *command
+	Log  []string `long:"log" description:"file of a daemon's log lines to read in place of asking daemons, - for the standard input; may be given more than once"`
 	Args struct {
 		ID string `positional-arg-name:"REQUEST" description:"request id or group id" required:"1"`
 	} `positional-args:"yes"`
@@ -18,6 +19,9 @@
 
 // Execute implements flags.Commander.
 func (e *explainCommand) Execute([]string) error {
+	if len(e.Log) > 0 {
+		return e.explainLogs()
+	}
 	decisions, err := e.decisions()
 	if err != nil {
 		return err
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
@@ -42,13 +43,14 @@
 }
 
 func (a *attempts) logDecision(dec routing.Decision, id fleet.AttemptID) {
-	var group fleet.GroupID
+	var c routing.Candidate
 	if dec.Chosen != nil {
-		group = dec.Chosen.Group
+		c = *dec.Chosen
 	}
 	events := a.d.cfg.Events
-	events.Emit(eventRouted, "request", a.id, "attempt", id, "service", a.spec.Service, "group", group,
-		"reason", decisionReason(dec, a.made), "cost", dec.Cost, "wait", dec.Wait, "others", len(dec.Others), "rejected", len(dec.Rejected))
+	events.Emit(eventRouted, "request", a.id, "attempt", id, "service", a.spec.Service, "group", c.Group,
+		"reason", decisionReason(dec, a.made), "cost", dec.Cost, "wait", dec.Wait, "others", len(dec.Others), "rejected", len(dec.Rejected),
+		"instance", c.Leader, "epoch", c.Epoch, "own", c.OwnInFlight, "peers", c.PeerInFlight, "limit", c.Limit, "report_age", c.ReportAge.Round(time.Millisecond))
 	if events.Enabled(log.DebugLevel) {
 		events.Emit(eventCandidates, "request", a.id, "attempt", id, "losers", losers(dec))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,6 +70,7 @@
 	id      fleet.DaemonID
 	set     *settings.Settings
 	env     Env
+	spool   *event.Spool
 	events  *event.Logger
 	metrics metrics.Registry
 
@@ -116,7 +117,8 @@
 		drainNow: make(chan struct{}),
 		started:  time.Now(),
 	}
-	d.events = event.NewLogger(env.Log, level, nil).With("daemon", d.id)
+	d.spool = event.NewSpool(env.Log, level, d.metrics)
+	d.events = event.NewSpooled(d.spool).With("daemon", d.id)
 	d.see()
 	d.act()
 	return d, nil
@@ -219,6 +221,10 @@
 // Run serves until ctx ends, which stops everything at once, or until a
 // planned stop that Drain began has ended.
 func (d *Daemon) Run(ctx context.Context) error {
+	logging, endLogging := context.WithCancel(context.WithoutCancel(ctx))
+	go d.spool.Run(logging)
+	defer d.spool.Close()
+	defer endLogging()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var parts sync.WaitGroup
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -48,7 +48,7 @@
 		}
 	})
 	admin := http.NewServeMux()
-	admin.Handle("GET /metrics", gateway.Metrics(d.metrics))
+	admin.Handle("GET /metrics", gateway.TextMetrics(d.metrics))
 	admin.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	admin.HandleFunc("GET /debug/pprof/", pprof.Index)
 	gateway.Health(admin, d.Ready)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,7 @@
 	arrived   time.Time
 	route     *routes.Route
 	service   *routes.Service
+	version   uint64 // of the routing document
 	workspace fleet.Workspace
 	priority  int
 	body      []byte
@@ -106,13 +107,50 @@
 	defer cancel()
 	relay := &relay{w: w, control: http.NewResponseController(w), stream: req.route.Kind == routes.KindStream}
 	if err := relay.control.SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
-		h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "reason", "write deadline", "error", err)
+		h.cfg.Events.Emit(eventNoDeadline, "request", req.meta.Request, "error", err)
 	}
-	if f := h.cfg.Dispatcher.Forward(ctx, h.forwarding(r, req), relay); f != nil {
-		relay.fail(f)
+	f := h.forwarding(r, req)
+	h.accepted(req, &f)
+	failure := h.cfg.Dispatcher.Forward(ctx, f, relay)
+	h.answered(req, relay, failure)
+	if failure != nil {
+		relay.fail(failure)
 	}
 }
 
+// accepted logs how a request is understood.
+func (h *Handler) accepted(req *request, f *dispatch.Forwarding) {
+	h.cfg.Events.Emit(eventAccepted, "request", req.meta.Request, "route", req.route.Name, "document", req.version,
+		"service", f.Service, "workspace", req.workspace, "priority", req.priority, "repeatable", f.Repeatable,
+		"prompt_tokens", f.PromptTokens, "answer_tokens", f.AnswerTokens, "after_event", req.meta.LastEvent, "left", req.meta.Left)
+}
+
+// answered logs what became of a request, and ends its trail in the log.
+func (h *Handler) answered(req *request, relay *relay, failure *fleet.Failure) {
+	now := time.Now()
+	outcome, status := "served", relay.status
+	switch {
+	case failure != nil && failure.Reason == fleet.ReasonCanceled:
+		outcome = "left by its caller"
+	case failure != nil && relay.headed:
+		outcome = "cut"
+	case failure != nil:
+		outcome, status = "refused or failed", statusOf(failure)
+	case relay.status >= http.StatusInternalServerError:
+		outcome = "failed by the backend server"
+	}
+	var first time.Duration
+	if !relay.firstAt.IsZero() {
+		first = relay.firstAt.Sub(req.arrived)
+	}
+	late := first > req.route.Target && req.route.Target > 0 ||
+		req.route.PauseTarget > 0 && relay.pause > req.route.PauseTarget
+	h.cfg.Events.Emit(eventAnswered, "request", req.meta.Request, "outcome", outcome, "status", status, "late", late,
+		"first", first.Round(time.Millisecond), "longest_pause", relay.pause.Round(time.Millisecond),
+		"took", now.Sub(req.arrived).Round(time.Millisecond), "bytes", relay.bytes)
+	h.cfg.Events.EndRequest(req.meta.Request, outcome != "served" || late)
+}
+
 // refusal is a final answer to a request that was not passed on.
 type refusal struct {
 	status     int
@@ -127,6 +165,7 @@
 	if table == nil {
 		return req, &refusal{http.StatusServiceUnavailable, "no routing document yet", retryWithoutDocument}
 	}
+	req.version = table.Document.Version
 	var err error
 	if req.meta, err = h.cfg.Codec.Decode(r.Header); err != nil {
 		return req, &refusal{http.StatusBadRequest, err.Error(), 0}
@@ -258,7 +297,9 @@
 
 // refuse gives a request that was not passed on its final answer.
 func (h *Handler) refuse(w http.ResponseWriter, req *request, r *http.Request, f refusal) {
-	h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "host", r.Host, "status", f.status, "reason", f.reason, "retry_after", f.retryAfter)
+	h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "host", r.Host, "status", f.status, "reason", f.reason, "retry_after", f.retryAfter,
+		"document", req.version)
+	h.cfg.Events.EndRequest(req.meta.Request, true)
 	setRetryAfter(w.Header(), f.retryAfter)
 	http.Error(w, f.reason, f.status)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,6 +18,12 @@
 	control *http.ResponseController
 	stream  bool
 	headed  bool
+	// What the log tells of the answer.
+	status  int
+	bytes   int
+	firstAt time.Time // of the body
+	lastAt  time.Time
+	pause   time.Duration // the longest between parts of the body
 }
 
 var _ dispatch.Relay = (*relay)(nil)
@@ -25,6 +31,7 @@
 // Head implements dispatch.Relay.
 func (r *relay) Head(status int, header http.Header) {
 	r.headed = true
+	r.status = status
 	h := r.w.Header()
 	for name, values := range header {
 		h[name] = values
@@ -40,6 +47,7 @@
 // Body implements dispatch.Relay.
 func (r *relay) Body(p []byte, more bool) error {
 	if len(p) > 0 {
+		r.note(len(p))
 		if _, err := r.w.Write(p); err != nil {
 			return err
 		}
@@ -50,6 +58,18 @@
 	return r.control.Flush()
 }
 
+// note keeps the times of the body's parts.
+func (r *relay) note(n int) {
+	now := time.Now()
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+	} else {
+		r.pause = max(r.pause, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
+	r.bytes += n
+}
+
 // fail ends a request that got no whole answer. One whose answer has begun is
 // cut, so that it can't be taken for whole.
 func (r *relay) fail(f *fleet.Failure) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 // Logger emits events. The zero value and nil discard them.
 type Logger struct {
 	base    *log.Logger
+	spool   *Spool
 	sink    Sink
 	keyvals []any
 }
@@ -83,12 +84,15 @@
 		return nil
 	}
 	joined := append(append([]any{}, l.keyvals...), keyvals...)
-	return &Logger{base: l.base, sink: l.sink, keyvals: joined}
+	return &Logger{base: l.base, spool: l.spool, sink: l.sink, keyvals: joined}
 }
 
 // Enabled reports whether an event of this level would be written, so that a
 // caller can leave out costly keyvals.
 func (l *Logger) Enabled(level log.Level) bool {
+	if l != nil && l.spool != nil {
+		return l.spool.level <= level
+	}
 	return l != nil && l.base != nil && l.base.GetLevel() <= level
 }
 
@@ -103,6 +107,9 @@
 	if l.sink != nil {
 		l.sink(time.Now(), e, keyvals)
 	}
+	if l.spool != nil {
+		l.spool.add(time.Now(), e, keyvals)
+	}
 	if l.base != nil && l.base.GetLevel() <= e.Level {
 		l.base.Log(e.Level, e.Name, append([]any{"event", e.Number}, keyvals...)...)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,11 +1,55 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 )
 
+// TextMetrics serves the registry as text, a line for each figure: a counter or
+// gauge by its name, a histogram by its name with count, mean, max and
+// quantiles.
+func TextMetrics(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		var lines []string
+		r.Each(func(name string, metric any) {
+			lines = append(lines, textLines(strings.ReplaceAll(name, ".", "_"), metric)...)
+		})
+		slices.Sort(lines)
+		_, _ = io.WriteString(w, strings.Join(lines, "")) // the reader may have gone
+	})
+}
+
+// textQuantiles are those of each histogram.
+var textQuantiles = []float64{0.5, 0.95, 0.99}
+
+func textLines(name string, metric any) []string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d\n", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d\n", name, m.Value())}
+	case metrics.Histogram:
+		s := m.Snapshot()
+		lines := []string{
+			fmt.Sprintf("%s_count %d\n", name, s.Count()),
+			fmt.Sprintf("%s_max %d\n", name, s.Max()),
+			fmt.Sprintf("%s_mean %.1f\n", name, s.Mean()),
+		}
+		for i, v := range s.Percentiles(textQuantiles) {
+			lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %.1f\n", name, textQuantiles[i], v))
+		}
+		return lines
+	default:
+		return nil
+	}
+}
+
 // Metrics serves the registry as JSON.
 func Metrics(r metrics.Registry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
