--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -40,6 +40,7 @@
 // NewMesh returns a mesh that does nothing until Run.
 func NewMesh(cfg Config) *Mesh {
 	cfg = cfg.withDefaults()
+	_, full := cfg.Policy.(FullMesh)
 	m := &Mesh{
 		cfg:     cfg,
 		client:  &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}},
@@ -49,7 +50,7 @@
 		wanted:  make(chan struct{}, 1),
 		links:   map[fleet.DaemonID]*link{},
 		table:   newTable(),
-		news:    newNewsboard(),
+		news:    newNewsboard(!full),
 	}
 	m.view.Store(&View{Peers: map[fleet.DaemonID]Peer{}})
 	return m
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -28,13 +28,17 @@
 	leaving   map[fleet.InstanceID]*newsItem
 	sightings map[[16]byte]*newsItem
 	bulletins map[string]*newsItem
+	// passesOn has peers' bulletins passed on: not needed where every daemon is
+	// linked to every other, and a copy over each of those links.
+	passesOn bool
 	// listed are the instances that the own source listed last, so that one
 	// that stays listed is news only once.
 	listed map[fleet.InstanceID]bool
 }
 
-func newNewsboard() *newsboard {
+func newNewsboard(passesOn bool) *newsboard {
 	return &newsboard{
+		passesOn:  passesOn,
 		leaving:   map[fleet.InstanceID]*newsItem{},
 		sightings: map[[16]byte]*newsItem{},
 		bulletins: map[string]*newsItem{},
@@ -158,7 +162,8 @@
 		}
 	}
 	for _, item := range b.bulletins {
-		if item.number > last && item.from != to {
+		own := item.from == ""
+		if item.number > last && item.from != to && (own || b.passesOn) {
 			n.Bulletins = append(n.Bulletins, *item.bulletin)
 		}
 	}
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -144,3 +144,22 @@
 	}
 	assert.Equal(t, len(r.Daemons()), maxHellos)
 }
+
+// Bulletins cross each link once, the newest of a key counts, and peers' ones
+// are passed on only where not every daemon is linked to every other.
+func TestBulletins(t *testing.T) {
+	for _, passesOn := range []bool{false, true} {
+		b := newNewsboard(passesOn)
+		b.takeBulletins(epoch, "", []Bulletin{{Key: "own", Version: 2}})
+		fresh := b.takeBulletins(epoch, "p1", []Bulletin{{Key: "own", Version: 1}, {Key: "x", Version: 5}, {Key: "x", Version: 5}})
+		assert.Equal(t, len(fresh), 1)
+		n := b.after(epoch, 0, "p2")
+		assert.Equal(t, len(n.Bulletins), map[bool]int{false: 1, true: 2}[passesOn])
+		assert.Assert(t, b.after(epoch, b.last, "p2") == nil)
+		n = b.after(epoch, 0, "p1")
+		assert.Equal(t, len(n.Bulletins), 1, "nothing goes back to where it came from")
+		assert.Equal(t, len(b.takeBulletins(epoch, "p1", []Bulletin{{Key: "x", Version: 6}})), 1)
+		b.expire(epoch.Add(newsFor))
+		assert.Equal(t, len(b.bulletins), 0)
+	}
+}
