datastore: a peer's doubt shortens the wait for a group's silence

What: once a peer tells that its streams at a group have stopped, 0.2 s of own silence are enough. Test: TestPeersDoubtShortensTheWait.

--- a/internal/datastore/pulse.go
+++ b/internal/datastore/pulse.go
@@ -19,6 +19,13 @@
 	silentFor = 3 * time.Second
 )
 
+// doubtedBound is how long a group may be silent of which a peer has just told
+// that its streams have stopped, and doubtedFor how long that counts.
+const (
+	doubtedBound = 200 * time.Millisecond
+	doubtedFor   = time.Second
+)
+
 // silenceBound is how long a group may be silent by how many of this daemon's
 // streams at it have had events: one stream alone may wait for others'
 // prompts to be read or for a lost packet.
@@ -49,6 +56,7 @@
 	last     time.Time
 	silent   chan struct{}
 	silentAt time.Time // zero while not silent
+	doubted  time.Time // when a peer last told that its streams have stopped
 }
 
 // NewPulses returns pulses without any stream. Run must go on beside it.
@@ -110,7 +118,7 @@
 			g.last = now
 		case g.attached == 0 && (g.silentAt.IsZero() || now.Sub(g.silentAt) > silentFor):
 			delete(p.groups, id)
-		case g.attached > 0 && g.silentAt.IsZero() && now.Sub(g.last) > g.bound():
+		case g.attached > 0 && g.silentAt.IsZero() && now.Sub(g.last) > g.bound(now):
 			g.silentAt = now
 			close(g.silent)
 			silent = append(silent, id)
@@ -119,8 +127,21 @@
 	return silent
 }
 
-func (g *pulse) bound() time.Duration {
-	return silenceBound[min(g.writing, len(silenceBound)-1)]
+func (g *pulse) bound(now time.Time) time.Duration {
+	bound := silenceBound[min(g.writing, len(silenceBound)-1)]
+	if g.writing > 0 && now.Sub(g.doubted) < doubtedFor {
+		return min(bound, doubtedBound)
+	}
+	return bound
+}
+
+// Doubt tells that a peer's streams at a group have stopped.
+func (p *Pulses) Doubt(id fleet.GroupID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.groups[id]; g != nil {
+		g.doubted = time.Now()
+	}
 }
 
 // Beat is one attempt at a group.
--- a/internal/datastore/pulse_test.go
+++ b/internal/datastore/pulse_test.go
@@ -77,3 +77,19 @@
 	assert.Equal(t, sweepUntil(p, now, now.Add(3*time.Second)), time.Duration(0))
 	assert.Equal(t, len(p.groups), 0)
 }
+
+// What a peer has found shortens the wait, but nothing is taken on its word.
+func TestPeersDoubtShortensTheWait(t *testing.T) {
+	p := NewPulses(func(fleet.GroupID) {})
+	p.Attach("g").Heard()
+	p.Doubt("g")
+	p.Doubt("unknown")
+	now := time.Now()
+	found := sweepUntil(p, now, now.Add(time.Second))
+	assert.Assert(t, found >= doubtedBound && found <= doubtedBound+2*pulseEvery, "found after %s", found)
+
+	fresh := NewPulses(func(fleet.GroupID) {})
+	fresh.Attach("g")
+	fresh.Doubt("g")
+	assert.Equal(t, sweepUntil(fresh, now, now.Add(time.Second)), time.Duration(0), "a stream without an event yet waits as before")
+}
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -123,11 +123,12 @@
 
 // heardStalled is told of groups at which a peer's streams stopped.
 func (d *Daemon) heardStalled(ids []fleet.GroupID) {
-	if !d.conductor.Leads() {
-		return
-	}
+	leads := d.conductor.Leads()
 	for _, id := range ids {
-		d.conductor.Doubt(id)
+		d.pulses.Doubt(id)
+		if leads {
+			d.conductor.Doubt(id)
+		}
 	}
 }
 
