edge: log a hangup; what nothing uses is gone

Cause: the linter found an event and two fields without use; a hangup was ignored without a line. Before: make lint failed with three findings; after: it passes.

--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -85,8 +85,6 @@
 }
 
 func newEdge(set *settings.Settings) (*edge.Daemon, error) {
-	// Its only settings file is the environment, which a running process keeps.
-	signal.Ignore(syscall.SIGHUP)
 	env := edge.Env{Dial: platform.Dialer(), Log: os.Stdout, Elapsed: platform.Elapsed}
 	err := openAll([]listener{
 		{set.CallersListen, &env.Callers},
@@ -98,7 +96,18 @@
 		return nil, err
 	}
 	env.Platform = platform.New(env.Dial, set.Store)
-	return edge.New(set, env)
+	d, err := edge.New(set, env)
+	if err != nil {
+		return nil, err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			d.HangUp()
+		}
+	}()
+	return d, nil
 }
 
 // listener is an address to listen on and where the listener goes.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -89,6 +89,10 @@
 	})
 }
 
+// HangUp notes that the settings changed. They are the environment, which a
+// running process keeps.
+func (d *Daemon) HangUp() { d.events.Emit(eventHangup) }
+
 // stopGracefully carries out a planned stop: unready at once, a while of still
 // accepting until the balancer has noticed, then no new requests, and those in
 // flight to their end.
--- a/internal/event/spool.go
+++ b/internal/event/spool.go
@@ -49,7 +49,6 @@
 	usualRate     *rate.Limiter
 	leftOut       counts // since it was told last
 	wake          chan struct{}
-	closed        bool
 	done          chan struct{}
 
 	written, leftOutUrgent, leftOutServed metrics.Counter
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -15,7 +15,6 @@
 	all, since int
 	failures   int // of the next reads
 	gap        bool
-	waited     time.Duration
 }
 
 func (s *source) All(context.Context) ([]Item[string], uint64, error) {
