standin/soak: the real program as processes on loopback, broken from outside

What: three daemons before the store, engines and plain servers of standin/site, each with a proxy before the store; kills, planned stops, pauses, connections delayed, silenced, held one way or reset, the store away, its history forgotten, engines dark or late with their orders, new documents; faults overlap. Judged by what callers and backend servers see.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold our own code.
 PACKAGES = ./... ./standin/...
 
-.PHONY: all build test lint gen docs demo play bench control seeds soak experiment
+.PHONY: all build test lint gen docs demo play bench control seeds soak soak-virtual experiment
 all: build
 
 # Exactly two shipped binaries.
@@ -50,10 +50,16 @@
 seeds:
 	go test ./standin/runs -run TestSeeds -seeds $(SEEDS) -parallel $(TOGETHER) -timeout 90m -v
 
-# One seed after another for some real minutes.
+# Real processes on loopback, broken from outside: COUNT seeds from SEED on,
+# each with MINUTES of faults.
 SEED ?= 1
-MINUTES ?= 10
+COUNT ?= 50
+MINUTES ?= 1
 soak:
+	go test ./standin/soak -run TestSoak -soak-seed $(SEED) -soak-count $(COUNT) -soak-seconds $$(($(MINUTES) * 60)) -timeout 0 -v
+
+# Whole daemons in virtual time, one seed after another for some real minutes.
+soak-virtual:
 	go test ./standin/runs -run TestSoak -soak-seed $(SEED) -soak-minutes $(MINUTES) -parallel $(TOGETHER) -timeout 0 -v
 
 # Every table of the design notes, from fixed seeds.
--- a/standin/site/calls.go
+++ b/standin/site/calls.go
@@ -34,13 +34,18 @@
 
 // Call sends a request to a daemon and reads its answer.
 func (w *World) Call(d *Daemon, method, path, id, model, body string, more http.Header) Answer {
+	return w.CallAt(d.URL(path), method, id, model, body, more)
+}
+
+// CallAt sends a request to a URL and reads its answer.
+func (w *World) CallAt(url, method, id, model, body string, more http.Header) Answer {
 	ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, d.URL(path), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return Answer{Err: err}
 	}
-	req.Host = Host
+	req.Host = HostName
 	req.Header.Set("X-Carawayproxy-Attempt-Id", id)
 	req.Header.Set("X-Carawayproxy-Key", Key)
 	req.Header.Set("X-Carawayproxy-Deadline-Ms", "6000")
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -83,6 +83,14 @@
 	mux.HandleFunc("POST /carawayproxy/order", e.serveOrder)
 	mux.HandleFunc("/", e.serveRequest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := e.world.site
+		s.mu.Lock()
+		dead := e.dead
+		s.mu.Unlock()
+		if dead {
+			<-r.Context().Done() // where its host can't be frozen
+			return
+		}
 		if want := r.Header.Get("X-Carawayproxy-Expect-Instance"); want != "" && want != e.ID {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -344,7 +344,7 @@
 		defer leave()
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, w.Daemons[0].URL("/stream/x"), nil)
 		assert.NilError(t, err)
-		req.Host = Host
+		req.Host = HostName
 		req.Header.Set("X-Carawayproxy-Attempt-Id", "g-1")
 		req.Header.Set("X-Carawayproxy-Key", Key)
 		req.Header.Set("X-Carawayproxy-Model", ModelOfTwo)
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"carawayproxy.example/caraway/internal/edge"
+	"carawayproxy.example/caraway/internal/httpx"
 	"carawayproxy.example/caraway/internal/settings"
 	"carawayproxy.example/caraway/platform"
 	"carawayproxy.example/caraway/standin/runs/network"
@@ -21,7 +23,7 @@
 const (
 	EngineService = "engines"
 	PlainService  = "plains"
-	Host          = "site.example"
+	HostName      = "site.example"
 	Key           = "key-of-trust"
 	Workspace     = "trust"
 	ModelOfTwo    = "duo"
@@ -48,12 +50,13 @@
 // World is a platform with backend servers and daemons. It belongs inside
 // testing/synctest.
 type World struct {
-	Net     *network.Network
+	Net     *network.Network // nil where daemons run elsewhere
 	Store   *Store
 	Engines []*Engine
 	Plains  []*Plain
 	Daemons []*Daemon
 
+	hosts  Hosts
 	site   *site
 	began  time.Time
 	ctx    context.Context
@@ -74,12 +77,49 @@
 	done  chan struct{}
 }
 
-// New starts a world.
+// Host is a machine that backend servers and the store listen on.
+type Host interface {
+	Addr(port string) string
+	Listen(port string) (net.Listener, error)
+}
+
+// Hosts gives the machines of a world by their addresses in it.
+type Hosts interface {
+	Host(ip string) Host
+	// Freeze has a machine answer nobody. Its servers hold requests in any case.
+	Freeze(ip string)
+}
+
+// inMemory are the hosts of an in-memory network.
+type inMemory struct{ *network.Network }
+
+// Host implements Hosts.
+func (m inMemory) Host(ip string) Host { return m.Network.Host(ip) }
+
+// New starts a world with daemons over an in-memory network.
 func New(o Options) (*World, error) {
+	net := network.New(func(_, _ string) time.Duration { return delayOneWay })
+	w, err := NewBackends(o, inMemory{net}, net.Host(callerIP).Dial)
+	if err != nil {
+		return nil, err
+	}
+	w.Net = net
+	for i := range o.Daemons {
+		d := &Daemon{world: w, ip: fmt.Sprintf("10.1.0.%d", i+1), name: fmt.Sprintf("edge-%d", i+1)}
+		w.Daemons = append(w.Daemons, d)
+		if err := d.Start(true); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// NewBackends starts a store and backend servers alone. Callers connect by dial.
+func NewBackends(o Options, hosts Hosts, dial httpx.DialFunc) (*World, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &World{
-		Net:   network.New(func(_, _ string) time.Duration { return delayOneWay }),
 		Store: NewStore(),
+		hosts: hosts,
 		site:  newSite(),
 		began: time.Now(),
 		ctx:   ctx,
@@ -89,8 +129,8 @@
 	if w.log == nil {
 		w.log = io.Discard
 	}
-	w.client = &http.Client{Transport: &http.Transport{DialContext: w.Net.Host(callerIP).Dial, DisableKeepAlives: true, DisableCompression: true}}
-	if err := w.serve(w.Net.Host(storeIP), portStore, w.Store.Handler()); err != nil {
+	w.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
+	if err := w.serve(hosts.Host(storeIP), portStore, w.Store.Handler()); err != nil {
 		return nil, err
 	}
 	w.Publish(Document(1))
@@ -104,16 +144,12 @@
 			return nil, err
 		}
 	}
-	for i := range o.Daemons {
-		d := &Daemon{world: w, ip: fmt.Sprintf("10.1.0.%d", i+1), name: fmt.Sprintf("edge-%d", i+1)}
-		w.Daemons = append(w.Daemons, d)
-		if err := d.Start(true); err != nil {
-			return nil, err
-		}
-	}
 	return w, nil
 }
 
+// StoreAddress is where the store listens.
+func (w *World) StoreAddress() string { return w.hosts.Host(storeIP).Addr(portStore) }
+
 // Close ends everything that the world started.
 func (w *World) Close() {
 	for _, d := range w.Daemons {
@@ -124,7 +160,7 @@
 	w.tasks.Wait()
 }
 
-func (w *World) serve(h *network.Host, port string, handler http.Handler) error {
+func (w *World) serve(h Host, port string, handler http.Handler) error {
 	l, err := h.Listen(port)
 	if err != nil {
 		return err
@@ -154,7 +190,7 @@
 
 func (w *World) addEngine(i int) error {
 	ip := fmt.Sprintf("10.2.0.%d", i+1)
-	h := w.Net.Host(ip)
+	h := w.hosts.Host(ip)
 	e := &Engine{
 		world: w, ID: fmt.Sprintf("i-%02d", i), addr: h.Addr(portServer), born: 1,
 		domain: fmt.Sprintf("domain-%d", i/domainSize), staged: []string{},
@@ -168,7 +204,7 @@
 }
 
 func (w *World) addPlain(i int) error {
-	h := w.Net.Host(fmt.Sprintf("10.3.0.%d", i+1))
+	h := w.hosts.Host(fmt.Sprintf("10.3.0.%d", i+1))
 	p := &Plain{world: w, ID: fmt.Sprintf("p-%02d", i), addr: h.Addr(portServer)}
 	w.Plains = append(w.Plains, p)
 	p.announce("ready")
@@ -186,7 +222,7 @@
 // drops it after three heartbeats.
 func (w *World) Darken(e *Engine) {
 	w.Switch(func() { e.dead = true })
-	w.Net.Freeze(strings.TrimSuffix(e.addr, ":"+portServer))
+	w.hosts.Freeze(strings.TrimSuffix(e.addr, ":"+portServer))
 	w.later(3600*time.Millisecond, func() { w.Store.Put("keyed.servers", e.ID, nil) })
 }
 
@@ -255,7 +291,7 @@
 func Document(version int) map[string]any {
 	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 8000, "sloMs": 400,
+			"name": name, "host": HostName, "pathPrefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 8000, "sloMs": 400,
 			"gapSloMs": 300, "priority": 1, "service": service, "maxAttempts": attempts, "resumable": kind == "streaming", "sticky": kind == "streaming",
 		}
 	}
