edge: loads and opening times from the document

Cause: the limits of the weight store of today's two sites stood in the code (4.2 a second, 5 at once); another deployment's document may allow less (read off while reading the change as a newcomer). What: rate, burst, loads at once and opening time come from the document's engine services, the strictest of several; a fallback where it states none. At today's five a second the values are the same as before.

--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -19,17 +19,18 @@
 	// takeoverSettle covers the orders that the last holder may have sent
 	// before it knew that it holds the scope no more.
 	takeoverSettle = 700 * time.Millisecond
-	// rejoinTime is how long an engine takes to join a group of its last
-	// model, openTime how long a group takes to open.
+	// rejoinTime is how long an engine takes to join a group of its last model,
+	// by the protocol's page.
 	rejoinTime = 200 * time.Millisecond
-	openTime   = 300 * time.Millisecond
-	// loadRate and loadBurst keep the loads of any five seconds below the
-	// weight store's five a second with a tenth and three to spare.
-	loadRate  = 4.2
-	loadBurst = 6
-	// loadsAtOnce is how many engines load at the same time beside those that
-	// are needed at once, below the seven from which loads slow each other down.
-	loadsAtOnce = 5
+	// loadPart and burstSeconds keep the loads of any five seconds below the
+	// weight store's rate: 5 x 0.84 + 1.2 is under the 5.5 that it allows.
+	loadPart     = 0.84
+	burstSeconds = 1.2
+	// keptLoads is how many of the loads that the weight store serves at full
+	// speed are kept for what is needed at once.
+	keptLoads = 2
+	// unknownLoads stands in for limits that the document does not state.
+	unknownLoads = 2
 	// retryBackoff is the pause before another attempt: the next one goes to
 	// another group, so that there is nothing to wait for.
 	retryBackoff = time.Millisecond
--- a/internal/edge/wanted.go
+++ b/internal/edge/wanted.go
@@ -122,6 +122,50 @@
 	return out, t.Document.Version
 }
 
+// loadLimits is what the document says of the weight store; of several engine
+// services the strictest, since they share it.
+func (d *Daemon) loadLimits() placement.LoadLimits {
+	perSecond, atOnce := 0.0, 0
+	if t := d.routes.Table(); t != nil {
+		for i := range t.Document.Services {
+			e := t.Document.Services[i].Engine
+			if e == nil {
+				continue
+			}
+			if perSecond == 0 || e.LoadsPerSecond > 0 && e.LoadsPerSecond < perSecond {
+				perSecond = e.LoadsPerSecond
+			}
+			if atOnce == 0 || e.LoadsAtOnce > 0 && e.LoadsAtOnce < atOnce {
+				atOnce = e.LoadsAtOnce
+			}
+		}
+	}
+	if perSecond <= 0 {
+		perSecond = unknownLoads
+	}
+	if atOnce <= 0 {
+		atOnce = unknownLoads
+	}
+	return placement.LoadLimits{
+		PerSecond: loadPart * perSecond,
+		Burst:     max(int(burstSeconds*perSecond), 1),
+		AtOnce:    max(atOnce-keptLoads, 1),
+	}
+}
+
+// openTime is how long the slowest engines take to open a group.
+func (d *Daemon) openTime() time.Duration {
+	var slowest time.Duration
+	if t := d.routes.Table(); t != nil {
+		for i := range t.Document.Services {
+			if e := t.Document.Services[i].Engine; e != nil {
+				slowest = max(slowest, e.OpenTime)
+			}
+		}
+	}
+	return slowest
+}
+
 // spareOf is how many of its groups a model can do without, none before its
 // work is known.
 func spareOf(m placement.ModelDemand, measured bool) int {
--- a/internal/event/spool.go
+++ b/internal/event/spool.go
@@ -18,8 +18,8 @@
 	// keep up.
 	maxUrgent = 8192
 	maxUsual  = 1024
-	// usualPerSecond bounds the lines of requests that were served: at some 12 us
-	// a line it is under a thousandth of a core.
+	// usualPerSecond bounds the lines of requests that were served, enough to
+	// follow a few of them from end to end.
 	usualPerSecond = 60
 	// maxTrail bounds the lines that are kept of one request, and trailAge how
 	// long a request that never ends is waited for.
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -49,13 +49,9 @@
 	Rejoin time.Duration
 	Staged func(model string) time.Duration
 	// Open is the time from an order to open until a group serves.
-	Open time.Duration
-	// LoadsAtOnce is how many engines may load without slowing each other down.
-	LoadsAtOnce int
-	// LoadRate is how many engines may begin to load from the weight store in
-	// a second, LoadBurst how many at once. They do not bind while Idle.
-	LoadRate  float64
-	LoadBurst int
+	Open func() time.Duration
+	// Loads is what the weight store allows. It does not bind while Idle.
+	Loads func() LoadLimits
 	// Idle reports whether the deployment has just begun and no request has
 	// come yet.
 	Idle func() bool
@@ -64,6 +60,17 @@
 	Settle time.Duration
 }
 
+// LoadLimits are what the weight store allows.
+type LoadLimits struct {
+	// PerSecond is how many engines may begin to load in a second, and Burst
+	// how many at once.
+	PerSecond float64
+	Burst     int
+	// AtOnce is how many engines may load at the same time, beside those that
+	// are needed at once.
+	AtOnce int
+}
+
 // Defaults of a conductor.
 const (
 	// conductEvery is the time between two rounds; one comes at once after an
@@ -131,7 +138,7 @@
 // NewConductor returns a conductor; it does nothing until Run.
 func NewConductor(cfg ConductorConfig) *Conductor {
 	c := &Conductor{cfg: cfg, orders: map[fleet.InstanceID]*issued{}, wake: make(chan struct{}, 1)}
-	c.loads = rate.NewLimiter(rate.Limit(cfg.LoadRate), cfg.LoadBurst)
+	c.loads = rate.NewLimiter(0, 0) // set by each round
 	c.prober = newProber(c)
 	return c
 }
@@ -205,6 +212,9 @@
 	c.order(ctx, t, servers, now)
 	s.Groups = t.view()
 	t.wanted, t.listing = wanted, servers
+	limits := c.cfg.Loads()
+	c.loads.SetLimitAt(now, rate.Limit(limits.PerSecond))
+	c.loads.SetBurstAt(now, limits.Burst)
 	c.prepare(ctx, t, servers, s, now)
 }
 
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -152,7 +152,7 @@
 		wait := p.c.near(t, directory.Listing{Server: d.server})[d.order.Model]
 		p.awaitState(s.Instance, directory.PlaceReady, now, wait)
 	case backend.OrderOpen:
-		p.awaitState(s.Instance, directory.PlaceOpen, now, p.c.cfg.Open)
+		p.awaitState(s.Instance, directory.PlaceOpen, now, p.c.cfg.Open())
 	case backend.OrderClose, backend.OrderCut:
 		p.awaitState(s.Instance, directory.PlaceReady, now, 0)
 	}
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -134,7 +134,7 @@
 // their hosts beside it. An engine then changes over within the time to load
 // from its host, and any spare or idle group can stand in for any other.
 func (c *Conductor) stageSeconds(ctx context.Context, t *tenure, servers map[fleet.InstanceID]directory.Listing, s Snapshot, now time.Time) {
-	room := c.cfg.LoadsAtOnce - t.loading(servers)
+	room := c.cfg.Loads().AtOnce - t.loading(servers)
 	if c.cfg.Idle() {
 		room = len(servers)
 		for _, whole := range t.whole {
