edge: every daemon waits for the document itself, and reads the list within its bound

Daemons that hear of a reader read the document only every 6 s and trusted peers' heartbeats to tell of a newer one; the store turned the reader away (platform_down, nodes), which goes on saying that it reads for up to 4 s, and the others were in their pauses too. The list's 2.5 s had the same flaw against the two seconds for a server's leaving. What: the document is long-polled by each daemon (a call in 3.5 s), the list read every 1.5 s where another daemon posts its changes. Before: TestReaderIsTurnedAway fails (status 200 in place of 404); after: it passes at seven moments. Ruled out: a document that went back; the version was simply not read.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -28,11 +28,11 @@
 	// forms groups. Each reading takes in all that changed.
 	serversEvery       = 400 * time.Millisecond
 	leaderServersEvery = 200 * time.Millisecond
-	// relayedServersEvery and relayedDocumentEvery are the times between two
-	// readings while another daemon posts the list's changes and tells of newer
-	// documents: they make up for news that were lost.
-	relayedServersEvery  = 2500 * time.Millisecond
-	relayedDocumentEvery = 6 * time.Second
+	// relayedServersEvery is the time between two readings of the list while
+	// another daemon posts its changes. It makes up for news that were lost, and
+	// for a reader that the store turns away, within the bound of two seconds
+	// for a server's leaving.
+	relayedServersEvery = 1500 * time.Millisecond
 	// daemonsWait is how long one read waits for news of daemons.
 	daemonsWait  = 10 * time.Second
 	daemonsEvery = 1500 * time.Millisecond
@@ -49,7 +49,6 @@
 	f := feed.Follower[*routes.Document]{
 		Source: d.env.Platform.Documents,
 		Wait:   documentWait,
-		Every:  d.documentEvery,
 		Sink: feed.Sink[*routes.Document]{
 			All: take, Changes: take,
 			Failed: func(err error) { d.events.Emit(eventReadFailed, "what", "routing document", "error", err) },
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -90,16 +90,6 @@
 	}
 }
 
-// documentEvery is the time between two readings of the routing document,
-// none at all once a peer has a newer one.
-func (d *Daemon) documentEvery() time.Duration {
-	own := d.catalog().Revision
-	if d.reads() || !d.hearsReader() || d.hears(func(p membership.Peer) bool { return p.Heartbeat.ConfigRevision > own }) {
-		return 0
-	}
-	return relayedDocumentEvery
-}
-
 // posted is a change of the list in a bulletin.
 type posted struct {
 	Server  *directory.Server `cbor:"1,keyasint,omitempty"`
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -388,3 +389,38 @@
 		assert.Assert(t, !d.Leads())
 	})
 }
+
+// The daemon that reads the list for the others is turned away by the store.
+// The others take a new document and a server's leaving into force in time all
+// the same.
+func TestReaderIsTurnedAway(t *testing.T) {
+	// Whenever it comes between the readings of the others.
+	for n := range 7 {
+		turnReaderAway(t, time.Duration(n)*time.Second)
+	}
+}
+
+func turnReaderAway(t *testing.T, after time.Duration) {
+	t.Helper()
+	run(t, func(t *testing.T, w *World) {
+		time.Sleep(after)
+		for _, d := range w.Daemons {
+			if d.Leads() {
+				w.Net.CutBoth(d.ip, storeIP)
+				defer w.Net.Heal(d.ip, storeIP)
+			}
+		}
+		reader := w.Store.Holder("caraway")
+		w.Publish(without(Document(2), "safe"))
+		w.Plains[0].announce("draining")
+		time.Sleep(1900 * time.Millisecond)
+		for _, d := range w.Daemons {
+			if strings.HasPrefix(reader, d.name+"-") {
+				continue
+			}
+			assert.Equal(t, w.Call(d, http.MethodGet, "/safe/x", "s-"+d.name, "", "", nil).Status, http.StatusNotFound, d.name)
+			a := w.Call(d, http.MethodPost, "/unsafe/x", "u-"+d.name, "", "b", nil)
+			assert.Equal(t, a.Header.Get("X-Carawayproxy-Server-Stamp"), "proof-p-01", d.name)
+		}
+	})
+}
