--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -88,7 +88,10 @@
 		dead := e.dead
 		s.mu.Unlock()
 		if dead {
-			<-r.Context().Done() // where its host can't be frozen
+			select { // where its host can't be frozen
+			case <-r.Context().Done():
+			case <-e.world.ctx.Done():
+			}
 			return
 		}
 		if want := r.Header.Get("X-Carawayproxy-Expect-Instance"); want != "" && want != e.ID {
--- /dev/null
+++ b/standin/site/log_test.go
@@ -0,0 +1,88 @@
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// logBuffer takes the lines of several daemons.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// linesOf returns the lines of one request by the names of their events.
+func (b *logBuffer) linesOf(id string) map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]string{}
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, "request="+id+" ") {
+			_, rest, _ := strings.Cut(line, "msg=")
+			name, _, _ := strings.Cut(rest, " ")
+			out[name] += line
+		}
+	}
+	return out
+}
+
+// Each decision about a request is a line with its id, what it rested on with
+// its version or age, and its outcome; lines of failed requests are all there.
+func TestEachDecisionAboutARequestIsLogged(t *testing.T) {
+	var log logBuffer
+	synctest.Test(t, func(t *testing.T) {
+		w, err := New(Options{Daemons: 1, Engines: 24, Plains: 2, Log: &log})
+		assert.NilError(t, err)
+		defer time.Sleep(settleTime)
+		defer w.Close()
+		time.Sleep(leadTime)
+		d := w.Daemons[0]
+		assert.Assert(t, w.Stream(d, "served", ModelOfTwo).Whole("served"))
+		w.Call(d, http.MethodPost, "/nowhere/x", "no-route", "", "", nil)
+		w.Call(d, http.MethodPost, "/stream/x", "no-model", "nobody", "", nil)
+		w.Switch(func() { w.Plains[0].DropAnswers, w.Plains[1].DropAnswers = true, true })
+		w.Call(d, http.MethodPost, "/unsafe/x", "uncertain", "", "", nil)
+		w.Switch(func() {
+			for _, e := range w.Engines {
+				e.dead = true
+			}
+		})
+		w.Stream(d, "late", ModelOfTwo)
+		time.Sleep(time.Second)
+	})
+	for _, test := range []struct {
+		id, event string
+		parts     []string
+	}{
+		{"served", "entry.accepted", []string{"route=stream", "document=1", "service=engines/duo", "workspace=trust", "left=6s"}},
+		{"served", "dispatch.routed", []string{"group=duo.", "epoch=", "instance=i-", "own=0", "peers=0", "report_age=", "reason="}},
+		{"served", "entry.answered", []string{"outcome=served", "status=200", "late=false", "first=", "longest_pause=", "took="}},
+		{"no-route", "entry.refused", []string{"status=404", "document=1", "reason="}},
+		{"no-model", "dispatch.refused", []string{"state=NOT_RUN", "reason=unknown"}},
+		{"no-model", "entry.answered", []string{"status=503"}},
+		{"uncertain", "dispatch.attempt-failed", []string{"group=plain/p-", "cause="}},
+		{"uncertain", "dispatch.refused", []string{"state=MAY_HAVE_RUN"}},
+		{"uncertain", "entry.answered", []string{"status=502"}},
+		{"late", "dispatch.attempt-failed", []string{"group=duo."}},
+		{"late", "entry.answered", []string{"outcome="}},
+	} {
+		line := log.linesOf(test.id)[test.event]
+		for _, part := range test.parts {
+			assert.Check(t, strings.Contains(line, part), fmt.Sprintf("%s of %s lacks %s: %q", test.event, test.id, part, line))
+		}
+	}
+}
