edge: a lost answer of the store delays no document beyond its bound

Before: TestLostAnswersDelayNoDocument fails with the wait of 3.5 s (200 in place of 404); after: it passes.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -17,11 +17,10 @@
 )
 
 const (
-	// documentWait and serversWait are how long one read waits for news. A
-	// connection that has gone silent is noticed after it: within the time for
-	// which a daemon is excused from what it could not hear, and the bounds for
-	// taking news into force.
-	documentWait = 3500 * time.Millisecond
+	// documentWait and serversWait are how long one read waits for news. A read
+	// whose answer is lost is given up soon after: for the document within the
+	// two seconds in which a new version must be in force.
+	documentWait = 1200 * time.Millisecond
 	serversWait  = 3 * time.Second
 	// serversEvery is the time between two readings of the list at a daemon
 	// that reads for others, and leaderServersEvery that of the daemon that
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -249,6 +249,28 @@
 	return document
 }
 
+// The answers of reads that wait are lost, on connections that stay open. A new
+// document is in force within its bound of two seconds all the same.
+func TestLostAnswersDelayNoDocument(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		for version := range 6 {
+			time.Sleep(350 * time.Millisecond) // another moment of the waits
+			w.Store.Mute("keyed.op")
+			document := Document(version + 2)
+			if version%2 == 0 {
+				document = without(document, "safe")
+			}
+			w.Publish(document)
+			time.Sleep(1950 * time.Millisecond)
+			want := map[bool]int{true: http.StatusNotFound, false: http.StatusOK}[version%2 == 0]
+			for _, d := range w.Daemons {
+				id := fmt.Sprintf("s-%s-%d", d.name, version)
+				assert.Equal(t, w.Call(d, http.MethodGet, "/safe/x", id, "", "", nil).Status, want, id)
+			}
+		}
+	})
+}
+
 // A document with a lower version than the one in force changes nothing, and
 // neither does one that can't be read.
 func TestDocumentNeverGoesBack(t *testing.T) {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -23,6 +23,7 @@
 	away    bool
 	changed chan struct{} // closed at each change
 	calls   int
+	muted   map[string]int // how often a topic's waiting reads were muted
 }
 
 // topic is the only partition that the system uses of a topic.
@@ -47,7 +48,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*memberGroup{}, changed: make(chan struct{})}
+	return &Store{topics: map[string]*topic{}, groups: map[string]*memberGroup{}, changed: make(chan struct{}), muted: map[string]int{}}
 }
 
 // SetAway makes every call fail until it is set back.
@@ -58,6 +59,15 @@
 	s.wake()
 }
 
+// Mute loses the answers of the reads of a topic that wait now: their
+// connections stay open and bring nothing any more.
+func (s *Store) Mute(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted[name]++
+	s.wake()
+}
+
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -161,8 +171,17 @@
 		return
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	name := r.URL.Query().Get("topic")
+	s.mu.Lock()
+	muted := s.muted[name]
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.muted[name] != muted {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		t := s.topic(r.URL.Query().Get("topic"))
 		end, changed, away := t.first+uint64(len(t.records)), s.changed, s.away
 		if away || from < t.first {
