edge: end idle loading before the first requests are due

A leader begins loads without regard to the weight store's rate while it has had no request itself; when traffic reached the other daemons first, it stayed idle in its own eyes and went on loading without bound.

Ruled out: the bounds read from the document, which hold as soon as a daemon has been asked (TestLoadsKeepToTheDocument).

TestIdleEndsBeforeTheFirstRequests failed before the change.

--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -29,6 +29,10 @@
 	// keptLoads is how many of the loads that the weight store serves at full
 	// speed are kept for what is needed at once.
 	keptLoads = 2
+	// idleFor is how long after the first start loads may be begun without
+	// regard to the weight store's rate: callers come ten seconds after it at the
+	// earliest, and other daemons may have their requests before this one.
+	idleFor = 9 * time.Second
 	// unknownLoads stands in for limits that the document does not state.
 	unknownLoads = 2
 	// retryBackoff is the pause before another attempt: the next one goes to
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -195,7 +195,9 @@
 
 // idle reports whether the whole system has just begun and no request has come
 // here yet.
-func (d *Daemon) idle() bool { return d.set.FirstStart && !d.dispatcher.Asked() }
+func (d *Daemon) idle() bool {
+	return d.set.FirstStart && !d.dispatcher.Asked() && time.Since(d.started) < idleFor
+}
 
 // engineOf returns the engine of which a model is one, nil when the document
 // has none.
--- a/internal/edge/retry_test.go
+++ b/internal/edge/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,3 +32,14 @@
 		assert.Equal(t, limits.AtOnce, 5)
 	}
 }
+
+// Loads are bounded again before the first request can have come anywhere,
+// also at a daemon that has had none itself.
+func TestIdleEndsBeforeTheFirstRequests(t *testing.T) {
+	d := newIdleDaemon(t)
+	assert.Assert(t, !d.idle(), "not the first start")
+	d.set.FirstStart = true
+	assert.Assert(t, d.idle())
+	d.started = time.Now().Add(-idleFor)
+	assert.Assert(t, !d.idle())
+}
