soak: overlapping faults restart a daemon once

Cause: restart looked whether another fault had started the daemon and started it in two steps; two faults together started two processes, and the first had no owner and outlived the run, on the daemon's addresses. TestOverlappingRestartsStartOnce failed before.

--- /dev/null
+++ b/standin/soak/restart_test.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Faults that restart one daemon together start one process, so that none is
+// left without an owner, on the daemon's addresses.
+func TestOverlappingRestartsStartOnce(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "daemon")
+	assert.NilError(t, os.WriteFile(binary, []byte("#!/bin/sh\necho started >> \"$0.log\"\nexec sleep 20\n"), 0o700))
+	proxy, err := NewProxy("127.0.0.1:1")
+	assert.NilError(t, err)
+	defer proxy.Close()
+	r := &run{o: Options{Binary: binary}}
+	d := &daemon{name: "edge-1", ip: "127.0.0.1", proxy: proxy}
+	r.daemons = append(r.daemons, d)
+	assert.NilError(t, r.start(d, true))
+	defer r.stopAll()
+	var restarts sync.WaitGroup
+	for range 16 {
+		restarts.Go(func() { r.restart(d, syscall.SIGKILL) })
+	}
+	restarts.Wait()
+	time.Sleep(200 * time.Millisecond) // for the script's line
+	data, err := os.ReadFile(binary + ".log")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Count(string(data), "started") <= 2, "%s", data)
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -64,6 +64,9 @@
 	proxy    *Proxy
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	// starting is held from the look at exited until the next process is there:
+	// faults that overlap restart one daemon once.
+	starting sync.Mutex
 }
 
 // run is one run's state.
@@ -262,6 +265,8 @@
 	r.signal(d, syscall.SIGCONT)
 	r.signal(d, s)
 	<-exited
+	d.starting.Lock()
+	defer d.starting.Unlock()
 	r.mu.Lock()
 	again := d.exited != exited
 	r.mu.Unlock()
