lease: a scope is claimed by compare-and-set; a holder goes on while the store is away for all

Cause: who leads was dealt by a consumer group of the store.

Ruled out: the list (all 63 servers were listed), the document, the mesh.

Change: the holder writes each claim and renewal where the claim log ends; of several writers one goes through. Before each renewal it tells the others by a heartbeat, so that a follower knows how old the last record is at most. A holder whose renewals get no answer goes on as long as every peer that is heard says that the store is away for it too, 30 s at most. A process that follows the holder on its instance claims at once. A conductor keeps what it knows while its hold is in doubt.

The consumer group is gone from the client and the stand-in; TestReaderIsTurnedAway asks the daemons who leads in place of the store's group.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,8 +43,9 @@
 	Daemons   feed.Source[string]
 	// Announce tells the other daemons where this one can be reached.
 	Announce func(ctx context.Context, name, address string) error
-	// Scopes returns the dealer of the scopes of control work.
-	Scopes    func(scopes []lease.Scope) lease.Dealer
+	// Claims returns the log in which daemons agree who holds a scope of control
+	// work.
+	Claims    func(scope lease.Scope) lease.ClaimLog
 	Engines   placement.GroupEngines
 	Opaques   backend.Opaques
 	Codec     entry.Codec
@@ -91,13 +92,18 @@
 	listed   atomic.Bool  // the list was read whole
 	readAt   atomic.Int64 // when the list was read last, in nanoseconds since the start
 	leaderAt atomic.Int64 // when another daemon was last heard to lead
-	seen     seenPositions
-	demand   demand
-	places   placeBook
-	draining atomic.Bool
-	drainNow chan struct{}
-	drain    sync.Once
-	started  time.Time
+	// storeAway is set until the store has answered this daemon and while it
+	// does not. peersThen is how many peers were heard when it last did.
+	storeAway atomic.Bool
+	// vouchedAt is when the peers last told that it answers none of them.
+	peersThen, vouchedAt atomic.Int64
+	seen                 seenPositions
+	demand               demand
+	places               placeBook
+	draining             atomic.Bool
+	drainNow             chan struct{}
+	drain                sync.Once
+	started              time.Time
 }
 
 // New puts a daemon together from checked settings; nothing runs yet.
@@ -119,6 +125,7 @@
 	}
 	d.spool = event.NewSpool(env.Log, level, d.metrics)
 	d.events = event.NewSpooled(d.spool).With("daemon", d.id)
+	d.storeAway.Store(true)
 	d.see()
 	d.act()
 	return d, nil
@@ -165,14 +172,18 @@
 // act makes the parts that decide and act.
 func (d *Daemon) act() {
 	d.tenure = lease.NewTenure(lease.TenureConfig{
-		Dealer:  d.env.Platform.Scopes([]lease.Scope{scopePlacement}),
-		Member:  string(d.id),
-		TTL:     scopeTTL,
-		Every:   scopeRenewal,
-		Stands:  d.stands,
-		Taken:   d.mesh.Hurry,
-		Elapsed: d.env.Elapsed,
-		Events:  d.events,
+		Scope:      scopePlacement,
+		Log:        d.env.Platform.Claims(scopePlacement),
+		Member:     string(d.id),
+		TTL:        scopeTTL,
+		Every:      scopeRenewal,
+		Former:     d.former,
+		Stands:     d.stands,
+		Vouched:    d.vouched,
+		MaxVouched: maxVouched,
+		Tell:       d.mesh.Beat,
+		Elapsed:    d.env.Elapsed,
+		Events:     d.events,
 	})
 	d.conductor = placement.NewConductor(placement.ConductorConfig{
 		Planner:  placement.NewPlanner(planningPolicy),
@@ -263,6 +274,7 @@
 		d.followServers,
 		d.followDaemons,
 		d.announce,
+		d.checkStore,
 	}
 }
 
@@ -295,6 +307,9 @@
 	}
 }
 
+// Leads reports whether this daemon does the control work now.
+func (d *Daemon) Leads() bool { return d.conductor.Leads() }
+
 // endpoint is one listener with its server.
 type endpoint struct {
 	name     string
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -50,7 +50,18 @@
 		Wait:   documentWait,
 		Sink: feed.Sink[*routes.Document]{
 			All: take, Changes: take,
-			Failed: func(err error) { d.events.Emit(eventReadFailed, "what", "routing document", "error", err) },
+			Read: func(time.Time) {
+				if d.storeAway.Swap(false) {
+					d.tenure.Retry()
+				}
+				d.peersThen.Store(int64(d.countHeard()))
+			},
+			Failed: func(err error) {
+				if !errors.Is(err, feed.ErrGap) { // the store is there
+					d.storeAway.Store(true)
+				}
+				d.events.Emit(eventReadFailed, "what", "routing document", "error", err)
+			},
 		},
 	}
 	f.Run(ctx)
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -60,7 +60,7 @@
 	d, err := New(set, Env{
 		Callers: l, Readiness: l, Admin: l, Peers: l, Log: &bytes.Buffer{},
 		Elapsed:  func() time.Duration { return 0 },
-		Platform: Platform{Scopes: func([]lease.Scope) lease.Dealer { return nil }},
+		Platform: Platform{Claims: func(lease.Scope) lease.ClaimLog { return nil }},
 	})
 	assert.NilError(t, err)
 	return d
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -16,9 +16,23 @@
 	// seconds for a takeover are the target.
 	scopeTTL     = 1200 * time.Millisecond
 	scopeRenewal = 400 * time.Millisecond
-	// takeoverSettle covers the orders that the last holder may have sent
-	// before it knew that it holds the scope no more.
-	takeoverSettle = 700 * time.Millisecond
+	// maxVouched is how long a holder that nobody can replace goes on without
+	// the store, well beyond the outages of the operators' days.
+	maxVouched = 30 * time.Second
+	// storeCheck is how long the store may take to answer a daemon that is asked
+	// whether it is away for it too, many times its usual answer, and
+	// storeCheckEvery the time between two such questions.
+	storeCheck      = 300 * time.Millisecond
+	storeCheckEvery = scopeRenewal
+	// storeChecked is how long an answer counts that the store gave here while it
+	// turns others away.
+	storeChecked = 2 * time.Second
+	// vouchGrace is the time that a holder has to renew once the store is back:
+	// less than a new holder waits before it acts.
+	vouchGrace = 400 * time.Millisecond
+	// takeoverSettle covers, with the margin at the end of a hold, the time of
+	// an order that the last holder sent at its end.
+	takeoverSettle = 500 * time.Millisecond
 	// rejoinTime is how long an engine takes to join a group of its last model,
 	// by the protocol's page.
 	rejoinTime = 200 * time.Millisecond
--- a/internal/lease/events.go
+++ b/internal/lease/events.go
@@ -21,9 +21,9 @@
 
 var (
 	eventShareTaken = event.Define(1306, "lease.share-taken", log.InfoLevel,
-		"This daemon was dealt a scope of control work and acts for it under the term given.", "None.")
+		"This daemon has claimed a scope of control work and acts for it under the term given.", "None.")
 	eventShareLost = event.Define(1307, "lease.share-lost", log.InfoLevel,
-		"A scope of control work was dealt to another daemon.", "None.")
+		"Another daemon has claimed a scope of control work that this one held.", "None.")
 	eventShareFailed = event.Define(1308, "lease.share-failed", log.WarnLevel,
-		"The store did not renew this daemon's share of the control work; holds end by themselves.", "See whether the store answers.")
+		"The store did not renew this daemon's hold on a scope of control work; it ends by itself.", "See whether the store answers.")
 )
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -29,6 +29,9 @@
 // Hurry makes the next heartbeat leave within a fifth of a beat.
 func (m *Mesh) Hurry() { m.hurried.Store(true) }
 
+// Beat sends a heartbeat over each link now.
+func (m *Mesh) Beat() { m.beat() }
+
 // beat sends a heartbeat over each link and takes in the source's news.
 func (m *Mesh) beat() {
 	m.hurried.Store(false)
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -8,6 +8,7 @@
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
@@ -86,6 +87,10 @@
 	Stalled []uint32 `cbor:"13,keyasint,omitempty"`
 	Leads   bool     `cbor:"14,keyasint,omitempty"`
 	Reads   bool     `cbor:"15,keyasint,omitempty"`
+	// Renewed tells of the sender's hold on a scope, StoreAway that the store
+	// does not answer.
+	Renewed   lease.Renewal `cbor:"16,keyasint,omitzero"`
+	StoreAway bool          `cbor:"17,keyasint,omitempty"`
 }
 
 // newsMessage carries what is told once on each link.
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -8,6 +8,7 @@
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
@@ -41,10 +42,14 @@
 	// crosses a link once for as long as it stays so.
 	Stalled []fleet.GroupID `cbor:"-"`
 	// Leads is set while the sender does the control work of a scope that it
-	// was dealt, Reads while it follows the platform's list and posts what it
-	// finds there.
+	// holds, Reads while it follows the platform's list and posts what it finds
+	// there.
 	Leads bool `cbor:"-"`
 	Reads bool `cbor:"-"`
+	// Renewed is what the sender tells of its hold on that scope.
+	Renewed lease.Renewal `cbor:"-"`
+	// StoreAway is set while the platform's store does not answer the sender.
+	StoreAway bool `cbor:"-"`
 }
 
 // StreamPosition is how far a daemon has folded a stream.
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -116,6 +116,8 @@
 	term    lease.Term
 	since   time.Time
 	adopted bool
+	// leftAt is when the scope was found not to be held, zero while it is.
+	leftAt time.Time
 	// listed is how many engines were listed, and grownAt when there were more
 	// than before for the last time.
 	listed  int
@@ -180,20 +182,22 @@
 func (c *Conductor) round(ctx context.Context, now time.Time) {
 	hold, ok := c.cfg.Leases.Held(c.cfg.Scope)
 	if !ok || !hold.Valid(now) {
-		if c.tenure != nil {
-			c.cfg.Events.Emit(eventScopeLeft, "scope", c.cfg.Scope, "term", c.tenure.term)
-			c.tenure = nil
-		}
+		c.leave(now)
 		return
 	}
 	if c.tenure == nil || c.tenure.term != hold.Term {
 		c.enter(hold.Term, now)
 	}
 	t := c.tenure
+	if !t.leftAt.IsZero() {
+		t.leftAt = time.Time{}
+		c.cfg.Events.Emit(eventScopeTaken, "scope", c.cfg.Scope, "term", t.term)
+	}
 	servers := c.cfg.Servers.Servers()
 	t.places.observe(servers)
 	c.prober.round(ctx, t, servers, now)
-	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 || !t.adopted && t.growing(servers, now) {
+	growing := t.growing(len(servers), now, c.cfg.Idle())
+	if now.Sub(t.since) < c.cfg.Settle || len(servers) == 0 || !t.adopted && growing {
 		return
 	}
 	if !t.adopted {
@@ -218,18 +222,38 @@
 	c.prepare(ctx, t, servers, s, now)
 }
 
+// keepTenure is how long what a tenure knows is kept for when the scope comes
+// back under the same term: nobody else has done its work meanwhile.
+const keepTenure = 5 * time.Second
+
+// leave stops the work while the scope is not held.
+func (c *Conductor) leave(now time.Time) {
+	t := c.tenure
+	switch {
+	case t == nil:
+	case t.leftAt.IsZero():
+		t.leftAt = now
+		c.cfg.Events.Emit(eventScopeLeft, "scope", c.cfg.Scope, "term", t.term)
+	case now.Sub(t.leftAt) > keepTenure:
+		c.tenure = nil
+	default:
+		t.places.observe(c.cfg.Servers.Servers())
+	}
+}
+
 // listGrows is how long a list that has grown may still grow: instances that
 // start together are listed one after the other, and groups are better formed
 // of all of them.
 const listGrows = 600 * time.Millisecond
 
-// growing reports whether the list still grows.
-func (t *tenure) growing(servers map[fleet.InstanceID]directory.Listing, now time.Time) bool {
-	if len(servers) > t.listed {
-		if t.listed > 0 {
+// growing reports whether the list still grows. While the deployment begins its
+// first part is growth as well; later it was there before this tenure.
+func (t *tenure) growing(listed int, now time.Time, begins bool) bool {
+	if listed > t.listed {
+		if t.listed > 0 || begins {
 			t.grownAt = now
 		}
-		t.listed = len(servers)
+		t.listed = listed
 	}
 	return now.Sub(t.grownAt) < listGrows
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,20 @@
 	return err == nil && n >= 0 && n <= 65535
 }
 
+// processDigits is how many digits of a daemon's id name its process.
+const processDigits = 8
+
 // DaemonID makes the id of a daemon that starts now under these settings.
 func (s *Settings) DaemonID() fleet.DaemonID {
-	return fleet.DaemonID(fmt.Sprintf("%s-%s", s.Name, uuid.NewString()[:8]))
+	return fleet.DaemonID(fmt.Sprintf("%s-%s", s.Name, uuid.NewString()[:processDigits]))
+}
+
+// InstanceOf is the name of the instance that a daemon's id was made for, empty
+// when it is no such id.
+func InstanceOf(id fleet.DaemonID) string {
+	at := len(id) - processDigits - 1
+	if at < 0 || id[at] != '-' {
+		return ""
+	}
+	return string(id[:at])
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
 )
 
 func TestParseReportsEachMistakeAtOnce(t *testing.T) {
@@ -52,3 +54,13 @@
 	first, second := s.DaemonID(), s.DaemonID()
 	assert.Assert(t, first != second)
 }
+
+func TestDaemonIDNamesItsInstance(t *testing.T) {
+	for _, name := range []string{"edge-1", "a", "edge-syangja-3-d5409747"} {
+		set := &Settings{Name: name}
+		assert.Equal(t, InstanceOf(set.DaemonID()), name)
+	}
+	for _, other := range []fleet.DaemonID{"", "edge", "-1234567", "edge-12345678901"} {
+		assert.Equal(t, InstanceOf(other), "", "%q", other)
+	}
+}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -119,6 +118,34 @@
 	}
 }
 
+// Daemons that start together agree on one that leads, and keep it.
+func TestOneDaemonLeadsFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, err := New(Options{Daemons: 7, Engines: 24, Plains: 2})
+		assert.NilError(t, err)
+		defer time.Sleep(settleTime) // dials that were under way end
+		defer w.Close()
+		time.Sleep(time.Second)
+		first := leaders(w)
+		assert.Equal(t, len(first), 1, "nobody leads after a second")
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			assert.DeepEqual(t, leaders(w), first)
+		}
+		assert.Assert(t, w.Open(ModelOfTwo) >= 2 && w.Open(ModelOfThree) >= 2, "groups: %d of two, %d of three", w.Open(ModelOfTwo), w.Open(ModelOfThree))
+	})
+}
+
+func leaders(w *World) []string {
+	var names []string
+	for _, d := range w.Daemons {
+		if d.Leads() {
+			names = append(names, d.name)
+		}
+	}
+	return names
+}
+
 // The daemon that gives orders dies while groups are there. Another one takes
 // over, gives no group up, and repairs what breaks.
 func TestTakeoverKeepsGroups(t *testing.T) {
@@ -203,6 +230,45 @@
 	})
 }
 
+// While the store is away for everybody, the daemon that leads goes on: a group
+// that breaks is repaired.
+func TestRepairsWithoutTheStore(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		groups, first := w.Open(ModelOfThree), leaders(w)
+		w.Store.SetAway(true)
+		time.Sleep(2 * time.Second)
+		w.Darken(w.Member(ModelOfThree, 1))
+		cut, _ := cutOrRefused(t, load(w, ModelOfThree, 3*time.Second))
+		assert.Equal(t, cut, 0)
+		time.Sleep(loadTime)
+		assert.Equal(t, w.Open(ModelOfThree), groups, "the group was not repaired")
+		assert.DeepEqual(t, leaders(w), first)
+		w.Store.SetAway(false)
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, leaders(w), first)
+	})
+}
+
+// A daemon that leads and that alone the store turns away gives way to another.
+func TestLeaderThatIsTurnedAwayGivesWay(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		var first *Daemon
+		for _, d := range w.Daemons {
+			if d.Leads() {
+				first = d
+			}
+		}
+		w.Net.CutBoth(first.ip, storeIP)
+		defer w.Net.Heal(first.ip, storeIP)
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			assert.Assert(t, len(leaders(w)) <= 1)
+		}
+		assert.Equal(t, len(leaders(w)), 1, "nobody took over within two seconds")
+		assert.Assert(t, !first.Leads())
+	})
+}
+
 // Entries that lapse while the store is away come back within two seconds of
 // its return; the daemons keep the servers meanwhile.
 func TestLapsedEntriesComeBack(t *testing.T) {
@@ -426,18 +492,19 @@
 	t.Helper()
 	run(t, func(t *testing.T, w *World) {
 		time.Sleep(after)
+		var reader *Daemon
 		for _, d := range w.Daemons {
 			if d.Leads() {
+				reader = d
 				w.Net.CutBoth(d.ip, storeIP)
 				defer w.Net.Heal(d.ip, storeIP)
 			}
 		}
-		reader := w.Store.Holder("caraway")
 		w.Publish(without(Document(2), "safe"))
 		w.Plains[0].announce("draining")
 		time.Sleep(1900 * time.Millisecond)
 		for _, d := range w.Daemons {
-			if strings.HasPrefix(reader, d.name+"-") {
+			if d == reader {
 				continue
 			}
 			assert.Equal(t, w.Call(d, http.MethodGet, "/safe/x", "s-"+d.name, "", "", nil).Status, http.StatusNotFound, d.name)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -19,7 +19,6 @@
 type Store struct {
 	mu      sync.Mutex
 	topics  map[string]*topic
-	groups  map[string]*memberGroup
 	away    bool
 	changed chan struct{} // closed at each change
 	calls   int
@@ -33,22 +32,18 @@
 	newest  map[string]record
 }
 
+// end is the offset that the next record gets.
+func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
+
 type record struct {
 	offset uint64
 	key    string
 	value  []byte
 }
 
-// memberGroup deals the first partition of a topic to one of its members.
-type memberGroup struct {
-	generation uint64
-	members    map[string]time.Time // until when
-	holder     string
-}
-
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*memberGroup{}, changed: make(chan struct{}), muted: map[string]int{}}
+	return &Store{topics: map[string]*topic{}, changed: make(chan struct{}), muted: map[string]int{}}
 }
 
 // SetAway makes every call fail until it is set back.
@@ -79,8 +74,13 @@
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(name, key, value)
+}
+
+// put is Put. Called with mu held.
+func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
-	r := record{offset: t.first + uint64(len(t.records)), key: key, value: value}
+	r := record{offset: t.end(), key: key, value: value}
 	t.records = append(t.records, r)
 	if len(value) == 0 {
 		delete(t.newest, key)
@@ -100,16 +100,6 @@
 	s.wake()
 }
 
-// Holder returns the member that holds a group's first partition.
-func (s *Store) Holder(group string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if g := s.groups[group]; g != nil {
-		return g.holder
-	}
-	return ""
-}
-
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -131,8 +121,6 @@
 	mux.HandleFunc("GET /carawayproxy/log-newest", s.serveNewest)
 	mux.HandleFunc("GET /carawayproxy/log-read", s.serveRead)
 	mux.HandleFunc("POST /carawayproxy/log-append", s.serveAppend)
-	mux.HandleFunc("POST /carawayproxy/log-join", s.serveJoin)
-	mux.HandleFunc("POST /carawayproxy/log-leave", s.serveLeave)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
@@ -160,7 +148,7 @@
 		entries = append(entries, entry{rec.key, rec.value, rec.offset})
 	}
 	slices.SortFunc(entries, func(a, b entry) int { return int(a.Offset) - int(b.Offset) })
-	answer(w, map[string]any{"entries": entries, "hasMore": false, "endOffset": t.first + uint64(len(t.records))})
+	answer(w, map[string]any{"entries": entries, "hasMore": false, "endOffset": t.end()})
 }
 
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -183,7 +171,7 @@
 			return
 		}
 		t := s.topic(r.URL.Query().Get("topic"))
-		end, changed, away := t.first+uint64(len(t.records)), s.changed, s.away
+		end, changed, away := t.end(), s.changed, s.away
 		if away || from < t.first {
 			s.mu.Unlock()
 			status := http.StatusGone
@@ -229,72 +217,17 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	key := int(body[4])
-	s.Put(r.URL.Query().Get("topic"), string(body[5:5+key]), body[5+key:])
-	answer(w, map[string]any{"offset": 0, "endOffset": 1})
-}
-
-func (s *Store) serveJoin(w http.ResponseWriter, r *http.Request) {
-	var req struct {
-		Group  string   `json:"group"`
-		Member string   `json:"member"`
-		Topics []string `json:"topics"`
-		TTL    int      `json:"ttlMs"`
-	}
-	if json.NewDecoder(r.Body).Decode(&req) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+	query, key := r.URL.Query(), int(body[4])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := s.groups[req.Group]
-	if g == nil {
-		g = &memberGroup{members: map[string]time.Time{}}
-		s.groups[req.Group] = g
-	}
-	now := time.Now()
-	for name, until := range g.members {
-		if now.After(until) {
-			g.drop(name)
-		}
-	}
-	if _, known := g.members[req.Member]; !known {
-		g.generation++
-	}
-	g.members[req.Member] = now.Add(time.Duration(req.TTL) * time.Millisecond)
-	if g.holder == "" {
-		g.holder = req.Member
-	}
-	parts := [][]any{}
-	if g.holder == req.Member {
-		parts = append(parts, []any{req.Topics[0], 0, 0})
-	}
-	answer(w, map[string]any{"generation": g.generation, "ttlMs": req.TTL, "parts": parts})
-}
-
-func (g *memberGroup) drop(name string) {
-	delete(g.members, name)
-	g.generation++
-	if g.holder == name {
-		g.holder = ""
-	}
-}
-
-func (s *Store) serveLeave(w http.ResponseWriter, r *http.Request) {
-	var req struct {
-		Group  string `json:"group"`
-		Member string `json:"member"`
-	}
-	if json.NewDecoder(r.Body).Decode(&req) != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	end := s.topic(query.Get("topic")).end()
+	if query.Has("at") && query.Get("at") != strconv.FormatUint(end, 10) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		answer(w, map[string]any{"endOffset": end})
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if g := s.groups[req.Group]; g != nil {
-		g.drop(req.Member)
-	}
-	answer(w, map[string]any{})
+	s.put(query.Get("topic"), string(body[5:5+key]), body[5+key:])
+	answer(w, map[string]any{"offset": end, "endOffset": end + 1})
 }
 
 func answer(w http.ResponseWriter, body any) {
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -374,7 +374,7 @@
 }
 
 // Leads reports whether the daemon holds the scope of placement.
-func (d *Daemon) Leads() bool { return strings.HasPrefix(d.world.Store.Holder("caraway"), d.name+"-") }
+func (d *Daemon) Leads() bool { return d.run.Leads() }
 
 // URL is where callers reach the daemon.
 func (d *Daemon) URL(path string) string { return "http://" + d.host.Addr(portCallers) + path }
