datastore: heads that have just refused are passed over; the leader tells what engines answer

Cause: a head that refuses everything has nothing in flight, so it is the cheapest choice of each request for as long as the news of what became of it are late. Repairs that the leader made meanwhile were known to it alone.

Ruled out: lagging counts of what is in flight: the refusals came at 0 to 3 requests in flight, not near the limit of 21.

Change: Refusals remembers who refused, by what it said: 2 s when the group is elsewhere, 1 s without a connection, 0.5 s when it has room, 0.1 s when full, doubled in a row, cleared by an answer or a new epoch; waived when nothing else is left. What an engine answers the leader about its place goes to the others as a bulletin.

Tests: TestHeadThatRefusesIsPassedOver (12 and 15 requests in 3 s before, at most 2 and 3 a daemon now), TestRepairsWithoutTheStore now asks every daemon (failed before), TestRefusals, TestAnswersThatAreNews.

--- /dev/null
+++ b/internal/datastore/refusals_test.go
@@ -0,0 +1,52 @@
+package datastore
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/routing"
+)
+
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		why  routing.Refusal
+		// passed is for how long the group is passed over after its first, second
+		// and tenth refusal in a row.
+		passed [3]time.Duration
+	}{
+		{"elsewhere", routing.Elsewhere, [3]time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second}},
+		{"unreachable", routing.Unreachable, [3]time.Duration{time.Second, 2 * time.Second, 4 * time.Second}},
+		{"closed", routing.Closed, [3]time.Duration{500 * time.Millisecond, time.Second, 4 * time.Second}},
+		{"full", routing.Full, [3]time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, now := NewRefusals(), time.Now()
+			refuse := func() time.Duration {
+				r.Refused("g", 1, test.why, now)
+				r.Refused("g", 1, test.why, now) // was under way beside it
+				passed := time.Duration(0)
+				for r.Refusing("g", 1, now) {
+					now = now.Add(10 * time.Millisecond)
+					passed += 10 * time.Millisecond
+				}
+				return passed
+			}
+			assert.Equal(t, refuse(), test.passed[0])
+			assert.Assert(t, !r.Refusing("other", 1, now) && !r.Refusing("g", 2, now))
+			assert.Equal(t, refuse(), test.passed[1])
+			for range 7 {
+				refuse()
+			}
+			assert.Equal(t, refuse(), test.passed[2])
+
+			r.Answered("g", 1)
+			assert.Equal(t, refuse(), test.passed[0], "an answer begins anew")
+			now = now.Add(keepRefusals + time.Second)
+			r.Refused("other", 1, test.why, now)
+			assert.Equal(t, len(r.groups), 1, "what is over is forgotten")
+		})
+	}
+}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -40,6 +40,9 @@
 	// Silent reports whether a group that takes requests seems to have
 	// stopped; nil for not knowing.
 	Silent func(id fleet.GroupID, now time.Time) bool
+	// Refusals tells which groups have just refused requests; nil for not
+	// knowing.
+	Refusals *Refusals
 	// Limit is how many requests a group may have, given how many it can run
 	// at once; nil for no limit.
 	Limit  func(c *routing.Candidate) uint32
@@ -182,6 +185,9 @@
 	if s.cfg.Silent != nil {
 		c.Silent = s.cfg.Silent(c.Group, now)
 	}
+	if s.cfg.Refusals != nil {
+		c.Refusing = s.cfg.Refusals.Refusing(c.Group, c.Epoch, now)
+	}
 	if s.cfg.Limit != nil {
 		c.Limit = s.cfg.Limit(c)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -188,25 +188,28 @@
 }
 
 // Answered takes in what a server said of itself when asked directly at a
-// moment. The list may show older news later; the newer of both counts.
-func (d *Directory) Answered(s Server, now time.Time) {
+// moment, and reports whether that changes what is known of it. The list may
+// show older news later; the newer of both counts.
+func (d *Directory) Answered(s Server, now time.Time) (news bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entries[s.Instance]
 	if e == nil || e.server.Incarnation > s.Incarnation {
-		return
+		return false
 	}
 	if e.server.Incarnation == s.Incarnation && s.Sequence < e.server.Sequence {
 		s.Place, s.Sequence = e.server.Place, e.server.Sequence
 	}
+	s.Address, s.Zone, s.Service, s.Slots = e.server.Address, e.server.Zone, e.server.Service, e.server.Slots
+	s.Leaving = s.Leaving || e.server.Leaving
 	if changed(&e.server, &s) || !e.failedAt.IsZero() {
 		d.version++
+		news = true
 	}
-	s.Address, s.Zone, s.Service, s.Slots = e.server.Address, e.server.Zone, e.server.Service, e.server.Slots
-	s.Leaving = s.Leaving || e.server.Leaving
 	e.server = s
 	e.answeredAt = now
 	e.failedAt = time.Time{}
+	return news
 }
 
 // Listing is a server with what is known of it besides.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -145,3 +145,19 @@
 	assert.Assert(t, d.Leaving("b"), "a server that is not listed gets nothing new")
 	assert.Assert(t, !d.Leaving("a"))
 }
+
+// Only what changes the views is news: answers come again and again.
+func TestAnswersThatAreNews(t *testing.T) {
+	d := newDirectory()
+	d.Announce(server("h", place(0, PlaceReady)), at(0))
+	answer := Server{Instance: "h", Incarnation: 1, Sequence: 1, Place: place(0, PlaceReady)} // without what only the list tells
+	assert.Assert(t, !d.Answered(answer, at(1)))
+	answer.Place, answer.Sequence = place(0, PlaceOpen), 2
+	assert.Assert(t, d.Answered(answer, at(2)))
+	assert.Assert(t, !d.Answered(answer, at(3)))
+	d.Fail("h", at(4))
+	assert.Assert(t, d.Answered(answer, at(5)), "it answers again")
+	answer.Place, answer.Sequence = nil, 1
+	assert.Assert(t, !d.Answered(answer, at(6)), "an older answer")
+	assert.Assert(t, !d.Answered(Server{Instance: "unknown"}, at(7)))
+}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -21,6 +21,8 @@
 	Knowledge Knowledge
 	Engines   backend.Engines
 	Plains    backend.Plains
+	// Refusals is told of refusals by groups; nil for nobody.
+	Refusals Refusals
 	// Opaques takes the requests of Forward, and Pulse tells which groups
 	// have stopped; nil for not following them.
 	Opaques backend.Opaques
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -188,9 +188,38 @@
 	}
 }
 
+// noteRefusal tells of a group that did not take an attempt.
+func (r *forwarding) noteRefusal(t target, cause error) {
+	if why := refusalOf(t, cause); why != 0 && r.d.cfg.Refusals != nil {
+		r.d.cfg.Refusals.Refused(t.Group, t.Epoch, why, time.Now())
+	}
+}
+
+// refusalOf is why a group did not take an attempt, zero when it did, or when
+// the attempt was given up here.
+func refusalOf(t target, cause error) routing.Refusal {
+	var refused *backend.RefusedError
+	switch {
+	case errors.Is(cause, errSilent), errors.Is(cause, errLapsed), errors.Is(cause, errCallerGone),
+		errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded):
+		return 0
+	case errors.Is(cause, backend.ErrNotSent):
+		return routing.Unreachable
+	case !errors.As(cause, &refused):
+		return 0
+	case refused.Status == http.StatusMisdirectedRequest:
+		return routing.Elsewhere
+	case routing.InFlight(&t.Candidate) < float64(t.MaxRunning):
+		return routing.Closed
+	default:
+		return routing.Full
+	}
+}
+
 // goOn decides whether another attempt follows, and returns the final failure
 // when not.
 func (r *forwarding) goOn(ctx context.Context, t target, cause error) *fleet.Failure {
+	r.noteRefusal(t, cause)
 	if !r.req.Repeatable && !unsent(cause) {
 		r.attempts.failed(t, cause)
 		r.d.metrics.uncertain.Inc(1)
@@ -234,6 +263,9 @@
 		return givenUp(ctx, err)
 	}
 	defer ans.Body.Close()
+	if r.d.cfg.Refusals != nil {
+		r.d.cfg.Refusals.Answered(t.Group, t.Epoch)
+	}
 	if r.req.Stream && ans.Status/100 == 2 {
 		return givenUp(ctx, r.passStream(ans, w))
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -107,6 +107,15 @@
 	Died(group fleet.GroupID, epoch fleet.Epoch, fabric fleet.FabricDomain, name fleet.ServiceName)
 }
 
+// Refusals learns which groups refuse requests, so that the next ones go
+// elsewhere.
+type Refusals interface {
+	// Refused tells that a group refused a request, and why.
+	Refused(group fleet.GroupID, epoch fleet.Epoch, why routing.Refusal, now time.Time)
+	// Answered tells that a group answers one.
+	Answered(group fleet.GroupID, epoch fleet.Epoch)
+}
+
 // Knowledge tells whether the daemon knows enough of the present to act.
 type Knowledge interface {
 	// Catalog returns the configuration in force, and a failure instead when
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,6 +81,7 @@
 	store     *datastore.Store
 	lapses    *datastore.Lapses
 	pulses    *datastore.Pulses
+	refusals  *datastore.Refusals
 	failures  *recent[fleet.InstanceID]
 	stalls    *recent[fleet.GroupID]
 
@@ -154,6 +155,7 @@
 		Metrics:     d.metrics,
 	})
 	d.pulses = datastore.NewPulses(d.foundStalled)
+	d.refusals = datastore.NewRefusals()
 	d.store = datastore.New(datastore.Config{
 		Groups:       d.directory.Groups,
 		Reports:      d.directory,
@@ -162,6 +164,7 @@
 		Leaving:      d.directory.Leaving,
 		PeerInFlight: d.peerInFlight,
 		Silent:       d.pulses.Silent,
+		Refusals:     d.refusals,
 		Limit:        limitOf,
 		Policy:       routing.DefaultPolicy(),
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -189,7 +192,7 @@
 		Planner:  placement.NewPlanner(planningPolicy),
 		Leases:   d.tenure,
 		Scope:    scopePlacement,
-		Servers:  d.directory,
+		Servers:  telling{d.directory, d},
 		Engines:  d.env.Platform.Engines,
 		Wanted:   d.wanted,
 		InFlight: d.inFlightEverywhere,
@@ -215,6 +218,7 @@
 		Knowledge:  knowledge{d},
 		Opaques:    d.env.Platform.Opaques,
 		Pulse:      pulse{d.pulses},
+		Refusals:   d.refusals,
 		Daemons:    d.daemons,
 		RetryRatio: d.set.RetryRatio,
 		RetryBurst: d.retryBurst,
@@ -310,6 +314,18 @@
 // Leads reports whether this daemon does the control work now.
 func (d *Daemon) Leads() bool { return d.conductor.Leads() }
 
+// Whole counts the groups of a service that this daemon would send requests to,
+// load aside.
+func (d *Daemon) Whole(name fleet.ServiceName) int {
+	n := 0
+	for _, c := range d.store.Candidates(name, time.Now()) {
+		if c.Whole && !c.Draining && !c.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // endpoint is one listener with its server.
 type endpoint struct {
 	name     string
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -148,10 +148,40 @@
 	}
 }
 
-// posted is a change of the list in a bulletin.
+// posted is a change of the list in a bulletin, or what an engine itself has
+// answered.
 type posted struct {
-	Server  *directory.Server `cbor:"1,keyasint,omitempty"`
-	Dropped bool              `cbor:"2,keyasint,omitempty"`
+	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
+	Dropped  bool              `cbor:"2,keyasint,omitempty"`
+	Answered bool              `cbor:"3,keyasint,omitempty"`
+}
+
+// telling is the directory of the daemon that leads: it tells the others what
+// engines have answered about their places, before the list does and while
+// that is away.
+type telling struct {
+	*directory.Directory
+	d *Daemon
+}
+
+// Answered implements placement.Servers.
+func (t telling) Answered(s directory.Server, now time.Time) {
+	if t.Directory.Answered(s, now) {
+		t.d.postAnswer(s)
+	}
+}
+
+// answerKey begins the keys of bulletins of answers; no id of a server has it.
+const answerKey = "answer/"
+
+func (d *Daemon) postAnswer(s directory.Server) {
+	body, err := cbor.Marshal(posted{Server: &s, Answered: true})
+	if err != nil {
+		d.events.Emit(eventBadRecord, "what", "bulletin", "key", s.Instance, "error", err)
+		return
+	}
+	version := uint64(time.Now().UnixNano())
+	d.mesh.Post([]membership.Bulletin{{Key: answerKey + string(s.Instance), Version: version, Body: body}})
 }
 
 // post tells all daemons of changes of the list.
@@ -185,6 +215,10 @@
 			d.events.Emit(eventBadRecord, "what", "bulletin", "key", b.Key, "error", err)
 			continue
 		}
+		if p.Answered {
+			d.directory.Answered(*p.Server, time.Now())
+			continue
+		}
 		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Dropped: p.Dropped}
 		if p.Server != nil {
 			item.Value = *p.Server
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -18,7 +18,7 @@
 
 // DefaultFilters returns the filters of DefaultPolicy, in order.
 func DefaultFilters() []Filter {
-	return []Filter{Service{}, Whole{}, Staying{}, Moving{}, Untried{}, Alone{}, Limit{}}
+	return []Filter{Service{}, Whole{}, Staying{}, Moving{}, Answering{}, Untried{}, Alone{}, Limit{}}
 }
 
 // Service keeps groups that serve what the request names: its service,
@@ -100,6 +100,24 @@
 	return true, ""
 }
 
+// Answering drops the groups that have just refused requests. It is waived when
+// nothing else is left.
+type Answering struct{}
+
+// Name implements Filter.
+func (Answering) Name() string { return "answering" }
+
+// Waivable implements Preference.
+func (Answering) Waivable() {}
+
+// Keep implements Filter.
+func (Answering) Keep(_ *Request, c *Candidate) (bool, string) {
+	if c.Refusing {
+		return false, "has just refused"
+	}
+	return true, ""
+}
+
 // Untried drops groups that earlier attempts failed on. It is a Preference:
 // a tried group is used again only when nothing else exists.
 type Untried struct{}
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -77,6 +77,18 @@
 	assert.Equal(t, len(d.Rejected), 3)
 }
 
+func TestRefusingGroupIsUsedOnlyWhenNothingElseExists(t *testing.T) {
+	candidates := whole(3)
+	candidates[0].Refusing, candidates[2].Refusing = true, true
+	for seed := range uint64(50) {
+		d := DefaultPolicy().Choose(Request{Service: model}, candidates, seeded(seed))
+		assert.Equal(t, d.Chosen.Group, fleet.GroupID("g1"))
+		assert.DeepEqual(t, d.Rejected[0], Rejected{Group: "g0", Filter: "answering", Reason: "has just refused"})
+	}
+	candidates[1].Refusing = true
+	assert.Assert(t, DefaultPolicy().Choose(Request{Service: model}, candidates, seeded(1)).Chosen != nil)
+}
+
 func TestAvoidedFabricIsLeftWhileAnotherExists(t *testing.T) {
 	candidates := whole(8)
 	req := Request{Service: model, AvoidFabric: []fleet.FabricDomain{"f0", "f1", "f2"}}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -27,6 +27,7 @@
 	Draining    bool
 	Leaving     bool // a member is leaving
 	Silent      bool // it seems to have stopped
+	Refusing    bool // it has just refused requests
 
 	// Load as the engine last reported it, ReportAge ago.
 	Running         uint32
@@ -88,6 +89,21 @@
 	return middle >= p.From && middle < p.To
 }
 
+// Refusal is why an attempt at a group came to nothing before it ran.
+type Refusal uint8
+
+// Reasons of refusals.
+const (
+	// Elsewhere: the instance says that it does not serve the group.
+	Elsewhere Refusal = iota + 1
+	// Unreachable: no connection to the instance came about.
+	Unreachable
+	// Closed: the group takes nothing although it has few requests.
+	Closed
+	// Full: the group has as many requests as it takes.
+	Full
+)
+
 // Scored is a candidate with its cost, lower is better.
 type Scored struct {
 	Candidate Candidate
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -54,6 +54,7 @@
 	// this time.
 	LateOrders time.Duration
 	active     int
+	arrivals   int // requests that came, taken or not
 	orders     int
 }
 
@@ -298,8 +299,15 @@
 	id := r.Header.Get("X-Carawayproxy-Attempt-Id")
 	w.Header().Set("X-Carawayproxy-Attempt-Id", id)
 	s.mu.Lock()
+	e.arrivals++
 	p := e.place
-	if p == nil || p.Rank != 0 || p.State != "open" || p.model != r.Header.Get("X-Carawayproxy-Model") || e.active >= Slots {
+	if p == nil || p.Rank != 0 {
+		s.mu.Unlock()
+		w.Header().Set("At-Server", e.addr)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if p.State != "open" || p.model != r.Header.Get("X-Carawayproxy-Model") || e.active >= Slots {
 		s.mu.Unlock()
 		w.Header().Set("X-Carawayproxy-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -230,6 +230,37 @@
 	})
 }
 
+// A head that refuses everything while the list can't tell of it has nothing in
+// flight and would be each request's first choice.
+func TestHeadThatRefusesIsPassedOver(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(e *Engine)
+		// most is how many requests each daemon may send it in three seconds.
+		most int
+	}{
+		{"elsewhere", func(e *Engine) { e.place = nil }, 2},
+		{"closed", func(e *Engine) { e.place.State = "closing" }, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(t *testing.T, w *World) {
+				w.Store.SetAway(true)
+				head := w.Member(ModelOfThree, 0)
+				w.Switch(func() {
+					test.change(head)
+					head.arrivals = 0
+				})
+				cut, refused := cutOrRefused(t, load(w, ModelOfThree, 3*time.Second))
+				assert.Equal(t, cut+refused, 0)
+				w.Switch(func() {
+					assert.Assert(t, head.arrivals <= test.most*len(w.Daemons), "%d requests to a head that refuses", head.arrivals)
+				})
+				w.Store.SetAway(false)
+			})
+		})
+	}
+}
+
 // While the store is away for everybody, the daemon that leads goes on: a group
 // that breaks is repaired.
 func TestRepairsWithoutTheStore(t *testing.T) {
@@ -243,6 +274,9 @@
 		time.Sleep(loadTime)
 		assert.Equal(t, w.Open(ModelOfThree), groups, "the group was not repaired")
 		assert.DeepEqual(t, leaders(w), first)
+		for _, d := range w.Daemons {
+			assert.Equal(t, d.run.Whole(ModelService(ModelOfThree)), groups, "%s does not know of the repair", d.name)
+		}
 		w.Store.SetAway(false)
 		time.Sleep(3 * time.Second)
 		assert.DeepEqual(t, leaders(w), first)
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"carawayproxy.example/caraway/internal/edge"
+	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/httpx"
+	"carawayproxy.example/caraway/internal/routes"
 	"carawayproxy.example/caraway/internal/settings"
 	"carawayproxy.example/caraway/platform"
 	"carawayproxy.example/caraway/standin/runs/network"
@@ -30,6 +32,9 @@
 	ModelOfThree  = "trio"
 )
 
+// ModelService is what requests for a model are routed to.
+func ModelService(model string) fleet.ServiceName { return routes.ModelService(EngineService, model) }
+
 // Ports on every host.
 const (
 	portStore, portServer                = "8000", "8001"
