directory: what an engine answers is newer or older by its moment, not by seq

Cause: the list's seq counts an engine's announcements, an answer's seq the orders it has accepted. The directory compared the two, found every answer to a question older than the list, and dropped its place. A trial on a scratch copy that printed answers showed list seq 25 beside answer seq 4, and that answers are as of 200 ms before (report_lag_ms).

Ruled out: that engines do not tell of groups when asked; that they do not join.

Change: neither count is decoded. An answer counts from the moment of which it is, a list entry from when it was read; within half a second of an answer, an entry that shows an earlier epoch or state is an older one. An accepted join is known at once. Bulletins of answers bear their age.

Tests: the stand-in now counts as the platform does and answers with its lag: TestRepairsWithoutTheStore failed, passes now.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,9 +39,14 @@
 
 // entry is one listed server.
 type entry struct {
-	server     Server
-	heardAt    time.Time // when its last announcement was read
-	answeredAt time.Time // when it last told of itself directly
+	server  Server
+	heardAt time.Time // when its last announcement was read
+	// placeAt is the moment of which the place is known, and answered is set
+	// when the server itself has told it and not the list.
+	placeAt  time.Time
+	answered bool
+	// lastEpoch is the highest epoch of the server's places since its start.
+	lastEpoch fleet.Epoch
 	// lapsedAt is when it left the list while the list was away or just back.
 	lapsedAt time.Time
 	// failedAt is when the server was found not to answer, zero while it does.
@@ -63,33 +68,32 @@
 		d.entries[s.Instance] = e
 	}
 	if e.outdates(&s, now) {
-		s.Place, s.Sequence = e.server.Place, e.server.Sequence
+		s.Place = e.server.Place
+	} else {
+		e.placeAt, e.answered = now, false
 	}
 	if e.heardAt.IsZero() || changed(&e.server, &s) || !e.lapsedAt.IsZero() || !e.failedAt.IsZero() {
 		d.version++
 	}
-	e.server = s
+	e.take(s)
 	e.heardAt = now
 	e.lapsedAt = time.Time{}
 	e.failedAt = time.Time{}
 }
 
-// listLag is how long the list may show an older state of a server than the
-// server itself has answered.
-const listLag = 1500 * time.Millisecond
+// listLag is how long the list may show an older place of a server than the
+// server itself has told: the time to write and to read an announcement.
+const listLag = 500 * time.Millisecond
 
 // outdates reports whether the place that the list tells is older than the one
-// that is known from the server itself: it knows of fewer orders, or of as many
-// and the server has answered just now. A broken place is always news.
+// that the server itself has told just now. An announcement bears no time, and
+// its sequence counts other things than an answer's, so that the order of places
+// tells: a place that comes before the known one was announced before it.
 func (e *entry) outdates(s *Server, now time.Time) bool {
-	switch {
-	case e.heardAt.IsZero() || e.server.Incarnation != s.Incarnation:
+	if e.heardAt.IsZero() || e.server.Incarnation != s.Incarnation || !e.answered || now.Sub(e.placeAt) >= listLag {
 		return false
-	case s.Sequence != e.server.Sequence:
-		return s.Sequence < e.server.Sequence
-	default:
-		return now.Sub(e.answeredAt) < listLag && (s.Place == nil || s.Place.State != PlaceBroken)
 	}
+	return s.Place.before(e.server.Place, e.lastEpoch)
 }
 
 // changed reports whether views made of a server are out of date.
@@ -187,18 +191,20 @@
 	}
 }
 
-// Answered takes in what a server said of itself when asked directly at a
-// moment, and reports whether that changes what is known of it. The list may
-// show older news later; the newer of both counts.
-func (d *Directory) Answered(s Server, now time.Time) (news bool) {
+// Answered takes in what a server said of itself directly, of which it was so at
+// a moment, and reports whether that changes what is known of it. What is known
+// of a later moment stays.
+func (d *Directory) Answered(s Server, moment time.Time) (news bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entries[s.Instance]
 	if e == nil || e.server.Incarnation > s.Incarnation {
 		return false
 	}
-	if e.server.Incarnation == s.Incarnation && s.Sequence < e.server.Sequence {
-		s.Place, s.Sequence = e.server.Place, e.server.Sequence
+	if e.server.Incarnation == s.Incarnation && moment.Before(e.placeAt) {
+		s.Place, s.Staged = e.server.Place, e.server.Staged
+	} else {
+		e.placeAt, e.answered = moment, true
 	}
 	s.Address, s.Zone, s.Service, s.Slots = e.server.Address, e.server.Zone, e.server.Service, e.server.Slots
 	s.Leaving = s.Leaving || e.server.Leaving
@@ -206,12 +212,22 @@
 		d.version++
 		news = true
 	}
-	e.server = s
-	e.answeredAt = now
+	e.take(s)
 	e.failedAt = time.Time{}
 	return news
 }
 
+// take makes a server's word the known one.
+func (e *entry) take(s Server) {
+	if e.server.Incarnation != s.Incarnation {
+		e.lastEpoch = 0
+	}
+	if s.Place != nil {
+		e.lastEpoch = max(e.lastEpoch, s.Place.Epoch)
+	}
+	e.server = s
+}
+
 // Listing is a server with what is known of it besides.
 type Listing struct {
 	Server
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -24,7 +24,7 @@
 }
 
 func server(id fleet.InstanceID, p *Place) Server {
-	return Server{Instance: id, Service: "engines", Address: "10.0.0.1:1", Zone: "a", Fabric: "d0", Slots: 8, Incarnation: 1, Sequence: 1, Place: p}
+	return Server{Instance: id, Service: "engines", Address: "10.0.0.1:1", Zone: "a", Fabric: "d0", Slots: 8, Incarnation: 1, Place: p}
 }
 
 func place(rank fleet.Rank, state PlaceState) *Place {
@@ -73,37 +73,56 @@
 	}
 }
 
-// The list lags behind what an engine itself answers.
+// The list lags behind what an engine itself tells, and an engine's answers are
+// as of a moment that has passed.
 func TestNewerNewsCounts(t *testing.T) {
+	later := func(epoch fleet.Epoch, state PlaceState) *Place {
+		return &Place{Group: "duo.1.1", Epoch: epoch, State: state}
+	}
 	for _, test := range []struct {
-		name   string
-		listed Server
-		after  time.Duration
-		state  PlaceState
+		name     string
+		answered *Place // as of the first second
+		listed   *Place
+		after    time.Duration // from then until the list was read
+		want     *Place
 	}{
-		{"an older order", Server{Incarnation: 1, Sequence: 4, Place: place(0, PlaceJoining)}, 5 * time.Second, PlaceReady},
-		{"the same order, at once", Server{Incarnation: 1, Sequence: 5, Place: place(0, PlaceJoining)}, time.Second, PlaceReady},
-		{"the same order, later", Server{Incarnation: 1, Sequence: 5, Place: place(0, PlaceOpen)}, 2 * time.Second, PlaceOpen},
-		{"a broken head, at once", Server{Incarnation: 1, Sequence: 5, Place: place(0, PlaceBroken)}, time.Second, PlaceBroken},
-		{"a newer order", Server{Incarnation: 1, Sequence: 6, Place: place(0, PlaceOpen)}, 0, PlaceOpen},
-		{"a new start", Server{Incarnation: 2, Sequence: 0, Place: nil}, 0, ""},
+		{"an older state, at once", place(0, PlaceReady), place(0, PlaceJoining), 100 * time.Millisecond, place(0, PlaceReady)},
+		{"an older state, later", place(0, PlaceOpen), place(0, PlaceReady), time.Second, place(0, PlaceReady)},
+		{"a later state, at once", place(0, PlaceReady), place(0, PlaceOpen), 0, place(0, PlaceOpen)},
+		{"a broken head, at once", place(0, PlaceReady), place(0, PlaceBroken), 0, place(0, PlaceBroken)},
+		{"an earlier epoch", place(0, PlaceJoining), later(6, PlaceOpen), 100 * time.Millisecond, place(0, PlaceJoining)},
+		{"a later epoch", place(0, PlaceOpen), later(8, PlaceJoining), 0, later(8, PlaceJoining)},
+		{"left, at once", nil, place(0, PlaceOpen), 100 * time.Millisecond, nil},
+		{"left, and joined again", nil, later(8, PlaceJoining), 100 * time.Millisecond, later(8, PlaceJoining)},
+		{"none before it joined", place(0, PlaceJoining), nil, 100 * time.Millisecond, place(0, PlaceJoining)},
+		{"none after it was open", place(0, PlaceOpen), nil, 100 * time.Millisecond, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDirectory()
-			d.Announce(server("h", nil), at(0))
-			answered := server("h", place(0, PlaceReady))
-			answered.Sequence = 5
-			d.Answered(answered, at(time.Second))
-			listed := server("h", test.listed.Place)
-			listed.Incarnation, listed.Sequence = test.listed.Incarnation, test.listed.Sequence
-			d.Announce(listed, at(time.Second+test.after))
-			var state PlaceState
-			if p := d.Servers()["h"].Place; p != nil {
-				state = p.State
-			}
-			assert.Equal(t, state, test.state)
+			d.Announce(server("h", place(0, PlaceJoining)), at(0))
+			d.Answered(server("h", test.answered), at(time.Second))
+			d.Announce(server("h", test.listed), at(time.Second+test.after))
+			assert.DeepEqual(t, d.Servers()["h"].Place, test.want)
 		})
 	}
+	t.Run("a new start", func(t *testing.T) {
+		d := newDirectory()
+		d.Answered(server("h", place(0, PlaceReady)), at(time.Second))
+		started := server("h", nil)
+		started.Incarnation = 2
+		d.Announce(started, at(time.Second))
+		assert.Assert(t, d.Servers()["h"].Place == nil)
+	})
+	t.Run("an answer as of before the list's word", func(t *testing.T) {
+		d := newDirectory()
+		d.Announce(server("h", place(0, PlaceOpen)), at(time.Second))
+		d.Answered(server("h", place(0, PlaceReady)), at(900*time.Millisecond))
+		assert.DeepEqual(t, d.Servers()["h"].Place, place(0, PlaceOpen))
+		d.Answered(server("h", place(0, PlaceClosing)), at(1100*time.Millisecond))
+		assert.DeepEqual(t, d.Servers()["h"].Place, place(0, PlaceClosing))
+		d.Answered(server("h", place(0, PlaceOpen)), at(1050*time.Millisecond))
+		assert.DeepEqual(t, d.Servers()["h"].Place, place(0, PlaceClosing)) // answers may overtake each other
+	})
 }
 
 func TestServersThatLapseWhileTheListIsAway(t *testing.T) {
@@ -150,14 +169,14 @@
 func TestAnswersThatAreNews(t *testing.T) {
 	d := newDirectory()
 	d.Announce(server("h", place(0, PlaceReady)), at(0))
-	answer := Server{Instance: "h", Incarnation: 1, Sequence: 1, Place: place(0, PlaceReady)} // without what only the list tells
+	answer := Server{Instance: "h", Incarnation: 1, Place: place(0, PlaceReady)} // without what only the list tells
 	assert.Assert(t, !d.Answered(answer, at(1)))
-	answer.Place, answer.Sequence = place(0, PlaceOpen), 2
+	answer.Place = place(0, PlaceOpen)
 	assert.Assert(t, d.Answered(answer, at(2)))
 	assert.Assert(t, !d.Answered(answer, at(3)))
 	d.Fail("h", at(4))
 	assert.Assert(t, d.Answered(answer, at(5)), "it answers again")
-	answer.Place, answer.Sequence = nil, 1
-	assert.Assert(t, !d.Answered(answer, at(6)), "an older answer")
+	answer.Place = nil
+	assert.Assert(t, !d.Answered(answer, at(4)), "an older answer")
 	assert.Assert(t, !d.Answered(Server{Instance: "unknown"}, at(7)))
 }
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -4,11 +4,7 @@
 // groups.
 package directory
 
-import (
-	"time"
-
-	"carawayproxy.example/caraway/internal/fleet"
-)
+import "carawayproxy.example/caraway/internal/fleet"
 
 // PlaceState is how far an engine is with its place in a group.
 type PlaceState string
@@ -31,6 +27,27 @@
 	State PlaceState
 }
 
+// stages orders the states of a place in one epoch. A closed head is ready again.
+var stages = map[PlaceState]int{PlaceJoining: 1, PlaceReady: 2, PlaceOpen: 3, PlaceClosing: 4, PlaceBroken: 5}
+
+// before reports whether a server had one place before another one that is
+// known: nil is none. Epochs never fall at a server, and lastEpoch is the highest
+// of its places so far.
+func (p *Place) before(known *Place, lastEpoch fleet.Epoch) bool {
+	switch {
+	case p == nil && known == nil:
+		return false
+	case p == nil:
+		return known.State == PlaceJoining
+	case known == nil:
+		return p.Epoch <= lastEpoch
+	case p.Epoch != known.Epoch:
+		return p.Epoch < known.Epoch
+	default:
+		return stages[p.State] < stages[known.State]
+	}
+}
+
 // Server is what one backend server says of itself. It is immutable.
 type Server struct {
 	Instance fleet.InstanceID
@@ -43,8 +60,6 @@
 	// Incarnation grows with each start of the server: the Unix millisecond
 	// of it.
 	Incarnation uint64
-	// Sequence counts the orders that the server has accepted since its start.
-	Sequence uint64
 	// Staged lists the models whose weights are on the instance's host.
 	Staged []string
 	Place  *Place // nil outside a group
@@ -56,6 +71,4 @@
 	Running, Queued uint32
 	// Pace is how many times slower than usual the engine works.
 	Pace float64
-	// Age is how old the figures are at least.
-	Age time.Duration
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -154,6 +154,8 @@
 	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
 	Dropped  bool              `cbor:"2,keyasint,omitempty"`
 	Answered bool              `cbor:"3,keyasint,omitempty"`
+	// AgeMilli is how long before it was posted an answer was so.
+	AgeMilli uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // telling is the directory of the daemon that leads: it tells the others what
@@ -165,17 +167,17 @@
 }
 
 // Answered implements placement.Servers.
-func (t telling) Answered(s directory.Server, now time.Time) {
-	if t.Directory.Answered(s, now) {
-		t.d.postAnswer(s)
+func (t telling) Answered(s directory.Server, moment time.Time) {
+	if t.Directory.Answered(s, moment) {
+		t.d.postAnswer(s, moment)
 	}
 }
 
 // answerKey begins the keys of bulletins of answers; no id of a server has it.
 const answerKey = "answer/"
 
-func (d *Daemon) postAnswer(s directory.Server) {
-	body, err := cbor.Marshal(posted{Server: &s, Answered: true})
+func (d *Daemon) postAnswer(s directory.Server, moment time.Time) {
+	body, err := cbor.Marshal(posted{Server: &s, Answered: true, AgeMilli: uint64(max(time.Since(moment), 0).Milliseconds())})
 	if err != nil {
 		d.events.Emit(eventBadRecord, "what", "bulletin", "key", s.Instance, "error", err)
 		return
@@ -216,7 +218,7 @@
 			continue
 		}
 		if p.Answered {
-			d.directory.Answered(*p.Server, time.Now())
+			d.directory.Answered(*p.Server, time.Now().Add(-time.Duration(p.AgeMilli)*time.Millisecond))
 			continue
 		}
 		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Dropped: p.Dropped}
--- a/internal/edge/wanted.go
+++ b/internal/edge/wanted.go
@@ -155,15 +155,25 @@
 
 // openTime is how long the slowest engines take to open a group.
 func (d *Daemon) openTime() time.Duration {
-	var slowest time.Duration
+	return d.longest(func(e *routes.Engine) time.Duration { return e.OpenTime })
+}
+
+// reportLag is how old the answers of engines about themselves may be.
+func (d *Daemon) reportLag() time.Duration {
+	return d.longest(func(e *routes.Engine) time.Duration { return e.ReportLag })
+}
+
+// longest is the longest of a time over the document's engines.
+func (d *Daemon) longest(of func(e *routes.Engine) time.Duration) time.Duration {
+	var most time.Duration
 	if t := d.routes.Table(); t != nil {
 		for i := range t.Document.Services {
 			if e := t.Document.Services[i].Engine; e != nil {
-				slowest = max(slowest, e.OpenTime)
+				most = max(most, of(e))
 			}
 		}
 	}
-	return slowest
+	return most
 }
 
 // spareOf is how many of its groups a model can do without, none before its
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -26,7 +26,8 @@
 type Servers interface {
 	Servers() map[fleet.InstanceID]directory.Listing
 	Groups() *group.View
-	Answered(s directory.Server, now time.Time)
+	// Answered takes in what an engine told of itself as of a moment.
+	Answered(s directory.Server, moment time.Time)
 	Fail(id fleet.InstanceID, now time.Time)
 }
 
@@ -48,6 +49,8 @@
 	// Staged how long for a model that is staged on its host.
 	Rejoin time.Duration
 	Staged func(model string) time.Duration
+	// ReportLag is how old an engine's answer to a question is.
+	ReportLag func() time.Duration
 	// Open is the time from an order to open until a group serves.
 	Open func() time.Duration
 	// Loads is what the weight store allows. It does not bind while Idle.
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,8 +148,12 @@
 	case backend.OrderLeave:
 		t.places.left(s.Instance, key)
 		s.Place = nil
-		p.c.cfg.Servers.Answered(s, now)
+		p.c.cfg.Servers.Answered(s, d.at)
 	case backend.OrderJoin:
+		if rank := slices.Index(d.order.Members, s.Instance); rank >= 0 {
+			s.Place = &directory.Place{Group: d.order.Group, Epoch: d.order.Epoch, Rank: fleet.Rank(rank), State: directory.PlaceJoining}
+			p.c.cfg.Servers.Answered(s, d.at)
+		}
 		wait := p.c.near(t, directory.Listing{Server: d.server})[d.order.Model]
 		p.awaitState(s.Instance, directory.PlaceReady, now, wait)
 	case backend.OrderOpen:
@@ -187,7 +192,7 @@
 		return
 	}
 	a.failures = 0
-	p.c.cfg.Servers.Answered(status.Server, now)
+	p.c.cfg.Servers.Answered(status.Server, began.Add(-p.c.cfg.ReportLag()))
 	awaited := a.await == "" || status.Place != nil && status.Place.State == a.await || now.After(a.until)
 	if awaited {
 		delete(p.asks, l.Instance)
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -92,6 +92,8 @@
 	LoadsAtOnce    int
 	// OpenTime is the time from the order to open a replica until it serves.
 	OpenTime time.Duration
+	// ReportLag is how old an engine's answers about itself are.
+	ReportLag time.Duration
 	// RejoinTime is how long an instance takes to join a replica of the model
 	// that it ran last.
 	RejoinTime time.Duration
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -19,6 +19,8 @@
 	// StallTime is how long a head that lacks a member stands still before it
 	// is broken.
 	StallTime = 5 * time.Second
+	// reportLag is how old an engine's answer to a question is.
+	reportLag = 200 * time.Millisecond
 	// EventTime is the time between two events of a stream.
 	EventTime = 50 * time.Millisecond
 )
@@ -53,11 +55,19 @@
 	// LateOrders leaves the next orders unanswered and carries them out after
 	// this time.
 	LateOrders time.Duration
+	announced  int      // how often it has written to the list
+	past       []moment // what it would have said of itself, oldest first
 	active     int
 	arrivals   int // requests that came, taken or not
 	orders     int
 }
 
+// moment is what an engine said of itself from a time on.
+type moment struct {
+	at   time.Time
+	said map[string]any
+}
+
 // site is what engines share: who is where, and what was done wrong.
 type site struct {
 	mu         sync.Mutex
@@ -103,11 +113,12 @@
 	})
 }
 
-// say is what the engine says of itself. Called with the site's lock.
-func (e *Engine) say() map[string]any {
+// say is what the engine says of itself; seq is a count of its orders or of its
+// words in the list. Called with the site's lock.
+func (e *Engine) say(seq uint64) map[string]any {
 	out := map[string]any{
 		"service": EngineService, "addr": e.addr, "zone": "a", "version": "v1", "slots": Slots, "state": "ready",
-		"coldLeftMs": 0, "seq": e.seq, "born": e.born, "domain": e.domain, "staged": e.staged, "active": e.active, "pace": 1.0,
+		"coldLeftMs": 0, "seq": seq, "born": e.born, "domain": e.domain, "staged": e.staged, "active": e.active, "pace": 1.0,
 	}
 	if e.place != nil {
 		out["group"] = *e.place
@@ -118,8 +129,10 @@
 func (e *Engine) announce() {
 	s := e.world.site
 	s.mu.Lock()
-	body, err := json.Marshal(e.say())
+	e.announced++
+	body, err := json.Marshal(e.say(uint64(10 * e.announced))) // heartbeats between changes count
 	dead := e.dead
+	e.past = append(e.past, moment{time.Now(), e.say(e.seq)})
 	s.mu.Unlock()
 	if err != nil {
 		panic(err)
@@ -133,7 +146,10 @@
 	s := e.world.site
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer(w, e.say())
+	for len(e.past) > 1 && time.Since(e.past[1].at) >= reportLag {
+		e.past = e.past[1:]
+	}
+	answer(w, e.past[0].said)
 }
 
 // order is an order's body.
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -312,7 +312,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": EngineService, "healthPath": "/healthz", "maxConns": 200, "engine": map[string]any{
-				"slots": Slots, "step_ms": 8.0, "per_seq_ms": 0.1, "read_per_s": 45000.0, "formMs": 300.0, "loadsPerS": 5.0, "loads_at_once": 7,
+				"slots": Slots, "step_ms": 8.0, "per_seq_ms": 0.1, "read_per_s": 45000.0, "formMs": 300.0, "loadsPerS": 5.0, "loads_at_once": 7, "report_lag_ms": 200.0,
 				"models": []any{model(ModelOfThree, 3), model(ModelOfTwo, 2)},
 			}},
 			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConns": 100},
