membership: a bulletin bears its age

Cause: a link that comes later is told all bulletins of the last 30 s, and took an engine's answer of 16 s before for one of 0.2 s.

Ruled out: the order of news within one daemon; late orders.

Change: the age at each daemon is added and told; an answer and a relayed entry count from when they were read. Versions of answers are term and count.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,6 +99,7 @@
 	// vouchedAt is when the peers last told that it answers none of them.
 	peersThen, vouchedAt atomic.Int64
 	seen                 seenPositions
+	answers              atomic.Uint64 // of engines that this daemon has posted
 	demand               demand
 	places               placeBook
 	draining             atomic.Bool
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -136,7 +136,7 @@
 			d.events.Emit(eventUnlisted, "instance", item.Key)
 			d.directory.Withdraw(fleet.InstanceID(item.Key), now)
 		default:
-			d.directory.Announce(item.Value, now)
+			d.directory.Announce(item.Value, now.Add(-item.Age))
 		}
 	}
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -176,13 +176,18 @@
 // answerKey begins the keys of bulletins of answers; no id of a server has it.
 const answerKey = "answer/"
 
+// answersPerTerm leaves room for the versions of one holder's answers below those
+// of the next.
+const answersPerTerm = 1 << 24
+
 func (d *Daemon) postAnswer(s directory.Server, moment time.Time) {
 	body, err := cbor.Marshal(posted{Server: &s, Answered: true, AgeMilli: uint64(max(time.Since(moment), 0).Milliseconds())})
 	if err != nil {
 		d.events.Emit(eventBadRecord, "what", "bulletin", "key", s.Instance, "error", err)
 		return
 	}
-	version := uint64(time.Now().UnixNano())
+	hold, _ := d.tenure.Held(scopePlacement)
+	version := uint64(hold.Term)*answersPerTerm + d.answers.Add(1)
 	d.mesh.Post([]membership.Bulletin{{Key: answerKey + string(s.Instance), Version: version, Body: body}})
 }
 
@@ -218,10 +223,10 @@
 			continue
 		}
 		if p.Answered {
-			d.directory.Answered(*p.Server, time.Now().Add(-time.Duration(p.AgeMilli)*time.Millisecond))
+			d.directory.Answered(*p.Server, time.Now().Add(-b.Age()-time.Duration(p.AgeMilli)*time.Millisecond))
 			continue
 		}
-		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Dropped: p.Dropped}
+		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Dropped: p.Dropped, Age: b.Age()}
 		if p.Server != nil {
 			item.Value = *p.Server
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,6 +20,8 @@
 	// Position is that of the change in the source.
 	Position uint64
 	Dropped  bool
+	// Age is how long ago it was read, where another daemon has read it.
+	Age time.Duration
 	// Err says why the value can't be read; Value is zero then.
 	Err error
 }
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -112,7 +112,7 @@
 		}
 		fresh = append(fresh, n)
 		if old != nil || len(b.bulletins) < maxNews {
-			item := b.item(now, from)
+			item := b.item(now.Add(-n.Age()), from)
 			item.bulletin = &n
 			b.bulletins[n.Key] = item
 		}
@@ -164,7 +164,9 @@
 	for _, item := range b.bulletins {
 		own := item.from == ""
 		if item.number > last && item.from != to && (own || b.passesOn) {
-			n.Bulletins = append(n.Bulletins, *item.bulletin)
+			told := *item.bulletin
+			told.AgeMilli = milli(now.Sub(item.at))
+			n.Bulletins = append(n.Bulletins, told)
 		}
 	}
 	if len(n.Leaving)+len(n.Sightings)+len(n.Bulletins) == 0 {
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -145,6 +145,20 @@
 	assert.Equal(t, len(r.Daemons()), maxHellos)
 }
 
+// A link that comes later gets what was posted before, with its age.
+func TestBulletinsBearTheirAge(t *testing.T) {
+	author, passer := newNewsboard(true), newNewsboard(true)
+	author.takeBulletins(epoch, "", []Bulletin{{Key: "x", Version: 1}})
+	told := author.after(epoch.Add(3*time.Second), 0, "p1")
+	assert.Equal(t, told.Bulletins[0].Age(), 3*time.Second)
+	fresh := passer.takeBulletins(epoch.Add(4*time.Second), "p0", told.Bulletins)
+	assert.Equal(t, fresh[0].Age(), 3*time.Second)
+	told = passer.after(epoch.Add(6*time.Second), 0, "p2")
+	assert.Equal(t, told.Bulletins[0].Age(), 5*time.Second, "the time at each daemon counts")
+	passer.expire(epoch.Add(newsFor + 2*time.Second))
+	assert.Equal(t, len(passer.bulletins), 0, "it is passed on for as long as its author passes it on")
+}
+
 // Bulletins cross each link once, the newest of a key counts, and peers' ones
 // are passed on only where not every daemon is linked to every other.
 func TestBulletins(t *testing.T) {
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -66,8 +66,14 @@
 	Key     string `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint"`
 	Body    []byte `cbor:"3,keyasint"`
+	// AgeMilli is for how long it has been known when it is sent or heard: a
+	// link that comes later gets what was posted before.
+	AgeMilli uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Age is AgeMilli as a duration.
+func (b Bulletin) Age() time.Duration { return duration(b.AgeMilli) }
+
 // Echo tells the receiver of a heartbeat which of its own heartbeats the
 // sender heard last on the same link. It bounds from below when the heartbeat
 // was sent, however long it lay in a buffer, and it shows that the sender
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -178,6 +178,36 @@
 	})
 }
 
+// A daemon that is started again and takes over knows the engines' places as they
+// are, whatever older news its peers still pass on.
+func TestRestartedDaemonTakesOver(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		groups := w.Open(ModelOfThree) + w.Open(ModelOfTwo)
+		var leader, restarted *Daemon
+		for _, d := range w.Daemons {
+			if d.Leads() {
+				leader = d
+			} else {
+				restarted = d
+			}
+		}
+		restarted.Kill()
+		time.Sleep(time.Second)
+		assert.NilError(t, restarted.Start(false))
+		time.Sleep(time.Second)
+		assert.Equal(t, restarted.run.Whole(ModelService(ModelOfThree))+restarted.run.Whole(ModelService(ModelOfTwo)), groups)
+		leader.Kill()
+		for _, d := range w.Daemons {
+			if d != leader && d != restarted {
+				d.Kill()
+			}
+		}
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, restarted.Leads())
+		assert.Equal(t, w.Open(ModelOfThree)+w.Open(ModelOfTwo), groups)
+	})
+}
+
 func live(w *World, dead *Daemon) *Daemon {
 	for _, d := range w.Daemons {
 		if d != dead {
