placement: a new holder asks the engines that have a place before it acts

Cause: what a new holder knows of places is from the list, which tells nothing of engines that are cut from the store, and late of others. Its peers pass an answer on for 30 s only.

--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -190,6 +190,7 @@
 	}
 	if c.tenure == nil || c.tenure.term != hold.Term {
 		c.enter(hold.Term, now)
+		c.prober.askAll(c.cfg.Servers.Servers(), now)
 	}
 	t := c.tenure
 	if !t.leftAt.IsZero() {
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -74,6 +74,19 @@
 	p.request(id, time.Now())
 }
 
+// askAll has every engine asked that has a place: a new holder may know it from
+// the list alone, which tells late and not at all of an engine that is cut from
+// the store.
+func (p *prober) askAll(servers map[fleet.InstanceID]directory.Listing, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range servers {
+		if l.Place != nil {
+			p.request(id, now)
+		}
+	}
+}
+
 func (p *prober) request(id fleet.InstanceID, due time.Time) *probe {
 	a := p.asks[id]
 	if a == nil {
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -55,6 +55,7 @@
 	// LateOrders leaves the next orders unanswered and carries them out after
 	// this time.
 	LateOrders time.Duration
+	unheard    bool     // its words do not reach the list
 	announced  int      // how often it has written to the list
 	past       []moment // what it would have said of itself, oldest first
 	active     int
@@ -131,7 +132,7 @@
 	s.mu.Lock()
 	e.announced++
 	body, err := json.Marshal(e.say(uint64(10 * e.announced))) // heartbeats between changes count
-	dead := e.dead
+	dead := e.dead || e.unheard
 	e.past = append(e.past, moment{time.Now(), e.say(e.seq)})
 	s.mu.Unlock()
 	if err != nil {
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -208,6 +208,49 @@
 	})
 }
 
+// Engines that are cut from the store have other places than the list shows. A
+// new holder asks them before it acts.
+func TestTakeoverWithAStaleList(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		groups := w.Open(ModelOfThree) + w.Open(ModelOfTwo)
+		head := w.Member(ModelOfThree, 0)
+		var member *Engine
+		w.Switch(func() {
+			for _, id := range head.place.members {
+				w.site.engines[id].unheard = true
+			}
+			member = w.site.engines[head.place.members[1]]
+		})
+		w.Darken(member)
+		cutOrRefused(t, load(w, ModelOfThree, 3*time.Second))
+		time.Sleep(loadTime + 5*time.Second)
+		assert.Equal(t, w.Open(ModelOfThree)+w.Open(ModelOfTwo), groups)
+		time.Sleep(30 * time.Second) // nobody passes the news on any more
+
+		var leader, restarted *Daemon
+		for _, d := range w.Daemons {
+			if d.Leads() {
+				leader = d
+			} else {
+				restarted = d
+			}
+		}
+		restarted.Kill()
+		time.Sleep(time.Second)
+		assert.NilError(t, restarted.Start(false))
+		time.Sleep(time.Second)
+		leader.Kill()
+		for _, d := range w.Daemons {
+			if d != leader && d != restarted {
+				d.Kill()
+			}
+		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, restarted.Leads())
+		assert.Equal(t, restarted.run.Whole(ModelService(ModelOfThree))+restarted.run.Whole(ModelService(ModelOfTwo)), groups)
+	})
+}
+
 func live(w *World, dead *Daemon) *Daemon {
 	for _, d := range w.Daemons {
 		if d != dead {
