membership: counts in flight are told between heartbeats

Cause: a daemon knows its peers' requests at a group as of their last heartbeat, up to 0.6 s ago.

Change: a message of the changed counts alone, within 100 ms of a change, on links whose groups have their numbers; a view that has them at once.

Test: TestLoadsAreToldBetweenHeartbeats.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,6 +151,7 @@
 		OnSilent:    d.heardSilent,
 		OnStalled:   d.heardStalled,
 		OnBulletins: d.heardBulletins,
+		Loads:       func() map[fleet.GroupID]uint32 { return d.store.InFlight() },
 		Policy:      linkPolicies[d.set.PeerLinks],
 		Events:      d.events,
 		Metrics:     d.metrics,
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -17,6 +17,9 @@
 		if n%ticksPerBeat == 0 || m.hurried.Load() {
 			m.beat()
 		}
+		if m.cfg.Loads != nil {
+			m.sendLoads()
+		}
 		m.tick(n%ticksPerBeat == 0)
 		select {
 		case <-tick.C:
@@ -50,6 +53,18 @@
 	}
 }
 
+// sendLoads tells each peer which counts have changed.
+func (m *Mesh) sendLoads() {
+	loads := m.cfg.Loads()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if err := l.sendLoad(loads); err != nil {
+			l.cancel(err)
+		}
+	}
+}
+
 // tick passes news on and renews the view.
 func (m *Mesh) tick(full bool) {
 	m.mu.Lock()
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"testing"
@@ -225,6 +226,11 @@
 		OnReports: func(r []fleet.Report) {
 			m.set(func(m *member) { m.reports = append(m.reports, r...) })
 		},
+		Loads: func() map[fleet.GroupID]uint32 {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return maps.Clone(m.heartbeat.InFlight)
+		},
 		OnSilent: func(ids []fleet.InstanceID) {
 			m.set(func(m *member) { m.silent = append(m.silent, ids...) })
 		},
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -66,6 +66,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Replicas are the streams to relay.
 	Replicas map[journal.Stream]Relay
+	// Loads counts the own requests on each group, as heartbeats do. Changes are
+	// told within a fifth of a beat; nil for with heartbeats only.
+	Loads func() map[fleet.GroupID]uint32
 	// OnSightings and OnLeaving receive each item once; nil for none. They
 	// must not block.
 	OnSightings func([]suspect.Sighting)
--- a/internal/membership/dictionary.go
+++ b/internal/membership/dictionary.go
@@ -82,9 +82,6 @@
 	if len(*n)+len(b.Names) > maxNames {
 		return nil, nil, errManyNames
 	}
-	if len(b.InFlight)%2 != 0 {
-		return nil, nil, errUnpairedLoad
-	}
 	*n = append(*n, b.Names...)
 	streams := make(map[journal.Stream]StreamPosition, len(b.Streams))
 	for _, p := range b.Streams {
@@ -95,12 +92,20 @@
 		streams[journal.Stream(name)] = StreamPosition{Next: p.Next, ConfirmedAgeMilli: p.AgeMilli}
 	}
 	inFlight := make(map[fleet.GroupID]uint32, len(b.InFlight)/2)
-	for i := 0; i < len(b.InFlight); i += 2 {
-		name, err := n.get(b.InFlight[i])
+	return streams, inFlight, n.unpackLoad(b.InFlight, inFlight)
+}
+
+// unpackLoad reads pairs of a group's number and its count.
+func (n names) unpackLoad(pairs []uint32, into map[fleet.GroupID]uint32) error {
+	if len(pairs)%2 != 0 {
+		return errUnpairedLoad
+	}
+	for i := 0; i < len(pairs); i += 2 {
+		name, err := n.get(pairs[i])
 		if err != nil {
-			return nil, nil, err
+			return err
 		}
-		inFlight[fleet.GroupID(name)] = b.InFlight[i+1]
+		into[fleet.GroupID(name)] = pairs[i+1]
 	}
-	return streams, inFlight, nil
+	return nil
 }
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -21,6 +21,8 @@
 	switch b := body.(type) {
 	case *beatMessage:
 		return m.handleBeat(l, b)
+	case *loadMessage:
+		return m.handleLoad(l, b)
 	case *newsMessage:
 		m.handleNews(l, b)
 	case *goodbyeMessage:
@@ -55,6 +57,9 @@
 	taken := m.table.observe(now, h, shown)
 	p := m.table.peers[h.From]
 	m.dirty = true
+	if m.cfg.Loads != nil {
+		m.publish(now) // counts that are told at once count at once
+	}
 	m.mu.Unlock()
 	if taken {
 		m.confirm(p)
@@ -63,6 +68,20 @@
 	return nil
 }
 
+// handleLoad takes in counts that a peer tells between two heartbeats.
+func (m *Mesh) handleLoad(l *link, b *loadMessage) error {
+	changes := make(map[fleet.GroupID]uint32, len(b.InFlight)/2)
+	if err := l.names.unpackLoad(b.InFlight, changes); err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.load(l.peer.From, changes)
+	m.publish(time.Now())
+	return nil
+}
+
 // handleReports hands on what a heartbeat tells of backend servers.
 func (m *Mesh) handleReports(l *link, b *beatMessage, sentAt time.Time) error {
 	reports, err := l.names.unpackReports(b, sentAt, l.reportsHeard)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -42,6 +42,7 @@
 	reportsHeard map[uint32]fleet.Report
 	silentSent   map[fleet.InstanceID]bool
 	stalledSent  map[fleet.GroupID]bool
+	loadSent     map[fleet.GroupID]uint32
 }
 
 // errCongested ends a link whose peer does not read.
@@ -62,6 +63,7 @@
 		reportsSent:  map[fleet.InstanceID]fleet.Report{},
 		silentSent:   map[fleet.InstanceID]bool{},
 		stalledSent:  map[fleet.GroupID]bool{},
+		loadSent:     map[fleet.GroupID]uint32{},
 		reportsHeard: map[uint32]fleet.Report{},
 	}
 }
@@ -77,6 +79,34 @@
 	}
 }
 
+// sendLoad queues the counts that have changed since the last message, if any.
+// Groups without a number yet wait for the next heartbeat.
+func (l *link) sendLoad(inFlight map[fleet.GroupID]uint32) error {
+	var b loadMessage
+	for group, count := range inFlight {
+		if i, known := l.numbering.numbers[string(group)]; known && l.loadSent[group] != count {
+			b.InFlight = append(b.InFlight, i, count)
+		}
+	}
+	for group, count := range l.loadSent {
+		if _, still := inFlight[group]; !still && count > 0 {
+			b.InFlight = append(b.InFlight, l.numbering.numbers[string(group)], 0)
+		}
+	}
+	if len(b.InFlight) == 0 {
+		return nil
+	}
+	l.loadSent = inFlight
+	frame, err := encode(&b)
+	if err != nil {
+		return err
+	}
+	if !l.send(frame) {
+		return errCongested
+	}
+	return nil
+}
+
 // sendBeat queues a heartbeat with the link's echo. After an error the link is
 // no longer of use: the peer would miss names.
 func (l *link) sendBeat(now time.Time, h Heartbeat) error {
@@ -89,6 +119,7 @@
 	b.Silent = packNew(l.numbering, h.Silent, l.silentSent)
 	b.Stalled = packNew(l.numbering, h.Stalled, l.stalledSent)
 	l.numbering.pack(&b, h.Streams, h.InFlight)
+	l.loadSent = h.InFlight
 	frame, err := encode(&b)
 	if err != nil {
 		return err
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -32,6 +32,36 @@
 	})
 }
 
+// Counts in flight that change are told between heartbeats, and silence costs
+// nothing.
+func TestLoadsAreToldBetweenHeartbeats(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		author := c.members[0]
+		author.set(func(m *member) { m.heartbeat.InFlight = map[fleet.GroupID]uint32{"a": 1, "b": 1} })
+		time.Sleep(time.Second) // the groups have their numbers
+		_, before := c.traffic(author)
+		time.Sleep(10 * time.Second)
+		_, after := c.traffic(author)
+		steady := after - before
+		for n := range uint32(20) {
+			counts := map[fleet.GroupID]uint32{"a": n + 2}
+			if n%2 == 0 {
+				counts["b"] = n + 1
+			}
+			author.set(func(m *member) { m.heartbeat.InFlight = counts })
+			time.Sleep(DefaultBeat/ticksPerBeat + 2*oneWay)
+			for _, m := range c.members[1:] {
+				assert.DeepEqual(t, m.View().Peers[author.cfg.Self].Heartbeat.InFlight, counts)
+			}
+			time.Sleep(37 * time.Millisecond)
+		}
+		_, before = c.traffic(author)
+		time.Sleep(10 * time.Second)
+		_, after = c.traffic(author)
+		assert.Assert(t, after-before <= steady+2, "%d messages in place of %d", after-before, steady)
+	})
+}
+
 func TestRelayReachesDaemonsWithoutTheLogInTime(t *testing.T) {
 	tests := map[string]struct {
 		members int
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -41,6 +41,7 @@
 	typeGoodbye
 	typeRequest
 	typeResponse
+	typeLoad
 )
 
 // Errors of decode.
@@ -93,6 +94,13 @@
 	StoreAway bool          `cbor:"17,keyasint,omitempty"`
 }
 
+// loadMessage tells between two heartbeats which counts have changed since the
+// last message. Its groups have their numbers from earlier ones.
+type loadMessage struct {
+	// InFlight alternates a group's number and its count, zero for none.
+	InFlight []uint32 `cbor:"1,keyasint"`
+}
+
 // newsMessage carries what is told once on each link.
 type newsMessage struct {
 	Leaving   []leavingNews  `cbor:"1,keyasint,omitempty"`
@@ -185,6 +193,8 @@
 		return typeRequest
 	case *responseMessage:
 		return typeResponse
+	case *loadMessage:
+		return typeLoad
 	}
 	panic("membership: not a message")
 }
@@ -231,6 +241,8 @@
 		return &requestMessage{}
 	case typeResponse:
 		return &responseMessage{}
+	case typeLoad:
+		return &loadMessage{}
 	}
 	return nil
 }
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -32,6 +32,7 @@
 			Sightings: []sightingNews{{ID: [16]byte{1}, Group: "g", Epoch: 2, InFlight: []suspect.Fingerprint{3}}},
 		},
 		&goodbyeMessage{Sequence: 7},
+		&loadMessage{InFlight: []uint32{0, 3, 4, 0}},
 		&requestMessage{ID: 1, Kind: requestEntries, Stream: "config", From: 3, Limit: 10},
 		&responseMessage{ID: 1, State: &journal.State{Stream: "config", Data: []byte("x")}, Payloads: [][]byte{{1}, {2}}},
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -45,6 +46,28 @@
 	return true
 }
 
+// load takes in counts of a peer that have changed since its last message. Views
+// share the old ones.
+func (t *table) load(id fleet.DaemonID, changes map[fleet.GroupID]uint32) {
+	p, known := t.peers[id]
+	if !known {
+		return
+	}
+	counts := maps.Clone(p.Heartbeat.InFlight)
+	if counts == nil {
+		counts = map[fleet.GroupID]uint32{}
+	}
+	for group, count := range changes {
+		if count == 0 {
+			delete(counts, group)
+		} else {
+			counts[group] = count
+		}
+	}
+	p.Heartbeat.InFlight = counts
+	t.peers[id] = p
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
