placement, edge: what a daemon does not know yet is not taken for lost; a group takes 1.12 times its slots

The store had been silent for 8 s, entries had lapsed, and daemons were started again meanwhile. Two ways to it were found by reading: a daemon that has read the list whole took the last value of an entry that was dropped before from a peer that still passed it on; and a new holder repaired groups whose members were not listed yet.

Change: a relayed entry from before a whole reading is passed over; groups with members that nothing is known of are left alone for two seconds, in which entries come back; a daemon that has just started lets older ones claim the scope first. A group takes 1.12 times its slots in place of 1.25: with fresh counts the limit is where requests begin to wait for long.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -49,7 +49,8 @@
 		Source: d.env.Platform.Documents,
 		Wait:   documentWait,
 		Sink: feed.Sink[*routes.Document]{
-			All: take, Changes: take,
+			All:     func(items []feed.Item[*routes.Document], _ uint64) { take(items) },
+			Changes: take,
 			Read: func(time.Time) {
 				if d.storeAway.Swap(false) {
 					d.tenure.Retry()
@@ -103,13 +104,14 @@
 	f.Run(ctx)
 }
 
-func (d *Daemon) takeServers(items []feed.Item[directory.Server]) {
+func (d *Daemon) takeServers(items []feed.Item[directory.Server], next uint64) {
 	now := time.Now()
 	listed := map[fleet.InstanceID]bool{}
 	for _, item := range items {
 		listed[fleet.InstanceID(item.Key)] = !item.Dropped
 	}
 	d.takeServerChanges(items)
+	d.seen.readWhole(next)
 	d.directory.Retain(listed, now)
 	d.listed.Store(true)
 }
@@ -173,7 +175,7 @@
 		Wait:   daemonsWait,
 		Every:  func() time.Duration { return daemonsEvery },
 		Sink: feed.Sink[string]{
-			All:     func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, true)) },
+			All:     func(items []feed.Item[string], _ uint64) { d.mesh.SetPlaces(d.places.take(items, true)) },
 			Changes: func(items []feed.Item[string]) { d.mesh.SetPlaces(d.places.take(items, false)) },
 			Failed:  func(err error) { d.events.Emit(eventReadFailed, "what", "daemons", "error", err) },
 		},
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -11,6 +11,11 @@
 	// returnGrace is how long after the store's return a server that is not
 	// listed may still come back, by the operators' word.
 	returnGrace = 2 * time.Second
+	// youngFor is how long after its start a daemon may know less of the servers
+	// than others, and youngDelay what it lets them go ahead by in claiming the
+	// scope.
+	youngFor   = 5 * time.Second
+	youngDelay = time.Second
 	// scopeTTL is how long a scope outlasts its holder's last renewal, and
 	// scopeRenewal the time between renewals: three fit into a TTL. Two
 	// seconds for a takeover are the target.
@@ -58,13 +63,14 @@
 	// fullGroup is how many requests a group may have, as a multiple of those
 	// that it can run at once. What waits in an engine is started without a
 	// pause; what waits longer is late.
-	fullGroup = 1.25
+	fullGroup = 1.12
 )
 
 // planningPolicy suits groups that form in a second or two from engines that
 // have the model at hand.
 var planningPolicy = placement.Policy{
 	BrokenSettle: time.Millisecond,
+	UnseenSettle: returnGrace,
 	DrainSettle:  time.Second,
 	DrainBound:   10 * time.Second,
 	FlapWindow:   20 * time.Second,
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -41,13 +41,14 @@
 // stands reports whether this daemon may claim the scope. Those that hear each
 // other take turns in an order that has nothing to do with their places.
 func (d *Daemon) stands() bool {
-	ahead, leader := 0, false
+	ahead, leader, older := 0, false, false
 	own := xxhash.Sum64String(string(d.id))
 	d.hears(func(p membership.Peer) bool {
 		if !p.Heartbeat.Draining && xxhash.Sum64String(string(p.Heartbeat.From)) < own {
 			ahead++
 		}
 		leader = leader || p.Heartbeat.Leads
+		older = older || p.Heartbeat.Sequence > uint64(youngFor/membership.DefaultBeat)
 		d.tenure.Heard(p.Heartbeat.Renewed)
 		return false
 	})
@@ -56,7 +57,11 @@
 		d.leaderAt.Store(int64(now))
 		return false
 	}
-	return now-time.Duration(d.leaderAt.Load()) > time.Duration(ahead)*standAfter
+	wait := time.Duration(ahead) * standAfter
+	if now < youngFor && older {
+		wait += youngDelay
+	}
+	return now-time.Duration(d.leaderAt.Load()) > wait
 }
 
 // checkStore asks the store, when a peer has told that it is away, whether it is
@@ -239,6 +244,8 @@
 type seenPositions struct {
 	mu sync.Mutex
 	at map[string]uint64 // position and one
+	// from is where a whole reading ended: what lies before it is known.
+	from uint64
 }
 
 // newer reports whether a change is later than the last one of its key, and
@@ -249,9 +256,18 @@
 	if s.at == nil {
 		s.at = map[string]uint64{}
 	}
-	if s.at[key] > position {
+	if s.at[key] > position || position < s.from {
 		return false
 	}
 	s.at[key] = position + 1
 	return true
 }
+
+// readWhole notes that every change before a position is known. A key of which
+// a whole reading told nothing was dropped, and a peer may still pass on its
+// last value.
+func (s *seenPositions) readWhole(next uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.from = max(s.from, next)
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,8 +37,9 @@
 
 // Sink takes what a Follower reads. Its methods are called one at a time.
 type Sink[T any] struct {
-	// All takes a whole reading, Changes what came after it.
-	All     func(items []Item[T])
+	// All takes a whole reading, which has all changes before the position next,
+	// Changes what came after it.
+	All     func(items []Item[T], next uint64)
 	Changes func(items []Item[T])
 	// Read is told of each answer of the source, Failed of each error; nil
 	// for not interested.
@@ -117,7 +118,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.Sink.All(items)
+	f.Sink.All(items, next)
 	return next, nil
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -53,7 +53,7 @@
 		f := Follower[string]{
 			Source: s, Wait: 5 * time.Second,
 			Sink: Sink[string]{
-				All:     func([]Item[string]) { whole++ },
+				All:     func([]Item[string], uint64) { whole++ },
 				Changes: func(items []Item[string]) { changes += len(items) },
 				Failed:  func(error) { failed++ },
 			},
--- a/internal/placement/near_test.go
+++ b/internal/placement/near_test.go
@@ -177,3 +177,22 @@
 	}
 	assert.DeepEqual(t, got, map[string]int{"duo": 1, "quad": 2})
 }
+
+// After a takeover the list may not show all members yet: a group of which some
+// are not known is left alone for a while, and so are its members.
+func TestGroupWithUnseenMembersIsLeftAlone(t *testing.T) {
+	w := newNearWorld(0, 2)
+	w.group("g1", "quad", 4, "d0", 1)
+	w.group("g2", "quad", 4, "d0", 0)
+	unseen := w.s.Groups.Groups["g2"]
+	delete(w.s.Instances, unseen.Members[0].Instance)
+	unseen.Members[0] = group.Member{}
+	planner := NewPlanner(Policy{Spread: true, BrokenSettle: 1, UnseenSettle: 2 * time.Second, MaxLoads: 64, StoreRate: 64})
+	now := time.Now()
+	for _, after := range []time.Duration{0, 1900 * time.Millisecond} {
+		for _, a := range planner.Plan(w.s, now.Add(after)) {
+			assert.Equal(t, a.Kind, ActionWait, "%s of %s after %s: %s", a.Kind, a.Group.ID, after, a.Reason)
+		}
+	}
+	assert.DeepEqual(t, kinds(planner.Plan(w.s, now.Add(2100*time.Millisecond))), []string{"dissolve quad", "repair quad"})
+}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -72,6 +72,10 @@
 	// BrokenSettle is how long a broken group with requests in flight is left
 	// alone, because others may still reach all of its members, 5 s.
 	BrokenSettle time.Duration
+	// UnseenSettle is how long a group is left alone that has members of which
+	// nothing is known, because the list may not show them yet; zero for not
+	// at all.
+	UnseenSettle time.Duration
 	// MaxUnavailable is the share of a service's groups that a rollout may
 	// take out at once, 0.1, at least one group.
 	MaxUnavailable float64
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -16,7 +16,11 @@
 func (r *round) repairBroken() {
 	var broken []*condition
 	for _, c := range r.groups {
-		if c.broken() && c.want != nil && !c.draining() {
+		switch {
+		case !c.broken() || c.want == nil || c.draining():
+		case r.unseen(c):
+			r.wait(c, "members that nothing is known of may come back")
+		default:
 			broken = append(broken, c)
 		}
 	}
@@ -61,6 +65,13 @@
 	}
 }
 
+// unseen reports whether a group that was taken over has members of which nothing
+// is known yet.
+func (r *round) unseen(c *condition) bool {
+	unknown := slices.ContainsFunc(c.composition, func(m group.Member) bool { return m.Instance == "" })
+	return unknown && r.now.Sub(c.hist.brokenSince) < r.policy.UnseenSettle
+}
+
 // stillReached reports whether requests in flight show that other daemons may
 // reach all members of a group that has only just lost one here.
 func (r *round) stillReached(c *condition) bool {
