placement: groups are formed and repaired only from engines that have the model at hand

Change: after the first loads, which take no time, a group gets only engines that have its model loaded or on their host; a broken group that nothing near can complete is taken apart at once, and its engines serve elsewhere. Engines without a model load it onto the host, outside groups; they are asked when the load should have ended, as the list may be away.

Tests: TestNobodyWaitsInAGroupForALoad replays such a domain.

--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -71,6 +71,7 @@
 var planningPolicy = placement.Policy{
 	BrokenSettle: time.Millisecond,
 	UnseenSettle: returnGrace,
+	NearOnly:     true,
 	DrainSettle:  time.Second,
 	DrainBound:   10 * time.Second,
 	FlapWindow:   20 * time.Second,
--- a/internal/placement/conductor.go
+++ b/internal/placement/conductor.go
@@ -324,6 +324,7 @@
 		Groups:    t.view(),
 		Instances: map[fleet.InstanceID]InstanceState{},
 		InFlight:  c.cfg.InFlight(),
+		FastLoads: c.cfg.Idle(),
 	}
 	pools := map[fleet.Pool]bool{}
 	for _, w := range wanted {
--- a/internal/placement/near_test.go
+++ b/internal/placement/near_test.go
@@ -196,3 +196,33 @@
 	}
 	assert.DeepEqual(t, kinds(planner.Plan(w.s, now.Add(2100*time.Millisecond))), []string{"dissolve quad", "repair quad"})
 }
+
+// In a domain that lost members of each of its groups, and has only engines that
+// would have to load a model, those that have it at hand serve together at once:
+// none of them waits in a group for a load.
+func TestNobodyWaitsInAGroupForALoad(t *testing.T) {
+	w := newNearWorld(2, 2)
+	w.group("g1", "quad", 4, "d0", 1)
+	w.group("g2", "quad", 4, "d0", 2)
+	w.group("g3", "duo", 2, "d0", 1)
+	for i := range 4 {
+		w.engine(fleet.InstanceID(fmt.Sprintf("cold-%d", i)), "d0", nil)
+	}
+	planner := NewPlanner(Policy{Spread: true, NearOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	actions := planner.Plan(w.s, time.Now())
+	assert.DeepEqual(t, kinds(actions), []string{"dissolve quad", "repair quad", "dissolve duo"})
+	assert.Equal(t, actions[1].Group.ID, fleet.GroupID("g1"))
+
+	// What is free then makes up whole groups of what it has at hand.
+	w = newNearWorld(2, 2)
+	for i, near := range []map[string]time.Duration{{"duo": hot, "quad": staged}, {"quad": hot}, {"duo": hot}, nil, nil, nil} {
+		w.engine(fleet.InstanceID(fmt.Sprintf("e-%d", i)), "d0", near)
+	}
+	actions = planner.Plan(w.s, time.Now())
+	assert.DeepEqual(t, kinds(actions), []string{"form duo"})
+	assert.DeepEqual(t, instances(actions[0].Group.Members), []fleet.InstanceID{"e-0", "e-2"})
+
+	// While loads take no time, all may be placed.
+	w.s.FastLoads = true
+	assert.DeepEqual(t, kinds(planner.Plan(w.s, time.Now())), []string{"form quad", "form duo"})
+}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -76,6 +76,11 @@
 	// nothing is known, because the list may not show them yet; zero for not
 	// at all.
 	UnseenSettle time.Duration
+	// NearOnly has groups formed and repaired only from instances that have the
+	// model at hand, unless the snapshot says that loads take no time. The
+	// others load it outside groups: a group that waits for a load would keep
+	// its other members from serving elsewhere.
+	NearOnly bool
 	// MaxUnavailable is the share of a service's groups that a rollout may
 	// take out at once, 0.1, at least one group.
 	MaxUnavailable float64
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -44,9 +44,19 @@
 	due      time.Time
 	underWay bool
 	failures int
-	// until is when a change that is awaited is given up on.
-	until time.Time
-	await directory.PlaceState
+	// until is when a change that is awaited is given up on: of the place, and
+	// of the models on the host.
+	until       time.Time
+	await       directory.PlaceState
+	awaitStaged string
+	// stagedAt is when the load should have ended.
+	stagedAt time.Time
+}
+
+// shows reports whether an answer has what is awaited.
+func (a *probe) shows(s directory.Server) bool {
+	placed := a.await == "" || s.Place != nil && s.Place.State == a.await
+	return placed && (a.awaitStaged == "" || slices.Contains(s.Staged, a.awaitStaged))
 }
 
 // doneOrder is an order that an engine accepted.
@@ -171,11 +181,29 @@
 		p.awaitState(s.Instance, directory.PlaceReady, now, wait)
 	case backend.OrderOpen:
 		p.awaitState(s.Instance, directory.PlaceOpen, now, p.c.cfg.Open())
+	case backend.OrderStage:
+		took := t.loadTime(d.order.Model)
+		a := p.request(s.Instance, now.Add(took))
+		a.awaitStaged, a.stagedAt, a.until = d.order.Model, now.Add(took), now.Add(stagePatience*took)
 	case backend.OrderClose, backend.OrderCut:
 		p.awaitState(s.Instance, directory.PlaceReady, now, 0)
 	}
 }
 
+// stagePatience is how many times its usual time a load onto a host may take
+// until it is asked for no more: loads slow each other down.
+const stagePatience = 3
+
+// loadTime is how long an engine needs to load a model.
+func (t *tenure) loadTime(model string) time.Duration {
+	for _, w := range t.wanted {
+		if w.Model == model {
+			return w.LoadTime
+		}
+	}
+	return 0
+}
+
 // awaitPatience is how long after its time a change is asked for; the list
 // tells it in any case.
 const awaitPatience = 3 * time.Second
@@ -206,15 +234,24 @@
 	}
 	a.failures = 0
 	p.c.cfg.Servers.Answered(status.Server, began.Add(-p.c.cfg.ReportLag()))
-	awaited := a.await == "" || status.Place != nil && status.Place.State == a.await || now.After(a.until)
-	if awaited {
+	switch {
+	case a.shows(status.Server), now.After(a.until):
 		delete(p.asks, l.Instance)
-	} else {
+	case a.awaitStaged != "" && !slices.Contains(status.Staged, a.awaitStaged):
+		a.due = later(now.Add(probeAgain), a.stagedAt)
+	default:
 		a.due = now.Add(probeChangeSoon)
 	}
 	p.c.nudge()
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // unanswered counts a question without an answer.
 func (p *prober) unanswered(a *probe, l directory.Listing, began, now time.Time, err error) {
 	a.failures++
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -51,6 +51,12 @@
 		r.wait(c, "lost members may still serve others")
 		return
 	}
+	if r.nearOnly() && !r.snap.LogDown && r.substitutes(c) == nil {
+		if !r.borrow(c) {
+			r.dissolve(c, "nothing in its fabric domain can complete it soon")
+		}
+		return
+	}
 	ways := r.openWays(c, broken)
 	best := r.choose(c, ways)
 	if (best.loads || r.substitutes(c) == nil) && best.kind != ActionDissolve && r.borrow(c) {
@@ -205,7 +211,11 @@
 // reserved spares first; nil when there are too few.
 func (r *round) substitutes(c *condition) []group.Member {
 	subs := r.usableSpares(c)
-	for _, id := range r.freeIn(c.want.Pool, c.group.Fabric, c.want.Model) {
+	free := r.freeIn(c.want.Pool, c.group.Fabric, c.want.Model)
+	if r.nearOnly() {
+		free = r.dropFar(free, c.want.Model)
+	}
+	for _, id := range free {
 		subs = append(subs, r.member(id))
 	}
 	for _, m := range lostOf(c) {
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -262,12 +262,27 @@
 	return n
 }
 
+// nearOnly reports whether only instances that have its model at hand may be
+// placed in a group.
+func (r *round) nearOnly() bool { return r.policy.NearOnly && !r.snap.FastLoads }
+
+// dropFar leaves out the instances that would have to load a model.
+func (r *round) dropFar(ids []fleet.InstanceID, model string) []fleet.InstanceID {
+	return slices.DeleteFunc(ids, func(id fleet.InstanceID) bool {
+		_, near := r.snap.Instances[id].Near[model]
+		return !near
+	})
+}
+
 // roomFor lists the free instances of a fabric domain that a whole new group
 // may take. Instances that have another model at hand are what its groups are
 // repaired with: they are taken only when they complete a group of which half
 // has its own model at hand.
 func (r *round) roomFor(w *Wanted, f fleet.FabricDomain) []fleet.InstanceID {
 	ids := r.freeIn(w.Pool, f, w.Model)
+	if r.nearOnly() {
+		return r.dropFar(ids, w.Model)
+	}
 	own := r.nearIn(w, f)
 	if 2*own >= w.Size && own > 0 {
 		return ids
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -75,6 +75,8 @@
 	InFlight map[fleet.GroupID]uint32
 	// LoadsRunning counts groups that are loading from the weight store now.
 	LoadsRunning int
+	// FastLoads is set while loads take hardly any time.
+	FastLoads bool
 	// LogDown is set while nothing can be agreed.
 	LogDown bool
 }
