edge: callers' connections keep to the limits of the document in force

Cause: the document's limits on headers and idle connections were not taken up; the listeners' own were wider or, for idle times over 20 s, narrower: callers reuse connections that were idle for up to four fifths of what it allows.

Change: the listener's connections put the document's bounds in the place of net/http's; headers over the limit are refused with 431.

Tests: TestConnectionsKeepToTheDocument, a case in TestRefusals.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -23,9 +23,8 @@
 	}
 }
 
-// Bounds of the callers' connections. The operator's document has its own
-// within them; callers reuse connections that were idle for up to four fifths
-// of what it allows.
+// Bounds of connections, the callers' where the document has none. Callers reuse
+// connections that were idle for up to four fifths of what it allows.
 const (
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 20 * time.Second
@@ -53,9 +52,9 @@
 	admin.HandleFunc("GET /debug/pprof/", pprof.Index)
 	gateway.Health(admin, d.Ready)
 
-	limited := netutil.LimitListener(d.env.Callers, d.set.MaxConnections)
+	limited := boundedListener{netutil.LimitListener(d.env.Callers, d.set.MaxConnections), d.callerLimits}
 	return []endpoint{
-		{name: "callers", listener: limited, server: newServer(callers)},
+		{name: "callers", listener: limited, server: boundedByDocument(newServer(callers))},
 		{name: "readiness", listener: d.env.Readiness, server: newServer(readiness)},
 		{name: "admin", listener: d.env.Admin, server: newServer(admin)},
 		{name: "peers", listener: d.env.Peers, server: newServer(d.mesh.Handler())},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -166,6 +166,9 @@
 		return req, &refusal{http.StatusServiceUnavailable, "no routing document yet", retryWithoutDocument}
 	}
 	req.version = table.Document.Version
+	if most := table.Document.Limits.MaxHeaderBytes; most > 0 && headerBytes(r) > most {
+		return req, &refusal{http.StatusRequestHeaderFieldsTooLarge, "the headers have more than " + strconv.Itoa(most) + " bytes", 0}
+	}
 	var err error
 	if req.meta, err = h.cfg.Codec.Decode(r.Header); err != nil {
 		return req, &refusal{http.StatusBadRequest, err.Error(), 0}
@@ -184,6 +187,18 @@
 	return req, req.read(w, r, table.Document.Limits)
 }
 
+// headerBytes counts a request's line and headers as they were sent.
+func headerBytes(r *http.Request) int {
+	const lineEnd, separator = 2, 2
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + 2 + lineEnd + len("Host") + len(r.Host) + separator + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + separator + len(v) + lineEnd
+		}
+	}
+	return n
+}
+
 // identify finds the workspace that the request's key belongs to.
 func (q *request) identify(table *routes.Table) *refusal {
 	q.workspace, q.priority = routes.PublicWorkspace, q.route.Priority
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -521,6 +524,7 @@
 			{"unknown key", "/unsafe/x", http.Header{"X-Carawayproxy-Key": {"of nobody"}}, "", http.StatusUnauthorized},
 			{"no key", "/unsafe/x", http.Header{"X-Carawayproxy-Key": nil}, "", http.StatusUnauthorized},
 			{"body too large", "/unsafe/x", nil, string(make([]byte, 1<<20+1)), http.StatusRequestEntityTooLarge},
+			{"headers too large", "/unsafe/x", http.Header{"X-Long": {strings.Repeat("x", 16<<10)}}, "", http.StatusRequestHeaderFieldsTooLarge},
 			{"bad size", "/stream/x", http.Header{"X-Carawayproxy-Token-Usage": {"many"}}, "", http.StatusBadRequest},
 			{"bad parts", "/stream/x", http.Header{"X-Carawayproxy-Prefix-Hash": {"xyz:1"}}, "", http.StatusBadRequest},
 			{"unknown model", "/stream/x", http.Header{"X-Carawayproxy-Model": {"nobody"}}, "", http.StatusServiceUnavailable},
@@ -533,6 +537,53 @@
 	})
 }
 
+// A connection may be idle, and a request's headers may take, for as long as the
+// document in force says.
+func TestConnectionsKeepToTheDocument(t *testing.T) {
+	run(t, func(t *testing.T, w *World) {
+		d := w.Daemons[0]
+		open := func() (lasts func(most time.Duration) time.Duration, send func(text string)) {
+			c, err := w.Net.Host(callerIP).Dial(w.ctx, "tcp", d.host.Addr(portCallers))
+			assert.NilError(t, err)
+			closed := make(chan struct{})
+			began := time.Now()
+			go func() {
+				defer close(closed)
+				_, _ = io.Copy(io.Discard, c)
+			}()
+			lasts = func(most time.Duration) time.Duration {
+				select {
+				case <-closed:
+				case <-time.After(most):
+				}
+				took := time.Since(began)
+				_ = c.Close()
+				return took.Round(100 * time.Millisecond)
+			}
+			return lasts, func(text string) {
+				_, err := c.Write([]byte(text))
+				assert.NilError(t, err)
+			}
+		}
+		const request = "GET /nowhere HTTP/1.1\r\nHost: site.example\r\n\r\n"
+		idle, send := open()
+		send(request)
+		assert.Equal(t, idle(time.Minute), 15*time.Second)
+		slow, send := open()
+		send(request[:10])
+		assert.Equal(t, slow(time.Minute), 3*time.Second)
+
+		kept, send := open()
+		send(request)
+		longer := Document(2)
+		longer["limits"].(map[string]any)["idleTimeoutMs"] = 40000
+		w.Publish(longer)
+		time.Sleep(10 * time.Second)
+		send(request) // a bound holds from when a connection falls idle
+		assert.Equal(t, kept(time.Minute), 50*time.Second)
+	})
+}
+
 // A caller that leaves ends its stream at the engine within half a second.
 func TestCallerLeaves(t *testing.T) {
 	run(t, func(t *testing.T, w *World) {
