--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -108,6 +108,7 @@
 		Stalled:        d.stalls.list(),
 		Leads:          d.conductor.Leads(),
 		Reads:          d.reads(),
+		Processors:     d.set.Processors,
 		Renewed:        d.tenure.Renewed(),
 		StoreAway:      d.storeAway.Load() || d.conductor.Leads() && d.tenure.Away(),
 	}
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -18,7 +18,7 @@
 			m.beat()
 		}
 		if m.cfg.Loads != nil {
-			m.sendLoads()
+			m.sendLoads(time.Now())
 		}
 		m.tick(n%ticksPerBeat == 0)
 		select {
@@ -53,8 +53,19 @@
 	}
 }
 
+// loadsPerSecond bounds the messages of changed counts over all links: ten a
+// second on each of ten links. With many more they come with heartbeats only.
+const loadsPerSecond = 100
+
 // sendLoads tells each peer which counts have changed.
-func (m *Mesh) sendLoads() {
+func (m *Mesh) sendLoads(now time.Time) {
+	m.mu.Lock()
+	links := len(m.links)
+	m.mu.Unlock()
+	if now.Sub(m.loadsAt) < time.Duration(links)*time.Second/loadsPerSecond {
+		return
+	}
+	m.loadsAt = now
 	loads := m.cfg.Loads()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -46,7 +46,7 @@
 		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
 		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
-		Leads: b.Leads, Reads: b.Reads, Renewed: b.Renewed, StoreAway: b.StoreAway,
+		Leads: b.Leads, Reads: b.Reads, Renewed: b.Renewed, StoreAway: b.StoreAway, Processors: b.Processors,
 	}
 	shown := l.heard(now, b)
 	if err := m.handleReports(l, b, shown.sentAt); err != nil {
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -113,7 +113,7 @@
 	b := beatMessage{
 		Echo: l.echo(now), Sequence: h.Sequence, Ready: h.Ready, Draining: h.Draining,
 		ConfigRevision: h.ConfigRevision, Leads: h.Leads, Reads: h.Reads,
-		Renewed: h.Renewed, StoreAway: h.StoreAway,
+		Renewed: h.Renewed, StoreAway: h.StoreAway, Processors: h.Processors,
 	}
 	l.numbering.packReports(&b, now, h.Reports, l.reportsSent)
 	b.Silent = packNew(l.numbering, h.Silent, l.silentSent)
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -19,6 +19,7 @@
 	pending *pending
 	view    atomic.Pointer[View]
 	hurried atomic.Bool // a heartbeat is wanted before its time
+	loadsAt time.Time   // when changed counts were told last, of runBeats alone
 	// heard wakes the relay after a heartbeat.
 	heard chan struct{}
 	// wanted wakes the dialing after a change of the known places.
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -62,6 +62,29 @@
 	})
 }
 
+// The messages of changed counts are bounded over all links.
+func TestLoadsAreBoundedOverAllLinks(t *testing.T) {
+	for _, n := range []int{3, 9, 30} {
+		runCluster(t, n, func(t *testing.T, c *cluster) {
+			author := c.members[0]
+			count := func(change bool) int64 {
+				_, before := c.traffic(author)
+				for at := range uint32(100) {
+					if change {
+						author.set(func(m *member) { m.heartbeat.InFlight = map[fleet.GroupID]uint32{"a": at} })
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				_, after := c.traffic(author)
+				return after - before
+			}
+			steady := count(false)
+			more := count(true) - steady
+			assert.Assert(t, more <= 10*loadsPerSecond+int64(n), "%d daemons: %d messages more in ten seconds", n, more)
+		})
+	}
+}
+
 func TestRelayReachesDaemonsWithoutTheLogInTime(t *testing.T) {
 	tests := map[string]struct {
 		members int
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -92,6 +92,8 @@
 	// does not answer.
 	Renewed   lease.Renewal `cbor:"16,keyasint,omitzero"`
 	StoreAway bool          `cbor:"17,keyasint,omitempty"`
+	// Processors is how many cores the sender may use.
+	Processors float64 `cbor:"18,keyasint,omitempty"`
 }
 
 // loadMessage tells between two heartbeats which counts have changed since the
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -46,6 +46,8 @@
 	// there.
 	Leads bool `cbor:"-"`
 	Reads bool `cbor:"-"`
+	// Processors is how many cores the sender may use.
+	Processors float64 `cbor:"-"`
 	// Renewed is what the sender tells of its hold on that scope.
 	Renewed lease.Renewal `cbor:"-"`
 	// StoreAway is set while the platform's store does not answer the sender.
--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -12,8 +12,7 @@
 
 // formMissing forms the groups that are wanted and missing.
 func (r *round) formMissing() {
-	for i := range r.snap.Wanted {
-		w := &r.snap.Wanted[i]
+	for _, w := range r.byLack() {
 		if r.halted(w) {
 			r.halt(w)
 			continue
@@ -32,6 +31,20 @@
 	}
 }
 
+// byLack lists what is wanted; where engines have several models at hand, that
+// first of which the largest part is missing.
+func (r *round) byLack() []*Wanted {
+	var wanted []*Wanted
+	for i := range r.snap.Wanted {
+		wanted = append(wanted, &r.snap.Wanted[i])
+	}
+	if r.nearOnly() {
+		part := func(w *Wanted) float64 { return float64(r.standing(w)) / float64(max(w.Groups, 1)) }
+		slices.SortStableFunc(wanted, func(a, b *Wanted) int { return cmp.Compare(part(a), part(b)) })
+	}
+	return wanted
+}
+
 // standing counts the groups that are as wanted and shall stay.
 func (r *round) standing(w *Wanted) int {
 	n := 0
--- a/internal/placement/near_test.go
+++ b/internal/placement/near_test.go
@@ -273,3 +273,54 @@
 	w.s.FastLoads = true
 	assert.DeepEqual(t, kinds(planner.Plan(w.s, time.Now())), []string{"form quad", "form duo"})
 }
+
+// A model that is short of groups gets one from those that another one can do
+// without: all of one fabric domain, and only if they suffice.
+func TestGroupsThatAreGivenUpMakeUpAnother(t *testing.T) {
+	planner := func() *Planner {
+		return NewPlanner(Policy{Spread: true, NearOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	}
+	both := map[string]time.Duration{"duo": hot, "quad": staged}
+	world := func() *nearWorld {
+		w := newNearWorld(2, 1)
+		for _, g := range []struct{ id, domain string }{{"g1", "d0"}, {"g2", "d1"}, {"g3", "d0"}, {"g4", "d1"}} {
+			w.group(fleet.GroupID(g.id), "duo", 2, fleet.FabricDomain(g.domain), 0)
+		}
+		for id, st := range w.s.Instances {
+			st.Near = both
+			w.s.Instances[id] = st
+		}
+		return w
+	}
+	w := world()
+	actions := planner().Plan(w.s, time.Now())
+	assert.DeepEqual(t, kinds(actions), []string{"drain duo", "drain duo"})
+	assert.Equal(t, actions[0].Group.Fabric, actions[1].Group.Fabric)
+
+	w = world()
+	w.engine("spare-1", "d1", both)
+	w.engine("spare-2", "d1", both)
+	actions = planner().Plan(w.s, time.Now())
+	assert.DeepEqual(t, kinds(actions), []string{"drain duo"})
+	assert.Equal(t, actions[0].Group.Fabric, fleet.FabricDomain("d1"))
+
+	w = world()
+	w.s.Wanted[1].Groups = 3 // only one can be done without
+	assert.Equal(t, len(planner().Plan(w.s, time.Now())), 0, "half a group is of no use")
+}
+
+// Engines that have two models at hand make up the one of which more is missing.
+func TestLargestLackIsFormedFirst(t *testing.T) {
+	both := map[string]time.Duration{"duo": hot, "quad": hot}
+	w := newNearWorld(4, 2)
+	w.group("g1", "quad", 4, "d1", 0)
+	for i := range 4 {
+		w.engine(fleet.InstanceID(fmt.Sprintf("e-%d", i)), "d0", both)
+	}
+	planner := NewPlanner(Policy{Spread: true, NearOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	assert.DeepEqual(t, kinds(planner.Plan(w.s, time.Now())), []string{"form duo", "form duo"})
+	w.group("g2", "duo", 2, "d1", 0)
+	w.group("g3", "duo", 2, "d1", 0)
+	w.group("g4", "duo", 2, "d1", 0)
+	assert.DeepEqual(t, kinds(planner.Plan(w.s, time.Now())), []string{"form quad"})
+}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -1,6 +1,9 @@
 package placement
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // ModelDemand is what one model asks of the engines that models share.
 type ModelDemand struct {
@@ -42,23 +45,35 @@
 		}
 	}
 	groups := targets(models, engines, reserve)
-	starved, changing := false, false
+	needy, changing := -1, false
 	for i, m := range models {
-		starved = starved || groups[i] > m.Groups && m.Coming == 0 && m.Work > starvedAt*float64(m.Groups)
+		starved := groups[i] > m.Groups && m.Coming == 0 && m.Work > starvedAt*float64(m.Groups)
+		if starved && (needy < 0 || m.fullness() > models[needy].fullness()) {
+			needy = i
+		}
 		changing = changing || m.Going > 0
 	}
 	for i, m := range models {
 		groups[i] = max(groups[i], m.Groups)
-		if measured && starved && !changing && m.Spare() > 0 {
-			groups[i] = max(m.Groups-1, 0)
+		if !measured || needy < 0 || needy == i || changing {
+			continue
+		}
+		if give := min(m.Spare(), groupsFor(models[needy].Size, m.Size)); give > 0 {
+			groups[i] = m.Groups - give
 		}
 	}
 	return groups
 }
 
+// groupsFor is how many groups of one size have the engines of one of another.
+func groupsFor(size, of int) int { return (size + of - 1) / max(of, 1) }
+
+// fullness is the part of its groups' time that a model's work takes.
+func (m ModelDemand) fullness() float64 { return m.Work / math.Max(float64(m.Groups), 0.5) }
+
 // Spare is how many of its groups the model can do without.
 func (m ModelDemand) Spare() int {
-	return max(int(float64(m.Groups)-m.Work/idleBelow), 0)
+	return min(max(int(float64(m.Groups)-m.Work/idleBelow), 0), m.Groups)
 }
 
 // targets is SplitEngines without regard to the groups that there are.
--- a/internal/placement/turnover.go
+++ b/internal/placement/turnover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -203,12 +204,13 @@
 func (r *round) leastUseful(s fleet.ServiceName) []*condition {
 	var whole, rest []*condition
 	excess := r.excess()
+	gives := r.givers(excess)
 	for _, c := range r.byRoom(excess) {
 		if c.group.Service != s || c.draining() || c.leaving {
 			continue
 		}
 		if r.stays(c) {
-			if excess[c.want] <= 0 {
+			if excess[c.want] <= 0 || r.nearOnly() && !gives[c] {
 				continue
 			}
 			excess[c.want]--
@@ -260,6 +262,70 @@
 	return groups
 }
 
+// givers picks the groups whose engines make up a group that another service is
+// missing: the fewest of one fabric domain that do, beside the engines that are
+// free there. Where none do, nothing is taken apart.
+func (r *round) givers(excess map[*Wanted]int) map[*condition]bool {
+	var best []*condition
+	for w, n := range excess {
+		if n >= 0 {
+			continue
+		}
+		for f := range r.domains() {
+			given := r.giversIn(w, f, excess)
+			if len(given) > 0 && (best == nil || len(given) < len(best) || len(given) == len(best) && given[0].group.ID < best[0].group.ID) {
+				best = given
+			}
+		}
+	}
+	gives := map[*condition]bool{}
+	for _, c := range best {
+		gives[c] = true
+	}
+	return gives
+}
+
+// domains are the fabric domains of the groups.
+func (r *round) domains() map[fleet.FabricDomain]bool {
+	domains := map[fleet.FabricDomain]bool{}
+	for _, c := range r.groups {
+		domains[c.group.Fabric] = true
+	}
+	return domains
+}
+
+// giversIn lists the groups of one fabric domain that make up a missing group,
+// none when they can't.
+func (r *round) giversIn(w *Wanted, f fleet.FabricDomain, excess map[*Wanted]int) []*condition {
+	have := r.nearIn(w, f)
+	left := maps.Clone(excess)
+	var given []*condition
+	for _, c := range slices.Backward(r.groups) {
+		if have >= w.Size {
+			break
+		}
+		if c.group.Fabric != f || c.want == nil || left[c.want] <= 0 || !c.whole || !r.stays(c) {
+			continue
+		}
+		near := 0
+		for _, m := range c.composition {
+			if _, ok := r.snap.Instances[m.Instance].Near[w.Model]; ok {
+				near++
+			}
+		}
+		if near == 0 {
+			continue
+		}
+		left[c.want]--
+		have += near
+		given = append(given, c)
+	}
+	if have < w.Size {
+		return nil
+	}
+	return given
+}
+
 // whyReplaced says why a group shall not stay.
 func (r *round) whyReplaced(c *condition) string {
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	ReadinessListen  string        `long:"readiness-listen" env:"CARAWAY_READINESS_LISTEN" description:"ip:port for the balancer's checks, with --store only" default:"127.0.0.1:7403"`
 	FirstStart       bool          `long:"first-start" env:"CARAWAY_FIRST_START" description:"the whole system starts for the first time: no request comes yet and replicas may be loaded at once, with --store only"`
 	MemoryLimit      int           `long:"memory-limit" env:"CARAWAY_MEMORY_LIMIT" description:"MiB that the process may use, which the collector keeps well below, 0 for no limit" default:"0"`
+	Processors       float64       `long:"processors" env:"CARAWAY_PROCESSORS" description:"processor cores that this daemon may use, 0.01 to 1024, by which daemons agree who does the control work, with --store only" default:"1"`
 	RetryRatio       float64       `long:"retry-ratio" env:"CARAWAY_RETRY_RATIO" description:"retries that daemons may add for each request of a service, 0.01 to 1, with --store only" default:"0.2"`
 	RetrySlack       int           `long:"retry-slack" env:"CARAWAY_RETRY_SLACK" description:"retries that all daemons together may add besides at once, 0 to 100000, with --store only" default:"100"`
 	LedgerShards     int           `long:"ledger-shards" env:"CARAWAY_LEDGER_SHARDS" description:"ledger streams, 1 to 64, the same at every daemon" default:"4"`
@@ -118,6 +119,7 @@
 	check(s.Store == "" || isAddress(s.Store), "store", "ip:port", strconv.Quote(s.Store))
 	check(isAddress(s.ReadinessListen), "readiness-listen", "ip:port", strconv.Quote(s.ReadinessListen))
 	check(within(s.MemoryLimit, 0, 1<<20), "memory-limit", "0 to 1048576 MiB", s.MemoryLimit)
+	check(s.Processors >= 0.01 && s.Processors <= 1024, "processors", "0.01 to 1024", s.Processors)
 	check(within(s.RetryRatio, 0.01, 1), "retry-ratio", "0.01 to 1", s.RetryRatio)
 	check(within(s.RetrySlack, 0, 100_000), "retry-slack", "0 to 100000", s.RetrySlack)
 	check(within(s.LedgerShards, 1, 64), "ledger-shards", "1 to 64", s.LedgerShards)
