settings: amounts that the platform states as fractions

Cause: RetrySlack and MemoryLimit, which the deploy file fills in from the platform's figures, were parsed as int. The class is "an amount of the platform taken for a whole number"; of the others that the deploy file fills in, Processors and RetryRatio are fractions already and the drain timeout is a duration, which takes "8.25s".

Change: both are fractions.

--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -43,7 +43,7 @@
 		os.Exit(exitUsage)
 	}
 	if set.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(heapLimitFraction * float64(set.MemoryLimit<<20)))
+		debug.SetMemoryLimit(int64(heapLimitFraction * set.MemoryLimit * (1 << 20)))
 	}
 	if err := run(set); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -197,7 +197,7 @@
 // together may add to a service within the configured window, in addition to
 // the retries in proportion to the requests.
 func (d *Daemon) retryBurst() int {
-	return max(int(retryFraction*float64(d.settings.RetrySlack)/float64(d.countDaemons())), 1)
+	return max(int(retryFraction*d.settings.RetrySlack/float64(d.countDaemons())), 1)
 }
 
 // isIdle reports whether the whole system has just started and this daemon has
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,10 +33,10 @@
 	Store            string        `long:"store" env:"CARAWAY_STORE" description:"ip:port of the platform's record store; when set, the daemon passes requests on as they come, by the operator's routing document and the list of backend servers in that store, and --platform is not used"`
 	ReadinessListen  string        `long:"readiness-listen" env:"CARAWAY_READINESS_LISTEN" description:"ip:port for the balancer's checks, with --store only" default:"127.0.0.1:7403"`
 	FirstStart       bool          `long:"first-start" env:"CARAWAY_FIRST_START" description:"the whole system starts for the first time: no request comes yet and replicas may be loaded at once, with --store only"`
-	MemoryLimit      int           `long:"memory-limit" env:"CARAWAY_MEMORY_LIMIT" description:"MiB that the process may use, which the collector keeps well below, 0 for no limit" default:"0"`
+	MemoryLimit      float64       `long:"memory-limit" env:"CARAWAY_MEMORY_LIMIT" description:"MiB that the process may use, which the collector keeps well below, 0 for no limit" default:"0"`
 	Processors       float64       `long:"processors" env:"CARAWAY_PROCESSORS" description:"processor cores that this daemon may use, 0.01 to 1024, by which daemons agree who does the control work, with --store only" default:"1"`
 	RetryRatio       float64       `long:"retry-ratio" env:"CARAWAY_RETRY_RATIO" description:"retries that daemons may add for each request of a service, 0.01 to 1, with --store only" default:"0.2"`
-	RetrySlack       int           `long:"retry-slack" env:"CARAWAY_RETRY_SLACK" description:"retries that all daemons together may add besides at once, 0 to 100000, with --store only" default:"100"`
+	RetrySlack       float64       `long:"retry-slack" env:"CARAWAY_RETRY_SLACK" description:"retries that all daemons together may add besides at once, 0 to 100000, with --store only" default:"100"`
 	LedgerShards     int           `long:"ledger-shards" env:"CARAWAY_LEDGER_SHARDS" description:"ledger streams, 1 to 64, the same at every daemon" default:"4"`
 	PlacementScopes  int           `long:"placement-scopes" env:"CARAWAY_PLACEMENT_SCOPES" description:"lease scopes of placement, 1 to 64, the same at every daemon" default:"8"`
 	KeyWindow        time.Duration `long:"key-window" env:"CARAWAY_KEY_WINDOW" description:"how long idempotency keys are kept, 1m to 168h, the same at every daemon" default:"24h"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -55,6 +55,21 @@
 	assert.Assert(t, first != second)
 }
 
+// Guards against a daemon that does not start because the platform states one of
+// its amounts as a fraction.
+func TestFractionalAmountPreventedStart(t *testing.T) {
+	t.Setenv("CARAWAY_AVAILABILITY_ZONE", "regina")
+	t.Setenv("CARAWAY_PLATFORM", "127.0.0.1:9")
+	t.Setenv("CARAWAY_PROCESSORS", "0.192")
+	t.Setenv("CARAWAY_RETRY_SLACK", "44.65517241379311")
+	t.Setenv("CARAWAY_MEMORY_LIMIT", "160.5")
+	t.Setenv("CARAWAY_DRAIN_TIMEOUT", "8.25s")
+	s, err := Parse(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, s.RetrySlack, 44.65517241379311)
+	assert.Equal(t, s.MemoryLimit, 160.5)
+}
+
 func TestDaemonIDContainsInstanceName(t *testing.T) {
 	for _, name := range []string{"edge-1", "a", "edge-syangja-3-d5409747"} {
 		settings := &Settings{Name: name}
