placement: lines that tell the hypotheses on rate quotes apart

No change of logic. placement.split tells each change of a service's wanted groups with the measured work behind it (hypotheses 1 and 4 of docs/incidents/rate-quotes-underserved.md); placement.engine-back tells how long an engine was treated as down and whether it restarted (3); the reason of a dissolved group counts what its domain has that could complete it (1, 2).

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -115,6 +115,7 @@
 				Pool:       fleet.Pool(s.Name),
 				Model:      m.Name,
 				Groups:     groups[k],
+				Work:       measuredWork(demands[k], measured),
 				Size:       m.Size,
 				LoadTime:   m.LoadTime,
 				Expendable: expendableGroups(demands[k], measured),
@@ -189,6 +190,15 @@
 	return m.ExpendableGroups()
 }
 
+// measuredWork returns the mean number of busy groups of a model, or zero until
+// its demand has been measured.
+func measuredWork(m placement.ModelDemand, measured bool) float64 {
+	if !measured {
+		return 0
+	}
+	return m.Work
+}
+
 // modelDemands returns the demand for each model: the measured demand or, until
 // it is known, the share of the engines stated in the document.
 func (d *Daemon) modelDemands(s *routes.Service, groupCounts map[fleet.ServiceName]placement.GroupCounts) (demands []placement.ModelDemand, measured bool) {
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -59,4 +59,10 @@
 		"An order about an engine's place in a group was sent; the outcome field gives the engine's answer.", "Check the outcome if a group does not become whole.")
 	eventEngineDown = event.Define(1422, "placement.engine-down", log.WarnLevel,
 		"An engine did not answer its probes and is treated as down until it reports or answers again.", "Check whether the instance is running and reachable.")
+	eventEngineBack = event.Define(1423, "placement.engine-back", log.InfoLevel,
+		"An engine that was treated as down answered a probe. If it was down for a moment and has not restarted, the probes rather than the engine were slow.",
+		"None, unless many engines are down for a moment at the same time; then check the processor time of the holder.")
+	eventSplit = event.Define(1424, "placement.split", log.InfoLevel,
+		"The number of groups that a service should have has changed; the work field is the mean number of groups that its requests keep busy, as far as it is measured.",
+		"None.")
 )
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -222,6 +222,7 @@
 	if len(wanted) == 0 {
 		return
 	}
+	c.logSplit(t, wanted)
 	s := c.snapshot(t, servers, wanted, revision)
 	for _, a := range t.planner.Plan(s, now) {
 		c.apply(t, a)
@@ -468,6 +469,21 @@
 		"members", instanceIDs(a.Group.Members), "scope", c.cfg.Scope, "term", t.term, "reason", a.Reason, "cost", a.Cost)
 }
 
+// logSplit logs the services whose number of wanted groups has changed since the
+// last round.
+func (c *GroupController) logSplit(t *termState, wanted []Wanted) {
+	before := map[fleet.ServiceName]int{}
+	for _, w := range t.wanted {
+		before[w.Service] = w.Groups
+	}
+	for _, w := range wanted {
+		if groups, known := before[w.Service]; !known || groups != w.Groups {
+			c.cfg.Events.Emit(eventSplit, "scope", c.cfg.Scope, "service", w.Service, "groups", w.Groups, "before", groups,
+				"size", w.Size, "work", w.Work)
+		}
+	}
+}
+
 // logGroupChanges logs the groups that became whole or broke.
 func (c *GroupController) logGroupChanges(t *termState, s Snapshot, now time.Time) {
 	for id := range t.whole {
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -45,6 +45,7 @@
 	nextAt   time.Time
 	inFlight bool
 	failures int
+	downAt   time.Time // when failures reached maxProbeFailures
 	// deadline is when the prober stops waiting for awaitedState of the place and
 	// for awaitedModel on the host.
 	deadline     time.Time
@@ -234,6 +235,10 @@
 		p.recordFailure(pr, l, began, now, err)
 		return
 	}
+	if pr.failures >= maxProbeFailures {
+		p.c.cfg.Events.Emit(eventEngineBack, "instance", l.Instance, "down_ms", now.Sub(pr.downAt).Milliseconds(),
+			"restarted", status.Incarnation != l.Incarnation)
+	}
 	pr.failures = 0
 	p.c.cfg.Servers.Answered(status.Server, began.Add(-p.c.cfg.ReportAge()))
 	switch {
@@ -265,6 +270,7 @@
 	}
 	pr.nextAt = now.Add(probeInterval)
 	if pr.failures == maxProbeFailures {
+		pr.downAt = now
 		p.c.cfg.Events.Emit(eventEngineDown, "instance", l.Instance, "address", l.Address, "error", err,
 			"tries", pr.failures, "took_ms", now.Sub(began).Milliseconds())
 	}
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -53,7 +53,7 @@
 	}
 	if r.localOnly() && !r.snap.LogDown && r.substitutes(c) == nil {
 		if !r.preempt(c) {
-			r.dissolve(c, "no instance in its fabric domain can complete it soon")
+			r.dissolve(c, "no instance in its fabric domain can complete it soon, "+r.describeDomain(c))
 		}
 		return
 	}
@@ -71,6 +71,26 @@
 	}
 }
 
+// describeDomain says what the fabric domain of a broken group has that could
+// complete it.
+func (r *round) describeDomain(c *groupState) string {
+	others, withModel := 0, 0
+	for _, o := range r.groups {
+		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !o.whole {
+			continue
+		}
+		others++
+		for _, m := range o.composition {
+			if _, local := r.snap.Instances[m.Instance].LocalLoadTimes[c.group.Model]; local {
+				withModel++
+			}
+		}
+	}
+	free := r.freeIn(c.wanted.Pool, c.group.Fabric, c.wanted.Model)
+	return fmt.Sprintf("%d of %d members are lost, %d of %d free instances and %d members of %d groups of other services have its model",
+		len(c.lost), len(c.composition), r.countWithModel(c.wanted, c.group.Fabric), len(free), withModel, others)
+}
+
 // hasUnknownMembers reports whether a group that was taken over from another
 // holder has members that are not known yet, and UnknownMemberSettle has not
 // passed.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -31,8 +31,11 @@
 	Adapters []fleet.Adapter
 	Role     fleet.Role
 	Groups   int
-	Size     int // instances per group
-	Spares   int // instances reserved per group
+	// Work is the mean number of groups that the service's requests keep busy,
+	// zero if it is not measured.
+	Work   float64
+	Size   int // instances per group
+	Spares int // instances reserved per group
 	// LoadTime is the time that one group needs to load the version while no
 	// other group loads from the weight store.
 	LoadTime time.Duration
