edge, membership: the split of the engines follows the requests at all daemons

Cause: the holder took its own callers, times the number of daemons, for all. One of 87 daemons meets 7 requests a second, one of them for the larger model: too few to measure with, and a poor sample. Class: one daemon's sample taken for all.

Change: heartbeats carry the sender's measured work by service, a few bytes; the holder adds them up and measures from 600 requests at all daemons on. The average runs over the time since the first request while that is shorter than its window (before, it counted two thirds of the demand after 8 s).

Test: TestSplitIgnoredRequestsAtOtherDaemons, whole daemons with callers at others than the holder; before: "measured work 0, want about 0.7".

--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -102,6 +102,7 @@
 // Heartbeat implements membership.Source.
 func (d *Daemon) Heartbeat() membership.Heartbeat {
 	ready, _ := d.Ready()
+	work, requests := d.demand.busyGroups(time.Now())
 	return membership.Heartbeat{
 		Ready:            ready,
 		Draining:         d.draining.Load(),
@@ -112,6 +113,8 @@
 		HoldsScope:       d.groupController.HoldsLease(),
 		IsReader:         d.isReader(),
 		Processors:       d.settings.Processors,
+		Work:             work,
+		WorkRequests:     requests,
 		Renewal:          d.elector.LastRenewal(),
 		StoreUnavailable: d.storeUnavailable.Load() || d.groupController.HoldsLease() && d.elector.LogUnavailable(),
 	}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -15,19 +15,19 @@
 const (
 	// demandWindow is the time constant of the average demand for a model.
 	demandWindow = 8 * time.Second
-	// minDemandRequests is the number of requests from which on the measured
-	// demand replaces the shares stated in the document.
-	minDemandRequests = 150
+	// minDemandRequests is the number of requests at all daemons together from
+	// which on the measured demand replaces the shares stated in the document.
+	minDemandRequests = 600
 )
 
-// demandMeter measures the work that requests for each model require, including
-// refused requests. The load balancer distributes callers over all daemons, so
-// the ratio between models at one daemon is representative.
+// demandMeter measures the work that the requests of this daemon's callers
+// require, including refused requests.
 type demandMeter struct {
 	mu        sync.Mutex
 	work      map[fleet.ServiceName]float64 // group-seconds, decaying
+	startedAt time.Time
 	updatedAt time.Time
-	requests  int
+	requests  uint64
 }
 
 // add records the work of one request.
@@ -35,7 +35,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.work == nil {
-		d.work = map[fleet.ServiceName]float64{}
+		d.work, d.startedAt = map[fleet.ServiceName]float64{}, now
 	}
 	decay := math.Exp(-now.Sub(d.updatedAt).Seconds() / demandWindow.Seconds())
 	for n := range d.work {
@@ -46,13 +46,38 @@
 	d.requests++
 }
 
-// busyGroups returns how many groups the requests for a model keep busy,
-// and whether minDemandRequests have been recorded.
-func (d *demandMeter) busyGroups(name fleet.ServiceName, now time.Time) (float64, bool) {
+// busyGroups returns how many groups the requests for each model keep busy, and
+// the number of requests recorded so far. The average is over the time since the
+// first request while that is shorter than the window.
+func (d *demandMeter) busyGroups(now time.Time) (work map[fleet.ServiceName]float64, requests uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	work = make(map[fleet.ServiceName]float64, len(d.work))
 	decay := math.Exp(-now.Sub(d.updatedAt).Seconds() / demandWindow.Seconds())
-	return d.work[name] * decay / demandWindow.Seconds(), d.requests >= minDemandRequests
+	observed := demandWindow.Seconds() * (1 - math.Exp(-now.Sub(d.startedAt).Seconds()/demandWindow.Seconds()))
+	for name, sum := range d.work {
+		work[name] = sum * decay / max(observed, minObservedSeconds)
+	}
+	return work, d.requests
+}
+
+// minObservedSeconds bounds the time over which demand is averaged from below.
+const minObservedSeconds = 0.5
+
+// totalWork returns how many groups the requests for each model keep busy at all
+// daemons together, and whether minDemandRequests have been recorded.
+func (d *Daemon) totalWork(now time.Time) (work map[fleet.ServiceName]float64, measured bool) {
+	work, requests := d.demand.busyGroups(now)
+	for _, p := range d.mesh.View().Peers {
+		if !p.Alive {
+			continue
+		}
+		requests += p.Heartbeat.WorkRequests
+		for name, groups := range p.Heartbeat.Work {
+			work[name] += groups
+		}
+	}
+	return work, requests >= minDemandRequests
 }
 
 // demandRecorder is an entry.Dispatcher that records the demand of the requests
@@ -202,15 +227,14 @@
 // modelDemands returns the demand for each model: the measured demand or, until
 // it is known, the share of the engines stated in the document.
 func (d *Daemon) modelDemands(s *routes.Service, groupCounts map[fleet.ServiceName]placement.GroupCounts) (demands []placement.ModelDemand, measured bool) {
+	work, measured := d.totalWork(time.Now())
 	demands = make([]placement.ModelDemand, len(s.Engine.Models))
 	for i, m := range s.Engine.Models {
 		name := routes.ModelService(s.Name, m.Name)
-		work, known := d.demand.busyGroups(name, time.Now())
-		if !known {
-			work = m.Share / float64(m.Size)
+		demands[i] = placement.ModelDemand{Size: m.Size, Work: work[name], GroupCounts: groupCounts[name]}
+		if !measured {
+			demands[i].Work = m.Share / float64(m.Size)
 		}
-		measured = known
-		demands[i] = placement.ModelDemand{Size: m.Size, Work: work * float64(d.countDaemons()), GroupCounts: groupCounts[name]}
 	}
 	return demands, measured
 }
--- a/internal/membership/dictionary.go
+++ b/internal/membership/dictionary.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -17,7 +18,7 @@
 var (
 	errUnknownName   = errors.New("unknown name number")
 	errTooManyNames  = errors.New("too many names on one link")
-	errUnpairedCount = errors.New("group number without a count")
+	errUnpairedCount = errors.New("number of a name without its count")
 )
 
 // nameTable assigns a number to each name that a link sends, so that the name is
@@ -95,6 +96,37 @@
 	return streams, inFlight, n.unpackLoad(b.InFlight, inFlight)
 }
 
+// workUnit is the unit of the work of services on the wire, in groups.
+const workUnit = 0.001
+
+// packWork returns pairs of a service's number and its work.
+func (n *nameTable) packWork(work map[fleet.ServiceName]float64) []uint32 {
+	var pairs []uint32
+	for service, groups := range work {
+		if units := math.Round(groups / workUnit); units >= 1 && units <= math.MaxUint32 {
+			pairs = append(pairs, n.number(string(service)), uint32(units))
+		}
+	}
+	return pairs
+}
+
+// unpackWork returns the work for pairs from packWork. The heartbeat's names must
+// have been added before.
+func (n nameList) unpackWork(pairs []uint32) (map[fleet.ServiceName]float64, error) {
+	if len(pairs)%2 != 0 {
+		return nil, errUnpairedCount
+	}
+	work := make(map[fleet.ServiceName]float64, len(pairs)/2)
+	for i := 0; i < len(pairs); i += 2 {
+		name, err := n.get(pairs[i])
+		if err != nil {
+			return nil, err
+		}
+		work[fleet.ServiceName(name)] = float64(pairs[i+1]) * workUnit
+	}
+	return work, nil
+}
+
 // unpackLoad reads pairs of a group's number and count into a map.
 func (n nameList) unpackLoad(pairs []uint32, into map[fleet.GroupID]uint32) error {
 	if len(pairs)%2 != 0 {
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -42,12 +42,17 @@
 		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
 		return err
 	}
+	work, err := l.receivedNames.unpackWork(b.Work)
+	if err != nil {
+		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		return err
+	}
 	h := Heartbeat{
 		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
 		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
 		HoldsScope: b.HoldsScope, IsReader: b.IsReader, Renewal: b.Renewal, StoreUnavailable: b.StoreUnavailable,
-		Processors: b.Processors,
+		Processors: b.Processors, Work: work, WorkRequests: b.WorkRequests,
 	}
 	timing := l.recordReceived(now, b)
 	if err := m.handleReports(l, b, timing.sentAt); err != nil {
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -119,6 +119,7 @@
 	l.sentNames.packReports(&b, now, h.Reports, l.reportsSent)
 	b.Unresponsive = packNew(l.sentNames, h.Unresponsive, l.unresponsiveSent)
 	b.Stalled = packNew(l.sentNames, h.Stalled, l.stalledSent)
+	b.Work, b.WorkRequests = l.sentNames.packWork(h.Work), h.WorkRequests
 	l.sentNames.pack(&b, h.Streams, h.InFlight)
 	l.loadSent = h.InFlight
 	frame, err := encode(&b)
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -96,6 +96,9 @@
 	StoreUnavailable bool          `cbor:"17,keyasint,omitempty"`
 	// Processors is the number of cores that the sender may use.
 	Processors float64 `cbor:"18,keyasint,omitempty"`
+	// Work alternates a service's number and its work in workUnit.
+	Work         []uint32 `cbor:"19,keyasint,omitempty"`
+	WorkRequests uint64   `cbor:"20,keyasint,omitempty"`
 }
 
 // loadMessage holds the counts that have changed since the last message, sent
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -26,6 +26,7 @@
 			Loads:        []wireLoad{{Instance: 0, Running: 3, PendingTokens: 900, Age: 20}},
 			ReportAges:   []uint64{0, 24},
 			Unresponsive: []uint32{0},
+			Work:         []uint32{0, 1250}, WorkRequests: 61,
 		},
 		&gossipMessage{
 			Leaving:   []leavingItem{{Instance: "i", AgeMilli: 5}},
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -50,6 +50,11 @@
 	IsReader   bool `cbor:"-"`
 	// Processors is the number of cores that the sender may use.
 	Processors float64 `cbor:"-"`
+	// Work is the mean number of replica groups that the requests of the
+	// sender's callers keep busy, by service. WorkRequests is the number of
+	// requests that it has been measured on.
+	Work         map[fleet.ServiceName]float64 `cbor:"-"`
+	WorkRequests uint64                        `cbor:"-"`
 	// Renewal is the sender's latest renewal of its lease on the scope.
 	Renewal lease.Renewal `cbor:"-"`
 	// StoreUnavailable is set while the sender can't reach the platform's store.
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -473,15 +473,15 @@
 }
 
 // logSplit logs the services whose number of wanted groups has changed since the
-// last round.
+// last round, or whose demand has been measured since.
 func (c *GroupController) logSplit(t *termState, wanted []Wanted) {
-	before := map[fleet.ServiceName]int{}
+	before := map[fleet.ServiceName]Wanted{}
 	for _, w := range t.wanted {
-		before[w.Service] = w.Groups
+		before[w.Service] = w
 	}
 	for _, w := range wanted {
-		if groups, known := before[w.Service]; !known || groups != w.Groups {
-			c.cfg.Events.Emit(eventSplit, "scope", c.cfg.Scope, "service", w.Service, "groups", w.Groups, "before", groups,
+		if b, known := before[w.Service]; !known || b.Groups != w.Groups || (b.Work > 0) != (w.Work > 0) {
+			c.cfg.Events.Emit(eventSplit, "scope", c.cfg.Scope, "service", w.Service, "groups", w.Groups, "before", b.Groups,
 				"size", w.Size, "work", w.Work)
 		}
 	}
--- a/standin/site/log_test.go
+++ b/standin/site/log_test.go
@@ -87,3 +87,37 @@
 		}
 	}
 }
+
+// The holder is one daemon of many and meets few requests. The split of the
+// engines must follow the requests at all daemons, not the holder's own.
+func TestSplitIgnoredRequestsAtOtherDaemons(t *testing.T) {
+	const perSecond, forTime = 10, 70 * time.Second
+	var log logBuffer
+	synctest.Test(t, func(t *testing.T) {
+		w, err := New(Options{Daemons: 3, Engines: 24, Plains: 2, Log: &log})
+		assert.NilError(t, err)
+		defer time.Sleep(settleTime)
+		defer w.Close()
+		time.Sleep(leadTime)
+		var callers sync.WaitGroup
+		for n := range perSecond * int(forTime.Seconds()) {
+			d := w.Daemons[n%len(w.Daemons)]
+			if d.HoldsLease() {
+				d = w.Daemons[(n+1)%len(w.Daemons)]
+			}
+			callers.Go(func() { w.Stream(d, fmt.Sprintf("s-%d", n), ModelOfTwo) })
+			time.Sleep(time.Second / perSecond)
+		}
+		callers.Wait()
+	})
+	// A prompt of 700 tokens at 45,000 a second, and 50 steps of 8.8 ms for 8 slots:
+	// a request without a hint counts with half of its maximum of 100 tokens.
+	const want = perSecond * (700.0/45000 + 50*0.0088/8)
+	got := 0.0
+	for line := range strings.Lines(log.text.String()) {
+		if _, work, ok := strings.Cut(line, "work="); ok && strings.Contains(line, "placement.split") && strings.Contains(line, "service=engines/duo") {
+			fmt.Sscan(work, &got)
+		}
+	}
+	assert.Assert(t, got > 0.7*want && got < 1.3*want, "measured work %g, want about %g", got, want)
+}
