--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -709,3 +709,20 @@
 		}
 	})
 }
+
+// Members of the larger model's groups die one after another. Once its fabric
+// domains have no spares, the smaller model must give up engines, so that the
+// shortage does not fall on the larger model alone.
+func TestShortageFellOnTheLargerModelAlone(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		larger, smaller := w.OpenGroups(ModelOfThree), w.OpenGroups(ModelOfTwo)
+		for range 6 {
+			w.FreezeEngine(w.Member(ModelOfThree, 1))
+			sendStreams(w, ModelOfThree, 5*time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		t.Logf("groups of three %d of %d, of two %d of %d", w.OpenGroups(ModelOfThree), larger, w.OpenGroups(ModelOfTwo), smaller)
+		// 18 engines are left for 9 in groups of three and 10 in groups of two.
+		assert.Assert(t, w.OpenGroups(ModelOfThree) >= larger-1, "%d of %d groups of three are left", w.OpenGroups(ModelOfThree), larger)
+	})
+}
