placement: a shortage of engines falls on all models alike

Cause: a group of the larger model that had lost one member and found no spare was dissolved, with seven healthy members, beside 2 to 4 whole groups of the other model in its domain. The other model gave up groups only if it was idle (utilization below 0.7 without them), so in a shortage it never did. Class: thresholds that hold for one model alone, where two share the engines.

Change: a model gives up a group, for a repair or to form one, if it remains less utilized without it than the other model is now, by a tenth. Each such change lowers the highest utilization, so they do not pass engines back and forth. For a repair the group with the fewest requests in flight is taken, as it is drained first. Wanted.Expendable, which counted idle groups, is gone.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -135,15 +135,15 @@
 		groups := placement.SplitEngines(demands, n, int(spareFraction*float64(n)), measured)
 		for k, m := range s.Engine.Models {
 			out = append(out, placement.Wanted{
-				Service:    routes.ModelService(s.Name, m.Name),
-				Revision:   t.Document.Version,
-				Pool:       fleet.Pool(s.Name),
-				Model:      m.Name,
-				Groups:     groups[k],
-				Work:       measuredWork(demands[k], measured),
-				Size:       m.Size,
-				LoadTime:   m.LoadTime,
-				Expendable: expendableGroups(demands[k], measured),
+				Service:  routes.ModelService(s.Name, m.Name),
+				Revision: t.Document.Version,
+				Pool:     fleet.Pool(s.Name),
+				Model:    m.Name,
+				Groups:   groups[k],
+				Work:     demands[k].Work,
+				Measured: measured,
+				Size:     m.Size,
+				LoadTime: m.LoadTime,
 			})
 		}
 	}
@@ -206,24 +206,6 @@
 	return longest
 }
 
-// expendableGroups returns how many of its groups a model can release, or zero
-// until its demand has been measured.
-func expendableGroups(m placement.ModelDemand, measured bool) int {
-	if !measured {
-		return 0
-	}
-	return m.ExpendableGroups()
-}
-
-// measuredWork returns the mean number of busy groups of a model, or zero until
-// its demand has been measured.
-func measuredWork(m placement.ModelDemand, measured bool) float64 {
-	if !measured {
-		return 0
-	}
-	return m.Work
-}
-
 // modelDemands returns the demand for each model: the measured demand or, until
 // it is known, the share of the engines stated in the document.
 func (d *Daemon) modelDemands(s *routes.Service, groupCounts map[fleet.ServiceName]placement.GroupCounts) (demands []placement.ModelDemand, measured bool) {
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -63,6 +63,6 @@
 		"An engine that was treated as down answered a probe. If it was down for a moment and has not restarted, the probes rather than the engine were slow.",
 		"None, unless many engines are down for a moment at the same time; then check the processor time of the holder.")
 	eventSplit = event.Define(1424, "placement.split", log.InfoLevel,
-		"The number of groups that a service should have has changed; the work field is the mean number of groups that its requests keep busy, as far as it is measured.",
+		"The number of groups that a service should have has changed; the work field is the mean number of groups that its requests keep busy or, until it is measured, proportional to it.",
 		"None.")
 )
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -480,9 +480,9 @@
 		before[w.Service] = w
 	}
 	for _, w := range wanted {
-		if b, known := before[w.Service]; !known || b.Groups != w.Groups || (b.Work > 0) != (w.Work > 0) {
+		if b, known := before[w.Service]; !known || b.Groups != w.Groups || b.Measured != w.Measured {
 			c.cfg.Events.Emit(eventSplit, "scope", c.cfg.Scope, "service", w.Service, "groups", w.Groups, "before", b.Groups,
-				"size", w.Size, "work", w.Work)
+				"size", w.Size, "work", w.Work, "measured", w.Measured)
 		}
 	}
 }
--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -331,3 +331,64 @@
 	f.group("g4", "duo", 2, "d1", 0)
 	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"form quad"})
 }
+
+// A group of the larger model that had lost one member was dissolved, although
+// groups of another model in its fabric domain could complete it.
+func TestLargerGroupWasDissolvedBesideGroupsThatCouldCompleteIt(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	for _, test := range []struct {
+		name  string
+		duos  int
+		local map[string]time.Duration // of the members of the duos
+		want  []string
+	}{
+		{"the other model remains less utilized", 8, both, []string{"drain duo", "wait quad"}},
+		{"the other model would be busier", 2, both, []string{"dissolve quad"}},
+		{"no member of the other model has the model", 8, map[string]time.Duration{"duo": loadedTime}, []string{"dissolve quad"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newModelFixture(test.duos, 2)
+			f.group("quad.1", "quad", 4, "d0", 1)
+			f.group("quad.2", "quad", 4, "d1", 0)
+			for n := range test.duos {
+				f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, fleet.FabricDomain(fmt.Sprintf("d%d", n%2)), 0)
+			}
+			for id, st := range f.s.Instances {
+				if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+					st.LocalLoadTimes = test.local
+					f.s.Instances[id] = st
+				}
+			}
+			f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.5, 4
+			f.s.InFlight = map[fleet.GroupID]uint32{"duo.0": 9, "duo.2": 3, "duo.4": 7, "duo.6": 5}
+			planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+			actions := planner.Plan(f.s, time.Now())
+			assert.DeepEqual(t, kinds(actions), test.want)
+			if actions[0].Kind == ActionDrain {
+				assert.Equal(t, actions[0].Group.ID, fleet.GroupID("duo.2"), "the group with the fewest requests in flight")
+			}
+		})
+	}
+}
+
+// Each broken group takes a group of the other model only as long as that one
+// remains less utilized.
+func TestRepairsLeaveTheOtherModelLessUtilized(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	f := newModelFixture(6, 3)
+	for n := range 3 {
+		f.group(fleet.GroupID(fmt.Sprintf("quad.%d", n)), "quad", 4, fleet.FabricDomain(fmt.Sprintf("d%d", n)), min(n, 1))
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, fleet.FabricDomain(fmt.Sprintf("d%d", n)), 0)
+	}
+	for id, st := range f.s.Instances {
+		if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+			st.LocalLoadTimes = both
+			f.s.Instances[id] = st
+		}
+	}
+	// With one group of three quad has a utilization of 2, with two one of 1. Duo
+	// has 0.67 with three groups, 1 with two and 2 with one.
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 2, 2
+	planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"drain duo", "wait quad", "dissolve quad"})
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -7,29 +7,60 @@
 )
 
 // preempt drains a whole group of another service in the broken group's fabric
-// domain if that service can give it up and its instances can take the lost
-// ranks sooner than other instances could load the model. The broken group waits
-// for them. It returns false if there is no such group.
+// domain if that service may give it up and its instances can take the lost ranks
+// sooner than other instances could load the model. The broken group waits for
+// them. It returns false if there is no such group. Of several groups it takes the
+// one with the fewest requests in flight, which is drained first.
 func (r *round) preempt(c *groupState) bool {
 	if r.snap.LogDown {
 		return false
 	}
+	var best *groupState
 	for _, o := range r.groups {
 		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !r.canSubstitute(o, c) {
 			continue
 		}
-		if o.draining() {
-			r.wait(c, "the instances of %s will repair it", o.group.ID)
+		if o.draining() || r.preempted[o] {
+			r.waitForPreempted(c, o)
 			return true
 		}
-		if o.whole && o.wanted != nil && !o.leaving && o.wanted.Expendable > 0 {
-			o.wanted.Expendable--
-			r.drain(o, "its instances repair "+string(c.group.ID))
-			r.wait(c, "the instances of %s will repair it", o.group.ID)
-			return true
+		if !o.whole || o.wanted == nil || o.leaving || !r.mayGive(o.wanted, c.wanted) {
+			continue
+		}
+		if best == nil || r.snap.InFlight[o.group.ID] < r.snap.InFlight[best.group.ID] {
+			best = o
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.preempted[best] = true
+	r.drain(best, "its instances repair "+string(c.group.ID))
+	r.waitForPreempted(c, best)
+	return true
+}
+
+func (r *round) waitForPreempted(c, o *groupState) {
+	r.awaited[c] = true
+	r.wait(c, "the instances of %s will repair it", o.group.ID)
+}
+
+// mayGive reports whether a service may give up one group for a broken group of
+// another service.
+func (r *round) mayGive(from, to *Wanted) bool {
+	return MayGive(from.Work, r.servingGroups(from)-1, to.Work, r.servingGroups(to))
+}
+
+// servingGroups counts the groups of a service that serve, will serve without
+// further instances, or wait for the instances of a preempted group.
+func (r *round) servingGroups(w *Wanted) int {
+	n := 0
+	for _, c := range r.groups {
+		if c.wanted == w && !c.draining() && !r.preempted[c] && (!c.broken() || r.awaited[c]) {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // canSubstitute reports whether enough available members of group o can load the
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -42,6 +42,8 @@
 	placed             map[fleet.InstanceID]bool // assigned in this round
 	failedDomains      map[fleet.FabricDomain]bool
 	dissolvedForRepair map[*groupState]bool // dissolved to repair another group
+	preempted          map[*groupState]bool // drained in this plan to repair another group
+	awaited            map[*groupState]bool // broken, waits for the instances of a preempted group
 	loads              int                  // groups that are loading or start loading in this plan
 	loadBudget         int                  // loads that this plan may still start
 	formed             int                  // groups formed by this plan
@@ -59,6 +61,7 @@
 	r.free = map[fleet.InstanceID]bool{}
 	r.placed = map[fleet.InstanceID]bool{}
 	r.dissolvedForRepair = map[*groupState]bool{}
+	r.preempted, r.awaited = map[*groupState]bool{}, map[*groupState]bool{}
 	r.findFailedDomains()
 	for _, id := range slices.Sorted(maps.Keys(s.Groups.Groups)) {
 		g := s.Groups.Groups[id]
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -18,10 +18,11 @@
 
 const (
 	// A model whose utilization (work per group) exceeds overloadedUtilization
-	// may take groups from a model below idleUtilization. A group that is taken
-	// from a model serves no requests until its engines have loaded the other one.
+	// may take groups from another model, as long as that one remains less
+	// utilized by transferMargin. A group that is taken from a model serves no
+	// requests until its engines have loaded the other one.
 	overloadedUtilization = 0.85
-	idleUtilization       = 0.7
+	transferMargin        = 1.1
 	// targetUtilization is the maximum planned utilization of a model's groups.
 	// redundantGroups is the number of groups that each model should be able to
 	// lose: for a model with few groups, each one is a large part of its capacity.
@@ -32,8 +33,9 @@
 // SplitEngines distributes engines over models and returns the number of groups
 // for each model. Each next group goes to the model with the highest demand per
 // group until at most reserve engines are left. A model keeps its existing groups
-// unless measured work shows that another model is overloaded while this one is
-// idle.
+// unless measured work shows that another model is overloaded and that this one
+// remains less utilized without them, so that a shortage of engines falls on all
+// models alike.
 func SplitEngines(models []ModelDemand, engines, reserve int, measured bool) []int {
 	if measured {
 		models = slices.Clone(models)
@@ -59,25 +61,35 @@
 		if !measured || overloadedModel < 0 || overloadedModel == i || changing {
 			continue
 		}
-		if surplus := min(m.ExpendableGroups(), groupsFor(models[overloadedModel].Size, m.Size)); surplus > 0 {
-			groups[i] = m.Groups - surplus
+		receiver := models[overloadedModel]
+		for n := groupsFor(receiver.Size, m.Size); n > 0; n-- {
+			if MayGive(m.Work, m.Groups-n, receiver.Work, receiver.Groups) {
+				groups[i] = m.Groups - n
+				break
+			}
 		}
 	}
 	return groups
 }
 
+// MayGive reports whether a model that would be left with groups groups for its
+// work may give engines to a model with otherGroups groups for otherWork: the
+// giver must remain less utilized than the receiver is now. Each such change
+// lowers the highest utilization, so models do not exchange engines back and
+// forth. Work is in busy groups or, for both models, in any other unit.
+func MayGive(work float64, groups int, otherWork float64, otherGroups int) bool {
+	return groups > 0 && utilization(work, groups)*transferMargin < utilization(otherWork, otherGroups)
+}
+
 // groupsFor returns how many groups of surplusSize engines provide at least size
 // engines.
 func groupsFor(size, surplusSize int) int { return (size + surplusSize - 1) / max(surplusSize, 1) }
 
 // utilization returns the mean number of busy groups divided by the number of
-// groups.
-func (m ModelDemand) utilization() float64 { return m.Work / math.Max(float64(m.Groups), 0.5) }
+// groups. A model without groups counts as having half of one.
+func utilization(work float64, groups int) float64 { return work / math.Max(float64(groups), 0.5) }
 
-// ExpendableGroups returns the number of groups that the model can give up.
-func (m ModelDemand) ExpendableGroups() int {
-	return min(max(int(float64(m.Groups)-m.Work/idleUtilization), 0), m.Groups)
-}
+func (m ModelDemand) utilization() float64 { return utilization(m.Work, m.Groups) }
 
 // targetGroups distributes the engines without regard to the existing groups.
 func targetGroups(models []ModelDemand, engines, reserve int) []int {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -31,18 +31,16 @@
 	Adapters []fleet.Adapter
 	Role     fleet.Role
 	Groups   int
-	// Work is the mean number of groups that the service's requests keep busy,
-	// zero if it is not measured.
-	Work   float64
-	Size   int // instances per group
-	Spares int // instances reserved per group
+	// Work is the mean number of groups that the service's requests keep busy.
+	// Until it is Measured, it is only proportional to that.
+	Work     float64
+	Measured bool
+	Size     int // instances per group
+	Spares   int // instances reserved per group
 	// LoadTime is the time that one group needs to load the version while no
 	// other group loads from the weight store.
 	LoadTime time.Duration
 	Weights  Weights
-	// Expendable is the number of groups that the service can give up so that their
-	// instances can repair groups of other services.
-	Expendable int
 }
 
 // InstanceState is the planner's view of one instance.
--- a/standin/site/log_test.go
+++ b/standin/site/log_test.go
@@ -115,7 +115,7 @@
 	const want = perSecond * (700.0/45000 + 50*0.0088/8)
 	got := 0.0
 	for line := range strings.Lines(log.text.String()) {
-		if _, work, ok := strings.Cut(line, "work="); ok && strings.Contains(line, "placement.split") && strings.Contains(line, "service=engines/duo") {
+		if _, work, ok := strings.Cut(line, "work="); ok && strings.Contains(line, "placement.split") && strings.Contains(line, "measured=true") && strings.Contains(line, "service=engines/duo") {
 			fmt.Sscan(work, &got)
 		}
 	}
