placement: the cost of a planning round grows with the fleet

Callers saw: nothing directly.

Evidence: 87 real daemons and 216 engines of the site stand-in on one machine, profile of the holder in the lead time: 69% of its processor time in planning rounds, 49% in the sort of removable groups alone, which no service needed.

Cause: the order in which surplus groups go was worked out in each round, also without surplus, and its comparisons searched all free engines. Searches of a domain's free engines went over those of all domains.

Change: the order is worked out only for a service that has a group to remove, one look a group; free engines are kept by domain.

--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -75,37 +74,29 @@
 // blocks for later groups. See Policy.Spread.
 func (r *round) domainsWithRoom(w *Wanted) []fleet.FabricDomain {
 	room := map[fleet.FabricDomain]int{}
-	for f := range r.freeByDomain(w.Pool) {
-		room[f] = len(r.candidates(w, f))
+	startupTimes := map[fleet.FabricDomain]time.Duration{} // until a new group is ready
+	var domains []fleet.FabricDomain
+	for f, ids := range r.freeByFabric {
+		if len(ids) < w.Size {
+			continue
+		}
+		candidates := r.candidates(w, f)
+		if len(candidates) < w.Size {
+			continue
+		}
+		domains = append(domains, f)
+		room[f] = len(candidates)
+		startupTimes[f], _ = r.startupTime(w, candidates[:w.Size])
 	}
-	maps.DeleteFunc(room, func(_ fleet.FabricDomain, n int) bool { return n < w.Size })
-	domains := slices.Collect(maps.Keys(room))
 	slices.SortFunc(domains, func(a, b fleet.FabricDomain) int {
 		if r.policy.Spread {
-			return cmp.Or(cmp.Compare(r.startupTimeIn(w, a), r.startupTimeIn(w, b)), cmp.Compare(room[b], room[a]), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare(startupTimes[a], startupTimes[b]), cmp.Compare(room[b], room[a]), cmp.Compare(a, b))
 		}
 		return cmp.Or(cmp.Compare(room[a], room[b]), cmp.Compare(a, b))
 	})
 	return domains
 }
 
-// startupTimeIn returns the time until a new group in a fabric domain is ready.
-func (r *round) startupTimeIn(w *Wanted, f fleet.FabricDomain) time.Duration {
-	took, _ := r.startupTime(w, r.candidates(w, f)[:w.Size])
-	return took
-}
-
-// freeByDomain counts the free instances of a pool by fabric domain.
-func (r *round) freeByDomain(pool fleet.Pool) map[fleet.FabricDomain]int {
-	room := map[fleet.FabricDomain]int{}
-	for id := range r.free {
-		if in := r.snap.Instances[id].Instance; in.Pool == pool {
-			room[in.Fabric]++
-		}
-	}
-	return room
-}
-
 // form adds a new group in a fabric domain that has enough instances for it.
 func (r *round) form(w *Wanted, f fleet.FabricDomain, reason string) {
 	ids := r.candidates(w, f)
--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -260,7 +260,7 @@
 	for i := range 4 {
 		f.engine(fleet.InstanceID(fmt.Sprintf("cold-%d", i)), "d0", nil)
 	}
-	planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	planner := NewPlanner(planningPolicyOfTests)
 	actions := planner.Plan(f.s, time.Now())
 	assert.DeepEqual(t, kinds(actions), []string{"dissolve quad", "repair quad", "dissolve duo"})
 	assert.Equal(t, actions[1].Group.ID, fleet.GroupID("g1"))
@@ -284,7 +284,7 @@
 // domain and be sufficient.
 func TestSurplusGroupsFormMissingGroup(t *testing.T) {
 	planner := func() *Planner {
-		return NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+		return NewPlanner(planningPolicyOfTests)
 	}
 	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
 	newFixture := func() *modelFixture {
@@ -324,7 +324,7 @@
 	for i := range 4 {
 		f.engine(fleet.InstanceID(fmt.Sprintf("e-%d", i)), "d0", both)
 	}
-	planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	planner := NewPlanner(planningPolicyOfTests)
 	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"form duo", "form duo"})
 	f.group("g2", "duo", 2, "d1", 0)
 	f.group("g3", "duo", 2, "d1", 0)
@@ -361,7 +361,7 @@
 			}
 			f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.5, 4
 			f.s.InFlight = map[fleet.GroupID]uint32{"duo.0": 9, "duo.2": 3, "duo.4": 7, "duo.6": 5}
-			planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+			planner := NewPlanner(planningPolicyOfTests)
 			actions := planner.Plan(f.s, time.Now())
 			assert.DeepEqual(t, kinds(actions), test.want)
 			if actions[0].Kind == ActionDrain {
@@ -389,6 +389,42 @@
 	// With one group of three quad has a utilization of 2, with two one of 1. Duo
 	// has 0.67 with three groups, 1 with two and 2 with one.
 	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 2, 2
-	planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64})
+	planner := NewPlanner(planningPolicyOfTests)
 	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"drain duo", "wait quad", "dissolve quad"})
 }
+
+var planningPolicyOfTests = Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 1, MaxLoads: 64, StoreRate: 64}
+
+// planningTime returns the time of a round for a healthy fleet of the given number
+// of fabric domains, each with a quad, five duos and four spares: the least of
+// several rounds, so that a busy machine does not count.
+func planningTime(domains int) time.Duration {
+	f := newModelFixture(5*domains, domains)
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	for n := range domains {
+		d := fleet.FabricDomain(fmt.Sprintf("d%02d", n))
+		f.group(fleet.GroupID(fmt.Sprintf("quad.%d", n)), "quad", 4, d, 0)
+		for k := range 5 {
+			f.group(fleet.GroupID(fmt.Sprintf("duo.%d.%d", n, k)), "duo", 2, d, 0)
+		}
+		for k := range 4 {
+			f.engine(fleet.InstanceID(fmt.Sprintf("free-%d-%d", n, k)), d, both)
+		}
+	}
+	planner, now, least := NewPlanner(planningPolicyOfTests), time.Now(), time.Hour
+	for range 9 {
+		began := time.Now()
+		planner.Plan(f.s, now)
+		least = min(least, time.Since(began))
+	}
+	return least
+}
+
+// A holder that spends its processor on planning reads answers too late and takes
+// engines for down. The cost of a round must grow with the fleet, not faster.
+func TestPlanningCostGrewFasterThanTheFleet(t *testing.T) {
+	const growth, tolerance = 8, 2.5
+	small, large := planningTime(6), planningTime(6*growth)
+	t.Logf("%s with 6 domains, %s with %d", small, large, 6*growth)
+	assert.Assert(t, float64(large) <= growth*tolerance*float64(small), "%s with 6 domains, %s with %d", small, large, 6*growth)
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -93,7 +93,7 @@
 		r.dissolvedForRepair[o] = true
 		r.dissolve(o, "its instances repair "+string(c.group.ID))
 		for _, id := range withModel {
-			r.free[id] = true
+			r.setFree(id)
 		}
 		return
 	}
--- a/internal/placement/rollout.go
+++ b/internal/placement/rollout.go
@@ -209,6 +209,9 @@
 func (r *round) removalCandidates(s fleet.ServiceName) []*groupState {
 	var whole, rest []*groupState
 	excess := r.excess()
+	if !r.hasRemovable(s, excess) {
+		return nil
+	}
 	isReassignable := r.reassignableGroups(excess)
 	for _, c := range r.byRemovalOrder(excess) {
 		if c.group.Service != s || c.draining() || c.leaving {
@@ -229,6 +232,14 @@
 	return append(rest, whole...)
 }
 
+// hasRemovable reports whether a service has a group that is not to be kept or is
+// beyond the wanted number.
+func (r *round) hasRemovable(s fleet.ServiceName, excess map[*Wanted]int) bool {
+	return slices.ContainsFunc(r.groups, func(c *groupState) bool {
+		return c.group.Service == s && !c.draining() && !c.leaving && (!r.shouldKeep(c) || excess[c.wanted] > 0)
+	})
+}
+
 // excess returns the number of groups beyond the wanted number by Wanted entry. It
 // is negative if groups are missing.
 func (r *round) excess() map[*Wanted]int {
@@ -246,26 +257,29 @@
 func (r *round) byRemovalOrder(excess map[*Wanted]int) []*groupState {
 	groups := slices.Clone(r.groups)
 	slices.Reverse(groups)
-	makesRoom := func(c *groupState) bool {
-		for w, n := range excess {
-			free := len(r.candidates(w, c.group.Fabric))
-			if n < 0 && c.wanted != w && free < w.Size && r.countWithModel(w, c.group.Fabric)+len(c.composition) >= w.Size {
-				return true
-			}
+	var first, rest []*groupState
+	for _, c := range groups {
+		if r.makesRoom(c, excess) {
+			first = append(first, c)
+		} else {
+			rest = append(rest, c)
 		}
-		return false
 	}
-	slices.SortStableFunc(groups, func(a, b *groupState) int {
-		switch roomA, roomB := makesRoom(a), makesRoom(b); {
-		case roomA == roomB:
-			return 0
-		case roomA:
-			return -1
-		default:
-			return 1
+	return append(first, rest...)
+}
+
+// makesRoom reports whether the members of a group free enough capacity in their
+// fabric domain for a missing group of another service.
+func (r *round) makesRoom(c *groupState, excess map[*Wanted]int) bool {
+	for w, n := range excess {
+		if n >= 0 || c.wanted == w || r.countWithModel(w, c.group.Fabric)+len(c.composition) < w.Size {
+			continue
 		}
-	})
-	return groups
+		if len(r.candidates(w, c.group.Fabric)) < w.Size {
+			return true
+		}
+	}
+	return false
 }
 
 // reassignableGroups selects the surplus groups whose engines, together with the
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -39,7 +39,8 @@
 	now                time.Time
 	groups             []*groupState // groups of the scope, ordered by id
 	free               map[fleet.InstanceID]bool
-	placed             map[fleet.InstanceID]bool // assigned in this round
+	freeByFabric       map[fleet.FabricDomain][]fleet.InstanceID // every instance that has been in free
+	placed             map[fleet.InstanceID]bool                 // assigned in this round
 	failedDomains      map[fleet.FabricDomain]bool
 	dissolvedForRepair map[*groupState]bool // dissolved to repair another group
 	preempted          map[*groupState]bool // drained in this plan to repair another group
@@ -58,7 +59,7 @@
 
 func newRound(p Policy, h *history, s Snapshot, now time.Time, loadBudget int) *round {
 	r := &round{policy: p, hist: h, snap: s, now: now, loadBudget: loadBudget}
-	r.free = map[fleet.InstanceID]bool{}
+	r.free, r.freeByFabric = map[fleet.InstanceID]bool{}, map[fleet.FabricDomain][]fleet.InstanceID{}
 	r.placed = map[fleet.InstanceID]bool{}
 	r.dissolvedForRepair = map[*groupState]bool{}
 	r.preempted, r.awaited = map[*groupState]bool{}, map[*groupState]bool{}
@@ -164,11 +165,20 @@
 			continue
 		}
 		if r.isUsable(id, st) {
-			r.free[id] = true
+			r.setFree(id)
 		}
 	}
 }
 
+// setFree marks an instance as one that may be assigned a place.
+func (r *round) setFree(id fleet.InstanceID) {
+	r.free[id] = true
+	f := r.snap.Instances[id].Instance.Fabric
+	if !slices.Contains(r.freeByFabric[f], id) {
+		r.freeByFabric[f] = append(r.freeByFabric[f], id)
+	}
+}
+
 // isUsable reports whether an instance may be assigned a place in a group.
 func (r *round) isUsable(id fleet.InstanceID, st InstanceState) bool {
 	return isAvailable(st) && !st.MustLeave && !r.hist.instance(id, r.now).isExcluded(r.policy, r.now)
@@ -195,7 +205,7 @@
 			continue
 		}
 		if st.Instance.Pool == pool && isAvailable(st) && !st.MustLeave {
-			r.free[id] = true
+			r.setFree(id)
 		}
 	}
 }
@@ -204,9 +214,8 @@
 // time that they need for the model and then by their recent losses.
 func (r *round) freeIn(pool fleet.Pool, f fleet.FabricDomain, model string) []fleet.InstanceID {
 	var ids []fleet.InstanceID
-	for id := range r.free {
-		in := r.snap.Instances[id].Instance
-		if in.Pool == pool && in.Fabric == f {
+	for _, id := range r.freeByFabric[f] {
+		if r.free[id] && r.snap.Instances[id].Instance.Pool == pool {
 			ids = append(ids, id)
 		}
 	}
@@ -259,8 +268,9 @@
 // service's model locally.
 func (r *round) countWithModel(w *Wanted, f fleet.FabricDomain) int {
 	n := 0
-	for _, id := range r.freeIn(w.Pool, f, w.Model) {
-		if _, ok := r.snap.Instances[id].LocalLoadTimes[w.Model]; ok {
+	for _, id := range r.freeByFabric[f] {
+		st := r.snap.Instances[id]
+		if _, ok := st.LocalLoadTimes[w.Model]; ok && r.free[id] && st.Instance.Pool == w.Pool {
 			n++
 		}
 	}
