placement: a busy holder does not take engines for down

Cause: two probes of 130 and 250 ms without an answer count as down, whoever was slow. The holder had 216 joins under way, asked each engine every 120 ms (1,344 probes a second in a test) and planned a round after each answer. Class: one's own lateness taken for another's failure; the stall detector and the lease guard against it already, the prober did not.

Change: a probe without an answer counts only if another one, sent no earlier, was answered promptly; where no other probe is under way, an engine of another domain is asked as well. After eight inconclusive probes it counts anyway. Changes that are awaited are asked for 24 each 120 ms at most, and not at all if the list shows them. Answers within 30 ms share a planning round.

Tests: TestBusyHolderTookEnginesForDown (before: 16 of 16 found down), TestSilentEnginesAreFoundDown (still within 0.45 s), and TestProbesForChangesAreBounded (before: 1,344 probes a second).

--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -81,9 +81,11 @@
 
 // Timing of a GroupController.
 const (
-	// roundInterval is the time between two rounds. An answered order starts a
-	// round immediately.
-	roundInterval = 200 * time.Millisecond
+	// roundInterval is the time between two rounds. An answered order or probe
+	// starts a round earlier, but not within minRoundInterval of the last one: many
+	// answers at the same time need one round.
+	roundInterval    = 200 * time.Millisecond
+	minRoundInterval = 30 * time.Millisecond
 	// orderTimeout limits an order; engines usually answer many times faster.
 	orderTimeout = 600 * time.Millisecond
 	// orderResendDelay is the time that an accepted order may take to show in the
@@ -164,7 +166,14 @@
 	defer c.running.Wait()
 	tick := time.NewTicker(roundInterval)
 	defer tick.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pause.C:
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -172,6 +181,7 @@
 		case <-c.wake:
 		}
 		c.round(ctx, time.Now())
+		pause.Reset(minRoundInterval)
 	}
 }
 
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/fleet"
@@ -26,6 +29,17 @@
 	changePollInterval = 120 * time.Millisecond
 	// maxProbes limits the probes in flight.
 	maxProbes = 48
+	// pollsPerInterval is the number of engines that are probed every
+	// changePollInterval for a change. If more changes are awaited, each engine is
+	// probed less often: the list shows the changes as well, a little later.
+	pollsPerInterval = 24
+	// An unanswered probe counts only if another one that was sent no earlier than
+	// controlSlack before it has been answered within the share promptShare of its
+	// timeout. Otherwise this daemon may be too busy to read answers in time, or
+	// may itself be cut off. After maxInconclusive such probes it counts anyway.
+	controlSlack    = 50 * time.Millisecond
+	promptShare     = 0.5
+	maxInconclusive = 8
 )
 
 // prober reads the status of engines directly where the list would show it too
@@ -38,6 +52,13 @@
 	acceptedOrders []acceptedGroupOrder
 	suspectGroups  []fleet.GroupID
 	inFlight       int
+	// answeredSentAt is when the last probe that was answered was sent, and
+	// answeredAfter the time until its answer was read.
+	answeredSentAt time.Time
+	answeredAfter  time.Duration
+	// controlAt is when an engine was last probed only to see whether answers
+	// arrive in time.
+	controlAt time.Time
 }
 
 // probe is the probing state of one engine.
@@ -45,7 +66,9 @@
 	nextAt   time.Time
 	inFlight bool
 	failures int
-	downAt   time.Time // when failures reached maxProbeFailures
+	// inconclusive counts the unanswered probes that did not count as failures.
+	inconclusive int
+	downAt       time.Time // when failures reached maxProbeFailures
 	// deadline is when the prober stops waiting for awaitedState of the place and
 	// for awaitedModel on the host.
 	deadline     time.Time
@@ -55,6 +78,12 @@
 	stageDoneAt time.Time
 }
 
+// isAwaiting reports whether the engine is probed for a change, rather than
+// because it may be down.
+func (pr *probe) isAwaiting() bool {
+	return pr.failures == 0 && pr.inconclusive == 0 && (pr.awaitedState != "" || pr.awaitedModel != "")
+}
+
 // isSatisfiedBy reports whether a status shows the awaited change.
 func (pr *probe) isSatisfiedBy(s directory.Server) bool {
 	placed := pr.awaitedState == "" || s.Place != nil && s.Place.State == pr.awaitedState
@@ -142,17 +171,53 @@
 			delete(p.probes, id)
 			continue
 		}
-		if pr.inFlight || now.Before(pr.nextAt) || p.inFlight >= maxProbes {
+		if pr.inFlight || now.Before(pr.nextAt) {
+			continue
+		}
+		if pr.isAwaiting() && !l.Failed && pr.isSatisfiedBy(l.Server) {
+			delete(p.probes, id)
+			continue
+		}
+		if p.inFlight >= maxProbes {
 			continue
 		}
-		pr.inFlight = true
-		p.inFlight++
-		timeout := probeTimeout
-		if pr.failures > 0 {
-			timeout = probeRetryTimeout
+		if !pr.isAwaiting() {
+			p.sendControl(ctx, servers, l, now)
+		}
+		p.sendAsync(ctx, pr, l)
+	}
+}
+
+// sendControl probes an engine of another fabric domain than the suspected one,
+// unless that was done a moment ago. Its answer shows that answers arrive in time.
+func (p *prober) sendControl(ctx context.Context, servers map[fleet.InstanceID]directory.Listing, suspected directory.Listing, now time.Time) {
+	if now.Sub(p.controlAt) < controlSlack {
+		return
+	}
+	for id, l := range servers {
+		if l.Failed || l.Fabric == "" || l.Fabric == suspected.Fabric || p.probes[id] != nil {
+			continue
 		}
-		p.c.running.Go(func() { p.send(ctx, l, timeout) })
+		p.controlAt = now
+		p.sendAsync(ctx, p.schedule(id, now), l)
+		return
+	}
+}
+
+func (p *prober) sendAsync(ctx context.Context, pr *probe, l directory.Listing) {
+	pr.inFlight = true
+	p.inFlight++
+	timeout := probeTimeout
+	if pr.failures+pr.inconclusive > 0 {
+		timeout = probeRetryTimeout
 	}
+	p.c.running.Go(func() { p.send(ctx, l, timeout) })
+}
+
+// pollInterval is the time between two probes of an engine whose change is
+// awaited.
+func (p *prober) pollInterval() time.Duration {
+	return changePollInterval * time.Duration(max(len(p.probes)/pollsPerInterval, 1))
 }
 
 // scheduleFailed schedules probes of the engines that count as down. The list shows
@@ -232,14 +297,17 @@
 	}
 	pr.inFlight = false
 	if err != nil {
-		p.recordFailure(pr, l, began, now, err)
+		p.recordFailure(pr, l, began, now, timeout, err)
 		return
 	}
+	if began.After(p.answeredSentAt) {
+		p.answeredSentAt, p.answeredAfter = began, now.Sub(began)
+	}
 	if pr.failures >= maxProbeFailures {
 		p.c.cfg.Events.Emit(eventEngineBack, "instance", l.Instance, "down_ms", now.Sub(pr.downAt).Milliseconds(),
 			"restarted", status.Incarnation != l.Incarnation)
 	}
-	pr.failures = 0
+	pr.failures, pr.inconclusive = 0, 0
 	p.c.cfg.Servers.Answered(status.Server, began.Add(-p.c.cfg.ReportAge()))
 	switch {
 	case pr.isSatisfiedBy(status.Server), now.After(pr.deadline):
@@ -247,7 +315,7 @@
 	case pr.awaitedModel != "" && !slices.Contains(status.Staged, pr.awaitedModel):
 		pr.nextAt = latest(now.Add(probeInterval), pr.stageDoneAt)
 	default:
-		pr.nextAt = now.Add(changePollInterval)
+		pr.nextAt = now.Add(p.pollInterval())
 	}
 	p.c.wakeLoop()
 }
@@ -261,9 +329,14 @@
 
 // recordFailure counts an unanswered probe and marks the engine as down after
 // maxProbeFailures.
-func (p *prober) recordFailure(pr *probe, l directory.Listing, began, now time.Time, err error) {
-	pr.failures++
+func (p *prober) recordFailure(pr *probe, l directory.Listing, began, now time.Time, timeout time.Duration, err error) {
 	pr.nextAt = now
+	if isTimeout(err) && pr.failures < maxProbeFailures && pr.inconclusive < maxInconclusive && !p.answersArrive(began, timeout) {
+		pr.inconclusive++
+		p.c.wakeLoop()
+		return
+	}
+	pr.failures++
 	if pr.failures < maxProbeFailures {
 		p.c.wakeLoop()
 		return
@@ -272,7 +345,7 @@
 	if pr.failures == maxProbeFailures {
 		pr.downAt = now
 		p.c.cfg.Events.Emit(eventEngineDown, "instance", l.Instance, "address", l.Address, "error", err,
-			"tries", pr.failures, "took_ms", now.Sub(began).Milliseconds())
+			"tries", pr.failures+pr.inconclusive, "inconclusive", pr.inconclusive, "took_ms", now.Sub(began).Milliseconds())
 	}
 	p.c.cfg.Servers.Fail(l.Instance, now)
 	if p.c.cfg.OnEngineFailed != nil {
@@ -280,3 +353,14 @@
 	}
 	p.c.wakeLoop()
 }
+
+func isTimeout(err error) bool {
+	var failed net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &failed) && failed.Timeout()
+}
+
+// answersArrive reports whether another engine has answered promptly while a probe
+// was unanswered.
+func (p *prober) answersArrive(began time.Time, timeout time.Duration) bool {
+	return !p.answeredSentAt.Before(began.Add(-controlSlack)) && p.answeredAfter <= time.Duration(promptShare*float64(timeout))
+}
--- /dev/null
+++ b/internal/placement/prober_test.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/group"
+)
+
+// probedEngines is a fleet whose engines answer probes after a delay. It
+// implements GroupEngines and Servers.
+type probedEngines struct {
+	mu       sync.Mutex
+	listings map[fleet.InstanceID]directory.Listing
+	delay    time.Duration // of all answers
+	dead     map[fleet.InstanceID]bool
+	failed   map[fleet.InstanceID]time.Time
+	probes   int
+}
+
+// newProbedEngines returns two fabric domains of engines.
+func newProbedEngines(perDomain int) *probedEngines {
+	e := &probedEngines{listings: map[fleet.InstanceID]directory.Listing{}, dead: map[fleet.InstanceID]bool{}, failed: map[fleet.InstanceID]time.Time{}}
+	for n := range 2 * perDomain {
+		id := fleet.InstanceID(fmt.Sprintf("i-%02d", n))
+		e.listings[id] = directory.Listing{Server: directory.Server{Instance: id, Fabric: fleet.FabricDomain(fmt.Sprintf("d%d", n%2))}}
+	}
+	return e
+}
+
+func (e *probedEngines) Order(context.Context, fleet.InstanceID, string, backend.GroupOrder) error {
+	return nil
+}
+
+func (e *probedEngines) Report(ctx context.Context, id fleet.InstanceID, _ string) (directory.Status, error) {
+	e.mu.Lock()
+	e.probes++
+	delay := e.delay
+	if e.dead[id] {
+		delay = time.Hour
+	}
+	e.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return directory.Status{Server: directory.Server{Instance: id}}, nil
+	case <-ctx.Done():
+		return directory.Status{}, ctx.Err()
+	}
+}
+
+func (e *probedEngines) Servers() map[fleet.InstanceID]directory.Listing { return e.listings }
+func (e *probedEngines) Groups() *group.View                             { return &group.View{} }
+func (e *probedEngines) Answered(directory.Server, time.Time)            {}
+
+func (e *probedEngines) Fail(id fleet.InstanceID, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failed[id].IsZero() {
+		e.failed[id] = now
+	}
+}
+
+// runProber probes the named engines because they may be down and runs the prober
+// for a time.
+func runProber(e *probedEngines, forTime time.Duration, suspected ...fleet.InstanceID) {
+	c := &GroupController{wake: make(chan struct{}, 1), cfg: GroupControllerConfig{
+		Servers: e, Engines: e, ReportAge: func() time.Duration { return 0 },
+	}}
+	p := newProber(c)
+	for _, id := range suspected {
+		p.probeEngine(id)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	for end := time.Now().Add(forTime); time.Now().Before(end); time.Sleep(minRoundInterval) {
+		p.round(ctx, &termState{}, e.Servers(), time.Now())
+	}
+	stop()
+	c.running.Wait()
+}
+
+func engineIDs(n int) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for i := range n {
+		ids = append(ids, fleet.InstanceID(fmt.Sprintf("i-%02d", i)))
+	}
+	return ids
+}
+
+// A holder that is too busy to read answers in time took the engines for down, and
+// broke up groups that served.
+func TestBusyHolderTookEnginesForDown(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay time.Duration // of all answers
+	}{{"answers come after the first timeout", 200 * time.Millisecond}, {"and after the later ones", 400 * time.Millisecond}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newProbedEngines(20)
+				e.delay = test.delay
+				runProber(e, 1500*time.Millisecond, engineIDs(16)...)
+				assert.Equal(t, len(e.failed), 0, "engines that were found down: %v", e.failed)
+			})
+		})
+	}
+}
+
+// Engines that don't answer while others do are found down after two probes, also
+// if all that are suspected are down.
+func TestSilentEnginesAreFoundDown(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		silent   int
+		answerIn time.Duration
+		within   time.Duration
+	}{
+		{"one", 1, 2 * time.Millisecond, 450 * time.Millisecond},
+		{"a whole group", 8, 2 * time.Millisecond, 450 * time.Millisecond},
+		{"one, at a holder that is a little busy", 1, 50 * time.Millisecond, 450 * time.Millisecond},
+		{"one, at a holder that is busy", 1, 160 * time.Millisecond, 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, began := newProbedEngines(20), time.Now()
+				e.delay = test.answerIn
+				for _, id := range engineIDs(test.silent) {
+					e.dead[id] = true
+				}
+				runProber(e, 4*time.Second, engineIDs(test.silent)...)
+				assert.Equal(t, len(e.failed), test.silent)
+				for id, at := range e.failed {
+					assert.Assert(t, at.Sub(began) <= test.within, "%s was found down after %s", id, at.Sub(began))
+				}
+			})
+		})
+	}
+}
+
+// When many changes are awaited, as while the first groups form, the probes must
+// not take the holder's whole processor.
+func TestProbesForChangesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newProbedEngines(108)
+		e.delay = 2 * time.Millisecond
+		c := &GroupController{wake: make(chan struct{}, 1), cfg: GroupControllerConfig{Servers: e, Engines: e, ReportAge: func() time.Duration { return 0 }}}
+		p, ctx := newProber(c), context.Background()
+		for id := range e.listings {
+			p.awaitState(id, directory.PlaceReady, time.Now(), 0)
+		}
+		for range int(time.Second / minRoundInterval) {
+			p.round(ctx, &termState{}, e.Servers(), time.Now())
+			time.Sleep(minRoundInterval)
+		}
+		c.running.Wait()
+		const most = 300 // a second, 48 at once and 24 each 120 ms
+		assert.Assert(t, e.probes <= most, "%d probes in a second", e.probes)
+	})
+}
