placement: one group is given up for a repair, not two

Cause: once the group that was given up had been dissolved, its engines still had to leave it. The broken group found no substitutes in that moment and took a second group. Ruled out: that one group's engines were not enough; the repair came 30 ms later from the first group's.

Change: a broken group waits for engines of its domain that are leaving their place, if they are enough and have its model.

Test: TestSecondGroupWasGivenUpForTheSameRepair (before: "drain duo").

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -371,6 +371,41 @@
 	}
 }
 
+// While the engines of a group that was given up were still leaving it, a second
+// group was given up for the same repair.
+func TestSecondGroupWasGivenUpForTheSameRepair(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	f := newModelFixture(6, 2)
+	f.group("quad.1", "quad", 4, "d0", 1)
+	f.group("quad.2", "quad", 4, "d1", 0)
+	for n := range 6 {
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, "d0", 0)
+	}
+	for id, st := range f.s.Instances {
+		if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+			st.LocalLoadTimes = both
+			f.s.Instances[id] = st
+		}
+	}
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.5, 3
+	for n := range 2 {
+		id := fleet.InstanceID(fmt.Sprintf("left-%d", n))
+		f.engine(id, "d0", both)
+		st := f.s.Instances[id]
+		st.MustLeave = true
+		f.s.Instances[id] = st
+	}
+	planner := NewPlanner(planningPolicyOfTests)
+	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"wait quad"})
+	for n := range 2 {
+		id := fleet.InstanceID(fmt.Sprintf("left-%d", n))
+		st := f.s.Instances[id]
+		st.MustLeave = false
+		f.s.Instances[id] = st
+	}
+	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"repair quad"})
+}
+
 // Each broken group takes a group of the other model only as long as that one
 // remains less utilized.
 func TestRepairsLeaveTheOtherModelLessUtilized(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -15,6 +15,11 @@
 	if r.snap.LogDown {
 		return false
 	}
+	if r.leavingPlaces(c) >= len(c.lost) {
+		r.awaited[c] = true
+		r.wait(c, "instances that leave another group will repair it")
+		return true
+	}
 	var best *groupState
 	for _, o := range r.groups {
 		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !r.canSubstitute(o, c) {
@@ -40,6 +45,22 @@
 	return true
 }
 
+// leavingPlaces counts the instances of a broken group's fabric domain that are
+// being moved out of a group that has ended and can load the group's model locally.
+func (r *round) leavingPlaces(c *groupState) int {
+	n := 0
+	for id, st := range r.snap.Instances {
+		if !st.MustLeave || st.Instance.Fabric != c.group.Fabric || st.Instance.Pool != c.wanted.Pool || !isAvailable(st) {
+			continue
+		}
+		_, taken := r.snap.Groups.ByInstance[id]
+		if _, local := st.LocalLoadTimes[c.group.Model]; local && !taken {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *round) waitForPreempted(c, o *groupState) {
 	r.awaited[c] = true
 	r.wait(c, "the instances of %s will repair it", o.group.ID)
