placement: a larger group that was drained for one member is completed

Cause: the planned way out of a group had no share in what repairs may do. A drained group without a free substitute was dissolved, though groups of another model in its domain could have completed it.

Change: a group that is drained for a leaving member takes a group of a less utilized model at the same time, so that both drain together, and is repaired once its engines are free. A group that is itself leaving or broken is not waited for.

Test: TestDrainedLargerGroupWasDissolvedForOneLeavingMember (before: "drain quad" alone, then "dissolve quad").

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -406,6 +406,54 @@
 	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"repair quad"})
 }
 
+// A group of the larger model was dissolved once it was drained for one leaving
+// member, beside groups of the other model that could complete it.
+func TestDrainedLargerGroupWasDissolvedForOneLeavingMember(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	f := newModelFixture(4, 2)
+	f.group("quad.1", "quad", 4, "d0", 0)
+	f.group("quad.2", "quad", 4, "d1", 0)
+	for n := range 4 {
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, "d0", 0)
+	}
+	for id, st := range f.s.Instances {
+		if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+			st.LocalLoadTimes = both
+			f.s.Instances[id] = st
+		}
+	}
+	leaving := f.s.Instances["quad.1-3"]
+	leaving.Instance.Leaving = true
+	f.s.Instances["quad.1-3"] = leaving
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1, 1.5
+	planner, now := NewPlanner(planningPolicyOfTests), time.Now()
+	plan := func(after time.Duration) []string {
+		now = now.Add(after)
+		actions := planner.Plan(f.s, now)
+		for _, a := range actions {
+			if a.Kind == ActionDrain {
+				g := *a.Group
+				g.Phase = group.PhaseDraining
+				f.s.Groups.Groups[g.ID] = &g
+			}
+			if a.Kind == ActionDissolve {
+				for _, m := range a.Group.Members {
+					delete(f.s.Groups.ByInstance, m.Instance)
+				}
+				delete(f.s.Groups.Groups, a.Group.ID)
+			}
+		}
+		return kinds(actions)
+	}
+	assert.DeepEqual(t, plan(0), []string{"drain quad", "drain duo", "wait quad"})
+	f.s.InFlight = map[fleet.GroupID]uint32{"duo.0": 1, "duo.1": 1, "duo.2": 1, "duo.3": 1}
+	assert.Equal(t, len(plan(time.Second)), 0, "the drains have just begun")
+	assert.DeepEqual(t, plan(4*time.Second), []string{"wait quad"})
+	f.s.InFlight = nil
+	assert.DeepEqual(t, plan(time.Second), []string{"dissolve duo", "wait quad"})
+	assert.DeepEqual(t, plan(time.Second), []string{"repair quad"})
+}
+
 // Each broken group takes a group of the other model only as long as that one
 // remains less utilized.
 func TestRepairsLeaveTheOtherModelLessUtilized(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -25,11 +25,11 @@
 		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !r.canSubstitute(o, c) {
 			continue
 		}
-		if o.draining() || r.preempted[o] {
+		if o.draining() && !o.leaving && !o.broken() || r.preempted[o] {
 			r.waitForPreempted(c, o)
 			return true
 		}
-		if !o.whole || o.wanted == nil || o.leaving || !r.mayGive(o.wanted, c.wanted) {
+		if !o.whole || o.draining() || o.wanted == nil || o.leaving || !r.mayGive(o.wanted, c.wanted) {
 			continue
 		}
 		if best == nil || r.snap.InFlight[o.group.ID] < r.snap.InFlight[best.group.ID] {
--- a/internal/placement/rollout.go
+++ b/internal/placement/rollout.go
@@ -58,6 +58,9 @@
 			r.substituteOption(c, ActionRepair, subs).do()
 			return
 		}
+		if r.localOnly() && r.preempt(c) {
+			return
+		}
 	}
 	r.dissolve(c, reason)
 }
@@ -75,11 +78,19 @@
 }
 
 // drainLeaving drains the groups that have a leaving member. Such groups get no
-// new requests in any case.
+// new requests in any case. If no free instance can replace the member, a group of
+// another service is drained at the same time.
 func (r *round) drainLeaving() {
 	for _, c := range r.groups {
-		if c.leaving && !c.draining() {
-			r.drain(c, "a member is leaving")
+		if !c.leaving || c.draining() {
+			continue
+		}
+		r.drain(c, "a member is leaving")
+		if c.wanted == nil || !r.localOnly() || r.snap.LogDown || r.retainedGroups(c.wanted) >= c.wanted.Groups {
+			continue
+		}
+		if c.lost = r.unusableRanks(c); len(c.lost) < len(c.composition) && r.substitutes(c) == nil {
+			r.preempt(c)
 		}
 	}
 }
