directory, placement: a new holder knows what engines outside groups have loaded

Cause: what an engine has loaded since its start was known from places that the holder itself had seen. A new holder knew only what is staged on the host, which is the other model, and made the spares load that one. Class: knowledge that the list gives to every daemon, kept at one.

Change: the directory of each daemon keeps the model of the last place in which an engine was ready. Announcements that a peer's news has overtaken are read for it, too: an engine outside groups is ready for a moment only.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,6 +19,8 @@
 	// ServiceOf returns the name of the service to which requests for a model
 	// of an engine service are routed.
 	ServiceOf func(service, model string) fleet.ServiceName
+	// ModelOf returns the model of a group, "" if placement did not name the group.
+	ModelOf func(id fleet.GroupID) string
 	// Generates reports whether a service runs models.
 	Generates func(service string) bool
 }
@@ -47,6 +49,10 @@
 	placeFromServer bool
 	// lastEpoch is the highest epoch of the server's places since its start.
 	lastEpoch fleet.Epoch
+	// loadedModel is the model of the last place in which the server was ready
+	// since its start, and loadedEpoch the epoch of that place.
+	loadedModel string
+	loadedEpoch fleet.Epoch
 	// unlistedAt is when the server left the list during or shortly after an
 	// outage of the list, zero while it is listed.
 	unlistedAt time.Time
@@ -76,7 +82,7 @@
 	if e.announcedAt.IsZero() || affectsViews(&e.server, &s) || !e.unlistedAt.IsZero() || !e.failedAt.IsZero() {
 		d.version++
 	}
-	e.update(s)
+	e.update(s, d.cfg.ModelOf)
 	e.announcedAt = now
 	e.unlistedAt = time.Time{}
 	e.failedAt = time.Time{}
@@ -218,28 +224,48 @@
 		d.version++
 		updated = true
 	}
-	e.update(s)
+	e.update(s, d.cfg.ModelOf)
 	e.failedAt = time.Time{}
 	return updated
 }
 
 // update replaces the entry's server.
-func (e *entry) update(s Server) {
+func (e *entry) update(s Server, modelOf func(fleet.GroupID) string) {
 	if e.server.Incarnation != s.Incarnation {
-		e.lastEpoch = 0
+		e.lastEpoch, e.loadedModel, e.loadedEpoch = 0, "", 0
 	}
 	if s.Place != nil {
 		e.lastEpoch = max(e.lastEpoch, s.Place.Epoch)
+		e.recordLoaded(s.Place, modelOf)
 	}
 	e.server = s
 }
 
+func (e *entry) recordLoaded(p *Place, modelOf func(fleet.GroupID) string) {
+	if p.State != PlaceJoining && p.Epoch >= e.loadedEpoch {
+		e.loadedModel, e.loadedEpoch = modelOf(p.Group), p.Epoch
+	}
+}
+
+// AnnouncedBefore records an announcement that a later one has replaced already.
+// Only the model that the server had loaded is taken from it.
+func (d *Directory) AnnouncedBefore(s Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[s.Instance]; e != nil && e.server.Incarnation == s.Incarnation && s.Place != nil {
+		e.recordLoaded(s.Place, d.cfg.ModelOf)
+	}
+}
+
 // Listing is a server with its state in the directory.
 type Listing struct {
 	Server
 	AnnouncedAt time.Time
 	Failed      bool
 	Unlisted    bool
+	// LoadedModel is the model of the last place in which the server was ready
+	// since its start, "" if it is not known.
+	LoadedModel string
 }
 
 // Servers returns all listed servers.
@@ -248,7 +274,7 @@
 	defer d.mu.Unlock()
 	out := make(map[fleet.InstanceID]Listing, len(d.entries))
 	for id, e := range d.entries {
-		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, Failed: !e.failedAt.IsZero(), Unlisted: !e.unlistedAt.IsZero()}
+		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, Failed: !e.failedAt.IsZero(), Unlisted: !e.unlistedAt.IsZero(), LoadedModel: e.loadedModel}
 	}
 	return out
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -19,7 +19,11 @@
 		ReturnGrace: 2 * time.Second,
 		SizeOf:      func(model string) int { return map[string]int{"duo": 2}[model] },
 		ServiceOf:   func(service, model string) fleet.ServiceName { return fleet.ServiceName(service + "/" + model) },
-		Generates:   func(service string) bool { return service == "engines" },
+		ModelOf: func(id fleet.GroupID) string {
+			model, _, _ := group.ParseID(id)
+			return string(model)
+		},
+		Generates: func(service string) bool { return service == "engines" },
 	})
 }
 
@@ -193,3 +197,25 @@
 	assert.Assert(t, !d.RecordAnswer(answer, at(4)), "an older answer")
 	assert.Assert(t, !d.RecordAnswer(Server{Instance: "unknown"}, at(7)))
 }
+
+// A daemon that took over the placement did not know what the spares had loaded,
+// and made them load another model.
+func TestLoadedModelOutlivesThePlace(t *testing.T) {
+	d := newDirectory()
+	loaded := func() string { return d.Servers()["e"].LoadedModel }
+	d.Announce(server("e", place(1, PlaceJoining)), at(0))
+	assert.Equal(t, loaded(), "", "the model is not loaded yet")
+	d.Announce(server("e", place(1, PlaceReady)), at(time.Second))
+	assert.Equal(t, loaded(), "duo")
+	d.Announce(server("e", nil), at(2*time.Second))
+	assert.Equal(t, loaded(), "duo", "it stays loaded outside a group")
+	other := server("e", &Place{Group: "trio.1.2", Epoch: 9, Rank: 1, State: PlaceReady})
+	d.AnnouncedBefore(other)
+	assert.Equal(t, loaded(), "trio", "announcements may be read late")
+	d.AnnouncedBefore(server("e", place(1, PlaceReady)))
+	assert.Equal(t, loaded(), "trio", "the later epoch counts")
+	restarted := server("e", nil)
+	restarted.Incarnation++
+	d.Announce(restarted, at(3*time.Second))
+	assert.Equal(t, loaded(), "", "a restart clears it")
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -141,6 +141,7 @@
 		ReturnGrace: returnGrace,
 		SizeOf:      d.modelSize,
 		ServiceOf:   routes.ModelService,
+		ModelOf:     placement.ModelOfID,
 		Generates:   d.isEngineService,
 	})
 	d.mesh = membership.NewMesh(membership.Config{
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -132,6 +132,9 @@
 	now := time.Now()
 	for _, item := range items {
 		if !d.positions.advance(item.Key, item.Position) {
+			if item.Err == nil && !item.Deleted {
+				d.directory.AnnouncedBefore(item.Value)
+			}
 			continue
 		}
 		switch {
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -387,7 +387,7 @@
 		Report:         fleet.Report{Instance: l.Instance, Incarnation: l.Incarnation, Ready: true, ReceivedAt: time.Now()},
 		Listed:         true,
 		Alive:          !l.Failed,
-		LocalLoadTimes: c.localLoadTimes(t, l),
+		LocalLoadTimes: c.localLoadTimes(l),
 	}
 	g := t.groups[groups.ByInstance[l.Instance]]
 	if g == nil {
@@ -409,13 +409,13 @@
 
 // localLoadTimes returns the models that an engine can load without the weight
 // store and the time that each takes.
-func (c *GroupController) localLoadTimes(t *termState, l directory.Listing) map[string]time.Duration {
+func (c *GroupController) localLoadTimes(l directory.Listing) map[string]time.Duration {
 	loadTimes := map[string]time.Duration{}
 	for _, model := range l.Staged {
 		loadTimes[model] = c.cfg.StagedLoadTime(model)
 	}
-	if model := t.placeHistory.lastModel(l.Server); model != "" {
-		loadTimes[model] = c.cfg.RejoinTime
+	if l.LoadedModel != "" {
+		loadTimes[l.LoadedModel] = c.cfg.RejoinTime
 	}
 	return loadTimes
 }
--- a/internal/placement/group_orders.go
+++ b/internal/placement/group_orders.go
@@ -25,7 +25,7 @@
 		if !due || !c.maySend(l.Instance, o, now) {
 			continue
 		}
-		if _, local := c.localLoadTimes(t, l)[o.Model]; o.Kind == backend.OrderJoin && !local && !c.takeLoadToken(now) {
+		if _, local := c.localLoadTimes(l)[o.Model]; o.Kind == backend.OrderJoin && !local && !c.takeLoadToken(now) {
 			continue
 		}
 		c.send(ctx, t, l, o, now)
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -33,7 +33,6 @@
 type lastPlace struct {
 	key         placeKey
 	incarnation uint64
-	model       string
 }
 
 func newPlaceHistory() *placeHistory {
@@ -58,9 +57,6 @@
 			p.engines[id] = e
 		}
 		e.key = key
-		if l.Place.State != directory.PlaceJoining {
-			e.model = modelOfID(l.Place.Group)
-		}
 	}
 	for key, m := range p.memberships {
 		if m.ended || m.groupLeader == "" {
@@ -109,13 +105,3 @@
 	e := p.engines[id]
 	return e != nil && e.key == placeKey{g.ID, g.Epoch}
 }
-
-// lastModel returns the model of the engine's last group since the engine
-// started, "" if there is none.
-func (p *placeHistory) lastModel(s directory.Server) string {
-	e := p.engines[s.Instance]
-	if e == nil || e.incarnation != s.Incarnation {
-		return ""
-	}
-	return e.model
-}
--- a/internal/placement/places_test.go
+++ b/internal/placement/places_test.go
@@ -69,16 +69,3 @@
 		})
 	}
 }
-
-func TestLastModelIsClearedByRestart(t *testing.T) {
-	p := newPlaceHistory()
-	servers := map[fleet.InstanceID]directory.Listing{"e": listing("e", 1, placeOf(1, directory.PlaceJoining))}
-	p.observe(servers)
-	assert.Equal(t, p.lastModel(servers["e"].Server), "", "the model is not loaded yet")
-	servers["e"] = listing("e", 1, placeOf(1, directory.PlaceReady))
-	p.observe(servers)
-	servers["e"] = listing("e", 1, nil)
-	p.observe(servers)
-	assert.Equal(t, p.lastModel(servers["e"].Server), "duo")
-	assert.Equal(t, p.lastModel(listing("e", 2, nil).Server), "", "a restart clears the loaded model")
-}
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -92,9 +92,9 @@
 
 // acceptedGroupOrder is an order that an engine accepted.
 type acceptedGroupOrder struct {
-	server directory.Server
-	order  backend.GroupOrder
-	at     time.Time
+	listing directory.Listing
+	order   backend.GroupOrder
+	at      time.Time
 }
 
 func newProber(c *GroupController) *prober {
@@ -142,7 +142,7 @@
 // recordAccepted records an accepted order for the next round.
 func (p *prober) recordAccepted(t *termState, l directory.Listing, o backend.GroupOrder) {
 	p.mu.Lock()
-	p.acceptedOrders = append(p.acceptedOrders, acceptedGroupOrder{server: l.Server, order: o, at: time.Now()})
+	p.acceptedOrders = append(p.acceptedOrders, acceptedGroupOrder{listing: l, order: o, at: time.Now()})
 	p.mu.Unlock()
 	p.c.wakeLoop()
 }
@@ -234,7 +234,7 @@
 // directory, and for a delayed one a probe is scheduled at the expected time.
 func (p *prober) applyAccepted(t *termState, d acceptedGroupOrder, now time.Time) {
 	key := placeKey{d.order.Group, d.order.Epoch}
-	s := d.server
+	s := d.listing.Server
 	switch d.order.Kind {
 	case backend.OrderLeave:
 		t.placeHistory.recordLeave(s.Instance, key)
@@ -245,7 +245,7 @@
 			s.Place = &directory.Place{Group: d.order.Group, Epoch: d.order.Epoch, Rank: fleet.Rank(rank), State: directory.PlaceJoining}
 			p.c.cfg.Servers.Answered(s, d.at)
 		}
-		wait := p.c.localLoadTimes(t, directory.Listing{Server: d.server})[d.order.Model]
+		wait := p.c.localLoadTimes(d.listing)[d.order.Model]
 		p.awaitState(s.Instance, directory.PlaceReady, now, wait)
 	case backend.OrderOpen:
 		p.awaitState(s.Instance, directory.PlaceOpen, now, p.c.cfg.OpenTime())
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -199,9 +199,9 @@
 
 func isWarmup(id fleet.GroupID) bool { return strings.HasPrefix(string(id), warmupPrefix) }
 
-// modelOfID returns the model of a group from its id, "" if placement did not
+// ModelOfID returns the model of a group from its id, "" if placement did not
 // assign the id.
-func modelOfID(id fleet.GroupID) string {
+func ModelOfID(id fleet.GroupID) string {
 	scope, _, ok := group.ParseID(id)
 	if !ok {
 		return ""
@@ -296,7 +296,7 @@
 	})
 	for _, id := range ids {
 		st, l := s.Instances[id], servers[id]
-		loaded := t.placeHistory.lastModel(l.Server)
+		loaded := l.LoadedModel
 		second := secondModel(s.Wanted, loaded)
 		if loaded == "" || second == "" || !isAvailable(st) || slices.Contains(l.Staged, second) {
 			continue
@@ -314,7 +314,7 @@
 	for id, l := range servers {
 		_, staged := t.staging[id]
 		joins := l.Place != nil && l.Place.State == directory.PlaceJoining
-		if joins && !staged && !slices.Contains(l.Staged, modelOfID(l.Place.Group)) {
+		if joins && !staged && !slices.Contains(l.Staged, ModelOfID(l.Place.Group)) {
 			n++
 		}
 	}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -181,6 +181,22 @@
 	})
 }
 
+// A daemon that takes over knows from the list what the engines outside groups have
+// loaded. It must not make them load again, or load another model.
+func TestTakeoverMadeSparesLoadAgain(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		time.Sleep(loadTime + 4*time.Second) // all loads have ended
+		orders := w.OrderCount()
+		for _, d := range w.Daemons {
+			if d.HoldsLease() {
+				d.Kill()
+			}
+		}
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, w.OrderCount(), orders, "orders after a takeover without a loss")
+	})
+}
+
 // A restarted daemon that takes over uses the engines' present group
 // memberships, even if its peers still send older ones.
 func TestRestartedDaemonTakesOver(t *testing.T) {
