placement: a repair takes free engines and those of another group together

Cause: the lost ranks had to be filled from free engines alone or from one other group alone.

Change: the group that is given up has to provide only what free engines don't.

Test: TestGroupWasDissolvedThoughTwoSourcesCouldCompleteIt (before: "dissolve quad").

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -406,6 +406,28 @@
 	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"repair quad"})
 }
 
+// A group that had lost several members was dissolved, although a free engine and
+// a group of another model together could complete it.
+func TestGroupWasDissolvedThoughTwoSourcesCouldCompleteIt(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	f := newModelFixture(4, 2)
+	f.group("quad.1", "quad", 4, "d0", 3)
+	f.group("quad.2", "quad", 4, "d1", 0)
+	for n := range 4 {
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, "d0", 0)
+	}
+	for id, st := range f.s.Instances {
+		if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+			st.LocalLoadTimes = both
+			f.s.Instances[id] = st
+		}
+	}
+	f.engine("free", "d0", map[string]time.Duration{"quad": loadedTime})
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1, 1.5
+	planner := NewPlanner(planningPolicyOfTests)
+	assert.DeepEqual(t, kinds(planner.Plan(f.s, time.Now())), []string{"drain duo", "wait quad"})
+}
+
 // A group of the larger model was dissolved once it was drained for one leaving
 // member, beside groups of the other model that could complete it.
 func TestDrainedLargerGroupWasDissolvedForOneLeavingMember(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -7,22 +7,23 @@
 )
 
 // preempt drains a whole group of another service in the broken group's fabric
-// domain if that service may give it up and its instances can take the lost ranks
-// sooner than other instances could load the model. The broken group waits for
+// domain if that service may give it up and its instances, with the free ones of the
+// domain, can take the lost ranks sooner than others could load the model. The broken group waits for
 // them. It returns false if there is no such group. Of several groups it takes the
 // one with the fewest requests in flight, which is drained first.
 func (r *round) preempt(c *groupState) bool {
 	if r.snap.LogDown {
 		return false
 	}
-	if r.leavingPlaces(c) >= len(c.lost) {
+	missing := len(c.lost) - r.localSubstitutes(c)
+	if r.leavingPlaces(c) >= missing {
 		r.awaited[c] = true
 		r.wait(c, "instances that leave another group will repair it")
 		return true
 	}
 	var best *groupState
 	for _, o := range r.groups {
-		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || !r.canSubstitute(o, c) {
+		if o.group.Fabric != c.group.Fabric || o.group.Service == c.group.Service || r.membersWithModelOf(o, c) < missing {
 			continue
 		}
 		if o.draining() && !o.leaving && !o.broken() || r.preempted[o] {
@@ -45,6 +46,18 @@
 	return true
 }
 
+// localSubstitutes counts the instances that may take a lost rank now and can load
+// the group's model locally.
+func (r *round) localSubstitutes(c *groupState) int {
+	n := 0
+	for _, m := range r.substituteCandidates(c) {
+		if _, local := r.snap.Instances[m.Instance].LocalLoadTimes[c.group.Model]; local {
+			n++
+		}
+	}
+	return n
+}
+
 // leavingPlaces counts the instances of a broken group's fabric domain that are
 // being moved out of a group that has ended and can load the group's model locally.
 func (r *round) leavingPlaces(c *groupState) int {
@@ -84,9 +97,9 @@
 	return n
 }
 
-// canSubstitute reports whether enough available members of group o can load the
-// model of the broken group c locally to take its lost ranks.
-func (r *round) canSubstitute(o, c *groupState) bool {
+// membersWithModelOf counts the available members of group o that can load the
+// model of the broken group c locally.
+func (r *round) membersWithModelOf(o, c *groupState) int {
 	n := 0
 	for _, m := range o.composition {
 		st := r.snap.Instances[m.Instance]
@@ -94,7 +107,7 @@
 			n++
 		}
 	}
-	return n >= len(c.lost)
+	return n
 }
 
 // dissolveForRepair dissolves a group of the same service and fabric domain that
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -229,9 +229,15 @@
 	return o
 }
 
-// substitutes selects an instance of the same fabric domain for each lost rank,
-// reserved spares first. It returns nil if there are too few.
+// substitutes selects an instance of the same fabric domain for each lost rank. It
+// returns nil if there are too few.
 func (r *round) substitutes(c *groupState) []group.Member {
+	return firstN(r.substituteCandidates(c), len(c.lost))
+}
+
+// substituteCandidates lists the instances that may take a lost rank: reserved
+// spares, then free instances, then members that were ejected.
+func (r *round) substituteCandidates(c *groupState) []group.Member {
 	subs := r.usableSpares(c)
 	free := r.freeIn(c.wanted.Pool, c.group.Fabric, c.wanted.Model)
 	if r.localOnly() {
@@ -245,7 +251,7 @@
 			subs = append(subs, r.member(m.Instance))
 		}
 	}
-	return firstN(subs, len(c.lost))
+	return subs
 }
 
 // spareSubstitutes is substitutes restricted to reserved spares.
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -322,7 +322,7 @@
 		w.Update(func() {
 			for n, e := range w.Engines {
 				if n%2 == 0 {
-					e.OrderDelay = 2500 * time.Millisecond
+					e.OrderDelay = 20 * time.Second
 				}
 			}
 		})
