placement: second models go where a loss would need them

Cause: second models were loaded in the order of the group names.

Change: the next second model goes to the domain and model where one more substitute prevents the most: the size of a group times its members there, by the substitutes that there are or that load. Engines outside groups come first.

Test: TestSecondModelsWentWhereNobodyNeededThem.

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -533,3 +533,30 @@
 	t.Logf("%s with 6 domains, %s with %d", small, large, 6*growth)
 	assert.Assert(t, float64(large) <= growth*tolerance*float64(small), "%s with 6 domains, %s with %d", small, large, 6*growth)
 }
+
+// The members of the model whose group names come first got the other model onto
+// their hosts, and no engine that could replace a member of a large group got its
+// model.
+func TestSecondModelsWentWhereNobodyNeededThem(t *testing.T) {
+	f := newModelFixture(4, 1)
+	f.group("a-quad", "quad", 4, "d0", 0) // sorts before the duos
+	f.group("duo.1", "duo", 2, "d0", 0)
+	f.group("duo.2", "duo", 2, "d0", 0)
+	f.group("duo.3", "duo", 2, "d1", 0)
+	f.engine("free", "d0", map[string]time.Duration{"duo": loadedTime})
+	loaded := map[fleet.InstanceID]string{}
+	for id, st := range f.s.Instances {
+		loaded[id] = fastestModel(st)
+	}
+	plan := func(loading map[fleet.InstanceID]string, most int) []string {
+		var out []string
+		for _, p := range PlanSecondModels(f.s, loaded, loading, most) {
+			out = append(out, string(p.Instance)+" "+p.Model)
+		}
+		return out
+	}
+	assert.DeepEqual(t, plan(nil, 3), []string{"free quad", "duo.1-0 quad", "duo.1-1 quad"})
+	assert.DeepEqual(t, plan(map[fleet.InstanceID]string{"free": "quad", "duo.1-0": "quad"}, 2), []string{"duo.1-1 quad", "duo.2-0 quad"})
+	assert.Equal(t, len(plan(nil, 99)), 11, "in the end every engine gets its second model")
+	assert.Equal(t, len(plan(nil, 0)), 0)
+}
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -280,9 +280,9 @@
 }
 
 // stageSecondModels makes engines that have loaded a model load a second one onto
-// their hosts, at most room of them, free engines first. Such an engine can switch
-// models within the time of a load from its host, so any spare or idle group can
-// replace any other.
+// their hosts, at most room of them. Such an engine can switch models within the
+// time of a load from its host, so any spare or less utilized group can replace any
+// other.
 func (c *GroupController) stageSecondModels(ctx context.Context, t *termState, servers map[fleet.InstanceID]directory.Listing, s Snapshot, room int, now time.Time) {
 	if c.cfg.IsIdle() {
 		for _, whole := range t.whole {
@@ -291,20 +291,102 @@
 			}
 		}
 	}
-	ids := slices.SortedFunc(maps.Keys(s.Instances), func(a, b fleet.InstanceID) int {
-		return cmp.Or(cmp.Compare(s.Groups.ByInstance[a], s.Groups.ByInstance[b]), cmp.Compare(a, b))
-	})
+	if room <= 0 {
+		return
+	}
+	loaded := map[fleet.InstanceID]string{}
+	for id, l := range servers {
+		loaded[id] = l.LoadedModel
+	}
+	for _, p := range PlanSecondModels(s, loaded, t.stagingModels(), 2*room) { // some may have refused a moment ago
+		if room > 0 && c.stage(ctx, t, servers[p.Instance], p.Model, now) {
+			room--
+		}
+	}
+}
+
+// substituteNeed is the need for engines that can replace the members of a model's
+// groups in one fabric domain.
+type substituteNeed struct {
+	want        *Wanted
+	members     int
+	substitutes int                // engines outside the model's groups that have it at hand or load it
+	candidates  []fleet.InstanceID // engines that could load it as their second model
+}
+
+// weight is the loss that one more substitute may prevent: a lost member takes its
+// whole group, and the more substitutes there are, the less likely one more is
+// needed.
+func (n *substituteNeed) weight() float64 {
+	return float64(n.want.Size*(n.members+1)) / float64(n.substitutes+1)
+}
+
+// PlanSecondModels selects engines, at most the given number, that have loaded a
+// model and are to load a second one onto their hosts, in the order of their use:
+// first where members of large groups have the fewest substitutes in their fabric
+// domain. Engines outside groups come before members. loading holds the loads in
+// progress.
+func PlanSecondModels(s Snapshot, loaded, loading map[fleet.InstanceID]string, most int) []Preload {
+	var needs []*substituteNeed
+	domains := instancesByFabric(s)
+	for _, f := range slices.Sorted(maps.Keys(domains)) {
+		for i := range s.Wanted {
+			needs = append(needs, newSubstituteNeed(s, domains[f], &s.Wanted[i], loaded, loading))
+		}
+	}
+	var out []Preload
+	planned := map[fleet.InstanceID]bool{}
+	for len(out) < most {
+		best := -1
+		for i, n := range needs {
+			n.candidates = slices.DeleteFunc(n.candidates, func(id fleet.InstanceID) bool { return planned[id] })
+			if len(n.candidates) > 0 && (best < 0 || n.weight() > needs[best].weight()) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		n := needs[best]
+		planned[n.candidates[0]] = true
+		out = append(out, Preload{Instance: n.candidates[0], Model: n.want.Model})
+		n.substitutes++
+	}
+	return out
+}
+
+func instancesByFabric(s Snapshot) map[fleet.FabricDomain][]fleet.InstanceID {
+	out := map[fleet.FabricDomain][]fleet.InstanceID{}
+	for id, st := range s.Instances {
+		out[st.Instance.Fabric] = append(out[st.Instance.Fabric], id)
+	}
+	return out
+}
+
+// newSubstituteNeed returns the need for a model among the instances of one fabric
+// domain.
+func newSubstituteNeed(s Snapshot, ids []fleet.InstanceID, w *Wanted, loaded, loading map[fleet.InstanceID]string) *substituteNeed {
+	n := &substituteNeed{want: w}
 	for _, id := range ids {
-		st, l := s.Instances[id], servers[id]
-		loaded := l.LoadedModel
-		second := secondModel(s.Wanted, loaded)
-		if loaded == "" || second == "" || !isAvailable(st) || slices.Contains(l.Staged, second) {
+		st := s.Instances[id]
+		if st.Instance.Pool != w.Pool || !isAvailable(st) {
 			continue
 		}
-		if room > 0 && c.stage(ctx, t, l, second, now) {
-			room--
+		g := s.Groups.Groups[s.Groups.ByInstance[id]]
+		_, local := st.LocalLoadTimes[w.Model]
+		switch {
+		case g != nil && g.Model == w.Model:
+			n.members++
+		case local || loading[id] == w.Model:
+			n.substitutes++
+		case loaded[id] != "" && loading[id] == "" && secondModel(s.Wanted, loaded[id]) == w.Model:
+			n.candidates = append(n.candidates, id)
 		}
 	}
+	slices.SortFunc(n.candidates, func(a, b fleet.InstanceID) int {
+		return cmp.Or(cmp.Compare(s.Groups.ByInstance[a], s.Groups.ByInstance[b]), cmp.Compare(a, b))
+	})
+	return n
 }
 
 // countLoading counts the engines that are loading from the weight store. Too many
