placement: loads and new groups go to the busier model

Callers saw: on the small twins, where five engines load at once, new engines load the larger model for 16 s while the smaller one is busier and refuses.

Cause: the model that lacks the largest share of its groups came first. The wanted groups hold two to spare for each model, so a model with few groups lacks the larger share although it is less busy.

Change: the model with the most work per group comes first; the share that is missing decides only while no work is known.

Test: TestLoadsWentToTheLessUtilizedModel (before: quad for each of the four).

--- a/internal/placement/formation.go
+++ b/internal/placement/formation.go
@@ -31,7 +31,7 @@
 }
 
 // byShortage lists the wanted services. If only instances that hold a model
-// locally may be placed, the services with the largest missing share come first,
+// locally may be placed, the services that are shortest of groups come first,
 // because engines may hold several models.
 func (r *round) byShortage() []*Wanted {
 	var wanted []*Wanted
@@ -39,8 +39,8 @@
 		wanted = append(wanted, &r.snap.Wanted[i])
 	}
 	if r.localOnly() {
-		share := func(w *Wanted) float64 { return float64(r.retainedGroups(w)) / float64(max(w.Groups, 1)) }
-		slices.SortStableFunc(wanted, func(a, b *Wanted) int { return cmp.Compare(share(a), share(b)) })
+		short := func(w *Wanted) float64 { return shortage(w, w.Groups-r.retainedGroups(w)) }
+		slices.SortStableFunc(wanted, func(a, b *Wanted) int { return cmp.Compare(short(b), short(a)) })
 	}
 	return wanted
 }
--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -315,6 +315,37 @@
 	assert.Equal(t, len(planner().Plan(f.s, time.Now())), 0, "a single surplus group is not sufficient")
 }
 
+// What is loaded and formed first must follow how busy the models' groups are, not
+// how many of the groups that they should have are missing: a model with few groups
+// lacked the larger share of them and took the loads, while the other was busier.
+func TestLoadsWentToTheLessUtilizedModel(t *testing.T) {
+	f := newModelFixture(8, 3)
+	f.group("quad.1", "quad", 4, "d0", 0)
+	for n := range 4 {
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, "d0", 0)
+	}
+	for n := range 4 {
+		f.engine(fleet.InstanceID(fmt.Sprintf("empty-%d", n)), "d1", nil)
+	}
+	models := func(quadWork, duoWork float64) (out []string) {
+		f.s.Wanted[0].Work, f.s.Wanted[1].Work = quadWork, duoWork
+		for _, p := range PlanPreloads(f.s, nil) {
+			out = append(out, p.Model)
+		}
+		return out
+	}
+	assert.DeepEqual(t, models(1.2, 7), []string{"duo", "duo", "duo", "duo"})
+	assert.DeepEqual(t, models(2.5, 7), []string{"quad", "quad", "quad", "quad"})
+	assert.DeepEqual(t, models(0, 0), []string{"quad", "quad", "quad", "quad"}) // without work the share that is missing counts
+
+	both := map[string]time.Duration{"duo": loadedTime, "quad": loadedTime}
+	for n := range 4 {
+		f.engine(fleet.InstanceID(fmt.Sprintf("empty-%d", n)), "d1", both)
+	}
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.2, 7
+	assert.DeepEqual(t, kinds(NewPlanner(planningPolicyOfTests).Plan(f.s, time.Now())), []string{"form duo", "form duo"})
+}
+
 // TestLargestShortageIsFormedFirst checks that engines that hold two models form
 // a group of the one with the larger missing share.
 func TestLargestShortageIsFormedFirst(t *testing.T) {
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -42,11 +42,11 @@
 }
 
 // PlanPreloads selects a model for each free engine. An engine that holds or
-// loads a model keeps it. The others complete the next group of the model with
-// the largest missing share of groups, starting with the groups that lack the
-// fewest engines. Engines that can't complete a group load the model with the
-// largest missing share, or, if no groups are missing, are divided in
-// proportion to the models' members in the domain. The result is ordered by
+// loads a model keeps it. The others complete the next group of the model that is
+// shortest of groups, starting with the groups that lack the fewest engines.
+// Engines that can't complete a group load the model that is shortest of groups
+// or, if no groups are missing, are divided in proportion to the models' members
+// in the domain. The result is ordered by
 // priority.
 func PlanPreloads(s Snapshot, loading map[fleet.InstanceID]string) []Preload {
 	domains, out := spareDomains(s, loading)
@@ -63,7 +63,7 @@
 	}
 	for _, d := range domains {
 		for len(d.unloaded) > 0 {
-			model := mostMissingModel(s.Wanted, missing)
+			model := shortestModel(s.Wanted, missing)
 			if model == "" {
 				model = modelWithFewestSpares(s.Wanted, d.members, d.spares)
 			}
@@ -138,7 +138,7 @@
 			if d.missingSpares(w) > len(d.unloaded) {
 				continue
 			}
-			if best == nil || cmp.Or(cmp.Compare(missingShare(w, missing), missingShare(model, missing)), cmp.Compare(best.missingSpares(model), d.missingSpares(w))) > 0 {
+			if best == nil || cmp.Or(cmp.Compare(shortage(w, missing[w.Model]), shortage(model, missing[model.Model])), cmp.Compare(best.missingSpares(model), d.missingSpares(w))) > 0 {
 				best, model = d, w
 			}
 		}
@@ -146,17 +146,21 @@
 	return best, model
 }
 
-// missingShare returns the share of a model's groups that is missing.
-func missingShare(w *Wanted, missing map[string]int) float64 {
-	return float64(missing[w.Model]) / float64(max(w.Groups, 1))
+// shortage returns how short a model is of groups, given how many are missing: the
+// utilization of the others or, without work, the share that is missing.
+func shortage(w *Wanted, missing int) float64 {
+	if w.Work > 0 {
+		return utilization(w.Work, w.Groups-missing)
+	}
+	return float64(missing) / float64(max(w.Groups, 1))
 }
 
-// mostMissingModel returns the model with the largest missing share, "" if no
-// groups are missing.
-func mostMissingModel(wanted []Wanted, missing map[string]int) string {
+// shortestModel returns the model that is shortest of groups, "" if no groups are
+// missing.
+func shortestModel(wanted []Wanted, missing map[string]int) string {
 	best := -1
 	for i := range wanted {
-		if missing[wanted[i].Model] > 0 && (best < 0 || missingShare(&wanted[i], missing) > missingShare(&wanted[best], missing)) {
+		if missing[wanted[i].Model] > 0 && (best < 0 || shortage(&wanted[i], missing[wanted[i].Model]) > shortage(&wanted[best], missing[wanted[best].Model])) {
 			best = i
 		}
 	}
