membership: a message of a peer does not cost a look at every peer

The cost of a daemon grew some six times from 20 daemons to 87.

Cause: each heartbeat and each message of changed counts built the view of all peers anew, with the links that are expected: 188 views in 3 s among 30 daemons, each as large as the number of peers. Routing added up a group's requests over all peers for each candidate: 51 groups times 86 peers for a request. Evidence: 87 real daemons on one machine, profile of one: 35% of its processor in publish, and as much again of its garbage.

Change: the requests of live peers are kept in total by group and change with the messages, at once; the view is built with the ticks, and at once only when a peer's state changes or the scope's holder speaks. InFlight of peers left the view.

Tests: TestViewWasBuiltForEveryMessage (before: 188 views in 3 s), and TestInFlightOfLivePeersOnly; TestLoadsAreSentBetweenHeartbeats checks the totals in place of the view.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,7 +218,7 @@
 		Instances:    d.instances,
 		Catalog:      d.services.Catalog,
 		Leaving:      d.isLeaving,
-		PeerInFlight: d.peerInFlight,
+		PeerInFlight: d.mesh.PeerInFlight,
 		Unreachable:  d.watcher.Unreachable,
 		Policy:       routing.DefaultPolicy().WithPrefixes(d.index),
 		Rand:         d.random(routingStream),
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -80,18 +80,6 @@
 	return d.peerLeaving.has(id, time.Now(), readAt)
 }
 
-// peerInFlight returns the number of requests that live peers have in flight on
-// a group.
-func (d *Daemon) peerInFlight(id fleet.GroupID) uint32 {
-	var n uint32
-	for _, p := range d.mesh.View().Peers {
-		if p.Alive {
-			n += p.Heartbeat.InFlight[id]
-		}
-	}
-	return n
-}
-
 func (d *Daemon) aliveDaemons() []fleet.DaemonID {
 	out := []fleet.DaemonID{d.id}
 	for id, p := range d.mesh.View().Peers {
@@ -243,14 +231,9 @@
 }
 
 func (d *Daemon) totalInFlight() map[fleet.GroupID]uint32 {
-	total := d.store.InFlight()
-	for _, p := range d.mesh.View().Peers {
-		if !p.Alive {
-			continue
-		}
-		for id, n := range p.Heartbeat.InFlight {
-			total[id] += n
-		}
+	total := d.mesh.AllPeersInFlight()
+	for id, n := range d.store.InFlight() {
+		total[id] += n
 	}
 	return total
 }
--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -157,25 +157,12 @@
 	}
 }
 
-func (d *Daemon) peerInFlight(id fleet.GroupID) uint32 {
-	var n uint32
-	for _, p := range d.mesh.View().Peers {
-		if p.Alive {
-			n += p.Heartbeat.InFlight[id]
-		}
-	}
-	return n
-}
-
+// totalInFlight returns the number of requests in flight on each group at all
+// daemons.
 func (d *Daemon) totalInFlight() map[fleet.GroupID]uint32 {
-	total := d.store.InFlight()
-	for _, p := range d.mesh.View().Peers {
-		if !p.Alive {
-			continue
-		}
-		for id, n := range p.Heartbeat.InFlight {
-			total[id] += n
-		}
+	total := d.mesh.AllPeersInFlight()
+	for id, n := range d.store.InFlight() {
+		total[id] += n
 	}
 	return total
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,7 +167,7 @@
 		Instances:    d.directory.Instances,
 		Catalog:      d.catalog,
 		Leaving:      d.directory.Leaving,
-		PeerInFlight: d.peerInFlight,
+		PeerInFlight: d.mesh.PeerInFlight,
 		Stalled:      d.stallDetector.Stalled,
 		Refusals:     d.refusals,
 		Limit:        groupLimit,
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -178,6 +178,14 @@
 // runCluster runs f with n members in virtual time. All goroutines of the members
 // must have ended when it returns.
 func runCluster(t *testing.T, n int, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	runStaggeredCluster(t, n, 0, f)
+}
+
+// runStaggeredCluster is runCluster with a pause between the starts of two members,
+// so that their heartbeats arrive at different times.
+func runStaggeredCluster(t *testing.T, n int, pause time.Duration, f func(t *testing.T, c *cluster)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t:   t,
@@ -186,6 +194,7 @@
 		}
 		for i := range n {
 			c.members = append(c.members, c.start(i, 1))
+			time.Sleep(pause)
 		}
 		defer func() {
 			for _, m := range c.members {
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -50,7 +50,7 @@
 	h := Heartbeat{
 		From: l.peer.From, Address: l.peer.Address, Zone: l.peer.Zone, Incarnation: l.peer.Incarnation,
 		Sequence: b.Sequence, Ready: b.Ready, Draining: b.Draining,
-		ConfigRevision: b.ConfigRevision, Streams: streams, InFlight: inFlight,
+		ConfigRevision: b.ConfigRevision, Streams: streams,
 		HoldsScope: b.HoldsScope, IsReader: b.IsReader, Renewal: b.Renewal, StoreUnavailable: b.StoreUnavailable,
 		Processors: b.Processors, Work: work, WorkRequests: b.WorkRequests,
 	}
@@ -60,11 +60,15 @@
 		return err
 	}
 	m.mu.Lock()
+	before := m.table.peers[h.From]
 	accepted := m.table.observe(now, h, timing)
 	p := m.table.peers[h.From]
+	if accepted {
+		m.loads.set(h.From, inFlight)
+	}
 	m.viewStale = true
-	if m.cfg.Loads != nil {
-		m.publish(now) // so that routing uses changed counts at once
+	if m.cfg.Loads != nil && (h.HoldsScope || changesState(before.Heartbeat, h)) {
+		m.publish(now)
 	}
 	m.mu.Unlock()
 	if accepted {
@@ -81,13 +85,17 @@
 		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.table.applyLoads(l.peer.From, changes)
-	m.publish(time.Now())
+	m.loads.change(l.peer.From, changes)
 	return nil
 }
 
+// changesState reports whether a peer's heartbeat tells another state than its
+// last one, which should not wait for the next regular update of the view.
+func changesState(before, h Heartbeat) bool {
+	return before.Incarnation != h.Incarnation || before.Ready != h.Ready || before.Draining != h.Draining || before.HoldsScope != h.HoldsScope ||
+		before.IsReader != h.IsReader || before.StoreUnavailable != h.StoreUnavailable
+}
+
 // handleReports passes a heartbeat's reports, unresponsive instances and stalled
 // groups to the callbacks.
 func (m *Mesh) handleReports(l *link, b *heartbeatMessage, sentAt time.Time) error {
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -31,6 +31,7 @@
 	endpoints []Endpoint
 	links     map[fleet.DaemonID]*link
 	table     *table
+	loads     *peerLoads
 	gossip    *gossipBuffer
 	sequence  uint64
 	tickedAt  time.Time
@@ -51,6 +52,7 @@
 		endpointsChanged:  make(chan struct{}, 1),
 		links:             map[fleet.DaemonID]*link{},
 		table:             newTable(),
+		loads:             newPeerLoads(),
 		gossip:            newGossipBuffer(!full),
 	}
 	m.view.Store(&View{Peers: map[fleet.DaemonID]Peer{}})
@@ -168,6 +170,10 @@
 
 // publish rebuilds the view. Called with mu held.
 func (m *Mesh) publish(now time.Time) {
+	m.loads.retain(func(id fleet.DaemonID) bool {
+		p, known := m.table.peers[id]
+		return known && p.freshAt(now, m.cfg.AliveFor)
+	})
 	v := &View{
 		At:            now,
 		Peers:         m.table.snapshot(now, m.cfg.AliveFor),
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,7 +54,8 @@
 			author.set(func(m *member) { m.heartbeat.InFlight = counts })
 			time.Sleep(DefaultHeartbeatInterval/ticksPerHeartbeat + 2*oneWay)
 			for _, m := range c.members[1:] {
-				assert.DeepEqual(t, m.View().Peers[author.cfg.Self].Heartbeat.InFlight, counts)
+				assert.DeepEqual(t, m.AllPeersInFlight(), counts)
+				assert.Equal(t, m.PeerInFlight("a"), counts["a"])
 			}
 			time.Sleep(37 * time.Millisecond)
 		}
@@ -64,6 +66,44 @@
 	})
 }
 
+// The counts of a peer that is no longer alive do not count, and a peer's counts do
+// not count twice.
+func TestInFlightOfLivePeersOnly(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		for n, m := range c.members {
+			m.set(func(m *member) {
+				m.heartbeat.InFlight = map[fleet.GroupID]uint32{"all": 1, fleet.GroupID(fmt.Sprint(n)): 5}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, c.members[0].AllPeersInFlight(), map[fleet.GroupID]uint32{"all": 2, "1": 5, "2": 5})
+		c.isolate(c.members[2])
+		time.Sleep(DefaultAliveFor + DefaultHeartbeatInterval)
+		assert.DeepEqual(t, c.members[0].AllPeersInFlight(), map[fleet.GroupID]uint32{"all": 1, "1": 5})
+	})
+}
+
+// The view of all peers was built again for each message of each peer, so that the
+// cost of a daemon grew with the square of their number.
+func TestViewWasBuiltForEveryMessage(t *testing.T) {
+	runStaggeredCluster(t, 30, 17*time.Millisecond, func(t *testing.T, c *cluster) {
+		m, built := c.members[0], 0
+		last := m.view.Load()
+		for at := range uint32(3000) {
+			if at%100 == 0 {
+				c.members[1].set(func(m *member) { m.heartbeat.InFlight = map[fleet.GroupID]uint32{"a": at} })
+			}
+			time.Sleep(time.Millisecond)
+			if v := m.view.Load(); v != last {
+				built++
+				last = v
+			}
+		}
+		const seconds, most = 3, ticksPerHeartbeat * int(time.Second/DefaultHeartbeatInterval)
+		assert.Assert(t, built <= seconds*most+1, "%d views in %d s", built, seconds)
+	})
+}
+
 // The messages of changed counts are bounded over all links.
 func TestLoadsAreBoundedOverAllLinks(t *testing.T) {
 	for _, n := range []int{3, 9, 30} {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"maps"
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -48,28 +47,6 @@
 	return true
 }
 
-// applyLoads applies a peer's changed counts. It copies the map, because views
-// share the old one.
-func (t *table) applyLoads(id fleet.DaemonID, changes map[fleet.GroupID]uint32) {
-	p, known := t.peers[id]
-	if !known {
-		return
-	}
-	counts := maps.Clone(p.Heartbeat.InFlight)
-	if counts == nil {
-		counts = map[fleet.GroupID]uint32{}
-	}
-	for group, count := range changes {
-		if count == 0 {
-			delete(counts, group)
-		} else {
-			counts[group] = count
-		}
-	}
-	p.Heartbeat.InFlight = counts
-	t.peers[id] = p
-}
-
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -27,7 +27,8 @@
 	Draining       bool                              `cbor:"7,keyasint"`
 	ConfigRevision uint64                            `cbor:"8,keyasint"`
 	Streams        map[journal.Stream]StreamPosition `cbor:"9,keyasint"`
-	// InFlight is the number of the sender's own requests on each group.
+	// InFlight is the number of the sender's own requests on each group. Receivers
+	// find it in Mesh.PeerInFlight rather than here.
 	InFlight map[fleet.GroupID]uint32 `cbor:"10,keyasint,omitempty"`
 	// Leaving lists the instances that the sender knows to be leaving.
 	Leaving []fleet.InstanceID `cbor:"11,keyasint,omitempty"`
