membership: fewer wake-ups and messages for each peer

Cause: each daemon woke twice a second for each peer that had dialed it, to look through all links for it; woke a relay that has nothing to relay for each heartbeat; looked through all peers for another one of the same address with each heartbeat; and on more than 50 links sent changed counts less often than the heartbeats, which carry all counts. The comment on the latter's limit said that they are left to the heartbeats; the code did not.

Change: dialers wait for the end of the link that there is; the relay runs only with something to relay; a known peer with the same address is not searched for again; counts go with the heartbeats where those come as often.

Test: TestCountsWereSentBesideHeartbeatsOnManyLinks (56 daemons; before: more than 200 additional messages in 3 s).

--- a/internal/membership/connect.go
+++ b/internal/membership/connect.go
@@ -119,8 +119,12 @@
 		sleep(dialCtx, 2*redialMin)
 	}
 	for dialCtx.Err() == nil {
-		if m.linkedTo(address) {
-			sleep(dialCtx, m.cfg.HeartbeatInterval)
+		if l := m.linkTo(address); l != nil {
+			select {
+			case <-l.ended:
+				sleep(dialCtx, redialMin)
+			case <-dialCtx.Done():
+			}
 			continue
 		}
 		conn, err := m.dial(dialCtx, address)
@@ -160,15 +164,16 @@
 	return conn, errors.Wrap(err, "dial")
 }
 
-func (m *Mesh) linkedTo(address string) bool {
+// linkTo returns the open link to an address, nil if there is none.
+func (m *Mesh) linkTo(address string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
 		if l.peer.Address == address {
-			return true
+			return l
 		}
 	}
-	return false
+	return nil
 }
 
 // runLink runs a connection from the hello to its end, and returns the reason for
@@ -185,6 +190,7 @@
 	if err := m.register(l); err != nil {
 		return err
 	}
+	defer close(l.ended)
 	defer m.unregister(l)
 	m.cfg.Events.Emit(eventLinkUp, "peer", peer.From, "address", peer.Address, "dialed", dialed)
 	err = m.exchangeMessages(ctx, l)
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -65,7 +65,8 @@
 	m.mu.Lock()
 	links := len(m.links)
 	m.mu.Unlock()
-	if now.Sub(m.loadsSentAt) < time.Duration(links)*time.Second/loadMessagesPerSecond {
+	interval := time.Duration(links) * time.Second / loadMessagesPerSecond
+	if interval >= m.cfg.HeartbeatInterval || now.Sub(m.loadsSentAt) < interval {
 		return
 	}
 	m.loadsSentAt = now
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -26,6 +26,7 @@
 	dialed bool // by this daemon
 	out    chan []byte
 	cancel context.CancelCauseFunc
+	ended  chan struct{} // closed when the link has ended
 	meters *meters
 
 	mu               sync.Mutex
@@ -58,6 +59,7 @@
 	return &link{
 		conn: conn, peer: peer, dialed: dialed, meters: meters,
 		out:        make(chan []byte, linkQueue),
+		ended:      make(chan struct{}),
 		receivedAt: time.Now(),
 
 		sentNames:        newNameTable(),
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -72,7 +72,9 @@
 	m.mu.Unlock()
 
 	m.spawn(func() { m.runDialers(ctx) })
-	m.spawn(func() { m.runRelay(ctx) })
+	if len(m.cfg.Replicas) > 0 {
+		m.spawn(func() { m.runRelay(ctx) })
+	}
 	m.runHeartbeats(ctx)
 
 	m.mu.Lock()
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -127,6 +127,29 @@
 	}
 }
 
+// On many links changed counts were sent less often than heartbeats, which carry all
+// counts, and only cost messages.
+func TestCountsWereSentBesideHeartbeatsOnManyLinks(t *testing.T) {
+	const n, steps = 56, 30
+	runCluster(t, n, func(t *testing.T, c *cluster) {
+		author := c.members[0]
+		count := func(change bool) int64 {
+			_, before := c.traffic(author)
+			for at := range uint32(steps) {
+				if change {
+					author.set(func(m *member) { m.heartbeat.InFlight = map[fleet.GroupID]uint32{"a": at} })
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			_, after := c.traffic(author)
+			return after - before
+		}
+		steady := count(false)
+		more := count(true) - steady
+		assert.Assert(t, more <= n, "%d additional messages in %d ms", more, steps*100)
+	})
+}
+
 func TestRelayReachesDaemonsWithoutTheLogInTime(t *testing.T) {
 	tests := map[string]struct {
 		members int
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -142,7 +142,7 @@
 				m := newMeters(metrics.NewRegistry())
 				assert.NilError(t, writeFrame(t.Context(), conn, test.frame, &m))
 				time.Sleep(100 * time.Millisecond)
-				linked := c.members[0].linkedTo("10.9.9.9:7000")
+				linked := c.members[0].linkTo("10.9.9.9:7000") != nil
 				assert.Equal(t, !linked, test.closes)
 			})
 		})
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -33,7 +33,8 @@
 	if known && !isNewer(h, old.Heartbeat) {
 		return false
 	}
-	if t.superseded(now, h) {
+	// A known peer has superseded the others with its address before.
+	if (!known || old.Heartbeat.Address != h.Address) && t.superseded(now, h) {
 		return false
 	}
 	t.peers[h.From] = Peer{
