placement: no group is given up for one that is waited for

Cause: a group with a leaving member took substitutes also when its drain was not begun, because the plan already waits for its unknown members.

Change: it does so only with the drain.

Test: TestGroupWasGivenUpForOneThatIsWaitedFor (before: "drain duo" as well).

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -507,6 +507,32 @@
 	assert.DeepEqual(t, plan(time.Second), []string{"repair quad"})
 }
 
+// A group with members that are not known yet, one of which leaves, was waited for
+// and at the same time made another model give up a group in each round.
+func TestGroupWasGivenUpForOneThatIsWaitedFor(t *testing.T) {
+	both := map[string]time.Duration{"duo": loadedTime, "quad": stagedTime}
+	f := newModelFixture(4, 2)
+	f.group("quad.1", "quad", 4, "d0", 0)
+	for n := range 4 {
+		f.group(fleet.GroupID(fmt.Sprintf("duo.%d", n)), "duo", 2, "d0", 0)
+	}
+	for id, st := range f.s.Instances {
+		if _, isDuo := st.LocalLoadTimes["duo"]; isDuo {
+			st.LocalLoadTimes = both
+			f.s.Instances[id] = st
+		}
+	}
+	leaving := f.s.Instances["quad.1-3"]
+	leaving.Instance.Leaving = true
+	f.s.Instances["quad.1-3"] = leaving
+	delete(f.s.Instances, "quad.1-0")
+	f.s.Groups.Groups["quad.1"].Members[0] = group.Member{}
+	f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1, 1.5
+	policy := planningPolicyOfTests
+	policy.UnknownMemberSettle = 2 * time.Second
+	assert.DeepEqual(t, kinds(NewPlanner(policy).Plan(f.s, time.Now())), []string{"wait quad"})
+}
+
 // Each broken group takes a group of the other model only as long as that one
 // remains less utilized.
 func TestRepairsLeaveTheOtherModelLessUtilized(t *testing.T) {
--- a/internal/placement/rollout.go
+++ b/internal/placement/rollout.go
@@ -82,10 +82,9 @@
 // another service is drained at the same time.
 func (r *round) drainLeaving() {
 	for _, c := range r.groups {
-		if !c.leaving || c.draining() {
+		if !c.leaving || c.draining() || !r.drain(c, "a member is leaving") {
 			continue
 		}
-		r.drain(c, "a member is leaving")
 		if c.wanted == nil || !r.localOnly() || r.snap.LogDown || r.retainedGroups(c.wanted) >= c.wanted.Groups {
 			continue
 		}
@@ -369,13 +368,16 @@
 	return "there are more groups than wanted"
 }
 
-func (r *round) drain(c *groupState, reason string) {
+// drain adds an ActionDrain for a group, and reports false if the plan has another
+// action for it already.
+func (r *round) drain(c *groupState, reason string) bool {
 	for _, a := range r.actions {
 		if a.Group != nil && a.Group.ID == c.group.ID {
-			return
+			return false
 		}
 	}
 	r.add(Action{Kind: ActionDrain, Service: c.group.Service, Group: c.group, Reason: reason})
+	return true
 }
 
 // reportHalt adds an ActionHalt for a rollout that has stopped.
