placement: a repair needs no margin between the models

Cause: a repair had to leave the giver less utilized by a tenth, as a new group has to. A new group takes as many engines as it has; a repair takes one or two, and without it the other members are of no use.

Change: for a repair the giver has to stay less utilized, without a margin.

Test: a case of TestLargerGroupWasDissolvedBesideGroupsThatCouldCompleteIt (before: "dissolve quad").

--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -375,6 +375,7 @@
 	}{
 		{"the other model remains less utilized", 8, both, []string{"drain duo", "wait quad"}},
 		{"the other model would be busier", 2, both, []string{"dissolve quad"}},
+		{"the other model would be a little less busy", 4, both, []string{"drain duo", "wait quad"}},
 		{"no member of the other model has the model", 8, map[string]time.Duration{"duo": loadedTime}, []string{"dissolve quad"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -390,7 +391,7 @@
 					f.s.Instances[id] = st
 				}
 			}
-			f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.5, 4
+			f.s.Wanted[0].Work, f.s.Wanted[1].Work = 1.5, 4.4
 			f.s.InFlight = map[fleet.GroupID]uint32{"duo.0": 9, "duo.2": 3, "duo.4": 7, "duo.6": 5}
 			planner := NewPlanner(planningPolicyOfTests)
 			actions := planner.Plan(f.s, time.Now())
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -82,7 +82,7 @@
 // mayGive reports whether a service may give up one group for a broken group of
 // another service.
 func (r *round) mayGive(from, to *Wanted) bool {
-	return MayGive(from.Work, r.servingGroups(from)-1, to.Work, r.servingGroups(to))
+	return mayGive(from.Work, r.servingGroups(from)-1, to.Work, r.servingGroups(to), repairMargin)
 }
 
 // servingGroups counts the groups of a service that serve, will serve without
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -18,11 +18,14 @@
 
 const (
 	// A model whose utilization (work per group) exceeds overloadedUtilization
-	// may take groups from another model, as long as that one remains less
-	// utilized by transferMargin. A group that is taken from a model serves no
-	// requests until its engines have loaded the other one.
+	// may take groups from another model to form one of its own, as long as that
+	// one remains less utilized by transferMargin. A group that is taken from a
+	// model serves no requests until its engines have loaded the other one.
 	overloadedUtilization = 0.85
 	transferMargin        = 1.1
+	// repairMargin is the same for a group that is taken to repair one that has
+	// lost a member: without it the other members would be of no use.
+	repairMargin = 1.0
 	// targetUtilization is the maximum planned utilization of a model's groups.
 	// redundantGroups is the number of groups that each model should be able to
 	// lose: for a model with few groups, each one is a large part of its capacity.
@@ -63,7 +66,7 @@
 		}
 		receiver := models[overloadedModel]
 		for n := groupsFor(receiver.Size, m.Size); n > 0; n-- {
-			if MayGive(m.Work, m.Groups-n, receiver.Work, receiver.Groups) {
+			if mayGive(m.Work, m.Groups-n, receiver.Work, receiver.Groups, transferMargin) {
 				groups[i] = m.Groups - n
 				break
 			}
@@ -72,13 +75,14 @@
 	return groups
 }
 
-// MayGive reports whether a model that would be left with groups groups for its
+// mayGive reports whether a model that would be left with groups groups for its
 // work may give engines to a model with otherGroups groups for otherWork: the
-// giver must remain less utilized than the receiver is now. Each such change
-// lowers the highest utilization, so models do not exchange engines back and
-// forth. Work is in busy groups or, for both models, in any other unit.
-func MayGive(work float64, groups int, otherWork float64, otherGroups int) bool {
-	return groups > 0 && utilization(work, groups)*transferMargin < utilization(otherWork, otherGroups)
+// giver must remain less utilized than the receiver is now, by a factor of margin.
+// Each such change lowers the highest utilization, so models do not exchange
+// engines back and forth. Work is in busy groups or, for both models, in any other
+// unit.
+func mayGive(work float64, groups int, otherWork float64, otherGroups int, margin float64) bool {
+	return groups > 0 && utilization(work, groups)*margin < utilization(otherWork, otherGroups)
 }
 
 // groupsFor returns how many groups of surplusSize engines provide at least size
