placement: rejoining engines do not count as loading

Cause: an engine that joins a new epoch of its group has its model in memory, but its host may hold the other one. It counted as one that loads from the weight store. With 16 to 37 members of repaired groups joining, no load was left for the new engines. Class: what an engine has at hand, asked of its host alone.

Looked for elsewhere: the load tokens of joins and the time until a member is ready go by localLoadTimes, which has both.

Test: TestRejoiningEnginesCountedAsLoading (before: 4 in place of 3).

--- a/internal/placement/places_test.go
+++ b/internal/placement/places_test.go
@@ -69,3 +69,22 @@
 		})
 	}
 }
+
+// Engines that join a group of the model that they have loaded counted as loading,
+// so that repairs kept new engines from loading a model at all.
+func TestRejoiningEnginesCountedAsLoading(t *testing.T) {
+	joining := func(loaded string, staged ...string) directory.Listing {
+		l := listing("e", 1, placeOf(1, directory.PlaceJoining))
+		l.LoadedModel, l.Staged = loaded, staged
+		return l
+	}
+	term := &termState{staging: map[fleet.InstanceID]stageLoad{"staging": {model: "trio"}}}
+	assert.Equal(t, term.countLoading(map[fleet.InstanceID]directory.Listing{
+		"rejoins":       joining("duo", "trio"),
+		"from its host": joining("trio", "duo"),
+		"ready":         listing("ready", 1, placeOf(1, directory.PlaceReady)),
+		"loads":         joining("trio", "trio"),
+		"new":           joining(""),
+		"staging":       joining(""),
+	}), 3, "two that load into their place, and one onto its host")
+}
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -399,8 +399,10 @@
 	n := len(t.staging)
 	for id, l := range servers {
 		_, staged := t.staging[id]
-		joins := l.Place != nil && l.Place.State == directory.PlaceJoining
-		if joins && !staged && !slices.Contains(l.Staged, ModelOfID(l.Place.Group)) {
+		if staged || l.Place == nil || l.Place.State != directory.PlaceJoining {
+			continue
+		}
+		if model := ModelOfID(l.Place.Group); model != l.LoadedModel && !slices.Contains(l.Staged, model) {
 			n++
 		}
 	}
