--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -123,7 +123,7 @@
 // logAccepted logs how a request was resolved.
 func (h *Handler) logAccepted(req *request, f *dispatch.Forwarding) {
 	h.cfg.Events.Emit(eventAccepted, "request", req.meta.Request, "route", req.route.Name, "document", req.version,
-		"service", f.Service, "workspace", req.workspace, "priority", req.priority, "repeatable", f.Repeatable,
+		"service", f.Service, "workspace", req.workspace, "fingerprint", f.Fingerprint, "priority", req.priority, "repeatable", f.Repeatable,
 		"prompt_tokens", f.PromptTokens, "answer_tokens", f.AnswerTokens, "after_event", req.meta.LastEventID, "left", req.meta.Timeout)
 }
 
