standin/site: a request that crashes each server, as a test that fails

A plain server of the stand-in crashes when it runs a request with a given body: its listener and connections close, its entry lapses after three heartbeats, and it is back after 3 s under another id. A caller sends that request to all daemons in turn every 250 ms, while others send sound ones.

--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -77,6 +77,9 @@
 	readyOnce  map[string]bool // instance/group/epoch that has been ready
 	violations []string
 	runs       map[string]int // by request id and service
+	// crashes holds the times at which requests crashed a backend server, and
+	// crashingRuns the times at which such requests reached one.
+	crashes, crashingRuns []time.Time
 }
 
 func newSharedState() *sharedState {
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -42,6 +42,7 @@
 	portAdmin, portPeers                 = "7401", "7402"
 	storeIP, callerIP                    = "10.0.0.1", "10.9.0.1"
 	delayOneWay                          = time.Millisecond
+	heartbeatInterval                    = 1200 * time.Millisecond // of backend servers to the server list
 	domainSize                           = 8
 	leadTime               time.Duration = 8 * time.Second
 )
@@ -137,7 +138,7 @@
 		w.log = io.Discard
 	}
 	w.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
-	if err := w.serve(hosts.Host(storeIP), portStore, w.Store.Handler()); err != nil {
+	if _, err := w.serve(hosts.Host(storeIP), portStore, w.Store.Handler()); err != nil {
 		return nil, err
 	}
 	w.Publish(Document(1))
@@ -167,10 +168,10 @@
 	w.tasks.Wait()
 }
 
-func (w *World) serve(h Host, port string, handler http.Handler) error {
+func (w *World) serve(h Host, port string, handler http.Handler) (*http.Server, error) {
 	l, err := h.Listen(port)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
 	w.tasks.Go(func() { _ = s.Serve(l) }) // returns on Close
@@ -178,7 +179,7 @@
 		<-w.ctx.Done()
 		_ = s.Close()
 	})
-	return nil
+	return s, nil
 }
 
 // runAfter runs f after a delay unless the world is closed first.
@@ -208,15 +209,17 @@
 	w.shared.mu.Unlock()
 	w.Engines = append(w.Engines, e)
 	e.announce()
-	return w.serve(h, portServer, e.handler())
+	_, err := w.serve(h, portServer, e.handler())
+	return err
 }
 
 func (w *World) addPlain(i int) error {
 	h := w.hosts.Host(fmt.Sprintf("10.3.0.%d", i+1))
-	p := &Plain{world: w, ID: fmt.Sprintf("p-%02d", i), addr: h.Addr(portServer)}
+	name := fmt.Sprintf("p-%02d", i)
+	p := &Plain{world: w, name: name, ID: name, addr: h.Addr(portServer), host: h}
 	w.Plains = append(w.Plains, p)
 	p.announce("ready")
-	return w.serve(h, portServer, p)
+	return p.start()
 }
 
 // Update runs f, which changes the behaviour of backend servers, with the lock
@@ -232,7 +235,12 @@
 func (w *World) FreezeEngine(e *Engine) {
 	w.Update(func() { e.dead = true })
 	w.hosts.Freeze(strings.TrimSuffix(e.addr, ":"+portServer))
-	w.runAfter(3600*time.Millisecond, func() { w.Store.Put("keyed.servers", e.ID, nil) })
+	w.expireEntry(e.ID)
+}
+
+// expireEntry removes an entry of the server list after three heartbeats.
+func (w *World) expireEntry(id string) {
+	w.runAfter(3*heartbeatInterval, func() { w.Store.Put("keyed.servers", id, nil) })
 }
 
 // Violations returns the violations of the engines' rules so far.
