--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -197,11 +197,18 @@
 // backoff waits with exponential backoff and jitter, or until ctx is done.
 func (a *attempts) backoff(ctx context.Context) {
 	limit := min(a.d.cfg.BackoffBase<<max(a.sentCount-1, 0), a.d.cfg.BackoffMax)
-	timer := time.NewTimer(limit/2 + rand.N(limit/2+1))
+	sleepFor(ctx, limit/2+rand.N(limit/2+1))
+}
+
+// sleepFor waits for a duration. It returns false if ctx ends first.
+func sleepFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -248,16 +255,46 @@
 		a.d.isolated.remove(t.Group)
 	}
 	a.d.cfg.Router.Ended(t.Group, a.route.MaxTokens)
-	if cause == nil || provablyNotRun(cause) {
-		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint)
-		return
-	}
-	if errors.Is(cause, errGroupLost) {
+	switch {
+	case cause == nil || provablyNotRun(cause):
+		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, cause == nil)
+	case a.d.cfg.LivenessProber != nil:
+		if !mayBeCrash(cause) {
+			a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, false)
+			return
+		}
+		a.d.runInBackground(func() { a.d.probeAfterFailure(t, a.fingerprint) })
+	case errors.Is(cause, errGroupLost):
 		a.d.cfg.Suspects.GroupDied(t.Group, t.Epoch, t.Fabric, t.Service)
-		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint)
-		return
+		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, false)
+	default:
+		a.d.runInBackground(func() { a.d.awaitGroupDeath(t, a.fingerprint) })
+	}
+}
+
+// mayBeCrash reports whether an attempt may have failed because its server
+// ended. Attempts that this daemon canceled and error answers are not.
+func mayBeCrash(cause error) bool {
+	for _, other := range []error{errCallerGone, errGroupStalled, errBackendError, context.Canceled, context.DeadlineExceeded} {
+		if errors.Is(cause, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// probeAfterFailure reports the group's death to the suspect tracker if its
+// server has ended, and then the attempt's end. A server that is about to end
+// may accept connections for a moment longer.
+func (d *Dispatcher) probeAfterFailure(t target, fingerprint suspect.Fingerprint) {
+	ended := d.cfg.LivenessProber.HasEnded(d.background, t.Address)
+	if !ended && sleepFor(d.background, d.cfg.ProbeDelay) {
+		ended = d.cfg.LivenessProber.HasEnded(d.background, t.Address)
+	}
+	if ended {
+		d.cfg.Suspects.GroupDied(t.Group, t.Epoch, t.Fabric, t.Service)
 	}
-	a.d.runInBackground(func() { a.d.awaitGroupDeath(t, a.fingerprint) })
+	d.cfg.Suspects.Ended(t.Group, t.Epoch, fingerprint, false)
 }
 
 // awaitGroupDeath waits up to DeathGrace after a failed attempt, reports the
@@ -272,7 +309,7 @@
 	case <-timer.C:
 	case <-d.background.Done():
 	}
-	d.cfg.Suspects.Ended(t.Group, t.Epoch, fingerprint)
+	d.cfg.Suspects.Ended(t.Group, t.Epoch, fingerprint, false)
 }
 
 // provablyNotRun reports whether the cause proves that the attempt did not run.
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -23,6 +23,9 @@
 	Plains        backend.Plains
 	// Refusals receives the refusals of attempts by groups; may be nil.
 	Refusals Refusals
+	// LivenessProber, if not nil, decides whether a failed attempt's group died.
+	// Otherwise the loss of the group does.
+	LivenessProber LivenessProber
 	// Opaques sends the requests of Forward.
 	Opaques backend.Opaques
 	// StallDetector may be nil, which disables stall detection.
@@ -57,6 +60,9 @@
 	// DeathGrace is how long after a failed attempt the death of its group is
 	// still attributed to the request. 5 s.
 	DeathGrace time.Duration
+	// ProbeDelay is the time before a backend server that still accepted a
+	// connection after a failed attempt is probed again. 250 ms.
+	ProbeDelay time.Duration
 	// OutcomeGrace is how long a non-idempotent call that was sent continues
 	// after its caller's deadline, so that its outcome is recorded. 10 s.
 	OutcomeGrace time.Duration
@@ -103,6 +109,7 @@
 	set(&t.StragglerGap, 500*time.Millisecond)
 	set(&t.CancelTimeout, 2*time.Second)
 	set(&t.DeathGrace, 5*time.Second)
+	set(&t.ProbeDelay, 250*time.Millisecond)
 	set(&t.OutcomeGrace, 10*time.Second)
 	set(&t.StallGrace, 300*time.Millisecond)
 	set(&t.BackoffBase, 10*time.Millisecond)
--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -82,7 +82,9 @@
 type stubSuspectTracking struct{}
 
 func (stubSuspectTracking) Started(fleet.GroupID, fleet.Epoch, suspect.Fingerprint) {}
-func (stubSuspectTracking) Ended(fleet.GroupID, fleet.Epoch, suspect.Fingerprint)   {}
+func (stubSuspectTracking) Ended(fleet.GroupID, fleet.Epoch, suspect.Fingerprint, bool) {
+}
+func (stubSuspectTracking) ConvictedFor(suspect.Fingerprint) time.Duration { return 0 }
 func (stubSuspectTracking) GroupDied(fleet.GroupID, fleet.Epoch, fleet.FabricDomain, fleet.ServiceName) {
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -153,7 +153,7 @@
 	switch d.cfg.Suspects.Standing(fp) {
 	case suspect.Convicted:
 		d.cfg.Events.Emit(eventSuspectRefused, "request", id, "service", name, "fingerprint", fp)
-		return false, fleet.NewNotRunFailure(fleet.ReasonSuspect, 0, "the request resembles requests that crash backend servers")
+		return false, fleet.NewNotRunFailure(fleet.ReasonSuspect, d.cfg.Suspects.ConvictedFor(fp), "the request resembles requests that crash backend servers")
 	case suspect.Alone:
 		return true, nil
 	default:
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -99,9 +99,13 @@
 // Suspects classifies requests by the group deaths that they were involved in.
 type Suspects interface {
 	Standing(f suspect.Fingerprint) suspect.Standing
-	// Started and Ended record which requests are in flight on a group.
+	// ConvictedFor returns how much longer a request is convicted; zero if it is
+	// not, or if that is unknown.
+	ConvictedFor(f suspect.Fingerprint) time.Duration
+	// Started and Ended record which requests are in flight on a group. survived
+	// is set if the answer was complete.
 	Started(group fleet.GroupID, epoch fleet.Epoch, f suspect.Fingerprint)
-	Ended(group fleet.GroupID, epoch fleet.Epoch, f suspect.Fingerprint)
+	Ended(group fleet.GroupID, epoch fleet.Epoch, f suspect.Fingerprint, survived bool)
 	// GroupDied reports that a group died while an attempt was in flight on it.
 	GroupDied(group fleet.GroupID, epoch fleet.Epoch, fabric fleet.FabricDomain, name fleet.ServiceName)
 }
@@ -122,7 +126,16 @@
 	Catalog() (*service.Catalog, *fleet.Failure)
 }
 
+// LivenessProber tells a backend server that has ended from one that only broke
+// off an answer.
+type LivenessProber interface {
+	// HasEnded reports whether nothing listens at the address any more. It returns
+	// false if that is unknown.
+	HasEnded(ctx context.Context, address string) bool
+}
+
 var (
 	_ Ledger   = (*ledger.Client)(nil)
 	_ Suspects = (*suspect.Tracker)(nil)
+	_ Suspects = (*suspect.Detector)(nil)
 )
--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -13,7 +13,6 @@
 	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/routes"
 	"carawayproxy.example/caraway/internal/service"
-	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // router implements dispatch.Router.
@@ -43,20 +42,6 @@
 // Attach implements dispatch.StallDetector.
 func (a stallAdapter) Attach(group fleet.GroupID) dispatch.StreamMonitor { return a.d.Attach(group) }
 
-// noSuspects implements dispatch.Suspects without tracking requests that crash
-// engines.
-type noSuspects struct{}
-
-var _ dispatch.Suspects = noSuspects{}
-
-func (noSuspects) Standing(suspect.Fingerprint) suspect.Standing { return suspect.Clear }
-
-func (noSuspects) Started(fleet.GroupID, fleet.Epoch, suspect.Fingerprint) {}
-
-func (noSuspects) Ended(fleet.GroupID, fleet.Epoch, suspect.Fingerprint) {}
-
-func (noSuspects) GroupDied(fleet.GroupID, fleet.Epoch, fleet.FabricDomain, fleet.ServiceName) {}
-
 // catalogAdapter implements dispatch.CatalogSource. It refuses requests until
 // the daemon has a routing document and the list of backend servers.
 type catalogAdapter struct{ d *Daemon }
@@ -103,6 +88,7 @@
 func (d *Daemon) Heartbeat() membership.Heartbeat {
 	ready, _ := d.Ready()
 	work, requests := d.demand.busyGroups(time.Now())
+	sightings, acquittals := d.detector.Evidence()
 	return membership.Heartbeat{
 		Ready:            ready,
 		Draining:         d.draining.Load(),
@@ -110,6 +96,8 @@
 		InFlight:         d.store.InFlight(),
 		Unresponsive:     d.unresponsive.list(),
 		Stalled:          d.stalled.list(),
+		Sightings:        sightings,
+		Acquittals:       acquittals,
 		HoldsScope:       d.groupController.HoldsLease(),
 		IsReader:         d.isReader(),
 		Processors:       d.settings.Processors,
@@ -167,6 +155,21 @@
 	return total
 }
 
+// groupsByFabric returns the number of groups in each fabric domain. Backend
+// servers that serve alone count as groups of no domain.
+func (d *Daemon) groupsByFabric() map[fleet.FabricDomain]int {
+	out := map[fleet.FabricDomain]int{}
+	for _, g := range d.directory.Groups().Groups {
+		out[g.Fabric]++
+	}
+	for _, s := range d.directory.Instances() {
+		if s.Kind == fleet.KindPlain {
+			out[""]++
+		}
+	}
+	return out
+}
+
 // countDaemons returns the number of daemons that share the groups.
 func (d *Daemon) countDaemons() int {
 	n := 1
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,6 +34,7 @@
 	"carawayproxy.example/caraway/internal/routing"
 	"carawayproxy.example/caraway/internal/service"
 	"carawayproxy.example/caraway/internal/settings"
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // Platform holds the daemon's dependencies on the operators' platform.
@@ -45,12 +46,22 @@
 	Announce func(ctx context.Context, name, address string) error
 	// Claims returns the log in which daemons claim a scope of control work.
 	Claims    func(scope lease.Scope) lease.ClaimLog
+	Verdicts  VerdictStore
 	Engines   placement.GroupEngines
 	Opaques   backend.Opaques
+	Liveness  dispatch.LivenessProber
 	Codec     entry.Codec
 	ReadyPath string
 }
 
+// VerdictStore keeps the verdicts on requests that crash backend servers for
+// daemons that start later.
+type VerdictStore interface {
+	Verdicts() feed.Source[suspect.Verdict]
+	RecordVerdict(ctx context.Context, v suspect.Verdict) error
+	DropVerdict(ctx context.Context, f suspect.Fingerprint) error
+}
+
 // Env holds the daemon's external dependencies.
 type Env struct {
 	Callers, Readiness, Admin, Peers net.Listener
@@ -82,6 +93,7 @@
 	groupWatcher  *datastore.GroupWatcher
 	stallDetector *datastore.StallDetector
 	refusals      *datastore.Refusals
+	detector      *suspect.Detector
 	unresponsive  *recentSet[fleet.InstanceID]
 	stalled       *recentSet[fleet.GroupID]
 
@@ -154,11 +166,20 @@
 		OnUnresponsive: d.onPeerEnginesUnresponsive,
 		OnStalled:      d.onPeerGroupsStalled,
 		OnBroadcasts:   d.onBroadcasts,
+		OnSightings:    func(s []suspect.Sighting) { d.detector.Observe(s, nil) },
+		OnAcquittals:   func(a []suspect.Acquittal) { d.detector.Observe(nil, a) },
 		Loads:          func() map[fleet.GroupID]uint32 { return d.store.InFlight() },
 		Policy:         linkPolicies[d.settings.PeerLinks],
 		Events:         d.events,
 		Metrics:        d.metrics,
 	})
+	d.detector = suspect.NewDetector(suspect.DetectorConfig{
+		Self:    d.id,
+		Events:  d.events,
+		Metrics: d.metrics,
+		Groups:  d.groupsByFabric,
+		Notify:  d.mesh.RequestHeartbeat,
+	})
 	d.stallDetector = datastore.NewStallDetector(d.onGroupStalled)
 	d.refusals = datastore.NewRefusals()
 	d.store = datastore.New(datastore.Config{
@@ -216,21 +237,22 @@
 		NewLimiter: func() admission.Limiter { return admission.Fixed(admission.DefaultMax) },
 	})
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Self:          d.id,
-		Zone:          fleet.Zone(d.settings.Zone),
-		Router:        router{d.store, d.groupWatcher},
-		Admission:     admissionAdapter{d.admission},
-		Suspects:      noSuspects{},
-		CatalogSource: catalogAdapter{d},
-		Opaques:       d.env.Platform.Opaques,
-		StallDetector: stallAdapter{d.stallDetector},
-		Refusals:      d.refusals,
-		Daemons:       d.countDaemons,
-		RetryRatio:    d.settings.RetryRatio,
-		RetryBurst:    d.retryBurst,
-		Events:        d.events,
-		Metrics:       d.metrics,
-		Timings:       dispatch.Timings{BackoffBase: retryBackoff, BackoffMax: retryBackoff},
+		Self:           d.id,
+		Zone:           fleet.Zone(d.settings.Zone),
+		Router:         router{d.store, d.groupWatcher},
+		Admission:      admissionAdapter{d.admission},
+		Suspects:       d.detector,
+		CatalogSource:  catalogAdapter{d},
+		Opaques:        d.env.Platform.Opaques,
+		LivenessProber: &sharedProber{prober: d.env.Platform.Liveness},
+		StallDetector:  stallAdapter{d.stallDetector},
+		Refusals:       d.refusals,
+		Daemons:        d.countDaemons,
+		RetryRatio:     d.settings.RetryRatio,
+		RetryBurst:     d.retryBurst,
+		Events:         d.events,
+		Metrics:        d.metrics,
+		Timings:        dispatch.Timings{BackoffBase: retryBackoff, BackoffMax: retryBackoff},
 	})
 }
 
@@ -285,6 +307,8 @@
 		d.followDaemons,
 		d.announce,
 		d.checkStore,
+		d.detector.Run,
+		d.keepVerdicts,
 	}
 }
 
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -47,6 +47,8 @@
 	"membership.messages_received":          "messages received from peers",
 	"membership.messages_sent":              "messages sent to peers",
 	"membership.peers_alive":                "peers with a live connection in both directions, gauge",
+	"suspect.convictions":                   "requests that this daemon rejects because they crash backend servers",
+	"suspect.deaths":                        "replica groups and single backend servers that ended while they ran requests of this daemon",
 }
 
 // newIdleDaemon returns a daemon that does not run.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -9,6 +9,7 @@
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/feed"
 	"carawayproxy.example/caraway/internal/membership"
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // All daemons share the store's call limit. Therefore only a few daemons read
@@ -65,14 +66,15 @@
 	}
 }
 
-// serverBroadcast is the body of a broadcast: a change of the list, or the
-// response of an engine about its own state.
+// serverBroadcast is the body of a broadcast: a change of the list, the response
+// of an engine about its own state, or a verdict on a request.
 type serverBroadcast struct {
 	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
 	Deleted  bool              `cbor:"2,keyasint,omitempty"`
 	Answered bool              `cbor:"3,keyasint,omitempty"`
 	// AgeMilli is the age of an engine's response when it was broadcast, in ms.
-	AgeMilli uint64 `cbor:"4,keyasint,omitempty"`
+	AgeMilli uint64           `cbor:"4,keyasint,omitempty"`
+	Verdict  *suspect.Verdict `cbor:"5,keyasint,omitempty"`
 }
 
 // broadcastingDirectory is the directory of the lease holder. It broadcasts
@@ -137,6 +139,10 @@
 	for _, b := range broadcasts {
 		var p serverBroadcast
 		err := cbor.Unmarshal(b.Body, &p)
+		if err == nil && p.Verdict != nil {
+			d.detector.Apply(*p.Verdict)
+			continue
+		}
 		if err != nil || b.Version == 0 || (p.Server == nil) != p.Deleted {
 			d.events.Emit(eventBadRecord, "what", "bulletin", "key", b.Key, "error", err)
 			continue
--- /dev/null
+++ b/internal/edge/suspects.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"carawayproxy.example/caraway/internal/dispatch"
+	"carawayproxy.example/caraway/internal/membership"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+const (
+	// verdictsInterval is the time between two checks for verdicts to record.
+	verdictsInterval = 500 * time.Millisecond
+	// verdictKeyPrefix is the prefix of the broadcast keys of verdicts. No server
+	// ID starts with it.
+	verdictKeyPrefix = "verdict/"
+)
+
+// keepVerdicts reads the stored verdicts once, and then broadcasts and stores
+// this daemon's own while it holds the lease. All daemons reach the same verdicts
+// from the evidence they exchange; the stored ones are for daemons that start
+// later, and the broadcast ones for daemons that miss a part of the evidence.
+func (d *Daemon) keepVerdicts(ctx context.Context) {
+	read := false
+	for sleep(ctx, verdictsInterval) {
+		if !read {
+			read = d.readVerdicts(ctx)
+		}
+		if !d.groupController.HoldsLease() || d.storeUnavailable.Load() {
+			continue
+		}
+		for _, v := range d.detector.Unrecorded() {
+			d.broadcastVerdict(v)
+			d.detector.Recorded(v, d.env.Platform.Verdicts.RecordVerdict(ctx, v))
+		}
+	}
+}
+
+// readVerdicts applies the stored verdicts. It reports whether the store
+// answered. The lease holder deletes those that are no longer in force.
+func (d *Daemon) readVerdicts(ctx context.Context) bool {
+	items, _, err := d.env.Platform.Verdicts.Verdicts().All(ctx)
+	if err != nil {
+		if !d.storeUnavailable.Load() {
+			d.events.Emit(eventStoreFailed, "what", "verdicts", "error", err)
+		}
+		return false
+	}
+	for _, item := range items {
+		switch {
+		case item.Err != nil:
+			d.events.Emit(eventBadRecord, "what", "verdicts", "key", item.Key, "error", item.Err)
+		case item.Deleted:
+		case item.Value.InForce(time.Now()):
+			d.detector.Apply(item.Value)
+		case d.groupController.HoldsLease():
+			if err := d.env.Platform.Verdicts.DropVerdict(ctx, item.Value.Fingerprint); err != nil {
+				d.events.Emit(eventStoreFailed, "what", "deletion of a verdict", "error", err)
+			}
+		}
+	}
+	return true
+}
+
+// broadcastVerdict sends a verdict to all daemons.
+func (d *Daemon) broadcastVerdict(v suspect.Verdict) {
+	body, err := cbor.Marshal(serverBroadcast{Verdict: &v})
+	if err != nil {
+		d.events.Emit(eventBadRecord, "what", "bulletin", "key", v.Fingerprint, "error", err)
+		return
+	}
+	d.mesh.Broadcast([]membership.Broadcast{{Key: verdictKeyPrefix + v.Fingerprint.String(), Version: uint64(v.Until), Body: body}})
+}
+
+// sharedProber probes each address once at a time for all attempts that failed
+// there together.
+type sharedProber struct {
+	prober dispatch.LivenessProber
+
+	mu     sync.Mutex
+	probes map[string]*sharedProbe
+}
+
+type sharedProbe struct {
+	done  chan struct{}
+	ended bool
+}
+
+var _ dispatch.LivenessProber = (*sharedProber)(nil)
+
+// HasEnded implements dispatch.LivenessProber.
+func (s *sharedProber) HasEnded(ctx context.Context, address string) bool {
+	s.mu.Lock()
+	if p := s.probes[address]; p != nil {
+		s.mu.Unlock()
+		<-p.done
+		return p.ended
+	}
+	p := &sharedProbe{done: make(chan struct{})}
+	if s.probes == nil {
+		s.probes = map[string]*sharedProbe{}
+	}
+	s.probes[address] = p
+	s.mu.Unlock()
+	p.ended = s.prober.HasEnded(ctx, address)
+	s.mu.Lock()
+	delete(s.probes, address)
+	s.mu.Unlock()
+	close(p.done)
+	return p.ended
+}
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -46,6 +46,9 @@
 	requestTimeout = 2 * time.Second
 	// gossipRetention is how long gossip items are forwarded.
 	gossipRetention = 30 * time.Second
+	// evidenceRetention is how long sightings and acquittals are sent to new
+	// links, so that a daemon that starts learns of recent deaths.
+	evidenceRetention = 5 * time.Minute
 	// peerRetention is how long a peer without heartbeats stays in the view.
 	peerRetention = 10 * time.Minute
 	// relayDelay is how long a daemon that can read the log lags behind a peer
@@ -71,10 +74,12 @@
 	// heartbeats. Changes are sent within a fifth of the heartbeat interval; if
 	// nil, they are sent with heartbeats only.
 	Loads func() map[fleet.GroupID]uint32
-	// OnSightings and OnLeaving receive each item once. They may be nil and must
+	// OnSightings, OnAcquittals and OnLeaving receive each item once, except that
+	// an acquittal may be received again over a new link. They may be nil and must
 	// not block.
-	OnSightings func([]suspect.Sighting)
-	OnLeaving   func([]fleet.InstanceID)
+	OnSightings  func([]suspect.Sighting)
+	OnAcquittals func([]suspect.Acquittal)
+	OnLeaving    func([]fleet.InstanceID)
 	// OnReports receives the reports that a peer polled. It may be nil and must
 	// not block. ReceivedAt of each report is a lower bound on the local clock
 	// for when the peer requested it.
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -12,12 +12,13 @@
 // Beyond it, new items are still processed by this daemon but not forwarded.
 const maxGossipItems = 2048
 
-// gossipItem is a leaving instance, a sighting or a broadcast item.
+// gossipItem is a leaving instance, a sighting, an acquittal or a broadcast item.
 type gossipItem struct {
 	number    uint64 // in order of arrival, to track what was sent on a link
 	at        time.Time
 	from      fleet.DaemonID // peer that sent it, empty for this daemon's source
 	sighting  *suspect.Sighting
+	acquittal *suspect.Acquittal
 	broadcast *Broadcast
 }
 
@@ -27,27 +28,31 @@
 	lastNumber uint64
 	leaving    map[fleet.InstanceID]*gossipItem
 	sightings  map[[16]byte]*gossipItem
+	acquittals map[[16]byte]*gossipItem
 	broadcasts map[string]*gossipItem
-	// forwardsBroadcasts is set if peers' broadcast items are forwarded. In a
-	// full mesh that is not needed and would cost a copy over each link.
-	forwardsBroadcasts bool
+	// forwardsPeers is set if peers' acquittals and broadcast items are forwarded.
+	// In a full mesh that is not needed and would cost a copy over each link.
+	forwardsPeers bool
 	// ownLeaving holds the instances that this daemon's source listed last, so
 	// that an instance that stays listed is added only once.
 	ownLeaving map[fleet.InstanceID]bool
 }
 
-func newGossipBuffer(forwardsBroadcasts bool) *gossipBuffer {
+func newGossipBuffer(forwardsPeers bool) *gossipBuffer {
 	return &gossipBuffer{
-		forwardsBroadcasts: forwardsBroadcasts,
-		leaving:            map[fleet.InstanceID]*gossipItem{},
-		sightings:          map[[16]byte]*gossipItem{},
-		broadcasts:         map[string]*gossipItem{},
-		ownLeaving:         map[fleet.InstanceID]bool{},
+		forwardsPeers: forwardsPeers,
+		leaving:       map[fleet.InstanceID]*gossipItem{},
+		sightings:     map[[16]byte]*gossipItem{},
+		acquittals:    map[[16]byte]*gossipItem{},
+		broadcasts:    map[string]*gossipItem{},
+		ownLeaving:    map[fleet.InstanceID]bool{},
 	}
 }
 
 // addOwn adds the items of this daemon's source.
-func (b *gossipBuffer) addOwn(now time.Time, leaving []fleet.InstanceID, sightings []suspect.Sighting) {
+func (b *gossipBuffer) addOwn(
+	now time.Time, leaving []fleet.InstanceID, sightings []suspect.Sighting, acquittals []suspect.Acquittal,
+) {
 	listed := make(map[fleet.InstanceID]bool, len(leaving))
 	for _, id := range leaving {
 		listed[id] = true
@@ -57,16 +62,21 @@
 	}
 	b.ownLeaving = listed
 	for _, s := range sightings {
-		if now.Sub(s.At) < gossipRetention {
+		if now.Sub(s.At) < evidenceRetention {
 			b.addSighting(s, "")
 		}
 	}
+	for _, a := range acquittals {
+		if now.Sub(a.At) < evidenceRetention {
+			b.addAcquittal(a, "")
+		}
+	}
 }
 
 // addFromPeer adds a peer's items and returns the new ones.
 func (b *gossipBuffer) addFromPeer(
 	now time.Time, from fleet.DaemonID, msg *gossipMessage,
-) (leaving []fleet.InstanceID, sightings []suspect.Sighting) {
+) (leaving []fleet.InstanceID, sightings []suspect.Sighting, acquittals []suspect.Acquittal) {
 	for _, l := range msg.Leaving {
 		at := now.Add(-boundedMillis(l.AgeMilli))
 		if now.Sub(at) < gossipRetention && b.addLeaving(l.Instance, at, from) {
@@ -75,11 +85,17 @@
 	}
 	for _, s := range msg.Sightings {
 		sighting := s.toSighting(now)
-		if now.Sub(sighting.At) < gossipRetention && b.addSighting(sighting, from) {
+		if now.Sub(sighting.At) < evidenceRetention && b.addSighting(sighting, from) {
 			sightings = append(sightings, sighting)
 		}
 	}
-	return leaving, sightings
+	for _, a := range msg.Acquittals {
+		acquittal := a.toAcquittal(now)
+		if now.Sub(acquittal.At) < evidenceRetention && b.addAcquittal(acquittal, from) {
+			acquittals = append(acquittals, acquittal)
+		}
+	}
+	return leaving, sightings, acquittals
 }
 
 func (b *gossipBuffer) addLeaving(id fleet.InstanceID, at time.Time, from fleet.DaemonID) bool {
@@ -104,6 +120,20 @@
 	return true
 }
 
+// addAcquittal adds an acquittal and reports whether it may be new. A peer's
+// acquittal that is not forwarded is not kept.
+func (b *gossipBuffer) addAcquittal(a suspect.Acquittal, from fleet.DaemonID) bool {
+	if b.acquittals[a.ID] != nil {
+		return false
+	}
+	if len(b.acquittals) < maxGossipItems && (from == "" || b.forwardsPeers) {
+		item := b.newItem(a.At, from)
+		item.acquittal = &a
+		b.acquittals[a.ID] = item
+	}
+	return true
+}
+
 // addBroadcasts adds broadcast items and returns the new ones.
 func (b *gossipBuffer) addBroadcasts(now time.Time, from fleet.DaemonID, broadcasts []Broadcast) []Broadcast {
 	var added []Broadcast
@@ -127,7 +157,7 @@
 	return &gossipItem{number: b.lastNumber, at: at, from: from}
 }
 
-// expire removes items older than gossipRetention.
+// expire removes items older than their retention.
 func (b *gossipBuffer) expire(now time.Time) {
 	for id, item := range b.leaving {
 		if now.Sub(item.at) >= gossipRetention {
@@ -135,10 +165,15 @@
 		}
 	}
 	for id, item := range b.sightings {
-		if now.Sub(item.at) >= gossipRetention {
+		if now.Sub(item.at) >= evidenceRetention {
 			delete(b.sightings, id)
 		}
 	}
+	for id, item := range b.acquittals {
+		if now.Sub(item.at) >= evidenceRetention {
+			delete(b.acquittals, id)
+		}
+	}
 	for key, item := range b.broadcasts {
 		if now.Sub(item.at) >= gossipRetention {
 			delete(b.broadcasts, key)
@@ -165,15 +200,20 @@
 			msg.Sightings = append(msg.Sightings, newSightingItem(now, item.sighting))
 		}
 	}
+	for _, item := range b.acquittals {
+		if item.number > last && item.from != to {
+			msg.Acquittals = append(msg.Acquittals, newAcquittalItem(now, item.acquittal))
+		}
+	}
 	for _, item := range b.broadcasts {
 		own := item.from == ""
-		if item.number > last && item.from != to && (own || b.forwardsBroadcasts) {
+		if item.number > last && item.from != to && (own || b.forwardsPeers) {
 			broadcast := *item.broadcast
 			broadcast.AgeMilli = ceilMillis(now.Sub(item.at))
 			msg.Broadcasts = append(msg.Broadcasts, broadcast)
 		}
 	}
-	if len(msg.Leaving)+len(msg.Sightings)+len(msg.Broadcasts) == 0 {
+	if len(msg.Leaving)+len(msg.Sightings)+len(msg.Acquittals)+len(msg.Broadcasts) == 0 {
 		return nil
 	}
 	return msg
@@ -196,6 +236,14 @@
 	}
 }
 
+func newAcquittalItem(now time.Time, a *suspect.Acquittal) acquittalItem {
+	return acquittalItem{ID: a.ID, Survived: a.Survivals, AgeMilli: ceilMillis(now.Sub(a.At))}
+}
+
+func (a acquittalItem) toAcquittal(now time.Time) suspect.Acquittal {
+	return suspect.Acquittal{ID: a.ID, Survivals: a.Survived, At: now.Add(-boundedMillis(a.AgeMilli))}
+}
+
 func (s sightingItem) toSighting(now time.Time) suspect.Sighting {
 	return suspect.Sighting{
 		ID: s.ID, Group: s.Group, Epoch: s.Epoch, Fabric: s.Fabric, Service: s.Service,
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -125,11 +125,14 @@
 
 func (m *Mesh) handleGossip(l *link, b *gossipMessage) {
 	m.mu.Lock()
-	leaving, sightings := m.gossip.addFromPeer(time.Now(), l.peer.From, b)
+	leaving, sightings, acquittals := m.gossip.addFromPeer(time.Now(), l.peer.From, b)
 	broadcasts := m.gossip.addBroadcasts(time.Now(), l.peer.From, b.Broadcasts)
 	m.viewStale = true
 	m.mu.Unlock()
 	m.notify(leaving, sightings)
+	if len(acquittals) > 0 && m.cfg.OnAcquittals != nil {
+		m.cfg.OnAcquittals(acquittals)
+	}
 	if len(broadcasts) > 0 && m.cfg.OnBroadcasts != nil {
 		m.cfg.OnBroadcasts(broadcasts)
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -45,7 +45,7 @@
 	h.Streams = m.positions(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.gossip.addOwn(now, h.Leaving, h.Sightings)
+	m.gossip.addOwn(now, h.Leaving, h.Sightings, h.Acquittals)
 	m.sequence++
 	h.Sequence = m.sequence
 	for _, l := range m.links {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -113,6 +113,8 @@
 	Leaving    []leavingItem  `cbor:"1,keyasint,omitempty"`
 	Sightings  []sightingItem `cbor:"2,keyasint,omitempty"`
 	Broadcasts []Broadcast    `cbor:"3,keyasint,omitempty"`
+	// Releases that do not know Acquittals ignore them.
+	Acquittals []acquittalItem `cbor:"4,keyasint,omitempty"`
 }
 
 type leavingItem struct {
@@ -130,6 +132,12 @@
 	AgeMilli uint64                `cbor:"7,keyasint"`
 }
 
+type acquittalItem struct {
+	ID       [16]byte                                  `cbor:"1,keyasint"`
+	Survived map[suspect.Fingerprint]suspect.Survivals `cbor:"2,keyasint"`
+	AgeMilli uint64                                    `cbor:"3,keyasint"`
+}
+
 // goodbyeMessage announces the sender's planned stop.
 type goodbyeMessage struct {
 	Sequence uint64 `cbor:"1,keyasint"`
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -34,6 +34,9 @@
 	Leaving []fleet.InstanceID `cbor:"11,keyasint,omitempty"`
 	// Sightings are the group deaths that the sender observed recently.
 	Sightings []suspect.Sighting `cbor:"12,keyasint,omitempty"`
+	// Acquittals are the survivals of requests in flight at deaths that the
+	// sender observed recently.
+	Acquittals []suspect.Acquittal `cbor:"-"`
 	// Reports are the latest results of the sender's own polls of backend
 	// servers. Each is sent once on a link. ReceivedAt is when the report was
 	// requested.
--- /dev/null
+++ b/internal/suspect/detector.go
@@ -0,0 +1,429 @@
+package suspect
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+const (
+	// decisionDelay is the time between new evidence and the decision on it, in
+	// which peers report survivals of the same requests.
+	decisionDelay = 300 * time.Millisecond
+	// tieFactor is the ratio of the odds up to which two requests that were in
+	// flight at the same deaths cannot be told apart.
+	tieFactor = 10
+	// acquittalsUntil is the number of survivals since the first death from which
+	// on a daemon reports no more of them.
+	acquittalsUntil = 8
+)
+
+// DetectorConfig configures a Detector.
+type DetectorConfig struct {
+	Self    fleet.DaemonID
+	Events  *event.Logger
+	Metrics metrics.Registry // nil for none
+	// Groups returns the current number of groups in each fabric domain.
+	Groups func() map[fleet.FabricDomain]int
+	// Notify is called when there is new evidence for the peers. It must not
+	// block; nil for none.
+	Notify func()
+	// Term is the duration of a verdict. Zero means one hour.
+	Term time.Duration
+}
+
+// Detector finds the requests that crash backend servers, on daemons without a
+// control stream. Daemons exchange sightings and acquittals and decide by the
+// same evidence, each for itself; the verdicts are kept outside, for daemons
+// that start later. It is safe for concurrent use.
+type Detector struct {
+	cfg    DetectorConfig
+	policy Policy
+
+	mu              sync.Mutex
+	history         *History
+	verdicts        map[Fingerprint]Verdict
+	unrecorded      map[Fingerprint]struct{} // own verdicts to be kept outside
+	reported        map[Fingerprint]Survivals
+	ownSightings    []Sighting
+	ownAcquittals   []Acquittal
+	seen, seenOlder map[[16]byte]struct{} // evidence of peers, two generations
+	reviewRequested chan struct{}
+
+	deaths, convictions metrics.Counter
+}
+
+// NewDetector returns a Detector. It decides only while Run is running.
+func NewDetector(cfg DetectorConfig) *Detector {
+	if cfg.Term == 0 {
+		cfg.Term = defaultTerm
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Notify == nil {
+		cfg.Notify = func() {}
+	}
+	h := NewHistory(time.Now())
+	h.causeSpan = outageSpan
+	return &Detector{
+		cfg:             cfg,
+		policy:          Elimination{},
+		history:         h,
+		verdicts:        map[Fingerprint]Verdict{},
+		unrecorded:      map[Fingerprint]struct{}{},
+		reported:        map[Fingerprint]Survivals{},
+		seen:            map[[16]byte]struct{}{},
+		reviewRequested: make(chan struct{}, 1),
+		deaths:          metrics.GetOrRegisterCounter("suspect.deaths", cfg.Metrics),
+		convictions:     metrics.GetOrRegisterCounter("suspect.convictions", cfg.Metrics),
+	}
+}
+
+// Standing returns how a request is to be handled.
+func (d *Detector) Standing(f Fingerprint) Standing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := d.verdicts[f]; ok && v.InForce(time.Now()) {
+		return v.standing()
+	}
+	return Clear
+}
+
+// ConvictedFor returns how much longer a request is convicted; zero if it is not.
+func (d *Detector) ConvictedFor(f Fingerprint) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := d.verdicts[f]; ok && !v.Cleared {
+		return max(v.remaining(time.Now()), 0)
+	}
+	return 0
+}
+
+// Started records the start of an attempt on a group.
+func (d *Detector) Started(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.Started(group, epoch, f, time.Now())
+}
+
+// Ended records the end of an attempt and whether its answer was complete. If
+// the group died, GroupDied must be called first.
+func (d *Detector) Ended(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint, survived bool) {
+	now := time.Now()
+	d.mu.Lock()
+	d.history.Ended(group, epoch, f, survived, now)
+	report := survived && d.history.HasDeaths(f) && d.reportSurvivals(now, f)
+	d.mu.Unlock()
+	if report {
+		d.cfg.Notify()
+	}
+}
+
+// GroupDied records the death of a group. Repeated calls for a death have no
+// effect.
+func (d *Detector) GroupDied(group fleet.GroupID, epoch fleet.Epoch, fabric fleet.FabricDomain, name fleet.ServiceName) {
+	now := time.Now()
+	d.mu.Lock()
+	inFlight, fresh := d.history.GroupDied(group, epoch, fabric, name, now)
+	if fresh {
+		d.ownSightings = append(d.ownSightings, Sighting{
+			ID: uuid.New(), Group: group, Epoch: epoch, Fabric: fabric, Service: name, InFlight: inFlight, At: now,
+		})
+		d.ownSightings = d.ownSightings[max(len(d.ownSightings)-maxSightings, 0):]
+		d.reportSurvivals(now, inFlight...)
+	}
+	d.mu.Unlock()
+	if !fresh {
+		return
+	}
+	d.deaths.Inc(1)
+	d.cfg.Events.Emit(eventDeath, "group", group, "epoch", epoch, "fabric", fabric, "service", name,
+		"in_flight", len(inFlight), "fingerprints", fingerprintList(inFlight))
+	d.cfg.Notify()
+	d.requestReview()
+}
+
+// reportSurvivals adds an acquittal with the survivals at this daemon that were
+// not reported yet, and returns whether there are any. Called with mu held.
+func (d *Detector) reportSurvivals(now time.Time, fingerprints ...Fingerprint) bool {
+	fresh := map[Fingerprint]Survivals{}
+	for _, f := range fingerprints {
+		s, told := d.history.Survivals(f), d.reported[f]
+		s.Before = min(s.Before, maxEarlySurvivals)
+		if s == told || told.Since >= acquittalsUntil {
+			continue
+		}
+		fresh[f] = Survivals{Before: max(s.Before-told.Before, 0), Since: max(s.Since-told.Since, 0)}
+		d.reported[f] = s
+	}
+	if len(fresh) == 0 {
+		return false
+	}
+	d.ownAcquittals = append(d.ownAcquittals, Acquittal{ID: uuid.New(), Survivals: fresh, At: now})
+	d.ownAcquittals = d.ownAcquittals[max(len(d.ownAcquittals)-maxSightings, 0):]
+	return true
+}
+
+// Evidence returns this daemon's recent sightings and acquittals, to be sent to
+// the peers.
+func (d *Detector) Evidence() ([]Sighting, []Acquittal) {
+	oldest := time.Now().Add(-sightingRetention)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ownSightings = slices.DeleteFunc(d.ownSightings, func(s Sighting) bool { return s.At.Before(oldest) })
+	d.ownAcquittals = slices.DeleteFunc(d.ownAcquittals, func(a Acquittal) bool { return a.At.Before(oldest) })
+	return slices.Clone(d.ownSightings), slices.Clone(d.ownAcquittals)
+}
+
+// Observe merges sightings and acquittals of peers. Evidence already seen has no
+// effect.
+func (d *Detector) Observe(sightings []Sighting, acquittals []Acquittal) {
+	now := time.Now()
+	d.mu.Lock()
+	fresh, reports := false, false
+	for _, s := range sightings {
+		if !d.isNew(s.ID) {
+			continue
+		}
+		s.At = notAfter(s.At, now)
+		fresh = d.history.Observe(s, now) || fresh
+		reports = d.reportSurvivals(now, s.InFlight...) || reports
+	}
+	for _, a := range acquittals {
+		if d.isNew(a.ID) {
+			for f, s := range a.Survivals {
+				d.history.AddPeerSurvivals(f, s)
+			}
+		}
+	}
+	d.mu.Unlock()
+	if reports {
+		d.cfg.Notify()
+	}
+	if fresh {
+		d.requestReview()
+	}
+}
+
+func notAfter(t, now time.Time) time.Time {
+	if t.IsZero() || t.After(now) {
+		return now
+	}
+	return t
+}
+
+// isNew records the id of a peer's evidence and reports whether it is new.
+// Called with mu held.
+func (d *Detector) isNew(id [16]byte) bool {
+	_, newer := d.seen[id]
+	_, older := d.seenOlder[id]
+	if newer || older {
+		return false
+	}
+	if len(d.seen) >= maxSeenSightings {
+		d.seenOlder, d.seen = d.seen, map[[16]byte]struct{}{}
+	}
+	d.seen[id] = struct{}{}
+	return true
+}
+
+func (d *Detector) requestReview() {
+	select {
+	case d.reviewRequested <- struct{}{}:
+	default:
+	}
+}
+
+// Run decides on new evidence until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.reviewRequested:
+		}
+		if !sleep(ctx, decisionDelay) {
+			return
+		}
+		d.review()
+	}
+}
+
+// review convicts the requests that the evidence speaks against, one after the
+// other, because each conviction explains deaths that spoke against others.
+func (d *Detector) review() {
+	now := time.Now()
+	groups := d.cfg.Groups()
+	d.mu.Lock()
+	d.history.SetGroups(groups)
+	d.expire(now)
+	var added []Verdict
+	var odds []float64
+	for {
+		accused := d.accuse(now)
+		if len(accused) == 0 {
+			break
+		}
+		for _, a := range accused {
+			v := Verdict{
+				Fingerprint: a.fingerprint, Service: d.history.Service(a.fingerprint), Author: d.cfg.Self,
+				Until: now.Add(d.cfg.Term).UnixMilli(), Deaths: a.deaths,
+			}
+			d.put(v)
+			d.unrecorded[a.fingerprint] = struct{}{}
+			added, odds = append(added, v), append(odds, a.odds)
+		}
+	}
+	d.mu.Unlock()
+	for i, v := range added {
+		d.convictions.Inc(1)
+		d.cfg.Events.Emit(eventConvicted, "fingerprint", v.Fingerprint, "service", v.Service, "deaths", v.Deaths, "odds", odds[i], "term", d.cfg.Term)
+	}
+}
+
+// accused is a request that the evidence speaks against.
+type accused struct {
+	fingerprint Fingerprint
+	odds        float64
+	deaths      int // without a known cause
+}
+
+// accuse returns the requests to be convicted next; none if there are no more. Of
+// several requests that were in flight at the same deaths and that the evidence
+// does not tell apart, it returns none before conclusiveDeaths. Called with mu
+// held.
+func (d *Detector) accuse(now time.Time) []accused {
+	var all []accused
+	for _, f := range d.history.Fingerprints() {
+		if v, ok := d.verdicts[f]; d.history.Deaths(f) < 2 || ok && v.InForce(now) {
+			continue
+		}
+		e := d.history.Evidence(f, now)
+		if a := d.policy.Assess(e); a.Standing == Convicted {
+			all = append(all, accused{f, a.Odds, e.unexplainedCauses()})
+		}
+	}
+	slices.SortFunc(all, func(a, b accused) int { return cmp.Compare(b.odds, a.odds) })
+	for _, first := range all {
+		tied := slices.DeleteFunc(slices.Clone(all), func(a accused) bool {
+			return a.odds*tieFactor < first.odds || !d.history.shareDeath(a.fingerprint, first.fingerprint)
+		})
+		if len(tied) == 1 {
+			return tied
+		}
+		if conclusive := slices.DeleteFunc(tied, func(a accused) bool { return a.deaths < conclusiveDeaths }); len(conclusive) > 0 {
+			return conclusive
+		}
+	}
+	return nil
+}
+
+// put stores a verdict and keeps their number within maxVerdicts. Called with mu
+// held.
+func (d *Detector) put(v Verdict) {
+	d.verdicts[v.Fingerprint] = v
+	d.history.SetConvicted(v.Fingerprint, !v.Cleared)
+	if len(d.verdicts) > maxVerdicts {
+		d.drop(firstToExpire(d.verdicts))
+	}
+}
+
+func (d *Detector) drop(f Fingerprint) {
+	delete(d.verdicts, f)
+	delete(d.unrecorded, f)
+	d.history.SetConvicted(f, false)
+}
+
+// expire drops verdicts that are no longer in force. Called with mu held.
+func (d *Detector) expire(now time.Time) {
+	for f, v := range d.verdicts {
+		if !v.InForce(now) {
+			d.drop(f)
+		}
+	}
+	for f := range d.reported {
+		if !d.history.HasDeaths(f) {
+			delete(d.reported, f)
+		}
+	}
+}
+
+// Apply adopts a verdict of another daemon or of an earlier time, unless a later
+// one on the same fingerprint is known.
+func (d *Detector) Apply(v Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, known := d.verdicts[v.Fingerprint]
+	if !v.InForce(time.Now()) || known && old.Until > v.Until {
+		return
+	}
+	d.put(v)
+	delete(d.unrecorded, v.Fingerprint)
+}
+
+// Clear lets a request run as usual for DetectorConfig.Term regardless of the
+// evidence, and returns the verdict.
+func (d *Detector) Clear(f Fingerprint) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := Verdict{
+		Fingerprint: f, Service: d.verdicts[f].Service, Author: d.cfg.Self, Deaths: d.history.Deaths(f), Cleared: true,
+		Until: time.Now().Add(d.cfg.Term).UnixMilli(),
+	}
+	d.put(v)
+	d.unrecorded[f] = struct{}{}
+	d.cfg.Events.Emit(eventCleared, "fingerprint", f)
+	return v
+}
+
+// Verdicts returns the verdicts in force, sorted by fingerprint.
+func (d *Detector) Verdicts() []Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(time.Now())
+	return sortedVerdicts(d.verdicts)
+}
+
+// Unrecorded returns the verdicts of this daemon that are not kept outside yet.
+func (d *Detector) Unrecorded() []Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(time.Now())
+	return slices.DeleteFunc(sortedVerdicts(d.verdicts), func(v Verdict) bool {
+		_, unrecorded := d.unrecorded[v.Fingerprint]
+		return !unrecorded
+	})
+}
+
+// Recorded notes that a verdict is kept outside. A failure to do so is logged.
+func (d *Detector) Recorded(v Verdict, err error) {
+	if err != nil {
+		d.cfg.Events.Emit(eventNotRecorded, "fingerprint", v.Fingerprint, "error", err)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.verdicts[v.Fingerprint] == v {
+		delete(d.unrecorded, v.Fingerprint)
+	}
+}
+
+// maxLoggedFingerprints limits the fingerprints in one log line.
+const maxLoggedFingerprints = 16
+
+func fingerprintList(all []Fingerprint) []string {
+	var out []string
+	for _, f := range all[:min(len(all), maxLoggedFingerprints)] {
+		out = append(out, f.String())
+	}
+	return out
+}
--- a/internal/suspect/fold.go
+++ b/internal/suspect/fold.go
@@ -1,6 +1,8 @@
 package suspect
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +45,26 @@
 	Cleared     bool              `cbor:"6,keyasint"`
 }
 
+// standing returns the standing that the verdict imposes.
+func (v Verdict) standing() Standing {
+	if v.Cleared {
+		return Clear
+	}
+	return Convicted
+}
+
+// remaining returns the time until the verdict ends, negative after its end.
+func (v Verdict) remaining(now time.Time) time.Duration {
+	return time.Duration(v.Until-now.UnixMilli()) * time.Millisecond
+}
+
+// InForce reports whether the verdict applies now. A verdict with more time left
+// than any valid one was written by a daemon with a wrong clock and is ignored.
+func (v Verdict) InForce(now time.Time) bool {
+	remaining := v.remaining(now)
+	return remaining > 0 && remaining <= maxVerdictTerm+maxClockSkew
+}
+
 type convictRecord struct {
 	Fingerprint Fingerprint       `cbor:"1,keyasint"`
 	Service     fleet.ServiceName `cbor:"2,keyasint"`
@@ -154,49 +176,37 @@
 }
 
 // evict drops the verdict that expires first.
-func (fold *Fold) evict() {
-	all := fold.sorted()
-	first := slices.MinFunc(all, func(x, y Verdict) int { return int(x.Until - y.Until) })
-	delete(fold.verdicts, first.Fingerprint)
+func (fold *Fold) evict() { delete(fold.verdicts, firstToExpire(fold.verdicts)) }
+
+func firstToExpire(verdicts map[Fingerprint]Verdict) Fingerprint {
+	first := slices.MinFunc(sortedVerdicts(verdicts), func(x, y Verdict) int { return cmp.Compare(x.Until, y.Until) })
+	return first.Fingerprint
 }
 
-// Verdict returns the verdict on a fingerprint if it is in force now. A verdict
-// with more time left than any valid one was written by a daemon with a wrong
-// clock and is ignored.
+// Verdict returns the verdict on a fingerprint if it is in force now.
 func (fold *Fold) Verdict(f Fingerprint, now time.Time) (Verdict, bool) {
 	fold.mu.RLock()
 	defer fold.mu.RUnlock()
 	v, ok := fold.verdicts[f]
-	remaining := time.Duration(v.Until-now.UnixMilli()) * time.Millisecond
-	return v, ok && remaining > 0 && remaining <= maxVerdictTerm+maxClockSkew
+	return v, ok && v.InForce(now)
 }
 
 // Verdicts returns all verdicts, sorted by fingerprint.
 func (fold *Fold) Verdicts() []Verdict {
 	fold.mu.RLock()
 	defer fold.mu.RUnlock()
-	return fold.sorted()
+	return sortedVerdicts(fold.verdicts)
 }
 
-func (fold *Fold) sorted() []Verdict {
-	all := make([]Verdict, 0, len(fold.verdicts))
-	for _, v := range fold.verdicts {
-		all = append(all, v)
-	}
-	slices.SortFunc(all, func(x, y Verdict) int {
-		if x.Fingerprint < y.Fingerprint {
-			return -1
-		}
-		return 1
-	})
-	return all
+func sortedVerdicts(verdicts map[Fingerprint]Verdict) []Verdict {
+	return slices.SortedFunc(maps.Values(verdicts), func(x, y Verdict) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
 }
 
 // Snapshot implements journal.Fold.
 func (fold *Fold) Snapshot() ([]byte, error) {
 	fold.mu.RLock()
 	defer fold.mu.RUnlock()
-	data, err := cbor.Marshal(foldSnapshot{Format: snapshotFormat, Clock: fold.clock.State(), Verdicts: fold.sorted()})
+	data, err := cbor.Marshal(foldSnapshot{Format: snapshotFormat, Clock: fold.clock.State(), Verdicts: sortedVerdicts(fold.verdicts)})
 	return data, errors.WithStack(err)
 }
 
--- a/internal/suspect/history.go
+++ b/internal/suspect/history.go
@@ -17,6 +17,9 @@
 	maxInFlight = 256
 	// burstSpan is the time between deaths up to which they may share a cause.
 	burstSpan = 10 * time.Second
+	// outageSpan is the time within which the groups of a fabric domain fail if
+	// the domain itself does.
+	outageSpan = 300 * time.Millisecond
 	// A burst consists of at least minBurst other deaths, or of fewer if together
 	// with the death in question they are more than half of the groups. The other
 	// deaths must also be at least minBurstShare of the groups.
@@ -69,6 +72,20 @@
 	// convicted holds the convicted requests. They explain the deaths at which
 	// they were in flight.
 	convicted map[Fingerprint]struct{}
+	// causeSpan is the time between deaths of a fabric domain up to which they
+	// count as one.
+	causeSpan time.Duration
+	// before and peers hold survivals of fingerprints with deaths: those of this
+	// daemon before the first death, and those at other daemons.
+	before map[Fingerprint]uint32
+	peers  map[Fingerprint]Survivals
+}
+
+// Survivals counts the runs of a fingerprint that a group survived, before and
+// since the first death at which the fingerprint was in flight.
+type Survivals struct {
+	Before int `cbor:"1,keyasint,omitempty"`
+	Since  int `cbor:"2,keyasint,omitempty"`
 }
 
 // inFlightRuns describes the runs of one request on a group that have not ended.
@@ -87,9 +104,12 @@
 		older:               map[Fingerprint]uint32{},
 
 		convicted: map[Fingerprint]struct{}{},
+		before:    map[Fingerprint]uint32{},
+		peers:     map[Fingerprint]Survivals{},
 
-		runTime: defaultRunTime,
-		since:   now,
+		causeSpan: burstSpan,
+		runTime:   defaultRunTime,
+		since:     now,
 	}
 }
 
@@ -130,9 +150,9 @@
 	run.count++
 }
 
-// Ended records the end of a run. The run counts as a survival unless a death of
-// the group is known.
-func (h *History) Ended(g fleet.GroupID, e fleet.Epoch, f Fingerprint, now time.Time) {
+// Ended records the end of a run. A run that survived counts as a survival
+// unless a death of the group is known.
+func (h *History) Ended(g fleet.GroupID, e fleet.Epoch, f Fingerprint, survived bool, now time.Time) {
 	ge := groupEpoch{g, e}
 	runs := h.inFlight[ge]
 	run := runs[f]
@@ -146,11 +166,28 @@
 	if len(runs) == 0 {
 		delete(h.inFlight, ge)
 	}
-	if h.deaths[ge] == nil {
+	if survived && h.deaths[ge] == nil {
 		h.recordSurvival(f, now.Sub(run.since))
 	}
 }
 
+// Survivals returns the survivals of a fingerprint at this daemon.
+func (h *History) Survivals(f Fingerprint) Survivals {
+	total := h.newer[f] + h.older[f]
+	before := min(h.before[f], total)
+	return Survivals{Before: int(before), Since: int(total - before)}
+}
+
+// AddPeerSurvivals adds survivals at another daemon. Those of fingerprints
+// without a death are ignored.
+func (h *History) AddPeerSurvivals(f Fingerprint, s Survivals) {
+	if !h.HasDeaths(f) {
+		return
+	}
+	p := h.peers[f]
+	h.peers[f] = Survivals{Before: p.Before + s.Before, Since: p.Since + s.Since}
+}
+
 func (h *History) recordSurvival(f Fingerprint, took time.Duration) {
 	h.runTime += time.Duration(runTimeWeight * float64(took-h.runTime))
 	h.newer[f] = h.newer[f] + h.older[f] + 1
@@ -197,6 +234,9 @@
 		if _, convicted := h.convicted[f]; convicted {
 			d.convicted++
 		}
+		if len(h.deathsByFingerprint[f]) == 0 {
+			h.before[f] = h.newer[f] + h.older[f]
+		}
 		h.deathsByFingerprint[f] = append(h.deathsByFingerprint[f], d)
 		fresh = true
 	}
@@ -231,6 +271,8 @@
 		if len(h.deathsByFingerprint[f]) == 0 {
 			delete(h.deathsByFingerprint, f)
 			delete(h.convicted, f)
+			delete(h.before, f)
+			delete(h.peers, f)
 		}
 	}
 }
@@ -263,25 +305,42 @@
 // Evidence returns the evidence about a fingerprint.
 func (h *History) Evidence(f Fingerprint, now time.Time) Evidence {
 	h.expire(now)
-	e := Evidence{Survivals: int(h.newer[f] + h.older[f]), RunTime: h.runTime}
+	own, peers := h.Survivals(f), h.peers[f]
+	e := Evidence{Survivals: own.Before + own.Since, RunTime: h.runTime}
+	e.AllSurvivals = Survivals{Before: own.Before + peers.Before, Since: own.Since + peers.Since}
 	e.Hazard, e.HazardOverall = h.hazards(f, now)
+	self := 0
+	if _, convicted := h.convicted[f]; convicted {
+		self = 1
+	}
 	deaths := slices.Clone(h.deathsByFingerprint[f])
 	slices.SortFunc(deaths, func(a, b *death) int { return a.at.Compare(b.at) })
 	for i, d := range deaths {
 		e.Deaths = append(e.Deaths, DeathEvidence{
-			InFlight: len(d.inFlight),
-			Burst:    h.burstShare(f, d),
-			Repeat:   i > 0 && sharesCause(deaths[:i], d),
+			InFlight:  len(d.inFlight),
+			Burst:     h.burstShare(f, d),
+			Repeat:    i > 0 && h.sharesCause(deaths[:i], d),
+			Explained: d.convicted > self,
 		})
 	}
 	return e
 }
 
 // sharesCause reports whether one of the earlier deaths may have had the same
-// cause as d, regardless of the requests in flight.
-func sharesCause(earlier []*death, d *death) bool {
-	return slices.ContainsFunc(earlier, func(x *death) bool {
-		return x.fabric == d.fabric && closeInTime(x, d)
+// cause as d, regardless of the requests in flight. Single servers belong to no
+// fabric domain.
+func (h *History) sharesCause(earlier []*death, d *death) bool {
+	return d.fabric != "" && slices.ContainsFunc(earlier, func(x *death) bool {
+		return x.fabric == d.fabric && x.at.Sub(d.at).Abs() <= h.causeSpan
+	})
+}
+
+// shareDeath reports whether two fingerprints were in flight at the same death
+// that no convicted request explains.
+func (h *History) shareDeath(a, b Fingerprint) bool {
+	return slices.ContainsFunc(h.deathsByFingerprint[a], func(d *death) bool {
+		_, both := d.inFlight[b]
+		return both && d.convicted == 0
 	})
 }
 
--- a/internal/suspect/policy.go
+++ b/internal/suspect/policy.go
@@ -9,8 +9,10 @@
 // access to a clock.
 type Evidence struct {
 	Deaths []DeathEvidence // with the fingerprint in flight, oldest first
-	// Survivals counts its runs that ended without a death of the group.
-	Survivals int
+	// Survivals counts its runs at this daemon that a group survived, and
+	// AllSurvivals those at all daemons.
+	Survivals    int
+	AllSurvivals Survivals
 	// Hazard is the base rate of group deaths, per group-second, in the least
 	// affected fabric domains.
 	Hazard float64
@@ -42,6 +44,8 @@
 	// Repeat is set if the evidence contains an earlier death of the same fabric
 	// domain that is close in time and so may have the same cause.
 	Repeat bool
+	// Explained is set if another request in flight is convicted.
+	Explained bool
 }
 
 // Assessment is the result of a Policy.
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -76,7 +76,7 @@
 	}
 	tr.GroupDied(fleet.GroupID(group), 1, fleet.FabricDomain(fabric), "svc")
 	for _, f := range in {
-		tr.Ended(fleet.GroupID(group), 1, f)
+		tr.Ended(fleet.GroupID(group), 1, f, false)
 	}
 }
 
@@ -130,7 +130,7 @@
 		for range 20 {
 			a.Started("g9", 1, 7)
 			time.Sleep(5 * time.Second)
-			a.Ended("g9", 1, 7)
+			a.Ended("g9", 1, 7, true)
 		}
 		crash(a, "g0", "f0", 7, 1)
 		time.Sleep(time.Minute)
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -106,10 +106,7 @@
 func (t *Tracker) Standing(f Fingerprint) Standing {
 	now := time.Now()
 	if v, ok := t.cfg.Fold.Verdict(f, now); ok {
-		if v.Cleared {
-			return Clear
-		}
-		return Convicted
+		return v.standing()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -122,6 +119,16 @@
 	return t.assess(f, now).Standing
 }
 
+// ConvictedFor returns how much longer a verdict in the log convicts a request;
+// zero without one.
+func (t *Tracker) ConvictedFor(f Fingerprint) time.Duration {
+	now := time.Now()
+	if v, ok := t.cfg.Fold.Verdict(f, now); ok && !v.Cleared {
+		return v.remaining(now)
+	}
+	return 0
+}
+
 // assess judges a request and records in the history whether it is convicted.
 func (t *Tracker) assess(f Fingerprint, now time.Time) Assessment {
 	a := t.cfg.Policy.Assess(t.history.Evidence(f, now))
@@ -137,12 +144,12 @@
 	t.history.Started(group, epoch, f, time.Now())
 }
 
-// Ended records the end of an attempt. If the group died, GroupDied must be
-// called first.
-func (t *Tracker) Ended(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint) {
+// Ended records the end of an attempt and whether its answer was complete. If
+// the group died, GroupDied must be called first.
+func (t *Tracker) Ended(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint, survived bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.Ended(group, epoch, f, time.Now())
+	t.history.Ended(group, epoch, f, survived, time.Now())
 }
 
 // GroupDied records the death of a group. Repeated calls for a death have no
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -26,6 +26,14 @@
 	At       time.Time // on the clock of the daemon that holds the sighting
 }
 
+// Acquittal is one daemon's account of runs that a group survived, of requests
+// that were in flight at deaths.
+type Acquittal struct {
+	ID        [16]byte
+	Survivals map[Fingerprint]Survivals
+	At        time.Time // on the clock of the daemon that holds the acquittal
+}
+
 // Standing determines how a request is handled.
 type Standing uint8
 
--- a/standin/experiment/suspects/run.go
+++ b/standin/experiment/suspects/run.go
@@ -250,7 +250,7 @@
 		if g.epoch == ep && g.alive && g.attempts[q] == attempt {
 			delete(g.attempts, q)
 			g.reserved = false
-			r.histories[q.daemon].Ended(g.id, ep, q.fingerprint, r.wallTime())
+			r.histories[q.daemon].Ended(g.id, ep, q.fingerprint, true, r.wallTime())
 			r.finish(q, nil)
 		}
 	})
@@ -320,7 +320,7 @@
 		}
 	})
 	for _, q := range requests {
-		h.Ended(g.id, ep, q.fingerprint, r.wallTime())
+		h.Ended(g.id, ep, q.fingerprint, false, r.wallTime())
 		r.startAttempt(q)
 	}
 }
--- a/standin/runs/network/network.go
+++ b/standin/runs/network/network.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,9 +19,9 @@
 
 // Errors of dials and connections.
 var (
-	ErrRefused = errors.New("connection refused")
-	ErrReset   = errors.New("connection reset")
-	ErrKilled  = errors.New("host was killed")
+	ErrRefused error = syscall.ECONNREFUSED
+	ErrReset         = errors.New("connection reset")
+	ErrKilled        = errors.New("host was killed")
 )
 
 // Network connects hosts. It is safe for concurrent use.
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// A server that breaks off its answers still listens. A request that is sent
+// again after lost answers is not taken for one that crashes servers.
+func TestLostAnswersConvictNobody(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		w.Update(func() { w.Plains[0].DropResponses, w.Plains[1].DropResponses = true, true })
+		for n := range 20 {
+			r := w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/safe/x", fmt.Sprintf("lost-%d", n), "", "again", nil)
+			assert.Equal(t, r.Status, http.StatusBadGateway)
+			time.Sleep(200 * time.Millisecond)
+		}
+		w.Update(func() { w.Plains[0].DropResponses, w.Plains[1].DropResponses = false, false })
+		assert.Equal(t, w.Call(w.Daemons[0], http.MethodPost, "/safe/x", "last", "", "again", nil).Status, http.StatusOK)
+	})
+}
+
 // sendCrashing sends the request that crashes servers to all daemons in turn.
 func sendCrashing(w *World, end time.Time) {
 	for n := 0; time.Now().Before(end); n++ {
