directory: an unreadable entry no longer hides that a server leaves

What happens: a server announces that it leaves, a record that cannot be read follows under its key, and the daemon reads only the newest record of each key, as after a gap in the history or at a restart of its follower. It logged the record and kept the server's last valid state from before, ready, until the entry lapsed.

Change: a server whose newest entry cannot be read gets no new requests until the next valid one. It keeps its place in its group, so that nothing is taken apart for one bad record.

TestUnreadableEntryHidALeavingServer failed before in its case "history lost" (unsafe requests reached the leaving server 2 s later) and passes now; its case in which all changes are read passed before, too.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -58,6 +58,8 @@
 	unlistedAt time.Time
 	// failedAt is when the server was found not to respond, zero while it does.
 	failedAt time.Time
+	// unreadable is set while the newest announcement cannot be read.
+	unreadable bool
 }
 
 // New returns an empty directory.
@@ -86,6 +88,19 @@
 	e.announcedAt = now
 	e.unlistedAt = time.Time{}
 	e.failedAt = time.Time{}
+	e.unreadable = false
+}
+
+// Unreadable records that the newest announcement of a server cannot be read. The
+// server gets no new requests until the next valid one, because the announcement
+// may have replaced one that it leaves. It keeps its place in its group: the
+// server announces itself again within a heartbeat interval.
+func (d *Directory) Unreadable(id fleet.InstanceID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil {
+		e.unreadable = true
+	}
 }
 
 // maxListLag is how long the list may show an older place than the server itself
@@ -334,12 +349,13 @@
 }
 
 // Leaving reports whether a server is announced as leaving. It is true for
-// servers that are not listed.
+// servers that are not listed and for those whose newest announcement cannot be
+// read.
 func (d *Directory) Leaving(id fleet.InstanceID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entries[id]
-	return e == nil || e.server.Leaving
+	return e == nil || e.server.Leaving || e.unreadable
 }
 
 // Report implements group.Reports. It returns the last known state of a server
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -140,6 +140,7 @@
 		switch {
 		case item.Err != nil:
 			d.events.Emit(eventBadRecord, "what", "list of backend servers", "key", item.Key, "error", item.Err)
+			d.directory.Unreadable(fleet.InstanceID(item.Key))
 		case item.Deleted:
 			d.events.Emit(eventServerUnlisted, "instance", item.Key)
 			d.directory.Withdraw(fleet.InstanceID(item.Key), now)
