edge: operators see verdicts on crashing requests and clear them

Change: the two calls are served at the edge. A clearance reaches all daemons at once and those that start later from the store.

TestOperatorClearsAVerdict: the verdict is listed at all three daemons, and after a clearance the request runs again at each of them, one of them restarted meanwhile. Without the change the calls get 404.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -12,9 +12,11 @@
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 	"carawayproxy.example/caraway/internal/entry"
 	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/gateway"
+	"carawayproxy.example/caraway/internal/httpx"
 )
 
 func (s boundServer) serve(events *event.Logger) {
@@ -48,6 +50,7 @@
 		}
 	})
 	admin := http.NewServeMux()
+	admin.Handle(carawayv1connect.NewAdminServiceHandler(adminService{d: d}, httpx.HandlerOptions(d.settings.MaxBodyBytes)))
 	admin.Handle("GET /metrics", gateway.TextMetrics(d.metrics))
 	admin.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	admin.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -9,7 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
+
+	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
+	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 )
 
 // Bounds of the platform on requests that crash backend servers: at most
@@ -120,6 +124,43 @@
 	})
 }
 
+// adminClient returns a client of a daemon's admin service.
+func (d *Daemon) adminClient() carawayv1connect.AdminServiceClient {
+	return carawayv1connect.NewAdminServiceClient(d.world.client, "http://"+d.host.Addr(portAdmin))
+}
+
+// An operator sees the verdict at any daemon and clears it for all of them, also
+// for one that starts later.
+func TestOperatorClearsAVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, err := New(Options{Daemons: 3, Engines: 4, Plains: 3})
+		assert.NilError(t, err)
+		defer time.Sleep(settleTime) // lets pending dials end
+		defer w.Close()
+		time.Sleep(leadTime)
+		sendCrashing(w, time.Now().Add(5*time.Second))
+		var fingerprint string
+		for _, d := range w.Daemons {
+			list, err := d.adminClient().ListSuspects(t.Context(), connect.NewRequest(&carawayv1.ListSuspectsRequest{}))
+			assert.NilError(t, err)
+			assert.Equal(t, len(list.Msg.Suspects), 1)
+			assert.Assert(t, list.Msg.Suspects[0].Deaths >= 2 && !list.Msg.Suspects[0].Cleared, "%v", list.Msg.Suspects[0])
+			fingerprint = list.Msg.Suspects[0].Fingerprint
+		}
+		_, err = w.Daemons[0].adminClient().ClearSuspect(t.Context(), connect.NewRequest(&carawayv1.ClearSuspectRequest{Fingerprint: fingerprint}))
+		assert.NilError(t, err)
+		w.Daemons[2].Kill()
+		assert.NilError(t, w.Daemons[2].Start(false))
+		time.Sleep(4 * time.Second)
+		for n, d := range w.Daemons {
+			crashes := w.crashCount()
+			w.Call(d, http.MethodPost, "/safe/x", fmt.Sprintf("cleared-%d", n), "", CrashingBody, nil)
+			assert.Assert(t, w.crashCount() > crashes, "the request did not run at %s", d.name)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
 // sendCrashing sends the request that crashes servers to all daemons in turn.
 func sendCrashing(w *World, end time.Time) {
 	for n := 0; time.Now().Before(end); n++ {
