--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,23 @@
 func (h *Handler) logAccepted(req *request, f *dispatch.Forwarding) {
 	h.cfg.Events.Emit(eventAccepted, "request", req.meta.Request, "route", req.route.Name, "document", req.version,
 		"service", f.Service, "workspace", req.workspace, "fingerprint", f.Fingerprint, "priority", req.priority, "repeatable", f.Repeatable,
-		"prompt_tokens", f.PromptTokens, "answer_tokens", f.AnswerTokens, "after_event", req.meta.LastEventID, "left", req.meta.Timeout)
+		"prompt_tokens", f.PromptTokens, "answer_tokens", f.AnswerTokens, "parts", partList(req.meta.PromptPartIDs), "after_event", req.meta.LastEventID, "left", req.meta.Timeout)
+}
+
+// maxLoggedParts limits the parts of a prompt in one log line.
+const maxLoggedParts = 8
+
+// partList returns the ids of a prompt's first parts in hexadecimal, as on the
+// wire.
+func partList(parts []uint64) string {
+	var b strings.Builder
+	for i, id := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(id, 16))
+	}
+	return b.String()
 }
 
 // logAnswered logs the outcome of a request and ends its buffered log. The log
--- a/standin/site/log_test.go
+++ b/standin/site/log_test.go
@@ -69,7 +69,7 @@
 		id, event string
 		parts     []string
 	}{
-		{"served", "entry.accepted", []string{"route=stream", "document=1", "service=engines/duo", "workspace=trust", "fingerprint=", "left=6s"}},
+		{"served", "entry.accepted", []string{"route=stream", "document=1", "service=engines/duo", "workspace=trust", "fingerprint=", "parts=", "left=6s"}},
 		{"served", "dispatch.routed", []string{"group=duo.", "epoch=", "instance=i-", "own=0", "peers=0", "report_age=", "reason="}},
 		{"served", "entry.answered", []string{"outcome=served", "status=200", "late=false", "first=", "longest_pause=", "took="}},
 		{"no-route", "entry.refused", []string{"status=404", "document=1", "reason="}},
