standin/site: a part of a prompt that crashes each engine, as a test that fails

An engine of the stand-in ends when it begins to write an answer to a prompt with a given part: listener and connections close, its entry lapses, and another process starts at the address after 3 s with the models on its host. Bad requests, no two alike, come every 300 ms at all daemons in turn, sound ones that share the caller and the other parts every 100 ms.

--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,24 +19,26 @@
 
 // Bounds of the platform on requests that crash backend servers: at most
 // maxLateSends reach one later than stableWindow after the crash numbered
-// crashesOfRequest.
+// crashesOfRequest, or with a part of a prompt crashesOfPart.
 const (
 	stableWindow     = 3 * time.Second
 	crashesOfRequest = 3
+	crashesOfPart    = 5
 	maxLateSends     = 3
 )
 
-// lateCrashingRuns returns how many requests that crash servers reached one
-// later than stableWindow after the given number of crashes.
-func (w *World) lateCrashingRuns(crashes int) int {
+// lateCrashingRuns returns how many requests with a body or a part of a prompt
+// that crashes servers reached one later than stableWindow after the given number
+// of its crashes.
+func (w *World) lateCrashingRuns(cause string, crashes int) int {
 	w.shared.mu.Lock()
 	defer w.shared.mu.Unlock()
-	if len(w.shared.crashes) < crashes {
+	if len(w.shared.crashes[cause]) < crashes {
 		return 0
 	}
 	late := 0
-	for _, at := range w.shared.crashingRuns {
-		if at.Sub(w.shared.crashes[crashes-1]) > stableWindow {
+	for _, at := range w.shared.crashingRuns[cause] {
+		if at.Sub(w.shared.crashes[cause][crashes-1]) > stableWindow {
 			late++
 		}
 	}
@@ -46,7 +49,11 @@
 func (w *World) crashCount() int {
 	w.shared.mu.Lock()
 	defer w.shared.mu.Unlock()
-	return len(w.shared.crashes)
+	n := 0
+	for _, times := range w.shared.crashes {
+		n += len(times)
+	}
+	return n
 }
 
 // A caller sends a request that crashes each server that runs it again and
@@ -97,7 +104,7 @@
 				served, sent := sendSound(w, time.Now().Add(25*time.Second), end)
 				tasks.Wait()
 				assert.Assert(t, w.crashCount() > 0)
-				late := w.lateCrashingRuns(crashesOfRequest)
+				late := w.lateCrashingRuns(CrashingBody, crashesOfRequest)
 				assert.Check(t, late <= maxLateSends, "%d sends of the request after three crashes and %s, %d crashes", late, stableWindow, w.crashCount())
 				assert.Check(t, served*100 >= sent*99, "%d of %d other requests served from 25 s on", served, sent)
 				r := w.Call(w.Daemons[2], http.MethodPost, "/safe/x", "last", "", CrashingBody, nil)
@@ -124,6 +131,143 @@
 	})
 }
 
+// Requests that share one part of their prompts crash each engine that begins to
+// write an answer, no two of them alike. They crashed group after group, and
+// the sound requests that share the caller and the other parts had no engine.
+func TestRequestsWithOnePartKeptCrashingEngines(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// bad are the prompts' parts, less the last, that bad requests use in turn.
+		bad [][]string
+		// crashing are the parts that crash engines.
+		crashing []string
+		// storeAway is how long the store is unavailable from the first crash on.
+		storeAway time.Duration
+		// restarted daemons are restarted restartAfter after the fifth crash.
+		restarted    []int
+		restartAfter time.Duration
+		// otherCrashes is the interval at which engines end for other reasons.
+		otherCrashes time.Duration
+	}{
+		{name: "calm", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}},
+		{name: "first part", bad: [][]string{{"bad", "b3"}, {"bad", "b4"}}, crashing: []string{"bad"}},
+		{name: "two parts at once", bad: [][]string{{"aa", "bad"}, {"aa", "b2", "bad2"}}, crashing: []string{"bad", "bad2"}},
+		{name: "other crashes", bad: [][]string{{"aa", "b1", "bad"}}, crashing: []string{"bad"}, otherCrashes: 4 * time.Second},
+		{name: "store away", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, storeAway: 10 * time.Second},
+		{name: "a daemon restarts", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{0}, restartAfter: 2 * time.Second},
+		{name: "a daemon restarts later", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{2}, restartAfter: 30 * time.Second},
+		{name: "all daemons restart", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{0, 1, 2}, restartAfter: 2 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, err := New(Options{Daemons: 3, Engines: 48, Plains: 1})
+				assert.NilError(t, err)
+				defer time.Sleep(settleTime) // lets pending dials end
+				defer w.Close()
+				time.Sleep(leadTime)
+				w.Update(func() {
+					for _, part := range test.crashing {
+						w.shared.crashingParts[part] = true
+					}
+				})
+				start := time.Now()
+				bad, end := start.Add(10*time.Second), start.Add(70*time.Second)
+				var tasks sync.WaitGroup
+				tasks.Go(func() {
+					time.Sleep(time.Until(bad))
+					if test.storeAway > 0 {
+						w.Store.SetUnavailable(true)
+						w.runAfter(test.storeAway, func() { w.Store.SetUnavailable(false) })
+					}
+					sendBadPrompts(w, test.bad, end)
+				})
+				tasks.Go(func() {
+					for w.crashCount() < crashesOfPart && time.Now().Before(end) {
+						time.Sleep(100 * time.Millisecond)
+					}
+					time.Sleep(test.restartAfter)
+					for _, i := range test.restarted {
+						w.Daemons[i].Kill()
+					}
+					for _, i := range test.restarted {
+						assert.NilError(t, w.Daemons[i].Start(false))
+					}
+				})
+				if test.otherCrashes > 0 {
+					tasks.Go(func() {
+						for time.Now().Before(end) {
+							time.Sleep(test.otherCrashes)
+							if e := w.Member(ModelOfTwo, 0); e != nil {
+								w.CrashEngine(e)
+							}
+						}
+					})
+				}
+				quiet, later := sendSoundPrompts(w, start, bad, end)
+				tasks.Wait()
+				for _, part := range test.crashing {
+					late := w.lateCrashingRuns(part, crashesOfPart)
+					assert.Check(t, late <= maxLateSends, "part %s: %d sends later than %s after five crashes, %d crashes in all", part, late, stableWindow, w.crashCount())
+				}
+				assert.Check(t, later >= quiet/2, "%.2f of the sound requests served in quiet times, %.2f later", quiet, later)
+				assert.Check(t, quiet > 0.9, "%.2f of the sound requests served in quiet times", quiet)
+			})
+		})
+	}
+}
+
+// prompt is the header of a prompt with these parts and a last one of its own.
+func prompt(parts []string, last int) http.Header {
+	return http.Header{"X-Carawayproxy-Prefix-Hash": {strings.Join(parts, ":100,") + fmt.Sprintf(":100,%x:50", 1<<32+last)}}
+}
+
+// sendBadPrompts sends requests with the given parts to all daemons in turn. No
+// two of them are alike.
+func sendBadPrompts(w *World, parts [][]string, end time.Time) {
+	var callers sync.WaitGroup
+	for n := 0; time.Now().Before(end); n++ {
+		callers.Go(func() {
+			id := fmt.Sprintf("bad-%d", n)
+			w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, prompt(parts[n%len(parts)], n))
+		})
+		time.Sleep(300 * time.Millisecond)
+	}
+	callers.Wait()
+}
+
+// sendSoundPrompts sends requests that share the caller and the other parts with
+// the bad ones to all daemons in turn. It returns the share that was served of
+// those sent before the bad ones, and of those sent later than 25 s after them.
+func sendSoundPrompts(w *World, start, bad, end time.Time) (quiet, later float64) {
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	var sent, served [2]int
+	for n := 0; time.Now().Before(end); n++ {
+		at := time.Now()
+		callers.Go(func() {
+			id := fmt.Sprintf("sound-%d", n)
+			parts := []string{"aa", fmt.Sprintf("b%d", n%6)}
+			r := w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, prompt(parts, n))
+			period := 0
+			switch {
+			case at.After(bad.Add(25 * time.Second)):
+				period = 1
+			case at.After(bad.Add(-3 * time.Second)), r.Err != nil && r.Status == 0:
+				return // bad requests are about to be sent, or the daemon is being restarted
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sent[period]++
+			if r.IsComplete(id) {
+				served[period]++
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	callers.Wait()
+	return float64(served[0]) / float64(max(sent[0], 1)), float64(served[1]) / float64(max(sent[1], 1))
+}
+
 // adminClient returns a client of a daemon's admin service.
 func (d *Daemon) adminClient() carawayv1connect.AdminServiceClient {
 	return carawayv1connect.NewAdminServiceClient(d.world.client, "http://"+d.host.Addr(portAdmin))
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -42,8 +43,12 @@
 // Engine is one model engine. Its state is guarded by the lock of World.shared.
 type Engine struct {
 	world        *World
+	name         string // id before the first restart
 	ID           string
 	addr         string
+	host         Host
+	server       *http.Server
+	restarts     int
 	domain       string
 	incarnation  int64
 	seq          uint64
@@ -78,12 +83,16 @@
 	violations []string
 	runs       map[string]int // by request id and service
 	// crashes holds the times at which requests crashed a backend server, and
-	// crashingRuns the times at which such requests reached one.
-	crashes, crashingRuns []time.Time
+	// crashingRuns the times at which such requests reached one, by the body or the
+	// part of a prompt that crashes servers.
+	crashes, crashingRuns map[string][]time.Time
+	// crashingParts are the parts of a prompt on which engines crash.
+	crashingParts map[string]bool
 }
 
 func newSharedState() *sharedState {
-	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}}
+	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, crashingParts: map[string]bool{},
+		crashes: map[string][]time.Time{}, crashingRuns: map[string][]time.Time{}}
 }
 
 func (s *sharedState) addViolation(format string, args ...any) {
@@ -94,6 +103,64 @@
 	return fmt.Sprintf("%s/%s/%d", id, m.Name, m.Epoch)
 }
 
+// start adds the engine to the world and serves its requests.
+func (e *Engine) start() error {
+	s := e.world.shared
+	server, err := e.world.serve(e.host, portServer, e.handler())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	e.server = server
+	s.engines[e.ID] = e
+	e.world.Engines = append(e.world.Engines, e)
+	s.mu.Unlock()
+	e.announce()
+	return nil
+}
+
+// crash ends the engine's process: its listener and connections close, and its
+// entry expires. A new process starts at the same address after restartTime, with
+// the models on its host. The part of a prompt is the cause; empty for another.
+func (e *Engine) crash(part string) {
+	s := e.world.shared
+	s.mu.Lock()
+	if e.dead {
+		s.mu.Unlock()
+		return
+	}
+	e.dead = true
+	if part != "" {
+		s.crashes[part] = append(s.crashes[part], time.Now())
+	}
+	next := &Engine{
+		world: e.world, name: e.name, ID: fmt.Sprintf("%s-%d", e.name, e.restarts+1), addr: e.addr, host: e.host,
+		restarts: e.restarts + 1, incarnation: e.incarnation + 1, domain: e.domain, staged: e.staged,
+	}
+	s.mu.Unlock()
+	_ = e.server.Close()
+	e.world.expireEntry(e.ID)
+	e.world.runAfter(restartTime, func() {
+		_ = next.start() // fails only after the world has ended
+	})
+}
+
+// crashingPart returns the part of a prompt that crashes engines, empty if there
+// is none, and records that the request reached one. The last part never does.
+func (s *sharedState) crashingPart(prefixes string) string {
+	parts := strings.Split(prefixes, ",")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		if s.crashingParts[id] {
+			s.crashingRuns[id] = append(s.crashingRuns[id], time.Now())
+			return id
+		}
+	}
+	return ""
+}
+
 // handler serves reports, orders and requests. The handlers of a dead engine
 // block.
 func (e *Engine) handler() http.Handler {
@@ -342,11 +409,18 @@
 	}
 	e.active++
 	s.mu.Unlock()
+	crashing := s.crashingPart(r.Header.Get("X-Carawayproxy-Prefix-Hash"))
 	defer func() {
 		s.mu.Lock()
 		e.active--
 		s.mu.Unlock()
 	}()
+	if crashing != "" {
+		if e.step(r, m) { // it begins to write
+			e.crash(crashing)
+		}
+		panic(http.ErrAbortHandler)
+	}
 	e.stream(w, r, id, m)
 }
 
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -52,7 +52,7 @@
 			return
 		}
 		server, p.server = p.server, nil
-		p.world.shared.crashes = append(p.world.shared.crashes, time.Now())
+		p.world.shared.crashes[CrashingBody] = append(p.world.shared.crashes[CrashingBody], time.Now())
 	})
 	if server == nil {
 		return
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	if crashes {
-		s.crashingRuns = append(s.crashingRuns, time.Now())
+		s.crashingRuns[CrashingBody] = append(s.crashingRuns[CrashingBody], time.Now())
 	}
 	drop, fail := p.DropResponses, p.Fail
 	s.mu.Unlock()
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -200,17 +200,12 @@
 func (w *World) addEngine(i int) error {
 	ip := fmt.Sprintf("10.2.0.%d", i+1)
 	h := w.hosts.Host(ip)
+	name := fmt.Sprintf("i-%02d", i)
 	e := &Engine{
-		world: w, ID: fmt.Sprintf("i-%02d", i), addr: h.Addr(portServer), incarnation: 1,
+		world: w, name: name, ID: name, addr: h.Addr(portServer), host: h, incarnation: 1,
 		domain: fmt.Sprintf("domain-%d", i/domainSize), staged: []string{},
 	}
-	w.shared.mu.Lock()
-	w.shared.engines[e.ID] = e
-	w.shared.mu.Unlock()
-	w.Engines = append(w.Engines, e)
-	e.announce()
-	_, err := w.serve(h, portServer, e.handler())
-	return err
+	return e.start()
 }
 
 func (w *World) addPlain(i int) error {
@@ -250,6 +245,10 @@
 	return append([]string(nil), w.shared.violations...)
 }
 
+// CrashEngine ends an engine's process for no reason of any request. It starts
+// again after restartTime with another id.
+func (w *World) CrashEngine(e *Engine) { e.crash("") }
+
 // RunCount returns how many times a request was started on a server.
 func (w *World) RunCount(id string) int {
 	w.shared.mu.Lock()
