suspect: parts of prompts that crash engines are known, whatever the request

What callers saw: inspector answers were cut or refused for minutes. Requests that share one part of their prompts, no two alike, crashed one replica group after the other, each with all of its streams.

Cause: the evidence was kept by a fingerprint of the whole request. No two of these requests are alike, so each was seen at one death, or at two or three if its daemon sent it on. Ruled out: that deaths are not seen or known too late (suspect.group-death at each crash, known everywhere within 0.1 s); that the parts cannot be told apart (a sound part has survived before, or does within seconds).

Change: a request's subjects are itself and all parts of its prompt but the last. Sightings and acquittals carry parts. The likeliest subject is convicted first and explains its deaths, so that the sound neighbours clear themselves. What cannot be told apart waits, and is rejected for 10 s at first. Callers, routes and services are no subjects: nothing but the part and the request is blamed, nothing runs alone, and no sound request waits.

Why it works: three deaths with the part in flight and no run that survived convict it, if at least one tells it from its neighbours; five do in any case; the rule counts from the fifth crash plus 3 s.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -42,7 +42,7 @@
 	d             *Dispatcher
 	id            fleet.RequestID
 	spec          *service.Spec
-	fingerprint   suspect.Fingerprint
+	subjects      suspect.Subjects
 	route         routing.Request
 	attemptLimit  int              // zero: the limit of the service applies
 	sentCount     int              // attempts started so far
@@ -50,6 +50,7 @@
 	mayHaveRun    bool             // at least one attempt may have run
 	nextDecision  *attemptDecision // routed in advance for the next attempt
 	retryReserved bool             // the retry budget has been charged for the next attempt
+	errorAnswered bool             // the caller received an answer that is no success
 }
 
 // selectTarget picks the group of the next attempt and rechecks it immediately
@@ -123,7 +124,7 @@
 	if a.sentCount >= a.maxAttempts() {
 		return a.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "every attempt failed, the last one: "+cause.Error())
 	}
-	alone, f := a.d.checkSuspect(a.id, a.spec.Service, a.fingerprint)
+	alone, f := a.d.checkSuspect(a.id, a.spec.Service, a.subjects)
 	if f != nil {
 		return a.newFailure(f.Reason, f.RetryAfter, f.Message)
 	}
@@ -244,7 +245,7 @@
 		a.d.isolated.add(t.Group)
 	}
 	a.d.cfg.Router.Started(t.Group, a.route.MaxTokens)
-	a.d.cfg.Suspects.Started(t.Group, t.Epoch, a.fingerprint)
+	a.d.cfg.Suspects.Started(t.Group, t.Epoch, a.subjects)
 }
 
 // endAttempt unregisters an attempt. An attempt that failed after it was sent
@@ -257,18 +258,18 @@
 	a.d.cfg.Router.Ended(t.Group, a.route.MaxTokens)
 	switch {
 	case cause == nil || provablyNotRun(cause):
-		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, cause == nil)
+		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, cause == nil && !a.errorAnswered)
 	case a.d.cfg.LivenessProber != nil:
 		if !mayBeCrash(cause) {
-			a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, false)
+			a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, false)
 			return
 		}
-		a.d.runInBackground(func() { a.d.probeAfterFailure(t, a.fingerprint) })
+		a.d.runInBackground(func() { a.d.probeAfterFailure(t, a.subjects) })
 	case errors.Is(cause, errGroupLost):
 		a.d.cfg.Suspects.GroupDied(t.Group, t.Epoch, t.Fabric, t.Service)
-		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.fingerprint, false)
+		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, false)
 	default:
-		a.d.runInBackground(func() { a.d.awaitGroupDeath(t, a.fingerprint) })
+		a.d.runInBackground(func() { a.d.awaitGroupDeath(t, a.subjects) })
 	}
 }
 
@@ -286,7 +287,7 @@
 // probeAfterFailure reports the group's death to the suspect tracker if its
 // server has ended, and then the attempt's end. A server that is about to end
 // may accept connections for a moment longer.
-func (d *Dispatcher) probeAfterFailure(t target, fingerprint suspect.Fingerprint) {
+func (d *Dispatcher) probeAfterFailure(t target, subjects suspect.Subjects) {
 	ended := d.cfg.LivenessProber.HasEnded(d.background, t.Address)
 	if !ended && sleepFor(d.background, d.cfg.ProbeDelay) {
 		ended = d.cfg.LivenessProber.HasEnded(d.background, t.Address)
@@ -294,13 +295,13 @@
 	if ended {
 		d.cfg.Suspects.GroupDied(t.Group, t.Epoch, t.Fabric, t.Service)
 	}
-	d.cfg.Suspects.Ended(t.Group, t.Epoch, fingerprint, false)
+	d.cfg.Suspects.Ended(t.Group, t.Epoch, subjects, false)
 }
 
 // awaitGroupDeath waits up to DeathGrace after a failed attempt, reports the
 // group's death to the suspect tracker if the group is lost in that time, and
 // then reports the attempt's end.
-func (d *Dispatcher) awaitGroupDeath(t target, fingerprint suspect.Fingerprint) {
+func (d *Dispatcher) awaitGroupDeath(t target, subjects suspect.Subjects) {
 	timer := time.NewTimer(d.cfg.DeathGrace)
 	defer timer.Stop()
 	select {
@@ -309,7 +310,7 @@
 	case <-timer.C:
 	case <-d.background.Done():
 	}
-	d.cfg.Suspects.Ended(t.Group, t.Epoch, fingerprint, false)
+	d.cfg.Suspects.Ended(t.Group, t.Epoch, subjects, false)
 }
 
 // provablyNotRun reports whether the cause proves that the attempt did not run.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -40,7 +40,7 @@
 	// PromptTokens and AnswerTokens are the request's size; zero if unknown.
 	PromptTokens, AnswerTokens uint32
 	Prefixes                   []uint64
-	Fingerprint                suspect.Fingerprint
+	Subjects                   suspect.Subjects
 	Message                    backend.Opaque
 }
 
@@ -97,13 +97,13 @@
 	if f != nil {
 		return f
 	}
-	alone, f := d.checkSuspect(fw.Message.Request, fw.Service, fw.Fingerprint)
+	alone, f := d.checkSuspect(fw.Message.Request, fw.Service, fw.Subjects)
 	if f != nil {
 		return f
 	}
 	d.budgetOf(spec).Request()
 	r := &forwardedRequest{req: fw, relay: relay, start: time.Now(), lastEventID: fw.Message.ResumeAfter}
-	r.attempts = attempts{d: d, id: fw.Message.Request, spec: spec, fingerprint: fw.Fingerprint, attemptLimit: fw.MaxAttempts}
+	r.attempts = attempts{d: d, id: fw.Message.Request, spec: spec, subjects: fw.Subjects, attemptLimit: fw.MaxAttempts}
 	r.route = routing.Request{
 		Service:      fw.Service,
 		Workspace:    fw.Workspace,
@@ -309,6 +309,7 @@
 // deliver writes a complete answer to the caller.
 func (r *forwardedRequest) deliver(a *bufferedAnswer) error {
 	r.headerSent = true
+	r.errorAnswered = a.status/100 != 2
 	r.firstByteAt = time.Now()
 	r.relay.WriteHeader(a.status, a.header)
 	if err := r.relay.WriteBody(a.body, false); err != nil {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -75,15 +75,15 @@
 }
 
 func (d *Dispatcher) prepare(spec *service.Spec, g Generation, sink Sink) (*generation, *fleet.Failure) {
-	fingerprint := suspect.FingerprintOf(g.Service, g.Version, g.Prompt)
-	alone, f := d.checkSuspect(g.ID, g.Service, fingerprint)
+	subjects := suspect.Subjects{Request: suspect.FingerprintOf(g.Service, g.Version, g.Prompt)}
+	alone, f := d.checkSuspect(g.ID, g.Service, subjects)
 	if f != nil {
 		return nil, f
 	}
 	d.budgetOf(spec).Request()
 	r := &generation{req: g, sink: sink, start: time.Now()}
 	r.cursor = cursor{request: g.ID, version: g.Version, limit: g.MaxTokens}
-	r.attempts = attempts{d: d, id: g.ID, spec: spec, fingerprint: fingerprint}
+	r.attempts = attempts{d: d, id: g.ID, spec: spec, subjects: subjects}
 	r.route = routing.Request{
 		Service:      g.Service,
 		Version:      g.Version,
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -66,7 +66,7 @@
 func (d *Dispatcher) newInvocation(spec *service.Spec, ws service.WorkspaceSpec, i Invocation) *invocation {
 	c := &invocation{req: i, ws: ws}
 	version := fleet.Version(i.Method)
-	c.attempts = attempts{d: d, id: i.ID, spec: spec, fingerprint: suspect.FingerprintOf(i.Service, version, i.Body)}
+	c.attempts = attempts{d: d, id: i.ID, spec: spec, subjects: suspect.Subjects{Request: suspect.FingerprintOf(i.Service, version, i.Body)}}
 	c.route = routing.Request{Service: i.Service, Workspace: i.Workspace, Zone: d.cfg.Zone}
 	d.budgetOf(spec).Request()
 	return c
@@ -75,7 +75,7 @@
 // routeAndAdmit checks the request against the suspects, routes it and requests
 // admission.
 func (c *invocation) routeAndAdmit(ctx context.Context) (Ticket, *fleet.Failure) {
-	alone, f := c.d.checkSuspect(c.id, c.spec.Service, c.fingerprint)
+	alone, f := c.d.checkSuspect(c.id, c.spec.Service, c.subjects)
 	if f != nil {
 		return nil, f
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -98,14 +98,11 @@
 
 // Suspects classifies requests by the group deaths that they were involved in.
 type Suspects interface {
-	Standing(f suspect.Fingerprint) suspect.Standing
-	// ConvictedFor returns how much longer a request is convicted; zero if it is
-	// not, or if that is unknown.
-	ConvictedFor(f suspect.Fingerprint) time.Duration
+	Judge(s suspect.Subjects) suspect.Ruling
 	// Started and Ended record which requests are in flight on a group. survived
-	// is set if the answer was complete.
-	Started(group fleet.GroupID, epoch fleet.Epoch, f suspect.Fingerprint)
-	Ended(group fleet.GroupID, epoch fleet.Epoch, f suspect.Fingerprint, survived bool)
+	// is set if the answer was complete and a success.
+	Started(group fleet.GroupID, epoch fleet.Epoch, s suspect.Subjects)
+	Ended(group fleet.GroupID, epoch fleet.Epoch, s suspect.Subjects, survived bool)
 	// GroupDied reports that a group died while an attempt was in flight on it.
 	GroupDied(group fleet.GroupID, epoch fleet.Epoch, fabric fleet.FabricDomain, name fleet.ServiceName)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -123,7 +124,7 @@
 // logAccepted logs how a request was resolved.
 func (h *Handler) logAccepted(req *request, f *dispatch.Forwarding) {
 	h.cfg.Events.Emit(eventAccepted, "request", req.meta.Request, "route", req.route.Name, "document", req.version,
-		"service", f.Service, "workspace", req.workspace, "fingerprint", f.Fingerprint, "priority", req.priority, "repeatable", f.Repeatable,
+		"service", f.Service, "workspace", req.workspace, "fingerprint", f.Subjects.Request, "priority", req.priority, "repeatable", f.Repeatable,
 		"prompt_tokens", f.PromptTokens, "answer_tokens", f.AnswerTokens, "parts", partList(req.meta.PromptPartIDs), "after_event", req.meta.LastEventID, "left", req.meta.Timeout)
 }
 
@@ -289,7 +290,7 @@
 		PromptTokens: req.meta.PromptTokens,
 		AnswerTokens: req.meta.AnswerTokens,
 		Prefixes:     req.meta.PromptPartIDs,
-		Fingerprint:  fingerprint(r, req),
+		Subjects:     suspect.Subjects{Request: fingerprint(r, req), Parts: sharedParts(req.meta.PromptPartIDs)},
 		Message: backend.Opaque{
 			Request:     req.meta.Request,
 			Workspace:   req.forwardedWorkspace(),
@@ -332,6 +333,18 @@
 	return suspect.Fingerprint(digest.Sum64())
 }
 
+// sharedParts returns the fingerprints of the parts of a prompt that other
+// requests may share: all but the last.
+func sharedParts(ids []uint64) []suspect.Fingerprint {
+	var parts []suspect.Fingerprint
+	for _, id := range ids[:max(len(ids)-1, 0)] {
+		if f := suspect.PartFingerprint(id); !slices.Contains(parts, f) {
+			parts = append(parts, f)
+		}
+	}
+	return parts
+}
+
 // refuse logs and writes the final answer to a request that is not forwarded.
 func (h *Handler) refuse(w http.ResponseWriter, req *request, r *http.Request, f refusal) {
 	h.cfg.Events.Emit(eventRefused, "request", req.meta.Request, "host", r.Host, "status", f.status, "reason", f.reason, "retry_after", f.retryAfter,
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -232,7 +232,7 @@
 func newSightingItem(now time.Time, s *suspect.Sighting) sightingItem {
 	return sightingItem{
 		ID: s.ID, Group: s.Group, Epoch: s.Epoch, Fabric: s.Fabric, Service: s.Service,
-		InFlight: s.InFlight, AgeMilli: ceilMillis(now.Sub(s.At)),
+		InFlight: s.InFlight, Parts: s.Parts, AgeMilli: ceilMillis(now.Sub(s.At)),
 	}
 }
 
@@ -247,6 +247,6 @@
 func (s sightingItem) toSighting(now time.Time) suspect.Sighting {
 	return suspect.Sighting{
 		ID: s.ID, Group: s.Group, Epoch: s.Epoch, Fabric: s.Fabric, Service: s.Service,
-		InFlight: s.InFlight, At: now.Add(-boundedMillis(s.AgeMilli)),
+		InFlight: s.InFlight, Parts: s.Parts, At: now.Add(-boundedMillis(s.AgeMilli)),
 	}
 }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -130,6 +130,8 @@
 	Service  fleet.ServiceName     `cbor:"5,keyasint"`
 	InFlight []suspect.Fingerprint `cbor:"6,keyasint,omitempty"`
 	AgeMilli uint64                `cbor:"7,keyasint"`
+	// Releases that do not know Parts ignore them.
+	Parts []suspect.Fingerprint `cbor:"8,keyasint,omitempty"`
 }
 
 type acquittalItem struct {
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +22,14 @@
 	// tieFactor is the ratio of the odds up to which two requests that were in
 	// flight at the same deaths cannot be told apart.
 	tieFactor = 10
-	// acquittalsUntil is the number of survivals since the first death from which
-	// on a daemon reports no more of them.
+	// uncertainTerm is the duration of the first verdict on requests or parts that
+	// the evidence does not tell apart, or that groups have survived. The runs that
+	// follow tell them apart. It doubles with each verdict.
+	uncertainTerm = 10 * time.Second
+	// maxTermDoublings bounds the doublings of uncertainTerm.
+	maxTermDoublings = 9
+	// acquittalsUntil bounds the survivals of one request or part that a daemon
+	// reports.
 	acquittalsUntil = 8
 )
 
@@ -40,8 +47,8 @@
 	Term time.Duration
 }
 
-// Detector finds the requests that crash backend servers, on daemons without a
-// control stream. Daemons exchange sightings and acquittals and decide by the
+// Detector finds the requests, and the parts of prompts, that crash backend
+// servers, on daemons without a control stream. Daemons exchange sightings and acquittals and decide by the
 // same evidence, each for itself; the verdicts are kept outside, for daemons
 // that start later. It is safe for concurrent use.
 type Detector struct {
@@ -53,6 +60,7 @@
 	verdicts        map[Fingerprint]Verdict
 	unrecorded      map[Fingerprint]struct{} // own verdicts to be kept outside
 	reported        map[Fingerprint]Survivals
+	uncertain       map[Fingerprint]int // verdicts of uncertainTerm so far
 	ownSightings    []Sighting
 	ownAcquittals   []Acquittal
 	seen, seenOlder map[[16]byte]struct{} // evidence of peers, two generations
@@ -81,6 +89,7 @@
 		verdicts:        map[Fingerprint]Verdict{},
 		unrecorded:      map[Fingerprint]struct{}{},
 		reported:        map[Fingerprint]Survivals{},
+		uncertain:       map[Fingerprint]int{},
 		seen:            map[[16]byte]struct{}{},
 		reviewRequested: make(chan struct{}, 1),
 		deaths:          metrics.GetOrRegisterCounter("suspect.deaths", cfg.Metrics),
@@ -88,43 +97,52 @@
 	}
 }
 
-// Standing returns how a request is to be handled.
-func (d *Detector) Standing(f Fingerprint) Standing {
+// Judge returns how a request is to be handled. It is convicted if it or a part
+// of its prompt is.
+func (d *Detector) Judge(s Subjects) Ruling {
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if v, ok := d.verdicts[f]; ok && v.InForce(time.Now()) {
-		return v.standing()
+	if len(d.verdicts) == 0 {
+		return Ruling{}
+	}
+	if r := d.ruling(s.Request, now); r.Standing != Clear {
+		return r
 	}
-	return Clear
+	for _, f := range s.Parts {
+		if r := d.ruling(f, now); r.Standing != Clear {
+			return r
+		}
+	}
+	return Ruling{}
 }
 
-// ConvictedFor returns how much longer a request is convicted; zero if it is not.
-func (d *Detector) ConvictedFor(f Fingerprint) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if v, ok := d.verdicts[f]; ok && !v.Cleared {
-		return max(v.remaining(time.Now()), 0)
+// ruling returns the ruling on one fingerprint. Called with mu held.
+func (d *Detector) ruling(f Fingerprint, now time.Time) Ruling {
+	v, ok := d.verdicts[f]
+	if !ok || !v.InForce(now) || v.Cleared {
+		return Ruling{}
 	}
-	return 0
+	return Ruling{Standing: Convicted, Fingerprint: f, Remaining: v.remaining(now)}
 }
 
 // Started records the start of an attempt on a group.
-func (d *Detector) Started(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint) {
+func (d *Detector) Started(group fleet.GroupID, epoch fleet.Epoch, s Subjects) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.history.Started(group, epoch, f, time.Now())
+	d.history.Started(group, epoch, s, time.Now())
 }
 
 // Ended records the end of an attempt and whether its answer was complete. If
 // the group died, GroupDied must be called first.
-func (d *Detector) Ended(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint, survived bool) {
+func (d *Detector) Ended(group fleet.GroupID, epoch fleet.Epoch, s Subjects, survived bool) {
 	now := time.Now()
 	d.mu.Lock()
-	d.history.Ended(group, epoch, f, survived, now)
-	report := survived && d.history.HasDeaths(f) && d.reportSurvivals(now, f)
-	d.mu.Unlock()
-	if report {
-		d.cfg.Notify()
+	defer d.mu.Unlock()
+	d.history.Ended(group, epoch, s, survived, now)
+	if survived {
+		d.reportSurvivals(now, s.Request)
+		d.reportSurvivals(now, s.Parts...)
 	}
 }
 
@@ -133,13 +151,13 @@
 func (d *Detector) GroupDied(group fleet.GroupID, epoch fleet.Epoch, fabric fleet.FabricDomain, name fleet.ServiceName) {
 	now := time.Now()
 	d.mu.Lock()
-	inFlight, fresh := d.history.GroupDied(group, epoch, fabric, name, now)
+	s, fresh := d.history.GroupDied(group, epoch, fabric, name, now)
 	if fresh {
-		d.ownSightings = append(d.ownSightings, Sighting{
-			ID: uuid.New(), Group: group, Epoch: epoch, Fabric: fabric, Service: name, InFlight: inFlight, At: now,
-		})
+		s.ID = uuid.New()
+		d.ownSightings = append(d.ownSightings, s)
 		d.ownSightings = d.ownSightings[max(len(d.ownSightings)-maxSightings, 0):]
-		d.reportSurvivals(now, inFlight...)
+		d.reportSurvivals(now, s.InFlight...)
+		d.reportSurvivals(now, s.Parts...)
 	}
 	d.mu.Unlock()
 	if !fresh {
@@ -147,19 +165,23 @@
 	}
 	d.deaths.Inc(1)
 	d.cfg.Events.Emit(eventDeath, "group", group, "epoch", epoch, "fabric", fabric, "service", name,
-		"in_flight", len(inFlight), "fingerprints", fingerprintList(inFlight))
+		"in_flight", len(s.InFlight), "fingerprints", fingerprintList(s.InFlight), "parts", fingerprintList(s.Parts))
 	d.cfg.Notify()
 	d.requestReview()
 }
 
-// reportSurvivals adds an acquittal with the survivals at this daemon that were
-// not reported yet, and returns whether there are any. Called with mu held.
+// reportSurvivals adds an acquittal with the survivals at this daemon of
+// fingerprints with deaths that were not reported yet, and returns whether there
+// are any. Called with mu held.
 func (d *Detector) reportSurvivals(now time.Time, fingerprints ...Fingerprint) bool {
 	fresh := map[Fingerprint]Survivals{}
 	for _, f := range fingerprints {
+		if !d.history.HasDeaths(f) {
+			continue
+		}
 		s, told := d.history.Survivals(f), d.reported[f]
-		s.Before = min(s.Before, maxEarlySurvivals)
-		if s == told || told.Since >= acquittalsUntil {
+		s = Survivals{Before: min(s.Before, acquittalsUntil), Since: min(s.Since, acquittalsUntil)}
+		if s == told {
 			continue
 		}
 		fresh[f] = Survivals{Before: max(s.Before-told.Before, 0), Since: max(s.Since-told.Since, 0)}
@@ -197,6 +219,7 @@
 		s.At = notAfter(s.At, now)
 		fresh = d.history.Observe(s, now) || fresh
 		reports = d.reportSurvivals(now, s.InFlight...) || reports
+		reports = d.reportSurvivals(now, s.Parts...) || reports
 	}
 	for _, a := range acquittals {
 		if d.isNew(a.ID) {
@@ -269,14 +292,21 @@
 	var added []Verdict
 	var odds []float64
 	for {
-		accused := d.accuse(now)
+		accused, undecided := d.accuse(now)
 		if len(accused) == 0 {
 			break
 		}
 		for _, a := range accused {
+			term := d.cfg.Term
+			if undecided || a.survivals > 0 {
+				n := d.uncertain[a.fingerprint]
+				term = min(uncertainTerm<<min(n, maxTermDoublings), term)
+				d.uncertain[a.fingerprint] = n + 1
+			}
 			v := Verdict{
 				Fingerprint: a.fingerprint, Service: d.history.Service(a.fingerprint), Author: d.cfg.Self,
-				Until: now.Add(d.cfg.Term).UnixMilli(), Deaths: a.deaths,
+				Until: now.Add(term).UnixMilli(), Deaths: a.deaths, Survivals: a.survivals,
+				Part: d.history.IsPart(a.fingerprint), Decided: now.UnixMilli(),
 			}
 			d.put(v)
 			d.unrecorded[a.fingerprint] = struct{}{}
@@ -286,22 +316,25 @@
 	d.mu.Unlock()
 	for i, v := range added {
 		d.convictions.Inc(1)
-		d.cfg.Events.Emit(eventConvicted, "fingerprint", v.Fingerprint, "service", v.Service, "deaths", v.Deaths, "odds", odds[i], "term", d.cfg.Term)
+		d.cfg.Events.Emit(eventConvicted, "fingerprint", v.Fingerprint, "part", v.Part, "service", v.Service,
+			"deaths", v.Deaths, "survivals", v.Survivals, "odds", odds[i], "until", time.UnixMilli(v.Until).UTC())
 	}
 }
 
-// accused is a request that the evidence speaks against.
+// accused is a request or a part that the evidence speaks against.
 type accused struct {
 	fingerprint Fingerprint
 	odds        float64
 	deaths      int // without a known cause
+	survivals   int
 }
 
-// accuse returns the requests to be convicted next; none if there are no more. Of
-// several requests that were in flight at the same deaths and that the evidence
-// does not tell apart, it returns none before conclusiveDeaths. Called with mu
-// held.
-func (d *Detector) accuse(now time.Time) []accused {
+// accuse returns the requests or parts to be convicted next; none if there are no
+// more. Of several that were in flight at the same deaths and that the evidence
+// does not tell apart, it returns none before conclusiveDeaths, and then sets
+// undecided. A request goes before the parts of its prompt, because it explains no
+// other request's deaths. Called with mu held.
+func (d *Detector) accuse(now time.Time) (convict []accused, undecided bool) {
 	var all []accused
 	for _, f := range d.history.Fingerprints() {
 		if v, ok := d.verdicts[f]; d.history.Deaths(f) < 2 || ok && v.InForce(now) {
@@ -309,7 +342,7 @@
 		}
 		e := d.history.Evidence(f, now)
 		if a := d.policy.Assess(e); a.Standing == Convicted {
-			all = append(all, accused{f, a.Odds, e.unexplainedCauses()})
+			all = append(all, accused{f, a.Odds, e.unexplainedCauses(), e.AllSurvivals.Before + e.AllSurvivals.Since})
 		}
 	}
 	slices.SortFunc(all, func(a, b accused) int { return cmp.Compare(b.odds, a.odds) })
@@ -317,14 +350,17 @@
 		tied := slices.DeleteFunc(slices.Clone(all), func(a accused) bool {
 			return a.odds*tieFactor < first.odds || !d.history.shareDeath(a.fingerprint, first.fingerprint)
 		})
+		if requests := slices.DeleteFunc(slices.Clone(tied), func(a accused) bool { return d.history.IsPart(a.fingerprint) }); len(requests) > 0 {
+			tied = requests
+		}
 		if len(tied) == 1 {
-			return tied
+			return tied, false
 		}
 		if conclusive := slices.DeleteFunc(tied, func(a accused) bool { return a.deaths < conclusiveDeaths }); len(conclusive) > 0 {
-			return conclusive
+			return conclusive, true
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // put stores a verdict and keeps their number within maxVerdicts. Called with mu
@@ -350,11 +386,9 @@
 			d.drop(f)
 		}
 	}
-	for f := range d.reported {
-		if !d.history.HasDeaths(f) {
-			delete(d.reported, f)
-		}
-	}
+	noDeaths := func(f Fingerprint) bool { return !d.history.HasDeaths(f) }
+	maps.DeleteFunc(d.reported, func(f Fingerprint, _ Survivals) bool { return noDeaths(f) })
+	maps.DeleteFunc(d.uncertain, func(f Fingerprint, _ int) bool { return noDeaths(f) })
 }
 
 // Apply adopts a verdict of another daemon or of an earlier time, unless a later
@@ -363,7 +397,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old, known := d.verdicts[v.Fingerprint]
-	if !v.InForce(time.Now()) || known && old.Until > v.Until {
+	if !v.InForce(time.Now()) || known && old.Decided > v.Decided {
 		return
 	}
 	d.put(v)
@@ -375,9 +409,10 @@
 func (d *Detector) Clear(f Fingerprint) Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	v := Verdict{
 		Fingerprint: f, Service: d.verdicts[f].Service, Author: d.cfg.Self, Deaths: d.history.Deaths(f), Cleared: true,
-		Until: time.Now().Add(d.cfg.Term).UnixMilli(),
+		Part: d.verdicts[f].Part, Until: now.Add(d.cfg.Term).UnixMilli(), Decided: now.UnixMilli(),
 	}
 	d.put(v)
 	d.unrecorded[f] = struct{}{}
--- a/internal/suspect/elimination.go
+++ b/internal/suspect/elimination.go
@@ -3,8 +3,8 @@
 import "math"
 
 // Elimination judges by posterior odds, as Odds does, but ignores deaths that a
-// convicted request explains, bounds how much a single death can show, and takes
-// the survivals at all daemons into account.
+// convicted request explains, bounds how much one death and all deaths can show,
+// and takes the survivals at all daemons into account.
 type Elimination struct{}
 
 const (
@@ -18,14 +18,15 @@
 	eliminationConvictAt = 0.3
 	// unknownCause is the probability that a death during a run has a cause that
 	// the observed rate of deaths does not show, and unknownCauseOfOthers the
-	// same while other requests are in flight.
+	// same while other requests are in flight or for a part of a prompt, next to
+	// which there are always others.
 	unknownCause         = 0.001
 	unknownCauseOfOthers = 0.01
-	// maxEarlySurvivals bounds the weight of survivals before the first death: a
-	// request that used to run may crash a newer version of the server.
-	maxEarlySurvivals = 2
-	// conclusiveDeaths without a survival since the first one convict regardless
-	// of the rate at which groups die for other reasons.
+	// maxWeighedDeaths bounds the deaths that count. More of them show that groups
+	// die often, but not who is the cause; four survivals outweigh them all.
+	maxWeighedDeaths = 6
+	// conclusiveDeaths without any survival convict regardless of the rate at which
+	// groups die for other reasons.
 	conclusiveDeaths = 5
 )
 
@@ -34,23 +35,25 @@
 // Assess implements Policy.
 func (Elimination) Assess(e Evidence) Assessment {
 	odds := eliminationPrior / (1 - eliminationPrior)
-	deaths := e.unexplainedCauses()
+	deaths := 0
 	for _, d := range e.Deaths {
 		if d.Explained || d.Repeat {
 			continue
 		}
+		deaths++
+		if deaths > maxWeighedDeaths {
+			continue
+		}
 		innocent := e.Hazard*e.RunTime.Seconds() + d.Burst + unknownCause
-		if d.InFlight > 1 {
+		if d.InFlight > 1 || e.Part {
 			innocent += unknownCauseOfOthers
 		}
 		odds *= max(eliminationCrash/min(innocent, 1), 1)
 	}
-	survivals := min(e.AllSurvivals.Before, maxEarlySurvivals) + e.AllSurvivals.Since
+	survivals := e.AllSurvivals.Before + e.AllSurvivals.Since
 	odds *= math.Pow(1-eliminationCrash, float64(survivals))
 	a := Assessment{Odds: odds}
-	switch {
-	case e.AllSurvivals.Since >= deaths:
-	case odds >= eliminationConvictAt, deaths >= conclusiveDeaths && e.AllSurvivals.Since == 0:
+	if odds >= eliminationConvictAt || deaths >= conclusiveDeaths && survivals == 0 {
 		a.Standing = Convicted
 	}
 	return a
--- a/internal/suspect/events.go
+++ b/internal/suspect/events.go
@@ -11,7 +11,7 @@
 		"A group or a single backend server failed while it ran requests of this daemon.",
 		"Check the events of the group for the cause. The requests are now tracked as suspects.")
 	eventConvicted = event.Define(1901, "suspect.convicted", log.WarnLevel,
-		"A request was in flight at the failures of several groups or backend servers and is rejected from now on.",
+		"A request, or a part of a prompt, was in flight at the failures of several groups or backend servers; it, or each request with that part, is rejected from now on.",
 		"Find the caller by the fingerprint in dispatch.refused-suspect; clear the verdict if the request is harmless.")
 	eventNotRecorded = event.Define(1902, "suspect.not-recorded", log.WarnLevel,
 		"A verdict could not be recorded on the platform; daemons rely on the sightings they exchange.",
--- a/internal/suspect/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -28,6 +28,15 @@
 	return Fingerprint(d.Sum64())
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt, by its id. It
+// does not depend on the service, since a part may crash any engine.
+func PartFingerprint(id uint64) Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString("part\x00")
+	_, _ = d.WriteString(strconv.FormatUint(id, fingerprintBase))
+	return Fingerprint(d.Sum64())
+}
+
 // fingerprintBase is the number base of fingerprints in events and commands.
 const fingerprintBase = 16
 
--- a/internal/suspect/fold.go
+++ b/internal/suspect/fold.go
@@ -43,6 +43,13 @@
 	Until       int64             `cbor:"4,keyasint"` // Unix milliseconds
 	Deaths      int               `cbor:"5,keyasint"` // on which the conviction is based
 	Cleared     bool              `cbor:"6,keyasint"`
+	// Part is set if the fingerprint is that of a part of a prompt.
+	Part bool `cbor:"7,keyasint,omitempty"`
+	// Decided is when the decision was made, in Unix milliseconds; zero if that
+	// is not recorded.
+	Decided int64 `cbor:"8,keyasint,omitempty"`
+	// Survivals is the number of runs that groups survived.
+	Survivals int `cbor:"9,keyasint,omitempty"`
 }
 
 // standing returns the standing that the verdict imposes.
--- a/internal/suspect/hazard.go
+++ b/internal/suspect/hazard.go
@@ -60,10 +60,10 @@
 	causes := map[fleet.FabricDomain]float64{}
 	last := map[fleet.FabricDomain]time.Time{}
 	for _, d := range h.deathsByTime {
-		if _, present := d.inFlight[f]; present || d.convicted > 0 {
+		if d.has(f) || d.convicted > 0 {
 			continue
 		}
-		if at, ok := last[d.fabric]; !ok || d.at.Sub(at) > burstSpan {
+		if at, ok := last[d.fabric]; !ok || d.at.Sub(at) > h.causeSpan {
 			causes[d.fabric]++
 		}
 		last[d.fabric] = d.at
--- /dev/null
+++ b/internal/suspect/parts_test.go
@@ -0,0 +1,196 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// Parts of prompts in the tests: the first one is common to all requests.
+const (
+	firstPart Fingerprint = 1000 + iota
+	soundPart
+	otherSoundPart
+	badPart
+	otherBadPart
+)
+
+// withParts returns a request with parts in its prompt.
+func withParts(f Fingerprint, parts ...Fingerprint) Subjects {
+	return Subjects{Request: f, Parts: parts}
+}
+
+// runPrompt lets a request with parts run at a daemon and survive.
+func (all detectors) runPrompt(at int, s Subjects) {
+	all[at].Started("g", 1, s)
+	all[at].Ended("g", 1, s, true)
+}
+
+// crashPrompts lets a group die with the given requests in flight, the first one
+// at the first daemon and so on, and passes the evidence on.
+func (all detectors) crashPrompts(group, fabric string, inFlight ...Subjects) {
+	for i, s := range inFlight {
+		all[i%len(all)].Started(fleet.GroupID(group), 1, s)
+	}
+	for _, d := range all[:min(len(all), len(inFlight))] {
+		d.GroupDied(fleet.GroupID(group), 1, fleet.FabricDomain(fabric), "svc")
+	}
+	for i, s := range inFlight {
+		all[i%len(all)].Ended(fleet.GroupID(group), 1, s, false)
+	}
+	all.exchange()
+}
+
+// assertParts checks which of the parts are convicted at all daemons.
+func (all detectors) assertParts(t *testing.T, convicted ...Fingerprint) {
+	t.Helper()
+	time.Sleep(2 * decisionDelay)
+	for i, d := range all {
+		for f := firstPart; f <= otherBadPart; f++ {
+			want := Clear
+			for _, c := range convicted {
+				if c == f {
+					want = Convicted
+				}
+			}
+			got := d.Judge(withParts(1, f)).Standing
+			assert.Check(t, got == want, "daemon %d: part %d is %d, want %d", i, f, got, want)
+		}
+	}
+}
+
+// No two of the requests with the bad part are alike. Sound ones share their
+// other parts and are in flight at each crash.
+func TestPartIsConvictedAndItsNeighboursAreNot(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for at := range 3 {
+			d.runPrompt(at, withParts(1, firstPart, soundPart))
+			d.runPrompt(at, withParts(2, firstPart, otherSoundPart))
+		}
+		for n := range 3 {
+			d.assertParts(t)
+			d.crashPrompts(fmt.Sprint("g", n), fmt.Sprint("f", n),
+				withParts(Fingerprint(100+n), firstPart, soundPart, badPart),
+				withParts(Fingerprint(200+n), firstPart, otherSoundPart),
+				withParts(Fingerprint(300+n), firstPart, soundPart))
+		}
+		d.assertParts(t, badPart)
+		v := d[0].Verdicts()
+		assert.Equal(t, len(v), 1)
+		assert.Assert(t, v[0].Part && v[0].Deaths == 3 && v[0].Survivals == 0 && v[0].Decided > 0, "%+v", v[0])
+		time.Sleep(2 * time.Hour)
+		d.assertParts(t)
+	})
+}
+
+// A daemon that ran none of the sound requests itself knows from its peers that
+// they survived.
+func TestFirstPartWasConvictedAtADaemonThatJustStarted(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		d.runPrompt(1, withParts(1, firstPart, soundPart))
+		d.runPrompt(1, withParts(2, firstPart, soundPart))
+		for n := range 4 {
+			d.crashPrompts(fmt.Sprint("g", n), "", withParts(Fingerprint(100+n), firstPart, soundPart, badPart))
+			time.Sleep(outageSpan)
+		}
+		d.assertParts(t, badPart)
+	})
+}
+
+// A part that every request has is in flight at each of many crashes. Its earlier
+// runs keep it in use until sound runs have ended again.
+func TestFailureOfAllGroupsConvictedTheFirstPart(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for at := range 9 {
+			d.runPrompt(at%3, withParts(Fingerprint(at), firstPart, soundPart))
+		}
+		for n := range 60 {
+			d.crashPrompts(fmt.Sprint("g", n), fmt.Sprint("f", n%12), withParts(Fingerprint(100+n), firstPart, Fingerprint(2000+n)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		d.assertParts(t)
+	})
+}
+
+// Engines crash faster than sound runs end. What ran before the first crash
+// tells the parts apart.
+func TestPartsAreToldApartByEarlierRuns(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for range 5 {
+			d.runPrompt(0, withParts(1, firstPart, soundPart))
+		}
+		for n := range 8 {
+			d.crashPrompts(fmt.Sprint("g", n), fmt.Sprint("f", n%3),
+				withParts(Fingerprint(100+n), firstPart, soundPart, badPart), withParts(Fingerprint(200+n), firstPart, soundPart))
+			time.Sleep(150 * time.Millisecond)
+		}
+		d.assertParts(t, badPart)
+	})
+}
+
+// All requests so far have the same first part, and none has survived yet. The
+// parts are rejected together only for as long as it takes to tell them apart.
+func TestPartsThatCannotBeToldApartAreRejectedBriefly(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for n := range conclusiveDeaths {
+			d.assertParts(t)
+			d.crashPrompts(fmt.Sprint("g", n), "", withParts(Fingerprint(100+n), firstPart, badPart))
+		}
+		d.assertParts(t, firstPart, badPart)
+		time.Sleep(uncertainTerm)
+		d.assertParts(t)
+		d.runPrompt(0, withParts(1, firstPart, soundPart))
+		d.crashPrompts("h", "", withParts(200, firstPart, badPart))
+		d.assertParts(t, badPart)
+	})
+}
+
+func TestTwoBadPartsAreConvicted(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for at := range 6 {
+			d.runPrompt(at%3, withParts(1, firstPart, soundPart))
+		}
+		for n := range 2 * conclusiveDeaths {
+			d.crashPrompts(fmt.Sprint("g", n), fmt.Sprint("f", n%3),
+				withParts(Fingerprint(100+n), firstPart, badPart+Fingerprint(n%2)),
+				withParts(Fingerprint(200+n), firstPart, soundPart))
+			time.Sleep(500 * time.Millisecond)
+		}
+		d.assertParts(t, badPart, otherBadPart)
+	})
+}
+
+// A single request that its caller sends again and again crashes the servers.
+// The parts of its prompt, which nobody else has sent yet, are not to blame.
+func TestRepeatedRequestBlamedThePartsOfItsPrompt(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		d.runPrompt(0, withParts(1, firstPart))
+		d.runPrompt(0, withParts(2, firstPart))
+		for n := range 2 * conclusiveDeaths {
+			d.crashPrompts(fmt.Sprint("g", n), "", withParts(7, firstPart, soundPart))
+			time.Sleep(100 * time.Millisecond)
+		}
+		d.assertStandings(t, 7, Convicted)
+		d.assertParts(t)
+	})
+}
+
+// Two crashes under each request, as its daemon sends it on, must not hide that
+// the requests share a part.
+func TestRequestsSentOnHidTheirCommonPart(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		d.runPrompt(0, withParts(1, firstPart))
+		for n := range conclusiveDeaths {
+			s := withParts(Fingerprint(100+n), firstPart, badPart)
+			d.crashPrompts(fmt.Sprint("g", n), "f0", s)
+			time.Sleep(time.Second)
+			d.crashPrompts(fmt.Sprint("h", n), "f1", s)
+			time.Sleep(time.Second)
+		}
+		d.assertParts(t, badPart)
+	})
+}
--- a/internal/suspect/policy.go
+++ b/internal/suspect/policy.go
@@ -8,6 +8,8 @@
 // Evidence is what is known about one fingerprint. A Policy judges it without
 // access to a clock.
 type Evidence struct {
+	// Part is set if the fingerprint is that of a part of a prompt.
+	Part   bool
 	Deaths []DeathEvidence // with the fingerprint in flight, oldest first
 	// Survivals counts its runs at this daemon that a group survived, and
 	// AllSurvivals those at all daemons.
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -119,14 +119,19 @@
 	return t.assess(f, now).Standing
 }
 
-// ConvictedFor returns how much longer a verdict in the log convicts a request;
-// zero without one.
-func (t *Tracker) ConvictedFor(f Fingerprint) time.Duration {
+// Judge returns how a request is to be handled. Parts of its prompt are not
+// tracked.
+func (t *Tracker) Judge(s Subjects) Ruling {
+	r := Ruling{Standing: t.Standing(s.Request)}
+	if r.Standing == Clear {
+		return r
+	}
+	r.Fingerprint = s.Request
 	now := time.Now()
-	if v, ok := t.cfg.Fold.Verdict(f, now); ok && !v.Cleared {
-		return v.remaining(now)
+	if v, ok := t.cfg.Fold.Verdict(s.Request, now); ok && !v.Cleared {
+		r.Remaining = v.remaining(now)
 	}
-	return 0
+	return r
 }
 
 // assess judges a request and records in the history whether it is convicted.
@@ -138,18 +143,18 @@
 }
 
 // Started records the start of an attempt on a group.
-func (t *Tracker) Started(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint) {
+func (t *Tracker) Started(group fleet.GroupID, epoch fleet.Epoch, s Subjects) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.Started(group, epoch, f, time.Now())
+	t.history.Started(group, epoch, Subjects{Request: s.Request}, time.Now())
 }
 
 // Ended records the end of an attempt and whether its answer was complete. If
 // the group died, GroupDied must be called first.
-func (t *Tracker) Ended(group fleet.GroupID, epoch fleet.Epoch, f Fingerprint, survived bool) {
+func (t *Tracker) Ended(group fleet.GroupID, epoch fleet.Epoch, s Subjects, survived bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.Ended(group, epoch, f, survived, time.Now())
+	t.history.Ended(group, epoch, Subjects{Request: s.Request}, survived, time.Now())
 }
 
 // GroupDied records the death of a group. Repeated calls for a death have no
@@ -158,25 +163,18 @@
 	now := time.Now()
 	t.mu.Lock()
 	t.refreshGroups()
-	inFlight, fresh := t.history.GroupDied(group, epoch, fabric, name, now)
+	sighting, fresh := t.history.GroupDied(group, epoch, fabric, name, now)
 	if fresh {
 		clear(t.assessments)
-		t.addSighting(Sighting{
-			ID:       uuid.New(),
-			Group:    group,
-			Epoch:    epoch,
-			Fabric:   fabric,
-			Service:  name,
-			InFlight: inFlight,
-			At:       now,
-		})
+		sighting.ID = uuid.New()
+		t.addSighting(sighting)
 	}
 	t.mu.Unlock()
 	if !fresh {
 		return
 	}
 	t.deaths.Inc(1)
-	t.cfg.Events.Emit(eventDeath, "group", group, "epoch", epoch, "fabric", fabric, "service", name, "in_flight", len(inFlight))
+	t.cfg.Events.Emit(eventDeath, "group", group, "epoch", epoch, "fabric", fabric, "service", name, "in_flight", len(sighting.InFlight))
 	t.requestReview()
 }
 
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -1,5 +1,5 @@
-// Package suspect identifies suspects: requests that appear to crash the backend
-// servers that run them. A death is the failure of a group, and a sighting is
+// Package suspect identifies suspects: requests, or parts of their prompts, that
+// appear to crash the backend servers that run them. A death is the failure of a group, and a sighting is
 // one daemon's account of a death with the requests that were in flight. Daemons
 // exchange sightings by heartbeats and record verdicts in the control stream.
 package suspect
@@ -14,6 +14,23 @@
 // any daemon recognises a repetition of the request.
 type Fingerprint uint64
 
+// Subjects is what a request can be recognised by: itself, and the parts of its
+// prompt that other requests may share.
+type Subjects struct {
+	Request Fingerprint
+	Parts   []Fingerprint // distinct
+}
+
+// Ruling is how a request is to be handled.
+type Ruling struct {
+	Standing Standing
+	// Fingerprint is the request or the part of its prompt that the standing
+	// rests on; zero for Clear.
+	Fingerprint Fingerprint
+	// Remaining is how much longer a conviction lasts; zero if that is unknown.
+	Remaining time.Duration
+}
+
 // Sighting is the death of one group with the requests in flight on it, as
 // observed by one daemon.
 type Sighting struct {
@@ -23,11 +40,12 @@
 	Fabric   fleet.FabricDomain
 	Service  fleet.ServiceName
 	InFlight []Fingerprint
-	At       time.Time // on the clock of the daemon that holds the sighting
+	Parts    []Fingerprint // of the prompts of the requests in flight
+	At       time.Time     // on the clock of the daemon that holds the sighting
 }
 
 // Acquittal is one daemon's account of runs that a group survived, of requests
-// that were in flight at deaths.
+// and parts of prompts that were in flight at deaths.
 type Acquittal struct {
 	ID        [16]byte
 	Survivals map[Fingerprint]Survivals
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -205,6 +205,7 @@
 				}
 				quiet, later := sendSoundPrompts(w, start, bad, end)
 				tasks.Wait()
+				t.Logf("%d crashes; of the sound requests %.2f served in quiet times, %.2f later", w.crashCount(), quiet, later)
 				for _, part := range test.crashing {
 					late := w.lateCrashingRuns(part, crashesOfPart)
 					assert.Check(t, late <= maxLateSends, "part %s: %d sends later than %s after five crashes, %d crashes in all", part, late, stableWindow, w.crashCount())
