platform, standin/site: tests of answers that end with their connection

Checked both ways, whole and broken off, at the forwarder and at the entry: an answer that ends with its connection is whole, a reset one is not; a stream that ends inside an event resumes at another engine, and if each attempt breaks off its caller's connection breaks, too, after the last whole event.

Open question: a stream without chunks that ends at the boundary of two events because its engine ended looks whole.

--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -86,6 +86,11 @@
 	// crashingRuns the times at which such requests reached one, by the body or the
 	// part of a prompt that crashes servers.
 	crashes, crashingRuns map[string][]time.Time
+	// unframed makes engines send streams with neither a length nor chunks, which
+	// end with the connection. cuts is the number of streams that the engines still
+	// break off inside an event.
+	unframed bool
+	cuts     int
 	// crashingParts are the parts of a prompt on which engines crash.
 	crashingParts map[string]bool
 }
@@ -424,8 +429,12 @@
 	e.stream(w, r, id, m)
 }
 
-// eventsPerStream is the number of events of each stream.
-const eventsPerStream = 20
+const (
+	// eventsPerStream is the number of events of each stream.
+	eventsPerStream = 20
+	// cutAfterEvents is the event of a run inside which a stream is broken off.
+	cutAfterEvents = 5
+)
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, m *groupMembership) {
 	from := 0
@@ -434,6 +443,16 @@
 	}
 	w.Header().Set("X-Carawayproxy-Server-Stamp", "proof-"+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
+	s := e.world.shared
+	s.mu.Lock()
+	unframed, cut := s.unframed, s.cuts > 0
+	if cut {
+		s.cuts--
+	}
+	s.mu.Unlock()
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	started := false
 	for n := from + 1; n <= eventsPerStream; n++ {
 		if !e.step(r, m) {
@@ -443,6 +462,11 @@
 			started = true
 			e.world.shared.recordRun(e, m, id)
 		}
+		if cut && n == from+cutAfterEvents {
+			fmt.Fprintf(w, "id: %d\ndata: %s", n, id)
+			_ = http.NewResponseController(w).Flush() // the connection is closed next
+			panic(http.ErrAbortHandler)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n)
 		if http.NewResponseController(w).Flush() != nil {
 			return
--- /dev/null
+++ b/standin/site/unframed_test.go
@@ -0,0 +1,40 @@
+package site
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Streams may have neither a length nor chunks and end with their connection. One
+// that ends inside an event was broken off: it resumes at another engine, and if
+// that breaks off too, the caller must be able to tell.
+func TestUnframedStreams(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		unframed bool
+		cuts     int
+		complete bool
+	}{
+		{"whole", true, 0, true},
+		{"broken off once", true, 1, true},
+		{"broken off at each attempt", true, 3, false},
+		{"in chunks, broken off once", false, 1, true},
+		{"in chunks, broken off at each attempt", false, 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runWorld(t, func(t *testing.T, w *World) {
+				w.Update(func() { w.shared.unframed, w.shared.cuts = test.unframed, test.cuts })
+				r := w.Stream(w.Daemons[0], "s", ModelOfTwo)
+				assert.Equal(t, r.Status, http.StatusOK)
+				assert.Equal(t, r.IsComplete("s"), test.complete, "%v, %q", r.Err, r.Body)
+				if !test.complete {
+					assert.Assert(t, r.Err != nil, "the caller cannot tell that the stream was broken off: %q", r.Body)
+					assert.Assert(t, strings.HasSuffix(r.Body, "\n\n"), "a part of an event was passed on: %q", r.Body)
+				}
+			})
+		})
+	}
+}
