api, ctl: the evidence and the age of a verdict on crashing requests

Both kinds of daemon fill the message by one function. TestOperatorClearsAVerdict checks the new fields.

--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -145,9 +145,13 @@
 	}
 	var rows [][]string
 	for _, x := range resp.Suspects {
-		rows = append(rows, []string{x.Fingerprint, x.Service, strconv.Itoa(int(x.Deaths)), x.Until, yesNo(x.Cleared)})
+		kind := "request"
+		if x.Part {
+			kind = "part"
+		}
+		rows = append(rows, []string{x.Fingerprint, kind, x.Service, strconv.Itoa(int(x.Deaths)), strconv.Itoa(int(x.Survivals)), x.Decided, x.Until, yesNo(x.Cleared)})
 	}
-	return s.ctl.printResult(resp, []string{"FINGERPRINT", "SERVICE", "DEATHS", "UNTIL", "CLEARED"}, rows)
+	return s.ctl.printResult(resp, []string{"FINGERPRINT", "KIND", "SERVICE", "DEATHS", "SURVIVALS", "DECIDED", "UNTIL", "CLEARED"}, rows)
 }
 
 type clearCommand struct {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,6 +15,7 @@
 	"carawayproxy.example/caraway/internal/datastore"
 	"carawayproxy.example/caraway/internal/event"
 	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/gateway"
 	"carawayproxy.example/caraway/internal/group"
 	"carawayproxy.example/caraway/internal/journal"
 	"carawayproxy.example/caraway/internal/service"
@@ -284,13 +285,7 @@
 func (a adminService) ListSuspects(context.Context, *connect.Request[carawayv1.ListSuspectsRequest]) (*connect.Response[carawayv1.ListSuspectsResponse], error) {
 	resp := &carawayv1.ListSuspectsResponse{}
 	for _, v := range a.d.suspects.Verdicts() {
-		resp.Suspects = append(resp.Suspects, &carawayv1.Suspect{
-			Fingerprint: v.Fingerprint.String(),
-			Service:     string(v.Service),
-			Deaths:      uint32(v.Deaths),
-			Until:       time.UnixMilli(v.Until).UTC().Format(time.RFC3339),
-			Cleared:     v.Cleared,
-		})
+		resp.Suspects = append(resp.Suspects, gateway.SuspectMessage(v))
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/gateway"
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
@@ -23,13 +23,7 @@
 func (a adminService) ListSuspects(context.Context, *connect.Request[carawayv1.ListSuspectsRequest]) (*connect.Response[carawayv1.ListSuspectsResponse], error) {
 	resp := &carawayv1.ListSuspectsResponse{}
 	for _, v := range a.d.detector.Verdicts() {
-		resp.Suspects = append(resp.Suspects, &carawayv1.Suspect{
-			Fingerprint: v.Fingerprint.String(),
-			Service:     string(v.Service),
-			Deaths:      uint32(v.Deaths),
-			Until:       time.UnixMilli(v.Until).UTC().Format(time.RFC3339),
-			Cleared:     v.Cleared,
-		})
+		resp.Suspects = append(resp.Suspects, gateway.SuspectMessage(v))
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/internal/suspect/fold.go
+++ b/internal/suspect/fold.go
@@ -72,6 +72,14 @@
 	return remaining > 0 && remaining <= maxVerdictTerm+maxClockSkew
 }
 
+// DecidedAt returns when the decision was made; zero if that is not recorded.
+func (v Verdict) DecidedAt() time.Time {
+	if v.Decided == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(v.Decided)
+}
+
 type convictRecord struct {
 	Fingerprint Fingerprint       `cbor:"1,keyasint"`
 	Service     fleet.ServiceName `cbor:"2,keyasint"`
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -289,7 +289,8 @@
 			list, err := d.adminClient().ListSuspects(t.Context(), connect.NewRequest(&carawayv1.ListSuspectsRequest{}))
 			assert.NilError(t, err)
 			assert.Equal(t, len(list.Msg.Suspects), 1)
-			assert.Assert(t, list.Msg.Suspects[0].Deaths >= 2 && !list.Msg.Suspects[0].Cleared, "%v", list.Msg.Suspects[0])
+			s := list.Msg.Suspects[0]
+			assert.Assert(t, s.Deaths >= 2 && !s.Cleared && !s.Part && s.Decided != "", "%v", s)
 			fingerprint = list.Msg.Suspects[0].Fingerprint
 		}
 		_, err = w.Daemons[0].adminClient().ClearSuspect(t.Context(), connect.NewRequest(&carawayv1.ClearSuspectRequest{Fingerprint: fingerprint}))
