--- a/cmd/carawayd/docs_test.go
+++ b/cmd/carawayd/docs_test.go
@@ -160,6 +160,18 @@
 	assert.Assert(t, asserted > 10, "found only %d assertions", asserted)
 }
 
+// TestRulesPage checks that each test named in docs/design/rules.md exists.
+func TestRulesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/rules.md")
+	assert.NilError(t, err)
+	tests := sources(t, isTest)
+	names := testName.FindAllStringSubmatch(string(page), -1)
+	assert.Assert(t, len(names) > 40, "found only %d tests", len(names))
+	for _, m := range names {
+		assert.Check(t, strings.Contains(tests, "func "+m[1]+"("), "%s is on the page and not in the code", m[1])
+	}
+}
+
 // TestLinksOfThePages checks that each relative link of a page leads to an
 // existing file.
 func TestLinksOfThePages(t *testing.T) {
--- a/standin/site/unframed_test.go
+++ b/standin/site/unframed_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -38,3 +39,26 @@
 		})
 	}
 }
+
+// A document shortens a route's time-out. A request that no engine answers gets
+// its final answer at the time-out, not at the caller's deadline.
+func TestRouteTimeoutIsKept(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		document := Document(2)
+		for _, route := range document["routes"].([]any) {
+			route.(map[string]any)["timeoutMs"] = 1500
+		}
+		w.Publish(document)
+		time.Sleep(2 * time.Second)
+		w.Update(func() {
+			for _, e := range w.Engines {
+				e.dead = true
+			}
+		})
+		began := time.Now()
+		r := w.Stream(w.Daemons[1], "s", ModelOfTwo)
+		took := time.Since(began)
+		assert.Assert(t, r.Status != http.StatusOK && r.Err == nil, "status %d, %v", r.Status, r.Err)
+		assert.Assert(t, took <= 2*time.Second, "answered after %s, the route's time-out is 1.5 s", took)
+	})
+}
