suspect: daemons agree on verdicts, and uncertain ones end by themselves

- A daemon that had convicted the request, but not yet the part, saw no more crashes once the others rejected the part, and let requests pass.
Only the lease holder announced its verdicts.
Each daemon announces its own now.
- A daemon that had just started and knew of no survivals made an uncertain verdict of 10 s, which replaced the others' verdict of an hour.
Of two convictions the one that lasts longer counts now.
The stored verdicts are read as soon as a daemon starts, not half a second later.
- After a restart of all daemons the common parts and the bad one were told apart only after five requests, of which each crashed up to three engines.
Five deaths that were seen, three of them under different requests, suffice; the uncertain verdict on a sound part ends with the first run that survives.

TestUncertainVerdictReplacedACertainOne and TestVerdictsWereKeptToTheDaemonThatDecided hold the first two.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -179,6 +179,10 @@
 		Metrics: d.metrics,
 		Groups:  d.groupsByFabric,
 		Notify:  d.mesh.RequestHeartbeat,
+		Announce: func(v suspect.Verdict) {
+			d.broadcastVerdict(v)
+			d.mesh.RequestHeartbeat()
+		},
 	})
 	d.stallDetector = datastore.NewStallDetector(d.onGroupStalled)
 	d.refusals = datastore.NewRefusals()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -140,7 +140,7 @@
 		var p serverBroadcast
 		err := cbor.Unmarshal(b.Body, &p)
 		if err == nil && p.Verdict != nil {
-			d.detector.Apply(*p.Verdict)
+			d.detector.Apply(*p.Verdict, false)
 			continue
 		}
 		if err != nil || b.Version == 0 || (p.Server == nil) != p.Deleted {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -20,21 +20,16 @@
 	verdictKeyPrefix = "verdict/"
 )
 
-// keepVerdicts reads the stored verdicts once, and then broadcasts and stores
-// this daemon's own while it holds the lease. All daemons reach the same verdicts
-// from the evidence they exchange; the stored ones are for daemons that start
-// later, and the broadcast ones for daemons that miss a part of the evidence.
+// keepVerdicts reads the stored verdicts once, and then stores those of all
+// daemons while it holds the lease, for daemons that start later.
 func (d *Daemon) keepVerdicts(ctx context.Context) {
-	read := false
+	for !d.readVerdicts(ctx) && sleep(ctx, verdictsInterval) {
+	}
 	for sleep(ctx, verdictsInterval) {
-		if !read {
-			read = d.readVerdicts(ctx)
-		}
 		if !d.groupController.HoldsLease() || d.storeUnavailable.Load() {
 			continue
 		}
 		for _, v := range d.detector.Unrecorded() {
-			d.broadcastVerdict(v)
 			d.detector.Recorded(v, d.env.Platform.Verdicts.RecordVerdict(ctx, v))
 		}
 	}
@@ -56,7 +51,7 @@
 			d.events.Emit(eventBadRecord, "what", "verdicts", "key", item.Key, "error", item.Err)
 		case item.Deleted:
 		case item.Value.InForce(time.Now()):
-			d.detector.Apply(item.Value)
+			d.detector.Apply(item.Value, true)
 		case d.groupController.HoldsLease():
 			if err := d.env.Platform.Verdicts.DropVerdict(ctx, item.Value.Fingerprint); err != nil {
 				d.events.Emit(eventStoreFailed, "what", "deletion of a verdict", "error", err)
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -19,6 +19,9 @@
 	// decisionDelay is the time between new evidence and the decision on it, in
 	// which peers report survivals of the same requests.
 	decisionDelay = 300 * time.Millisecond
+	// minTiedDeaths is the number of deaths that count from which on requests or
+	// parts that cannot be told apart are rejected, if conclusiveDeaths were seen.
+	minTiedDeaths = 3
 	// tieFactor is the ratio of the odds up to which two requests that were in
 	// flight at the same deaths cannot be told apart.
 	tieFactor = 10
@@ -43,6 +46,9 @@
 	// Notify is called when there is new evidence for the peers. It must not
 	// block; nil for none.
 	Notify func()
+	// Announce sends a verdict of this daemon to the peers. It must not block; nil
+	// for none.
+	Announce func(Verdict)
 	// Term is the duration of a verdict. Zero means one hour.
 	Term time.Duration
 }
@@ -58,7 +64,7 @@
 	mu              sync.Mutex
 	history         *History
 	verdicts        map[Fingerprint]Verdict
-	unrecorded      map[Fingerprint]struct{} // own verdicts to be kept outside
+	unrecorded      map[Fingerprint]struct{} // verdicts that may not be kept outside yet
 	reported        map[Fingerprint]Survivals
 	uncertain       map[Fingerprint]int // verdicts of uncertainTerm so far
 	ownSightings    []Sighting
@@ -80,6 +86,9 @@
 	if cfg.Notify == nil {
 		cfg.Notify = func() {}
 	}
+	if cfg.Announce == nil {
+		cfg.Announce = func(Verdict) {}
+	}
 	h := NewHistory(time.Now())
 	h.causeSpan = outageSpan
 	return &Detector{
@@ -140,9 +149,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.history.Ended(group, epoch, s, survived, now)
-	if survived {
-		d.reportSurvivals(now, s.Request)
-		d.reportSurvivals(now, s.Parts...)
+	if !survived {
+		return
+	}
+	d.reportSurvivals(now, s.Request)
+	d.reportSurvivals(now, s.Parts...)
+	for _, f := range s.Parts {
+		if d.verdicts[f].Uncertain {
+			d.requestReview()
+		}
 	}
 }
 
@@ -222,10 +237,12 @@
 		reports = d.reportSurvivals(now, s.Parts...) || reports
 	}
 	for _, a := range acquittals {
-		if d.isNew(a.ID) {
-			for f, s := range a.Survivals {
-				d.history.AddPeerSurvivals(f, s)
-			}
+		if !d.isNew(a.ID) {
+			continue
+		}
+		for f, s := range a.Survivals {
+			d.history.AddPeerSurvivals(f, s)
+			fresh = fresh || d.verdicts[f].Uncertain
 		}
 	}
 	d.mu.Unlock()
@@ -289,16 +306,17 @@
 	d.mu.Lock()
 	d.history.SetGroups(groups)
 	d.expire(now)
+	lifted := d.liftUnsupported(now)
 	var added []Verdict
 	var odds []float64
 	for {
-		accused, undecided := d.accuse(now)
+		accused, uncertain := d.accuse(now)
 		if len(accused) == 0 {
 			break
 		}
 		for _, a := range accused {
 			term := d.cfg.Term
-			if undecided || a.survivals > 0 {
+			if uncertain {
 				n := d.uncertain[a.fingerprint]
 				term = min(uncertainTerm<<min(n, maxTermDoublings), term)
 				d.uncertain[a.fingerprint] = n + 1
@@ -306,7 +324,7 @@
 			v := Verdict{
 				Fingerprint: a.fingerprint, Service: d.history.Service(a.fingerprint), Author: d.cfg.Self,
 				Until: now.Add(term).UnixMilli(), Deaths: a.deaths, Survivals: a.survivals,
-				Part: d.history.IsPart(a.fingerprint), Decided: now.UnixMilli(),
+				Part: d.history.IsPart(a.fingerprint), Decided: now.UnixMilli(), Uncertain: uncertain,
 			}
 			d.put(v)
 			d.unrecorded[a.fingerprint] = struct{}{}
@@ -314,35 +332,61 @@
 		}
 	}
 	d.mu.Unlock()
+	for _, f := range lifted {
+		d.cfg.Events.Emit(eventLifted, "fingerprint", f)
+	}
 	for i, v := range added {
+		d.cfg.Announce(v)
 		d.convictions.Inc(1)
 		d.cfg.Events.Emit(eventConvicted, "fingerprint", v.Fingerprint, "part", v.Part, "service", v.Service,
 			"deaths", v.Deaths, "survivals", v.Survivals, "odds", odds[i], "until", time.UnixMilli(v.Until).UTC())
 	}
 }
 
+// liftUnsupported drops the uncertain verdicts that the evidence no longer
+// supports, and returns their fingerprints. Called with mu held.
+func (d *Detector) liftUnsupported(now time.Time) []Fingerprint {
+	var lifted []Fingerprint
+	for f, v := range d.verdicts {
+		if v.Uncertain && !v.Cleared && d.history.HasDeaths(f) && d.policy.Assess(d.history.Evidence(f, now)).Standing != Convicted {
+			lifted = append(lifted, f)
+		}
+	}
+	for _, f := range lifted {
+		d.drop(f)
+	}
+	return lifted
+}
+
 // accused is a request or a part that the evidence speaks against.
 type accused struct {
 	fingerprint Fingerprint
 	odds        float64
-	deaths      int // without a known cause
+	deaths      int // without a known cause that count
+	seen        int // without a known cause in all
 	survivals   int
 }
 
+// conclusive reports whether the deaths suffice to convict without telling the
+// request or part from others.
+func (a accused) conclusive() bool {
+	return a.deaths >= conclusiveDeaths || a.seen >= conclusiveDeaths && a.deaths >= minTiedDeaths
+}
+
 // accuse returns the requests or parts to be convicted next; none if there are no
 // more. Of several that were in flight at the same deaths and that the evidence
-// does not tell apart, it returns none before conclusiveDeaths, and then sets
-// undecided. A request goes before the parts of its prompt, because it explains no
-// other request's deaths. Called with mu held.
-func (d *Detector) accuse(now time.Time) (convict []accused, undecided bool) {
+// does not tell apart, it returns none before conclusiveDeaths. uncertain is set for
+// these and for one that groups have survived. A request goes before the parts of
+// its prompt, because it explains no other request's deaths. Called with mu held.
+func (d *Detector) accuse(now time.Time) (convict []accused, uncertain bool) {
 	var all []accused
 	for _, f := range d.history.Fingerprints() {
-		if v, ok := d.verdicts[f]; d.history.Deaths(f) < 2 || ok && v.InForce(now) {
+		if v, ok := d.verdicts[f]; d.history.Deaths(f) < 2 || ok && v.InForce(now) && !v.Uncertain {
 			continue
 		}
 		e := d.history.Evidence(f, now)
 		if a := d.policy.Assess(e); a.Standing == Convicted {
-			all = append(all, accused{f, a.Odds, e.unexplainedCauses(), e.AllSurvivals.Before + e.AllSurvivals.Since})
+			all = append(all, accused{f, a.Odds, e.unexplainedCauses(), e.unexplained(), e.AllSurvivals.Before + e.AllSurvivals.Since})
 		}
 	}
 	slices.SortFunc(all, func(a, b accused) int { return cmp.Compare(b.odds, a.odds) })
@@ -353,11 +397,14 @@
 		if requests := slices.DeleteFunc(slices.Clone(tied), func(a accused) bool { return d.history.IsPart(a.fingerprint) }); len(requests) > 0 {
 			tied = requests
 		}
-		if len(tied) == 1 {
+		if len(tied) == 1 && tied[0].survivals == 0 {
 			return tied, false
 		}
-		if conclusive := slices.DeleteFunc(tied, func(a accused) bool { return a.deaths < conclusiveDeaths }); len(conclusive) > 0 {
-			return conclusive, true
+		rejected := func(a accused) bool { return d.verdicts[a.fingerprint].InForce(now) }
+		several := len(tied) > 1
+		undecided := slices.DeleteFunc(tied, func(a accused) bool { return rejected(a) || several && !a.conclusive() })
+		if len(undecided) > 0 {
+			return undecided, true
 		}
 	}
 	return nil, false
@@ -367,7 +414,8 @@
 // held.
 func (d *Detector) put(v Verdict) {
 	d.verdicts[v.Fingerprint] = v
-	d.history.SetConvicted(v.Fingerprint, !v.Cleared)
+	// An uncertain verdict explains no deaths.
+	d.history.SetConvicted(v.Fingerprint, !v.Cleared && !v.Uncertain)
 	if len(d.verdicts) > maxVerdicts {
 		d.drop(firstToExpire(d.verdicts))
 	}
@@ -392,16 +440,20 @@
 }
 
 // Apply adopts a verdict of another daemon or of an earlier time, unless a later
-// one on the same fingerprint is known.
-func (d *Detector) Apply(v Verdict) {
+// one on the same fingerprint is known. recorded is set if it is kept outside.
+func (d *Detector) Apply(v Verdict, recorded bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old, known := d.verdicts[v.Fingerprint]
-	if !v.InForce(time.Now()) || known && old.Decided > v.Decided {
+	if now := time.Now(); !v.InForce(now) || known && old.InForce(now) && old != v && !v.replaces(old) {
 		return
 	}
 	d.put(v)
-	delete(d.unrecorded, v.Fingerprint)
+	if recorded {
+		delete(d.unrecorded, v.Fingerprint)
+	} else {
+		d.unrecorded[v.Fingerprint] = struct{}{}
+	}
 }
 
 // Clear lets a request run as usual for DetectorConfig.Term regardless of the
@@ -428,7 +480,7 @@
 	return sortedVerdicts(d.verdicts)
 }
 
-// Unrecorded returns the verdicts of this daemon that are not kept outside yet.
+// Unrecorded returns the verdicts that may not be kept outside yet.
 func (d *Detector) Unrecorded() []Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/suspect/detector_test.go
+++ b/internal/suspect/detector_test.go
@@ -243,7 +243,7 @@
 		assert.Equal(t, len(d[0].Unrecorded()), 0)
 		time.Sleep(time.Millisecond) // a verdict of the same time does not replace another
 		for _, other := range d[1:] {
-			other.Apply(v)
+			other.Apply(v, true)
 		}
 		d.crash("plain/x", "", inFlight{7})
 		d.assertStandings(t, 7, Clear)
@@ -275,7 +275,7 @@
 		sightings, _ := d[0].Evidence()
 		assert.Assert(t, len(sightings) <= maxSightings)
 		for n := range maxVerdicts + 10 {
-			d[1].Apply(Verdict{Fingerprint: Fingerprint(n), Until: time.Now().Add(time.Hour + time.Duration(n)*time.Millisecond).UnixMilli()})
+			d[1].Apply(Verdict{Fingerprint: Fingerprint(n), Until: time.Now().Add(time.Hour + time.Duration(n)*time.Millisecond).UnixMilli()}, true)
 		}
 		verdicts := d[1].Verdicts()
 		assert.Equal(t, len(verdicts), maxVerdicts)
--- a/internal/suspect/elimination.go
+++ b/internal/suspect/elimination.go
@@ -59,6 +59,17 @@
 	return a
 }
 
+// unexplained counts the deaths that no convicted request explains.
+func (e Evidence) unexplained() int {
+	n := 0
+	for _, d := range e.Deaths {
+		if !d.Explained {
+			n++
+		}
+	}
+	return n
+}
+
 // unexplainedCauses counts the deaths with a cause of their own that no convicted
 // request explains.
 func (e Evidence) unexplainedCauses() int {
--- a/internal/suspect/events.go
+++ b/internal/suspect/events.go
@@ -16,6 +16,9 @@
 	eventNotRecorded = event.Define(1902, "suspect.not-recorded", log.WarnLevel,
 		"A verdict could not be recorded on the platform; daemons rely on the sightings they exchange.",
 		"Check the log service or the store if it repeats.")
+	eventLifted = event.Define(1904, "suspect.lifted", log.InfoLevel,
+		"A verdict ended early: it rested on evidence that did not tell several requests or parts of prompts apart, and a run has survived since.",
+		"None.")
 	eventCleared = event.Define(1903, "suspect.cleared", log.InfoLevel,
 		"A verdict was cleared on an operator's request.",
 		"None.")
--- a/internal/suspect/fold.go
+++ b/internal/suspect/fold.go
@@ -50,6 +50,20 @@
 	Decided int64 `cbor:"8,keyasint,omitempty"`
 	// Survivals is the number of runs that groups survived.
 	Survivals int `cbor:"9,keyasint,omitempty"`
+	// Uncertain is set if the evidence did not tell the fingerprint from others, or
+	// if groups have survived it. Such a verdict ends once the evidence no longer
+	// supports it.
+	Uncertain bool `cbor:"10,keyasint,omitempty"`
+}
+
+// replaces reports whether the verdict takes the place of another one on the same
+// fingerprint. Among convictions the one that lasts longest counts; a clearance
+// counts against earlier decisions.
+func (v Verdict) replaces(old Verdict) bool {
+	if v.Cleared || old.Cleared {
+		return v.Decided > old.Decided
+	}
+	return v.Until > old.Until
 }
 
 // standing returns the standing that the verdict imposes.
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -1,8 +1,10 @@
 package suspect
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -194,3 +196,47 @@
 		d.assertParts(t, badPart)
 	})
 }
+
+// A daemon that has just started knows of no survivals, so that its verdict on
+// the same part is uncertain and short. It must not end the others' verdict.
+func TestUncertainVerdictReplacedACertainOne(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		certain := Verdict{Fingerprint: badPart, Part: true, Decided: time.Now().UnixMilli(), Until: time.Now().Add(time.Hour).UnixMilli()}
+		later := Verdict{Fingerprint: badPart, Part: true, Uncertain: true, Decided: certain.Decided + 5000, Until: time.Now().Add(15 * time.Second).UnixMilli()}
+		d[0].Apply(certain, true)
+		d[0].Apply(later, false)
+		d[1].Apply(later, false)
+		d[1].Apply(certain, true)
+		time.Sleep(time.Minute)
+		for _, of := range d[:2] {
+			assert.Equal(t, of.Judge(withParts(1, badPart)).Standing, Convicted)
+			cleared := of.Clear(badPart)
+			of.Apply(certain, true)
+			assert.Equal(t, of.Judge(withParts(1, badPart)).Standing, Clear, "an earlier conviction ended the clearance")
+			assert.DeepEqual(t, of.Verdicts(), []Verdict{cleared})
+		}
+	})
+}
+
+// Once other daemons reject a request, a daemon without the verdict sees no more
+// deaths to decide by. Each daemon announces its own.
+func TestVerdictsWereKeptToTheDaemonThatDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var announced []Verdict
+		d := NewDetector(DetectorConfig{
+			Groups:   func() map[fleet.FabricDomain]int { return map[fleet.FabricDomain]int{"": 3} },
+			Announce: func(v Verdict) { announced = append(announced, v) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		all := detectors{d}
+		for n := range 3 {
+			all.crash(fmt.Sprint("plain/", n), "", inFlight{7})
+		}
+		all.assertStandings(t, 7, Convicted)
+		assert.DeepEqual(t, announced, d.Verdicts())
+		assert.DeepEqual(t, d.Unrecorded(), d.Verdicts())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,34 +16,6 @@
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
 )
 
-// Bounds of the platform on requests that crash backend servers: at most
-// maxLateSends reach one later than stableWindow after the crash numbered
-// crashesOfRequest, or with a part of a prompt crashesOfPart.
-const (
-	stableWindow     = 3 * time.Second
-	crashesOfRequest = 3
-	crashesOfPart    = 5
-	maxLateSends     = 3
-)
-
-// lateCrashingRuns returns how many requests with a body or a part of a prompt
-// that crashes servers reached one later than stableWindow after the given number
-// of its crashes.
-func (w *World) lateCrashingRuns(cause string, crashes int) int {
-	w.shared.mu.Lock()
-	defer w.shared.mu.Unlock()
-	if len(w.shared.crashes[cause]) < crashes {
-		return 0
-	}
-	late := 0
-	for _, at := range w.shared.crashingRuns[cause] {
-		if at.Sub(w.shared.crashes[cause][crashes-1]) > stableWindow {
-			late++
-		}
-	}
-	return late
-}
-
 // crashCount returns how often requests have crashed a server.
 func (w *World) crashCount() int {
 	w.shared.mu.Lock()
@@ -90,7 +61,7 @@
 				var tasks sync.WaitGroup
 				tasks.Go(func() { sendCrashing(w, end) })
 				tasks.Go(func() {
-					for w.crashCount() < crashesOfRequest {
+					for w.crashCount() < CrashesOfRequest {
 						time.Sleep(100 * time.Millisecond)
 					}
 					time.Sleep(test.restartAfter)
@@ -104,8 +75,8 @@
 				served, sent := sendSound(w, time.Now().Add(25*time.Second), end)
 				tasks.Wait()
 				assert.Assert(t, w.crashCount() > 0)
-				late := w.lateCrashingRuns(CrashingBody, crashesOfRequest)
-				assert.Check(t, late <= maxLateSends, "%d sends of the request after three crashes and %s, %d crashes", late, stableWindow, w.crashCount())
+				late := w.LateCrashingRuns(CrashingBody, CrashesOfRequest, time.Time{})
+				assert.Check(t, late <= MaxLateSends, "%d sends of the request after three crashes and %s, %d crashes", late, StableWindow, w.crashCount())
 				assert.Check(t, served*100 >= sent*99, "%d of %d other requests served from 25 s on", served, sent)
 				r := w.Call(w.Daemons[2], http.MethodPost, "/safe/x", "last", "", CrashingBody, nil)
 				assert.Check(t, r.Status == http.StatusServiceUnavailable, "status %d", r.Status)
@@ -165,11 +136,9 @@
 				defer time.Sleep(settleTime) // lets pending dials end
 				defer w.Close()
 				time.Sleep(leadTime)
-				w.Update(func() {
-					for _, part := range test.crashing {
-						w.shared.crashingParts[part] = true
-					}
-				})
+				for _, part := range test.crashing {
+					w.CrashOn(part)
+				}
 				start := time.Now()
 				bad, end := start.Add(10*time.Second), start.Add(70*time.Second)
 				var tasks sync.WaitGroup
@@ -182,7 +151,7 @@
 					sendBadPrompts(w, test.bad, end)
 				})
 				tasks.Go(func() {
-					for w.crashCount() < crashesOfPart && time.Now().Before(end) {
+					for w.crashCount() < CrashesOfPart && time.Now().Before(end) {
 						time.Sleep(100 * time.Millisecond)
 					}
 					time.Sleep(test.restartAfter)
@@ -207,8 +176,8 @@
 				tasks.Wait()
 				t.Logf("%d crashes; of the sound requests %.2f served in quiet times, %.2f later", w.crashCount(), quiet, later)
 				for _, part := range test.crashing {
-					late := w.lateCrashingRuns(part, crashesOfPart)
-					assert.Check(t, late <= maxLateSends, "part %s: %d sends later than %s after five crashes, %d crashes in all", part, late, stableWindow, w.crashCount())
+					late := w.LateCrashingRuns(part, CrashesOfPart, time.Time{})
+					assert.Check(t, late <= MaxLateSends, "part %s: %d sends later than %s after five crashes, %d crashes in all", part, late, StableWindow, w.crashCount())
 				}
 				assert.Check(t, later >= quiet/2, "%.2f of the sound requests served in quiet times, %.2f later", quiet, later)
 				assert.Check(t, quiet > 0.9, "%.2f of the sound requests served in quiet times", quiet)
@@ -217,11 +186,6 @@
 	}
 }
 
-// prompt is the header of a prompt with these parts and a last one of its own.
-func prompt(parts []string, last int) http.Header {
-	return http.Header{"X-Carawayproxy-Prefix-Hash": {strings.Join(parts, ":100,") + fmt.Sprintf(":100,%x:50", 1<<32+last)}}
-}
-
 // sendBadPrompts sends requests with the given parts to all daemons in turn. No
 // two of them are alike.
 func sendBadPrompts(w *World, parts [][]string, end time.Time) {
@@ -229,7 +193,7 @@
 	for n := 0; time.Now().Before(end); n++ {
 		callers.Go(func() {
 			id := fmt.Sprintf("bad-%d", n)
-			w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, prompt(parts[n%len(parts)], n))
+			w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, Prompt(parts[n%len(parts)], n))
 		})
 		time.Sleep(300 * time.Millisecond)
 	}
@@ -248,7 +212,7 @@
 		callers.Go(func() {
 			id := fmt.Sprintf("sound-%d", n)
 			parts := []string{"aa", fmt.Sprintf("b%d", n%6)}
-			r := w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, prompt(parts, n))
+			r := w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, Prompt(parts, n))
 			period := 0
 			switch {
 			case at.After(bad.Add(25 * time.Second)):
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -83,9 +83,10 @@
 	violations []string
 	runs       map[string]int // by request id and service
 	// crashes holds the times at which requests crashed a backend server, and
-	// crashingRuns the times at which such requests reached one, by the body or the
+	// crashingRuns the requests of that kind that reached one, by the body or the
 	// part of a prompt that crashes servers.
-	crashes, crashingRuns map[string][]time.Time
+	crashes      map[string][]time.Time
+	crashingRuns map[string][]crashingRun
 	// unframed makes engines send streams with neither a length nor chunks, which
 	// end with the connection. cuts is the number of streams that the engines still
 	// break off inside an event.
@@ -95,9 +96,15 @@
 	crashingParts map[string]bool
 }
 
+// crashingRun is the arrival at a backend server of a request that crashes it.
+type crashingRun struct {
+	at      time.Time
+	request string
+}
+
 func newSharedState() *sharedState {
 	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, crashingParts: map[string]bool{},
-		crashes: map[string][]time.Time{}, crashingRuns: map[string][]time.Time{}}
+		crashes: map[string][]time.Time{}, crashingRuns: map[string][]crashingRun{}}
 }
 
 func (s *sharedState) addViolation(format string, args ...any) {
@@ -152,14 +159,14 @@
 
 // crashingPart returns the part of a prompt that crashes engines, empty if there
 // is none, and records that the request reached one. The last part never does.
-func (s *sharedState) crashingPart(prefixes string) string {
+func (s *sharedState) crashingPart(request, prefixes string) string {
 	parts := strings.Split(prefixes, ",")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts[:len(parts)-1] {
 		id, _, _ := strings.Cut(part, ":")
 		if s.crashingParts[id] {
-			s.crashingRuns[id] = append(s.crashingRuns[id], time.Now())
+			s.crashingRuns[id] = append(s.crashingRuns[id], crashingRun{time.Now(), request})
 			return id
 		}
 	}
@@ -414,7 +421,7 @@
 	}
 	e.active++
 	s.mu.Unlock()
-	crashing := s.crashingPart(r.Header.Get("X-Carawayproxy-Prefix-Hash"))
+	crashing := s.crashingPart(id, r.Header.Get("X-Carawayproxy-Prefix-Hash"))
 	defer func() {
 		s.mu.Lock()
 		e.active--
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	if crashes {
-		s.crashingRuns[CrashingBody] = append(s.crashingRuns[CrashingBody], time.Now())
+		s.crashingRuns[CrashingBody] = append(s.crashingRuns[CrashingBody], crashingRun{time.Now(), id})
 	}
 	drop, fail := p.DropResponses, p.Fail
 	s.mu.Unlock()
