--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -222,10 +222,10 @@
 // deaths to decide by. Each daemon announces its own.
 func TestVerdictsWereKeptToTheDaemonThatDecided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var announced []Verdict
+		announced := make(chan Verdict, 1)
 		d := NewDetector(DetectorConfig{
 			Groups:   func() map[fleet.FabricDomain]int { return map[fleet.FabricDomain]int{"": 3} },
-			Announce: func(v Verdict) { announced = append(announced, v) },
+			Announce: func(v Verdict) { announced <- v },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go d.Run(ctx)
@@ -234,7 +234,7 @@
 			all.crash(fmt.Sprint("plain/", n), "", inFlight{7})
 		}
 		all.assertStandings(t, 7, Convicted)
-		assert.DeepEqual(t, announced, d.Verdicts())
+		assert.DeepEqual(t, []Verdict{<-announced}, d.Verdicts())
 		assert.DeepEqual(t, d.Unrecorded(), d.Verdicts())
 		cancel()
 		synctest.Wait()
