--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -26,6 +26,8 @@
 	Engines  int
 	Duration time.Duration // time during which faults are injected
 	Log      io.Writer     // output of the daemons
+	// Crashing adds requests that crash each backend server that runs them.
+	Crashing bool
 }
 
 // Result counts the faults and responses of a run and lists its findings.
@@ -117,11 +119,20 @@
 	for n := range callerCount {
 		callers.Go(func() { r.call(calling, n) })
 	}
+	if o.Crashing {
+		world.CrashOn(crashingPart)
+		callers.Go(func() { r.callCrashing(calling) })
+	}
 	r.injectFaults(ctx)
 	r.heal()
 	time.Sleep(settleTime)
+	healed := time.Now()
+	if o.Crashing {
+		time.Sleep(crashingTime)
+	}
 	stopCalls()
 	callers.Wait()
+	r.checkCrashing(healed)
 	r.checkOutcome(ctx)
 	return r.result, nil
 }
@@ -131,8 +142,18 @@
 	callerCount = 8
 	// formTime limits the time until the first groups serve.
 	formTime = 20 * time.Second
-	// settleTime is how long callers continue after the last fault.
-	settleTime = 3 * time.Second
+	// settleTime is how long callers continue after the last fault. Daemons are in
+	// touch again then.
+	settleTime = site.StableWindow
+	// crashingTime is how long requests that crash servers continue after that.
+	crashingTime = 5 * time.Second
+	// crashingInterval is the time between two such requests.
+	crashingInterval = 150 * time.Millisecond
+	// soundParts is the number of parts of prompts that do not, next to the one that
+	// all prompts have.
+	soundParts = 6
+	// crashingPart is the part of a prompt that crashes engines.
+	crashingPart = "bad"
 	// recoverTime limits the time until every daemon serves again.
 	recoverTime = 30 * time.Second
 	// maxFaultPause is the longest pause between two faults and maxFaultTime the
@@ -243,11 +264,11 @@
 	},
 	func(r *run, _ *daemon, _ time.Duration, pick int) {
 		if pick < r.o.Engines/3 { // two thirds of the engines stay live
-			r.world.FreezeEngine(r.world.Engines[pick])
+			r.world.FreezeEngine(r.world.Engine(pick))
 		}
 	},
 	func(r *run, _ *daemon, duration time.Duration, pick int) {
-		e := r.world.Engines[pick]
+		e := r.world.Engine(pick)
 		r.world.Update(func() { e.OrderDelay = 2 * time.Second })
 		time.Sleep(duration)
 		r.world.Update(func() { e.OrderDelay = 0 })
@@ -310,13 +331,39 @@
 			observed.Response = r.world.CallAt(d.url("/unsafe/x"), http.MethodPost, id, "", observed.WantBody, nil)
 		} else {
 			observed = ObservedCall{ID: id, Stream: true}
-			observed.Response = r.world.CallAt(d.url("/stream/x"), http.MethodPost, id, model, "", nil)
+			header := site.Prompt([]string{"aa", fmt.Sprintf("b%d", n%soundParts)}, n)
+			observed.Response = r.world.CallAt(d.url("/stream/x"), http.MethodPost, id, model, "", header)
 		}
 		r.recordCall(observed)
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// callCrashing sends a request that crashes plain servers and, in turn with it,
+// prompts of which one part crashes engines, to all daemons in turn.
+func (r *run) callCrashing(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		d := r.daemons[n/2%len(r.daemons)]
+		id := fmt.Sprintf("crash-%d-%d", r.o.Seed, n)
+		if n%2 == 0 {
+			r.world.CallAt(d.url("/safe/x"), http.MethodPost, id, "", site.CrashingBody, nil)
+		} else {
+			r.world.CallAt(d.url("/stream/x"), http.MethodPost, id, site.ModelOfTwo, id, site.Prompt([]string{"aa", crashingPart}, n))
+		}
+		time.Sleep(crashingInterval)
+	}
+}
+
+// checkCrashing checks that few requests that crash servers reached one after the
+// daemons were in touch again.
+func (r *run) checkCrashing(healed time.Time) {
+	for cause, crashes := range map[string]int{site.CrashingBody: site.CrashesOfRequest, crashingPart: site.CrashesOfPart} {
+		if late := r.world.LateCrashingRuns(cause, crashes, healed); late > site.MaxLateSends {
+			r.addFinding("%d requests with %q reached servers after the last fault and %d crashes", late, cause, crashes)
+		}
+	}
+}
+
 func (r *run) recordCall(c ObservedCall) {
 	if finding := c.Check(); finding != "" {
 		r.addFinding("%s", finding)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -22,7 +22,7 @@
 
 var (
 	seed    = flag.Uint64("soak-seed", 1, "first seed")
-	count   = flag.Int("soak-count", 1, "number of seeds to run")
+	count   = flag.Int("soak-count", 2, "number of seeds to run")
 	seconds = flag.Int("soak-seconds", 8, "seconds of faults per seed")
 )
 
@@ -46,6 +46,7 @@
 			defer log.Close()
 			res, err := Run(t.Context(), Options{
 				Seed: s, Binary: binary, Daemons: 3, Engines: 18, Duration: time.Duration(*seconds) * time.Second, Log: log,
+				Crashing: s%2 == 0,
 			})
 			runErr := err
 			t.Logf("faults %d, calls %d: served %d, rejected %d, cut %d, failed %d", res.Faults, res.Calls, res.Served, res.Rejected, res.Cut, res.Failed)
