--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -76,6 +76,7 @@
 				tasks.Wait()
 				assert.Assert(t, w.crashCount() > 0)
 				late := w.LateCrashingRuns(CrashingBody, CrashesOfRequest, time.Time{})
+				t.Logf("%d crashes, %d late sends; %d of %d other requests served from 25 s on", w.crashCount(), late, served, sent)
 				assert.Check(t, late <= MaxLateSends, "%d sends of the request after three crashes and %s, %d crashes", late, StableWindow, w.crashCount())
 				assert.Check(t, served*100 >= sent*99, "%d of %d other requests served from 25 s on", served, sent)
 				r := w.Call(w.Daemons[2], http.MethodPost, "/safe/x", "last", "", CrashingBody, nil)
