edge: verdicts that have ended are deleted from the store

Found while reading the change as a newcomer: expired verdicts were deleted only by a daemon that holds the lease when it reads them, which is when it starts, when none holds it. The topic would have grown by a record for each conviction, since the platform keeps the newest record of each key for good.

A daemon remembers the ended verdicts that it found and deletes them once it holds the lease. TestExpiredVerdictsStayedInTheStore failed before (both keys were left) and passes.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +21,13 @@
 	verdictKeyPrefix = "verdict/"
 )
 
-// keepVerdicts reads the stored verdicts once, and then stores those of all
-// daemons while it holds the lease, for daemons that start later.
+// keepVerdicts reads the stored verdicts once. While this daemon holds the lease,
+// it then stores those of all daemons, for daemons that start later, and deletes
+// the ones that it found expired.
 func (d *Daemon) keepVerdicts(ctx context.Context) {
-	for !d.readVerdicts(ctx) && sleep(ctx, verdictsInterval) {
+	expired, err := d.readVerdicts(ctx)
+	for err != nil && sleep(ctx, verdictsInterval) {
+		expired, err = d.readVerdicts(ctx)
 	}
 	for sleep(ctx, verdictsInterval) {
 		if !d.groupController.HoldsLease() || d.storeUnavailable.Load() {
@@ -32,18 +36,25 @@
 		for _, v := range d.detector.Unrecorded() {
 			d.detector.Recorded(v, d.env.Platform.Verdicts.RecordVerdict(ctx, v))
 		}
+		expired = slices.DeleteFunc(expired, func(f suspect.Fingerprint) bool {
+			err := d.env.Platform.Verdicts.DropVerdict(ctx, f)
+			if err != nil {
+				d.events.Emit(eventStoreFailed, "what", "deletion of a verdict", "error", err)
+			}
+			return err == nil
+		})
 	}
 }
 
-// readVerdicts applies the stored verdicts. It reports whether the store
-// answered. The lease holder deletes those that are no longer in force.
-func (d *Daemon) readVerdicts(ctx context.Context) bool {
+// readVerdicts applies the stored verdicts and returns those that are no longer
+// in force.
+func (d *Daemon) readVerdicts(ctx context.Context) (expired []suspect.Fingerprint, err error) {
 	items, _, err := d.env.Platform.Verdicts.Verdicts().All(ctx)
 	if err != nil {
 		if !d.storeUnavailable.Load() {
 			d.events.Emit(eventStoreFailed, "what", "verdicts", "error", err)
 		}
-		return false
+		return nil, err
 	}
 	for _, item := range items {
 		switch {
@@ -52,13 +63,11 @@
 		case item.Deleted:
 		case item.Value.InForce(time.Now()):
 			d.detector.Apply(item.Value, true)
-		case d.groupController.HoldsLease():
-			if err := d.env.Platform.Verdicts.DropVerdict(ctx, item.Value.Fingerprint); err != nil {
-				d.events.Emit(eventStoreFailed, "what", "deletion of a verdict", "error", err)
-			}
+		default:
+			expired = append(expired, item.Value.Fingerprint)
 		}
 	}
-	return true
+	return expired, nil
 }
 
 // broadcastVerdict sends a verdict to all daemons.
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	carawayv1 "carawayproxy.example/caraway/api/caraway/v1"
 	"carawayproxy.example/caraway/api/caraway/v1/carawayv1connect"
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // crashCount returns how often requests have crashed a server.
@@ -272,6 +274,27 @@
 	})
 }
 
+// Verdicts that have ended were left in the store: a daemon deletes them only if
+// it holds the lease, and none does when it starts and reads them.
+func TestExpiredVerdictsStayedInTheStore(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		const topic = "keyed.caraway.verdicts"
+		expired := suspect.Verdict{Fingerprint: 7, Until: time.Now().Add(-time.Minute).UnixMilli()}
+		inForce := suspect.Verdict{Fingerprint: 8, Until: time.Now().Add(time.Hour).UnixMilli()}
+		for _, v := range []suspect.Verdict{expired, inForce} {
+			value, err := cbor.Marshal(v)
+			assert.NilError(t, err)
+			w.Store.Put(topic, v.Fingerprint.String(), value)
+		}
+		for _, d := range w.Daemons {
+			d.Kill()
+			assert.NilError(t, d.Start(false))
+		}
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, w.Store.Keys(topic), []string{inForce.Fingerprint.String()})
+	})
+}
+
 // sendCrashing sends the request that crashes servers to all daemons in turn.
 func sendCrashing(w *World, end time.Time) {
 	for n := 0; time.Now().Before(end); n++ {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -117,6 +118,13 @@
 	s.wakeReads()
 }
 
+// Keys returns the keys of a topic that have a value, sorted.
+func (s *Store) Keys(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.topic(name).newest))
+}
+
 // TruncateHistory drops a topic's records; the newest one of each key stays.
 func (s *Store) TruncateHistory(name string) {
 	s.mu.Lock()
