--- a/internal/suspect/policy.go
+++ b/internal/suspect/policy.go
@@ -38,7 +38,8 @@
 
 // DeathEvidence is one death at which a fingerprint was in flight.
 type DeathEvidence struct {
-	// InFlight counts the distinct fingerprints in flight, including this one.
+	// InFlight counts the distinct requests in flight, including this one or those
+	// with this part in their prompts.
 	InFlight int
 	// Burst is the share of the surrounding groups that died close in time
 	// without this fingerprint in flight.
