edge: a verdict decided anew is not deleted with the expired one

Found while reading again: a daemon deletes the verdicts that it found expired when it started, once it holds the lease, also if the same request was convicted or cleared in between. A restart of all daemons would then have lost the new verdict.

TestNewVerdictWasDeletedWithTheExpiredOne failed before (the key was gone) and passes.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -37,6 +37,9 @@
 			d.detector.Recorded(v, d.env.Platform.Verdicts.RecordVerdict(ctx, v))
 		}
 		expired = slices.DeleteFunc(expired, func(f suspect.Fingerprint) bool {
+			if d.detector.HasVerdict(f) {
+				return true // decided anew since
+			}
 			err := d.env.Platform.Verdicts.DropVerdict(ctx, f)
 			if err != nil {
 				d.events.Emit(eventStoreFailed, "what", "deletion of a verdict", "error", err)
--- a/internal/suspect/verdicts.go
+++ b/internal/suspect/verdicts.go
@@ -68,6 +68,13 @@
 	return v
 }
 
+// HasVerdict reports whether a verdict on a fingerprint is in force.
+func (d *Detector) HasVerdict(f Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.verdicts[f].InForce(time.Now())
+}
+
 // Verdicts returns the verdicts in force, sorted by fingerprint.
 func (d *Detector) Verdicts() []Verdict {
 	d.mu.Lock()
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -295,6 +295,27 @@
 	})
 }
 
+// A verdict that a daemon found expired may be decided anew before the daemon
+// deletes it.
+func TestNewVerdictWasDeletedWithTheExpiredOne(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		const topic = "keyed.caraway.verdicts"
+		expired := suspect.Verdict{Fingerprint: 7, Until: time.Now().Add(-time.Minute).UnixMilli()}
+		value, err := cbor.Marshal(expired)
+		assert.NilError(t, err)
+		w.Store.Put(topic, expired.Fingerprint.String(), value)
+		for _, d := range w.Daemons {
+			d.Kill()
+			assert.NilError(t, d.Start(false))
+		}
+		time.Sleep(100 * time.Millisecond) // they have read the store, and none holds the lease
+		_, err = w.Daemons[0].adminClient().ClearSuspect(t.Context(), connect.NewRequest(&carawayv1.ClearSuspectRequest{Fingerprint: expired.Fingerprint.String()}))
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, w.Store.Keys(topic), []string{expired.Fingerprint.String()})
+	})
+}
+
 // sendCrashing sends the request that crashes servers to all daemons in turn.
 func sendCrashing(w *World, end time.Time) {
 	for n := 0; time.Now().Before(end); n++ {
