--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -238,7 +239,7 @@
 
 // adminClient returns a client of a daemon's admin service.
 func (d *Daemon) adminClient() carawayv1connect.AdminServiceClient {
-	return carawayv1connect.NewAdminServiceClient(d.world.client, "http://"+d.host.Addr(portAdmin))
+	return carawayv1connect.NewAdminServiceClient(d.world.client, "http://"+net.JoinHostPort(d.ip, portAdmin))
 }
 
 // An operator sees the verdict at any daemon and clears it for all of them, also
