--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -394,4 +394,6 @@
 func (d *Daemon) HoldsLease() bool { return d.run.HoldsLease() }
 
 // URL returns the URL of a path on the daemon's listener for callers.
-func (d *Daemon) URL(path string) string { return "http://" + net.JoinHostPort(d.ip, portCallers) + path }
+func (d *Daemon) URL(path string) string {
+	return "http://" + net.JoinHostPort(d.ip, portCallers) + path
+}
