suspect: a part of convicted requests is convicted too

Requests with the part kept reaching engines; sound callers lost their groups once more.

Cause, from the assessments logged at each review (a trial, not kept): with three causes the part stands at odds 7.2, but its newest request (0.87) ties with it and goes first. Once that request is convicted each death of the part has a convicted request, so shareDeath did not find the part tied even with itself, the list of the tied was empty, and nobody was convicted until the next request had crashed two more engines. Ruled out: evidence that comes late (all daemons had all deaths), survivals (none), bursts (0).

Deaths are explained for a part by convicted parts only, as in Evidence, and shareDeath now follows that rule.

TestPartOfConvictedRequestsStayedInUse fails without the change ("part 1003 is 0, want 3" at all daemons) and passes with it. Neighbours that are not told from the part are still rejected for a short time only (TestPartOfConvictedRequestsIsToldFromItsNeighbours, passes before and after).

--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -9,9 +9,8 @@
 // Evidence returns the evidence about a fingerprint.
 func (h *History) Evidence(f Fingerprint, now time.Time) Evidence {
 	h.expire(now)
-	own, peers := h.Survivals(f), h.peers[f]
-	e := Evidence{Survivals: own.Before + own.Since, RunTime: h.runTime}
-	e.AllSurvivals = Survivals{Before: own.Before + peers.Before, Since: own.Since + peers.Since}
+	own := h.Survivals(f)
+	e := Evidence{Survivals: own.Before + own.Since, RunTime: h.runTime, AllSurvivals: h.allSurvivals(f)}
 	e.Hazard, e.HazardOverall = h.hazards(f, now)
 	deaths := slices.Clone(h.deathsByFingerprint[f])
 	slices.SortFunc(deaths, func(a, b *death) int { return a.at.Compare(b.at) })
@@ -37,6 +36,12 @@
 	return e
 }
 
+// allSurvivals returns the survivals of a fingerprint at all daemons.
+func (h *History) allSurvivals(f Fingerprint) Survivals {
+	own, peers := h.Survivals(f), h.peers[f]
+	return Survivals{Before: own.Before + peers.Before, Since: own.Since + peers.Since}
+}
+
 // explanations reports whether a convicted part and a convicted request other
 // than f were in flight at a death.
 func (h *History) explanations(f Fingerprint, d *death) (byPart, byRequest bool) {
@@ -79,10 +84,14 @@
 }
 
 // shareDeath reports whether two fingerprints were in flight at the same death
-// that no convicted request explains.
+// that, of the first one's, nothing convicted explains.
 func (h *History) shareDeath(a, b Fingerprint) bool {
 	return slices.ContainsFunc(h.deathsByFingerprint[a], func(d *death) bool {
-		return d.has(b) && d.convicted == 0
+		if !d.has(b) {
+			return false
+		}
+		byPart, byRequest := h.explanations(a, d)
+		return !byPart && (h.IsPart(a) || !byRequest)
 	})
 }
 
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -89,6 +89,47 @@
 	})
 }
 
+// Each request with the bad part crashes two groups and is convicted itself. Its
+// part explains the deaths of all of them, and was not convicted while each of its
+// deaths had a convicted request.
+func TestPartOfConvictedRequestsStayedInUse(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for at := range 3 {
+			d.runPrompt(at, withParts(1, firstPart, soundPart))
+			d.runPrompt(at, withParts(2, firstPart, otherSoundPart))
+		}
+		for n := range 3 {
+			d.assertParts(t)
+			bad, sound := withParts(Fingerprint(100+n), firstPart, soundPart, badPart), withParts(Fingerprint(200+n), firstPart, otherSoundPart)
+			d.crashPrompts(fmt.Sprint("a", n), "f0", bad)
+			time.Sleep(partCauseSpan / 2)
+			d.crashPrompts(fmt.Sprint("b", n), "f1", bad, sound)
+			if n < 2 { // the part explains the deaths of the third
+				d.assertStandings(t, Fingerprint(100+n), Convicted)
+			}
+		}
+		d.assertParts(t, badPart)
+	})
+}
+
+// A part that no request without the bad one has had is not told from it until
+// one survives.
+func TestPartOfConvictedRequestsIsToldFromItsNeighbours(t *testing.T) {
+	runDetectors(t, func(t *testing.T, d detectors) {
+		for n := range 3 {
+			for i := range 2 {
+				d.crashPrompts(fmt.Sprint("g", n, i), fmt.Sprint("f", i), withParts(Fingerprint(100+n), otherSoundPart, badPart))
+				time.Sleep(outageSpan / 3)
+			}
+			time.Sleep(2 * decisionDelay)
+		}
+		d.assertParts(t, otherSoundPart, badPart)
+		d.runPrompt(0, withParts(1, otherSoundPart))
+		d.exchange()
+		d.assertParts(t, badPart)
+	})
+}
+
 // A daemon that ran none of the sound requests itself knows from its peers that
 // they survived.
 func TestFirstPartWasConvictedAtADaemonThatJustStarted(t *testing.T) {
