suspect, dispatch: what one more death would convict waits for the decision

Of one request the third attempt shows nothing new, because its deaths count once for a part. A request that has broken off two attempts now waits for the decision (0.32 s) before the third. A request that one more death would convict, by itself or by a part without survivals, waits while recent evidence is under review. Others, and requests whose parts have survived, never wait.

Weighed: a shorter delay of the decision (survivals at peers would come too late for innocent requests), and counting each death for a part (one crashing request would convict all its parts).

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -51,6 +51,7 @@
 	nextDecision  *attemptDecision // routed in advance for the next attempt
 	retryReserved bool             // the retry budget has been charged for the next attempt
 	errorAnswered bool             // the caller received an answer that is no success
+	crashCount    int              // attempts that failed as if their server had ended
 }
 
 // selectTarget picks the group of the next attempt and rechecks it immediately
@@ -124,6 +125,10 @@
 	if a.sentCount >= a.maxAttempts() {
 		return a.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "every attempt failed, the last one: "+cause.Error())
 	}
+	a.d.awaitDecision(ctx, a.subjects, a.crashCount)
+	if f := a.checkContext(ctx); f != nil {
+		return f
+	}
 	alone, f := a.d.checkSuspect(a.id, a.spec.Service, a.subjects)
 	if f != nil {
 		return a.newFailure(f.Reason, f.RetryAfter, f.Message)
@@ -168,6 +173,9 @@
 	if !provablyNotRun(cause) {
 		a.mayHaveRun = true
 	}
+	if mayBeCrash(cause) && !provablyNotRun(cause) {
+		a.crashCount++
+	}
 	a.avoid(t.Candidate)
 	a.d.countFailure(cause)
 	a.d.cfg.Events.Emit(eventAttemptFailed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address, "cause", cause)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -147,6 +147,20 @@
 	return c.MaxRunning
 }
 
+// awaitDecision waits for the decision on recent deaths that may convict a request,
+// so that the next attempt does not cost one more group. crashes counts the
+// request's attempts that failed as if their server had ended. The last of these
+// deaths may not be known yet.
+func (d *Dispatcher) awaitDecision(ctx context.Context, s suspect.Subjects, crashes int) {
+	ruling := d.cfg.Suspects.Judge(s)
+	switch {
+	case crashes >= 2 && ruling.Deaths > 0 && ruling.Standing != suspect.Convicted:
+		sleepFor(ctx, suspect.DecisionTime)
+	case ruling.Standing == suspect.Undecided:
+		sleepFor(ctx, ruling.Remaining)
+	}
+}
+
 // checkSuspect returns a failure for a request that is convicted of crashing
 // groups, or whose prompt has a part that is, and otherwise whether the request
 // must run isolated.
--- a/internal/suspect/decide.go
+++ b/internal/suspect/decide.go
@@ -10,6 +10,10 @@
 	// decisionDelay is the time between new evidence and the decision on it, in
 	// which peers report survivals of the same requests.
 	decisionDelay = 300 * time.Millisecond
+	// DecisionTime is the time from a death until a Detector has decided on it.
+	DecisionTime = decisionDelay + 20*time.Millisecond
+	// undecidedAt is the odds at or above which one more death would convict.
+	undecidedAt = eliminationConvictAt / 100
 	// minTiedDeaths is the number of deaths that count from which on requests or
 	// parts that cannot be told apart are rejected, if conclusiveDeaths were seen.
 	minTiedDeaths = 3
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -53,6 +53,7 @@
 	ownAcquittals   []Acquittal
 	seen, seenOlder map[[16]byte]struct{} // evidence of peers, two generations
 	reviewRequested chan struct{}
+	evidenceAt      time.Time // when the last death was learned of
 
 	deaths, convictions metrics.Counter
 }
@@ -94,9 +95,6 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.verdicts) == 0 {
-		return Ruling{}
-	}
 	if r := d.ruling(s.Request, now); r.Standing != Clear {
 		return r
 	}
@@ -105,7 +103,29 @@
 			return r
 		}
 	}
-	return Ruling{}
+	return d.pendingRuling(s, now)
+}
+
+// pendingRuling returns the ruling on a request without a verdict. It is undecided
+// if recent evidence has not been reviewed and one more death would convict it or
+// a part of its prompt. Called with mu held.
+func (d *Detector) pendingRuling(s Subjects, now time.Time) Ruling {
+	r := Ruling{Deaths: d.history.Deaths(s.Request)}
+	remaining := d.evidenceAt.Add(DecisionTime).Sub(now)
+	if remaining <= 0 {
+		return r
+	}
+	for _, f := range append([]Fingerprint{s.Request}, s.Parts...) {
+		survivals := d.history.allSurvivals(f)
+		if d.history.Deaths(f) < 2 || survivals.Before+survivals.Since >= acquittingSurvivals {
+			continue
+		}
+		if d.policy.Assess(d.history.Evidence(f, now)).Odds >= undecidedAt {
+			r.Standing, r.Fingerprint, r.Remaining = Undecided, f, remaining
+			return r
+		}
+	}
+	return r
 }
 
 // ruling returns the ruling on one fingerprint. Called with mu held.
@@ -151,6 +171,7 @@
 	s, fresh := d.history.GroupDied(group, epoch, fabric, name, now)
 	if fresh {
 		s.ID = uuid.New()
+		d.evidenceAt = now
 		d.ownSightings = append(d.ownSightings, s)
 		d.ownSightings = d.ownSightings[max(len(d.ownSightings)-maxSightings, 0):]
 		d.reportSurvivals(now, s.InFlight...)
@@ -214,7 +235,9 @@
 			continue
 		}
 		s.At = notAfter(s.At, now)
-		fresh = d.history.Observe(s, now) || fresh
+		if d.history.Observe(s, now) {
+			fresh, d.evidenceAt = true, now
+		}
 		reports = d.reportSurvivals(now, s.InFlight...) || reports
 		reports = d.reportSurvivals(now, s.Parts...) || reports
 	}
--- a/internal/suspect/elimination.go
+++ b/internal/suspect/elimination.go
@@ -23,8 +23,9 @@
 	unknownCause         = 0.001
 	unknownCauseOfOthers = 0.01
 	// maxWeighedDeaths bounds the deaths that count. More of them show that groups
-	// die often, but not who is the cause; four survivals outweigh them all.
-	maxWeighedDeaths = 6
+	// die often, but not who is the cause; acquittingSurvivals outweigh them all.
+	maxWeighedDeaths    = 6
+	acquittingSurvivals = 4
 	// conclusiveDeaths without any survival convict regardless of the rate at which
 	// groups die for other reasons.
 	conclusiveDeaths = 5
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -27,8 +27,11 @@
 	// Fingerprint is the request or the part of its prompt that the standing
 	// rests on; zero for Clear.
 	Fingerprint Fingerprint
-	// Remaining is how much longer a conviction lasts; zero if that is unknown.
+	// Remaining is how much longer a conviction lasts, or how long a decision takes
+	// at most; zero if that is unknown.
 	Remaining time.Duration
+	// Deaths is the number of known deaths with the request in flight.
+	Deaths int
 }
 
 // Sighting is the death of one group with the requests in flight on it, as
@@ -62,6 +65,9 @@
 	// Alone means that the request runs only on a group with no other request
 	// in flight.
 	Alone
+	// Undecided means that the request waits for the decision on recent deaths,
+	// which may convict it.
+	Undecided
 	// Convicted means that the request is rejected.
 	Convicted
 )
--- a/standin/site/crash_seeds_test.go
+++ b/standin/site/crash_seeds_test.go
@@ -94,7 +94,7 @@
 	tasks.Go(func() {
 		time.Sleep(time.Until(first))
 		var senders sync.WaitGroup
-		senders.Go(func() { sendBadPrompts(w, bad, end) })
+		senders.Go(func() { sendBadPrompts(w, bad, 0, end) })
 		if repeats {
 			senders.Go(func() { sendCrashing(w, end) })
 		}
--- a/standin/site/crash_test.go
+++ b/standin/site/crash_test.go
@@ -123,6 +123,9 @@
 		restartAfter time.Duration
 		// otherCrashes is the interval at which engines end for other reasons.
 		otherCrashes time.Duration
+		// pauseAfter is the number of bad requests after which none are sent for
+		// longer than StableWindow, zero for no pause.
+		pauseAfter int
 	}{
 		{name: "calm", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}},
 		{name: "first part", bad: [][]string{{"bad", "b3"}, {"bad", "b4"}}, crashing: []string{"bad"}},
@@ -132,6 +135,8 @@
 		{name: "a daemon restarts", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{0}, restartAfter: 2 * time.Second},
 		{name: "a daemon restarts later", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{2}, restartAfter: 30 * time.Second},
 		{name: "all daemons restart", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, restarted: []int{0, 1, 2}, restartAfter: 2 * time.Second},
+		{name: "a pause after two requests", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, pauseAfter: 2},
+		{name: "a pause after three requests", bad: [][]string{{"aa", "bad"}}, crashing: []string{"bad"}, pauseAfter: 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -152,7 +157,7 @@
 						w.Store.SetUnavailable(true)
 						w.runAfter(test.storeAway, func() { w.Store.SetUnavailable(false) })
 					}
-					sendBadPrompts(w, test.bad, end)
+					sendBadPrompts(w, test.bad, test.pauseAfter, end)
 				})
 				tasks.Go(func() {
 					for w.crashCount() < CrashesOfPart && time.Now().Before(end) {
@@ -190,15 +195,18 @@
 	}
 }
 
-// sendBadPrompts sends requests with the given parts to all daemons in turn. No
-// two of them are alike.
-func sendBadPrompts(w *World, parts [][]string, end time.Time) {
+// sendBadPrompts sends requests with the given parts to all daemons in turn, and
+// pauses after the given number of them. No two of them are alike.
+func sendBadPrompts(w *World, parts [][]string, pauseAfter int, end time.Time) {
 	var callers sync.WaitGroup
 	for n := 0; time.Now().Before(end); n++ {
 		callers.Go(func() {
 			id := fmt.Sprintf("bad-%d", n)
 			w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/stream/x", id, ModelOfTwo, id, Prompt(parts[n%len(parts)], n))
 		})
+		if n+1 == pauseAfter {
+			time.Sleep(StableWindow + time.Second)
+		}
 		time.Sleep(300 * time.Millisecond)
 	}
 	callers.Wait()
