placement: engines get no order before they have confirmed their places

Callers of a group that was open lost their answers when its leader joined a warm-up group.

Cause: a new holder asked the engines that the list showed with a place, and took those without one as free. After all daemons had lost power behind an outage of the store the list was older than the last orders. The class is an entry's silence taken as knowledge; it also decided that a leader had left its group (placeHistory) and that members were ready (allReady).

Change: an engine's place is confirmed by its own answer, not older than the term. Without it the engine gets no order, is not free to the planner, ends no membership and opens no group.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -47,6 +47,9 @@
 	// set if the server itself reported it, rather than the list.
 	placeAsOf       time.Time
 	placeFromServer bool
+	// answeredAsOf is the time as of which the server itself has last confirmed the
+	// known place, zero if it has not since its start.
+	answeredAsOf time.Time
 	// lastEpoch is the highest epoch of the server's places since its start.
 	lastEpoch fleet.Epoch
 	// loadedModel is the model of the last place in which the server was ready
@@ -122,10 +125,11 @@
 // affectsViews reports whether views built from old differ from those built from
 // new.
 func affectsViews(old, new *Server) bool {
-	if (old.Place == nil) != (new.Place == nil) || old.Place != nil && *old.Place != *new.Place {
-		return true
-	}
-	return old.Incarnation != new.Incarnation || old.Leaving != new.Leaving || old.Address != new.Address || old.Service != new.Service
+	return !samePlace(old.Place, new.Place) || old.Incarnation != new.Incarnation || old.Leaving != new.Leaving || old.Address != new.Address || old.Service != new.Service
+}
+
+func samePlace(a, b *Place) bool {
+	return a == b || a != nil && b != nil && *a == *b
 }
 
 // Withdraw removes a server from the list. During an outage of the list, and for
@@ -228,7 +232,9 @@
 	if e == nil || e.server.Incarnation > s.Incarnation {
 		return false
 	}
+	confirmed := true
 	if e.server.Incarnation == s.Incarnation && asOf.Before(e.placeAsOf) {
+		confirmed = samePlace(s.Place, e.server.Place)
 		s.Place, s.Staged = e.server.Place, e.server.Staged
 	} else {
 		e.placeAsOf, e.placeFromServer = asOf, true
@@ -241,13 +247,16 @@
 	}
 	e.update(s, d.cfg.ModelOf)
 	e.failedAt = time.Time{}
+	if confirmed && asOf.After(e.answeredAsOf) {
+		e.answeredAsOf = asOf
+	}
 	return updated
 }
 
 // update replaces the entry's server.
 func (e *entry) update(s Server, modelOf func(fleet.GroupID) string) {
 	if e.server.Incarnation != s.Incarnation {
-		e.lastEpoch, e.loadedModel, e.loadedEpoch = 0, "", 0
+		e.lastEpoch, e.loadedModel, e.loadedEpoch, e.answeredAsOf = 0, "", 0, time.Time{}
 	}
 	if s.Place != nil {
 		e.lastEpoch = max(e.lastEpoch, s.Place.Epoch)
@@ -276,8 +285,11 @@
 type Listing struct {
 	Server
 	AnnouncedAt time.Time
-	Failed      bool
-	Unlisted    bool
+	// AnsweredAsOf is the time as of which the server itself, rather than the list,
+	// has last confirmed its place; zero if it has not since its start.
+	AnsweredAsOf time.Time
+	Failed       bool
+	Unlisted     bool
 	// LoadedModel is the model of the last place in which the server was ready
 	// since its start, "" if it is not known.
 	LoadedModel string
@@ -289,7 +301,7 @@
 	defer d.mu.Unlock()
 	out := make(map[fleet.InstanceID]Listing, len(d.entries))
 	for id, e := range d.entries {
-		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, Failed: !e.failedAt.IsZero(), Unlisted: !e.unlistedAt.IsZero(), LoadedModel: e.loadedModel}
+		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, AnsweredAsOf: e.answeredAsOf, Failed: !e.failedAt.IsZero(), Unlisted: !e.unlistedAt.IsZero(), LoadedModel: e.loadedModel}
 	}
 	return out
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -219,3 +219,40 @@
 	d.Announce(restarted, at(3*time.Second))
 	assert.Equal(t, loaded(), "", "a restart clears it")
 }
+
+// Only a server's own answer, not the list, confirms its place.
+func TestPlaceIsConfirmedByAnswersOnly(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(d *Directory)
+		want   time.Time
+	}{
+		{"the list only", func(*Directory) {}, time.Time{}},
+		{"an answer", func(d *Directory) { d.RecordAnswer(server("e", place(0, PlaceOpen)), at(time.Second)) }, at(time.Second)},
+		{"an older answer after it", func(d *Directory) {
+			d.RecordAnswer(server("e", nil), at(2*time.Second))
+			d.RecordAnswer(server("e", nil), at(time.Second))
+		}, at(2 * time.Second)},
+		{"an answer older than the list that agrees", func(d *Directory) { d.RecordAnswer(server("e", nil), at(-time.Millisecond)) }, at(-time.Millisecond)},
+		{"an answer older than the list that differs", func(d *Directory) {
+			d.RecordAnswer(server("e", place(0, PlaceOpen)), at(-time.Millisecond))
+		}, time.Time{}},
+		{"a restart after the answer", func(d *Directory) {
+			d.RecordAnswer(server("e", nil), at(time.Second))
+			restarted := server("e", nil)
+			restarted.Incarnation++
+			d.Announce(restarted, at(2*time.Second))
+		}, time.Time{}},
+		{"the list after the answer", func(d *Directory) {
+			d.RecordAnswer(server("e", nil), at(time.Second))
+			d.Announce(server("e", nil), at(2*time.Second))
+		}, at(time.Second)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDirectory()
+			d.Announce(server("e", nil), at(0))
+			test.change(d)
+			assert.Assert(t, d.Servers()["e"].AnsweredAsOf.Equal(test.want), "%s", d.Servers()["e"].AnsweredAsOf)
+		})
+	}
+}
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -54,7 +54,7 @@
 // Events of the GroupController.
 var (
 	eventAdopted = event.Define(1420, "placement.adopted", log.InfoLevel,
-		"A new holder of a scope took over the groups that the engines report.", "None.")
+		"A new holder of a scope took over the groups that the engines report. The unconfirmed field counts the engines that have not confirmed their places; they get no orders until they do.", "None.")
 	eventOrdered = event.Define(1421, "placement.ordered", log.InfoLevel,
 		"An order about an engine's place in a group was sent; the outcome field gives the engine's answer.", "Check the outcome if a group does not become whole.")
 	eventEngineDown = event.Define(1422, "placement.engine-down", log.WarnLevel,
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -210,7 +210,6 @@
 	}
 	if c.termState == nil || c.termState.term != hold.Term {
 		c.startTerm(hold.Term, now)
-		c.prober.probeAll(c.cfg.Servers.Servers(), now)
 	}
 	t := c.termState
 	if !t.leaseLostAt.IsZero() {
@@ -218,22 +217,24 @@
 		c.cfg.Events.Emit(eventScopeTaken, "scope", c.cfg.Scope, "term", t.term)
 	}
 	servers := c.cfg.Servers.Servers()
-	t.placeHistory.observe(servers)
-	c.prober.round(ctx, t, servers, now)
+	t.placeHistory.observe(servers, t.isConfirmed)
+	wanted, revision := c.cfg.Wanted(t.groupCounts())
+	unconfirmed := t.unconfirmedEngines(servers, wanted)
+	c.prober.round(ctx, t, servers, unconfirmed, now)
 	growing := t.isListGrowing(len(servers), now, c.cfg.IsIdle())
 	if now.Sub(t.since) < c.cfg.SettleTime || len(servers) == 0 || !t.adopted && growing {
 		return
 	}
+	if len(wanted) == 0 {
+		return // without the models' sizes the engines' groups are not known
+	}
 	if !t.adopted {
-		if wanted, _ := c.cfg.Wanted(t.groupCounts()); len(wanted) == 0 {
-			return // without the models' sizes the engines' groups are not known
+		if len(unconfirmed) > 0 && now.Sub(t.since) < c.cfg.SettleTime+confirmTimeout(len(servers)) {
+			return
 		}
 		t.adopt(c.cfg.Servers.Groups(), c.cfg.Scope)
-		c.cfg.Events.Emit(eventAdopted, "scope", c.cfg.Scope, "term", t.term, "groups", len(t.groups), "servers", len(servers))
-	}
-	wanted, revision := c.cfg.Wanted(t.groupCounts())
-	if len(wanted) == 0 {
-		return
+		c.cfg.Events.Emit(eventAdopted, "scope", c.cfg.Scope, "term", t.term, "groups", len(t.groups), "servers", len(servers), "unconfirmed", len(unconfirmed))
+		wanted, revision = c.cfg.Wanted(t.groupCounts())
 	}
 	c.logSplit(t, wanted)
 	s := c.snapshot(t, servers, wanted, revision)
@@ -266,7 +267,7 @@
 	case now.Sub(t.leaseLostAt) > termStateRetention:
 		c.termState = nil
 	default:
-		t.placeHistory.observe(c.cfg.Servers.Servers())
+		t.placeHistory.observe(c.cfg.Servers.Servers(), t.isConfirmed)
 	}
 }
 
@@ -288,6 +289,38 @@
 	return now.Sub(t.lastGrowthAt) < listGrowthWindow
 }
 
+// isConfirmed reports whether an engine itself has confirmed its place since the
+// term began. The list may be older than an order of an earlier term, so an engine
+// that the list shows without a place may have one.
+func (t *termState) isConfirmed(l directory.Listing) bool { return !l.AnsweredAsOf.Before(t.since) }
+
+// unconfirmedEngines returns the engines, other than failed ones, that have not
+// confirmed their places in this term, none while the models are not known.
+func (t *termState) unconfirmedEngines(servers map[fleet.InstanceID]directory.Listing, wanted []Wanted) []fleet.InstanceID {
+	if len(wanted) == 0 {
+		return nil
+	}
+	pools := map[fleet.Pool]bool{}
+	for _, w := range wanted {
+		pools[w.Pool] = true
+	}
+	var ids []fleet.InstanceID
+	for id, l := range servers {
+		isEngine := l.Place != nil || pools[fleet.Pool(l.Service)]
+		if isEngine && !l.Failed && !t.isConfirmed(l) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// confirmTimeout limits how long a new holder waits, after SettleTime, for a number
+// of engines to confirm their places before it adopts the groups: two probes of
+// each engine, of which maxProbes are sent at a time.
+func confirmTimeout(engines int) time.Duration {
+	return probeTimeout*time.Duration(engines/maxProbes) + probeTimeout + probeRetryTimeout
+}
+
 // startTerm initializes the state for a new term.
 func (c *GroupController) startTerm(term lease.Term, now time.Time) {
 	c.termState = &termState{
@@ -391,7 +424,7 @@
 	}
 	g := t.groups[groups.ByInstance[l.Instance]]
 	if g == nil {
-		st.MustLeave = !isUnplaced(l)
+		st.MustLeave = !isUnplaced(l) || !t.isConfirmed(l)
 		return st
 	}
 	rank := rankOf(g, l.Instance)
--- a/internal/placement/group_orders.go
+++ b/internal/placement/group_orders.go
@@ -17,7 +17,7 @@
 func (c *GroupController) sendOrders(ctx context.Context, t *termState, servers map[fleet.InstanceID]directory.Listing, now time.Time) {
 	groups := t.view()
 	for id, l := range servers {
-		if l.Failed {
+		if l.Failed || !t.isConfirmed(l) {
 			continue
 		}
 		g := t.groups[groups.ByInstance[id]]
@@ -75,7 +75,7 @@
 	switch {
 	case g.Phase == group.PhaseDraining && l.Place.State == directory.PlaceOpen:
 		o.Kind = backend.OrderClose
-	case g.Phase == group.PhaseActive && l.Place.State == directory.PlaceReady && allReady(g, servers):
+	case g.Phase == group.PhaseActive && l.Place.State == directory.PlaceReady && t.allReady(g, servers):
 		o.Kind = backend.OrderOpen
 	default:
 		return o, false
@@ -85,10 +85,10 @@
 
 // allReady reports whether every member reports that it is ready in the group's
 // current epoch. Engines do not verify this among themselves.
-func allReady(g *group.Group, servers map[fleet.InstanceID]directory.Listing) bool {
+func (t *termState) allReady(g *group.Group, servers map[fleet.InstanceID]directory.Listing) bool {
 	return !slices.ContainsFunc(g.Members, func(m group.Member) bool {
 		l, listed := servers[m.Instance]
-		return !listed || l.Failed || !isPlacedIn(l.Place, g) || l.Place.State != directory.PlaceReady
+		return !listed || l.Failed || !t.isConfirmed(l) || !isPlacedIn(l.Place, g) || l.Place.State != directory.PlaceReady
 	})
 }
 
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -39,8 +39,9 @@
 	return &placeHistory{memberships: map[placeKey]*membership{}, engines: map[fleet.InstanceID]*lastPlace{}}
 }
 
-// observe updates the history from the places that the engines report.
-func (p *placeHistory) observe(servers map[fleet.InstanceID]directory.Listing) {
+// observe updates the history from the places that the engines report. An engine
+// has left a place only if isConfirmed holds for it.
+func (p *placeHistory) observe(servers map[fleet.InstanceID]directory.Listing, isConfirmed func(directory.Listing) bool) {
 	for id, l := range servers {
 		if l.Place == nil {
 			continue
@@ -63,7 +64,7 @@
 			continue
 		}
 		groupLeader, listed := servers[m.groupLeader]
-		moved := listed && !groupLeader.Failed && (groupLeader.Place == nil || placeKey{groupLeader.Place.Group, groupLeader.Place.Epoch} != key)
+		moved := listed && !groupLeader.Failed && isConfirmed(groupLeader) && (groupLeader.Place == nil || placeKey{groupLeader.Place.Group, groupLeader.Place.Epoch} != key)
 		broken := listed && groupLeader.Place != nil && groupLeader.Place.State == directory.PlaceBroken
 		restarted := listed && groupLeader.Incarnation != m.groupLeaderIncarnation
 		m.ended = moved || broken || restarted
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -115,14 +115,15 @@
 	p.schedule(id, time.Now())
 }
 
-// probeAll schedules a probe of every engine that has a place. A new holder may
-// know the places only from the list, which lags behind and does not show engines
-// that are cut off from the store.
-func (p *prober) probeAll(servers map[fleet.InstanceID]directory.Listing, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, l := range servers {
-		if l.Place != nil {
+// scheduleUnconfirmed schedules probes of the engines that have not confirmed
+// their places in this term, as soon as the state in their answers is not older
+// than the term.
+func (p *prober) scheduleUnconfirmed(t *termState, unconfirmed []fleet.InstanceID, now time.Time) {
+	if now.Sub(t.since) < p.c.cfg.ReportAge() {
+		return
+	}
+	for _, id := range unconfirmed {
+		if p.probes[id] == nil {
 			p.schedule(id, now)
 		}
 	}
@@ -149,7 +150,7 @@
 
 // round applies the orders accepted since the last round and sends the probes that
 // are scheduled.
-func (p *prober) round(ctx context.Context, t *termState, servers map[fleet.InstanceID]directory.Listing, now time.Time) {
+func (p *prober) round(ctx context.Context, t *termState, servers map[fleet.InstanceID]directory.Listing, unconfirmed []fleet.InstanceID, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, d := range p.acceptedOrders {
@@ -165,6 +166,7 @@
 	}
 	p.suspectGroups = nil
 	p.scheduleFailed(servers, now)
+	p.scheduleUnconfirmed(t, unconfirmed, now)
 	for id, pr := range p.probes {
 		l, listed := servers[id]
 		if !listed {
--- a/internal/placement/staging.go
+++ b/internal/placement/staging.go
@@ -250,7 +250,7 @@
 // order was sent.
 func (c *GroupController) stage(ctx context.Context, t *termState, l directory.Listing, model string, now time.Time) bool {
 	o := backend.GroupOrder{Kind: backend.OrderStage, Model: model}
-	if _, pending := t.staging[l.Instance]; pending || !c.maySend(l.Instance, o, now) || !c.takeLoadToken(now) {
+	if _, pending := t.staging[l.Instance]; pending || !t.isConfirmed(l) || !c.maySend(l.Instance, o, now) || !c.takeLoadToken(now) {
 		return false
 	}
 	t.staging[l.Instance] = stageLoad{model: model, at: now}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -52,8 +52,8 @@
 	// Ejected is set for a live member that can't rejoin its group in the
 	// current epoch.
 	Ejected bool
-	// MustLeave is set while the instance holds a place that it has to leave
-	// before it can be assigned another one.
+	// MustLeave is set while the instance holds or may hold a place that it has to
+	// leave before it can be assigned another one.
 	MustLeave bool
 	// LocalLoadTimes maps each model that the instance can load without the
 	// weight store to the time that this takes.
