dispatch: a wait for the decision on deaths is logged

Event 1609 has the request, the fingerprint that it rests on, the deaths, the attempts that broke off and the wait.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -125,7 +125,7 @@
 	if a.sentCount >= a.maxAttempts() {
 		return a.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "every attempt failed, the last one: "+cause.Error())
 	}
-	a.d.awaitDecision(ctx, a.subjects, a.crashCount)
+	a.d.awaitDecision(ctx, a.id, a.subjects, a.crashCount)
 	if f := a.checkContext(ctx); f != nil {
 		return f
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,13 +151,18 @@
 // so that the next attempt does not cost one more group. crashes counts the
 // request's attempts that failed as if their server had ended. The last of these
 // deaths may not be known yet.
-func (d *Dispatcher) awaitDecision(ctx context.Context, s suspect.Subjects, crashes int) {
+func (d *Dispatcher) awaitDecision(ctx context.Context, id fleet.RequestID, s suspect.Subjects, crashes int) {
 	ruling := d.cfg.Suspects.Judge(s)
+	wait := time.Duration(0)
 	switch {
 	case crashes >= 2 && ruling.Deaths > 0 && ruling.Standing != suspect.Convicted:
-		sleepFor(ctx, suspect.DecisionTime)
+		wait = suspect.DecisionTime
 	case ruling.Standing == suspect.Undecided:
-		sleepFor(ctx, ruling.Remaining)
+		wait = ruling.Remaining
+	}
+	if wait > 0 {
+		d.cfg.Events.Emit(eventDecisionAwaited, "request", id, "fingerprint", ruling.Fingerprint, "deaths", ruling.Deaths, "crashes", crashes, "wait", wait)
+		sleepFor(ctx, wait)
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -34,4 +34,7 @@
 	eventSuspectRefused = event.Define(1608, "dispatch.refused-suspect", log.WarnLevel,
 		"A request was refused because it resembles requests that crash backend servers.",
 		"Identify the caller; clear the verdict by its fingerprint if the request is harmless.")
+	eventDecisionAwaited = event.Define(1609, "dispatch.decision-awaited", log.InfoLevel,
+		"An attempt waits for the decision on recent deaths of groups, which may convict the request or a part of its prompt.",
+		"None.")
 )
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -97,7 +97,7 @@
 	if f != nil {
 		return f
 	}
-	d.awaitDecision(ctx, fw.Subjects, 0)
+	d.awaitDecision(ctx, fw.Message.Request, fw.Subjects, 0)
 	alone, f := d.checkSuspect(fw.Message.Request, fw.Service, fw.Subjects)
 	if f != nil {
 		return f
