standin/site: servers that announce a request rate get as many requests as before (fails)

The stand-in's engines and plain servers can name in Server-Limit how many requests a second they take from all daemons together, and check the rule on it: 3 s after the first answer that names it, at most one and a half times the named requests in any 4 s, plus 5, from daemons that were told half a second before.

The test also bounds what a fix may give up: half of what the servers take is used, refusals come within 200 ms with Retry-After, and 95 in 100 are served again after the limits end.

--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -92,6 +92,8 @@
 	// break off inside an event.
 	unframed bool
 	cuts     int
+	// limits are the request rates that backend servers announce, by address.
+	limits map[string]*announcedLimit
 	// crashingParts are the parts of a prompt on which engines crash.
 	crashingParts map[string]bool
 }
@@ -103,7 +105,7 @@
 }
 
 func newSharedState() *sharedState {
-	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, crashingParts: map[string]bool{},
+	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, crashingParts: map[string]bool{}, limits: map[string]*announcedLimit{},
 		crashes: map[string][]time.Time{}, crashingRuns: map[string][]crashingRun{}}
 }
 
@@ -406,6 +408,7 @@
 	w.Header().Set("X-Carawayproxy-Attempt-Id", id)
 	s.mu.Lock()
 	e.arrivals++
+	s.announceLimit(w, r, e.addr)
 	m := e.membership
 	if m == nil || m.Rank != 0 {
 		s.mu.Unlock()
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -102,6 +102,7 @@
 	crashes := string(body) == CrashingBody
 	id := r.Header.Get("X-Carawayproxy-Attempt-Id")
 	s.mu.Lock()
+	s.announceLimit(w, r, p.addr)
 	s.runs[id]++
 	if crashes {
 		s.crashingRuns[CrashingBody] = append(s.crashingRuns[CrashingBody], crashingRun{time.Now(), id})
