ratelimit: the request rate that a server announces is shared among the daemons

Cause: nothing read the announced rate. Class: a limit that holds for all daemons together is kept by none; the same class as the load rate of the weight store and the retry budget, which were looked at again: the first is spent by the lease holder alone, the second is divided by the daemons heard.

Change: platform decodes the header once, dispatch passes it on as learned, ratelimit keeps the newest answer of each server and shares its rate among 2 + 2 x rate owners by rendezvous hash, peers hear of it by broadcast. Each attempt of any kind is charged in one place, after the last recheck. Routing filters groups whose share is used up; a request that only rates exclude is refused at once with the time of the next share. A rejection with a rate excludes the group for 0.1 s, as one at its capacity. backend.Rank moved to fleet.RendezvousRank, which both use. Lines 2300 and 2301, the metric dispatch.rate_limited, and line 1610 for a rate that is no number.

Why it works: owners x one saved request <= 2 + 2 x rate, so that no 4 s hold more than 6 x rate + 2; TestSharesKeepTheAnnouncedRate draws demand, pauses and 1 to 300 daemons.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -14,10 +14,21 @@
 // ErrRequestMismatch marks a response that carries the id of another request.
 var ErrRequestMismatch = errors.New("the answer names another request")
 
+// Rate is the request rate that a backend server announces in an answer.
+type Rate struct {
+	Announced bool
+	// PerSecond is the number of requests a second that the server takes from all
+	// daemons together.
+	PerSecond float64
+	// Err is why an announced rate is invalid, nil if it is valid.
+	Err error
+}
+
 // RefusedError is a rejection by the backend server with its details. It
 // matches ErrRefused.
 type RefusedError struct {
 	Status int
+	Rate   Rate
 	// Fault is the instance that caused the rejection, empty if the server does
 	// not name one.
 	Fault fleet.InstanceID
@@ -61,6 +72,7 @@
 // close Body.
 type OpaqueResponse struct {
 	Status int
+	Rate   Rate
 	Header http.Header // without hop-by-hop headers
 	Body   io.ReadCloser
 }
--- a/internal/backend/share.go
+++ b/internal/backend/share.go
@@ -4,14 +4,12 @@
 	"reflect"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"carawayproxy.example/caraway/internal/fleet"
 )
 
 // The daemons divide the polling among themselves per unit, which is a replica
 // group or an instance that belongs to no group. Each unit has a fixed ranking
-// of daemons, see Rank.
+// of daemons, see fleet.RendezvousRank.
 const (
 	// activeWatchers is the number of daemons that poll a unit at every interval.
 	activeWatchers = 2
@@ -27,31 +25,6 @@
 	probeInterval = 4 * time.Second
 )
 
-// Rank returns the position of the daemon self among the live daemons, itself
-// included, in the order in which they poll a unit; zero is first. The order
-// depends only on the names, so daemons that see the same set of live daemons
-// agree without communicating.
-func Rank(unit string, self fleet.DaemonID, alive []fleet.DaemonID) int {
-	own := weight(unit, self)
-	rank := 0
-	for _, id := range alive {
-		w := weight(unit, id)
-		if id != self && (w > own || w == own && id < self) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// weight is the rendezvous hash of a daemon for a unit.
-func weight(unit string, id fleet.DaemonID) uint64 {
-	var space [128]byte
-	key := append(space[:0], id...)
-	key = append(key, 0)
-	key = append(key, unit...)
-	return xxhash.Sum64(key)
-}
-
 // targetState is the state of one backend server: the newest report, from a
 // poll of this daemon or relayed by a peer, and the results of this daemon's
 // own polls. It is not safe for concurrent use.
--- a/internal/backend/watch_test.go
+++ b/internal/backend/watch_test.go
@@ -62,7 +62,7 @@
 		}
 		ds := make([]*daemon, len(ids))
 		for _, id := range ids {
-			ds[Rank("e0", id, ids)] = newDaemon(targets, func(unit string) int { return Rank(unit, id, ids) })
+			ds[fleet.RendezvousRank("e0", id, ids)] = newDaemon(targets, func(unit string) int { return fleet.RendezvousRank(unit, id, ids) })
 		}
 		for i, d := range ds {
 			d.cfg.RequestHeartbeat = func() { d.relay(ds) }
--- a/internal/daemon/watching.go
+++ b/internal/daemon/watching.go
@@ -73,5 +73,5 @@
 	if d.draining.Load() && len(alive) > 1 {
 		return math.MaxInt
 	}
-	return backend.Rank(unit, d.id, alive)
+	return fleet.RendezvousRank(unit, d.id, alive)
 }
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -43,6 +43,9 @@
 	// Refusals tracks the groups that recently refused requests; nil if they
 	// are not tracked.
 	Refusals *Refusals
+	// Rates tracks the request rates that backend servers announce; nil if they
+	// announce none.
+	Rates Rates
 	// Limit returns the maximum number of requests on a group, given how many
 	// it can run at once; nil for no limit.
 	Limit  func(c *routing.Candidate) uint32
@@ -50,6 +53,15 @@
 	Rand   *rand.Rand
 }
 
+// Rates tracks the request rates that backend servers announce.
+type Rates interface {
+	// Wait returns the time until this daemon may send the server a request.
+	Wait(server fleet.InstanceID, now time.Time) time.Duration
+	// Take charges a request that is about to be sent. It returns false if this
+	// daemon's share of the rate is used up.
+	Take(server fleet.InstanceID, now time.Time) bool
+}
+
 // Store tracks the groups and this daemon's requests on them. It is safe for
 // concurrent use.
 type Store struct {
@@ -191,6 +203,9 @@
 	if s.cfg.Refusals != nil {
 		c.Refusing = s.cfg.Refusals.Refusing(c.Group, c.Epoch, now)
 	}
+	if s.cfg.Rates != nil {
+		c.RateWait = s.cfg.Rates.Wait(c.GroupLeader, now)
+	}
 	if s.cfg.Limit != nil {
 		c.Limit = s.cfg.Limit(c)
 	}
@@ -220,6 +235,12 @@
 	return ok
 }
 
+// Charge charges a request that is about to be sent to a group to the request rate
+// that its leader announces. It returns false if the request may not be sent now.
+func (s *Store) Charge(c routing.Candidate) bool {
+	return s.cfg.Rates == nil || s.cfg.Rates.Take(c.GroupLeader, time.Now())
+}
+
 func (s *Store) usable(c routing.Candidate, now time.Time) bool {
 	if g, ok := s.cfg.Groups().Groups[c.Group]; ok {
 		members := group.ReportedComposition(g, s.cfg.Reports)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -64,16 +64,23 @@
 		}
 		dec := a.takeDecision()
 		if dec.Chosen == nil {
-			return target{}, a.noGroupFailure()
+			return target{}, a.noGroupFailure(dec.RateWait)
 		}
 		t := target{Candidate: *dec.Chosen, attempt: dec.attempt}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
-		if t.rechecked {
-			return t, a.checkProceed(ctx)
+		if !t.rechecked {
+			a.avoid(t.Candidate)
+			continue
 		}
-		a.avoid(t.Candidate)
+		if f := a.checkProceed(ctx); f != nil {
+			return target{}, f
+		}
+		if a.d.cfg.Router.Charge(t.Candidate) {
+			return t, nil
+		}
+		a.d.metrics.rateLimited.Inc(1)
 	}
-	return target{}, a.noGroupFailure()
+	return target{}, a.noGroupFailure(0)
 }
 
 // checkProceed returns a failure if the request's time is over or the catalog
@@ -231,10 +238,18 @@
 	return f
 }
 
-func (a *attempts) noGroupFailure() *fleet.Failure {
+// noGroupFailure returns the failure of a request that no group can take.
+// rateWait is the time until one may that has announced a request rate, if only
+// its rate excludes it.
+func (a *attempts) noGroupFailure(rateWait time.Duration) *fleet.Failure {
 	if a.route.Exclusive {
 		return a.newFailure(fleet.ReasonSuspect, withJitter(retryAfterAlone), "the request was in flight when groups died and runs alone; no group is idle now")
 	}
+	if rateWait > 0 {
+		a.d.metrics.rateLimited.Inc(1)
+		wait := max(min(rateWait, retryAfterRateMax), retryAfterNoGroup)
+		return a.newFailure(fleet.ReasonOverloaded, withJitter(wait), "the request rates that the service's backend servers announced are used up")
+	}
 	return a.newFailure(fleet.ReasonNoGroup, withJitter(retryAfterNoGroup), "no whole, healthy group can take the request now")
 }
 
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -23,6 +23,8 @@
 	Plains        backend.Plains
 	// Refusals receives the refusals of attempts by groups; may be nil.
 	Refusals Refusals
+	// Rates learns the request rates of backend servers; nil if they announce none.
+	Rates Rates
 	// LivenessProber, if not nil, decides whether a failed attempt's group died.
 	// Otherwise the loss of the group does.
 	LivenessProber LivenessProber
@@ -93,6 +95,9 @@
 	retryAfterFailed   = time.Second
 	retryAfterDeadline = time.Second
 	retryAfterAlone    = 2 * time.Second
+	// retryAfterRateMax bounds the wait for a share of an announced request rate.
+	// Other daemons may have one sooner.
+	retryAfterRateMax = 3 * time.Second
 )
 
 // maxRechecks bounds how many selected groups may fail the recheck before one
--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -54,6 +54,7 @@
 	return routing.Decision{Chosen: &p.chosen}
 }
 func (p *stubPorts) Recheck(routing.Candidate) bool                              { return true }
+func (p *stubPorts) Charge(routing.Candidate) bool                               { return true }
 func (p *stubPorts) IsLost(fleet.GroupID, fleet.Epoch) bool                      { return false }
 func (p *stubPorts) GroupLost(fleet.GroupID, fleet.Epoch) <-chan struct{}        { return p.groupLost }
 func (p *stubPorts) Admit(time.Time, admission.Request) (Ticket, *fleet.Failure) { return p, nil }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -34,6 +34,9 @@
 	eventSuspectRefused = event.Define(1608, "dispatch.refused-suspect", log.WarnLevel,
 		"A request was refused because it resembles requests that crash backend servers.",
 		"Identify the caller; clear the verdict by its fingerprint if the request is harmless.")
+	eventBadRate = event.Define(1610, "dispatch.bad-rate", log.WarnLevel,
+		"A backend server's answer announces a request rate that is no number; the answer is passed on and the last known rate stays in force.",
+		"Report the error to the owner of the backend server.")
 	eventDecisionAwaited = event.Define(1609, "dispatch.decision-awaited", log.InfoLevel,
 		"An attempt waits for the decision on recent deaths of groups, which may convict the request or a part of its prompt.",
 		"None.")
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -85,6 +85,8 @@
 	return !r.failsRecheck[c.Group]
 }
 
+func (r *fakeRouter) Charge(routing.Candidate) bool { return true }
+
 func (r *fakeRouter) IsLost(g fleet.GroupID, _ fleet.Epoch) bool {
 	select {
 	case <-r.groupLost[g]:
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -140,7 +140,7 @@
 func (r *forwardedRequest) admitAndRun(ctx context.Context, ws service.WorkspaceSpec) *fleet.Failure {
 	dec := r.routeNow()
 	if dec.Chosen == nil {
-		return r.noGroupFailure()
+		return r.noGroupFailure(dec.RateWait)
 	}
 	ticket, f := r.d.admit(ctx, r.spec, ws, dec.Decision)
 	if f != nil {
@@ -210,6 +210,8 @@
 		return 0
 	case refused.Status == http.StatusMisdirectedRequest:
 		return routing.RefusedNotServing
+	case refused.Rate.Announced:
+		return routing.RefusedAtCapacity // the rate, not the number of requests in flight, is the limit
 	case routing.InFlight(&t.Candidate) < float64(t.MaxRunning):
 		return routing.RefusedNotAccepting
 	default:
@@ -260,7 +262,9 @@
 	w := r.startWatch(ctx, cancel, t)
 	defer w.stop()
 
+	sentAt := time.Now()
 	ans, err := r.d.cfg.Opaques.Forward(ctx, t.Address, r.message(ctx, t))
+	r.observeRate(t, ans, err, sentAt)
 	if err != nil {
 		return preferCancelCause(ctx, err)
 	}
@@ -274,6 +278,27 @@
 	return preferCancelCause(ctx, r.relayBuffered(ans))
 }
 
+// observeRate passes on the request rate that an answer or a rejection announces.
+// Only a success without a rate shows that the server announces none any more.
+func (r *forwardedRequest) observeRate(t target, ans backend.OpaqueResponse, err error, sentAt time.Time) {
+	if r.d.cfg.Rates == nil {
+		return
+	}
+	rate, success := ans.Rate, err == nil && ans.Status/100 == 2
+	var refused *backend.RefusedError
+	if errors.As(err, &refused) {
+		rate = refused.Rate
+	}
+	switch {
+	case rate.Err != nil:
+		r.d.cfg.Events.Emit(eventBadRate, "request", r.id, "instance", t.GroupLeader, "error", rate.Err)
+	case rate.Announced:
+		r.d.cfg.Rates.ObserveRate(t.GroupLeader, rate.PerSecond, time.Now())
+	case success:
+		r.d.cfg.Rates.ObserveNoRate(t.GroupLeader, sentAt, time.Now())
+	}
+}
+
 func (r *forwardedRequest) message(ctx context.Context, t target) backend.Opaque {
 	m := r.req.Message
 	m.Instance = t.GroupLeader
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -58,6 +58,10 @@
 	// Recheck reports whether the selected group may still be used. It is called
 	// immediately before an attempt is sent.
 	Recheck(c routing.Candidate) bool
+	// Charge charges an attempt to the request rate that the group's leader
+	// announces, and reports whether it may be sent. It is called after Recheck, for
+	// each attempt of any kind.
+	Charge(c routing.Candidate) bool
 	// IsLost reports whether the group can no longer answer in that epoch.
 	IsLost(group fleet.GroupID, epoch fleet.Epoch) (lost bool)
 	// GroupLost returns a channel that is closed once the group can no longer
@@ -116,6 +120,14 @@
 	Reset(group fleet.GroupID, epoch fleet.Epoch)
 }
 
+// Rates learns the request rates that backend servers announce in their answers.
+type Rates interface {
+	// ObserveRate records an answer with a rate, in requests a second.
+	ObserveRate(server fleet.InstanceID, perSecond float64, now time.Time)
+	// ObserveNoRate records an answer without a rate to a request sent at sentAt.
+	ObserveNoRate(server fleet.InstanceID, sentAt, now time.Time)
+}
+
 // CatalogSource provides the configuration while it is recent enough to act on.
 type CatalogSource interface {
 	// Catalog returns the configuration in force, or a failure if it may be out
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"carawayproxy.example/caraway/internal/lease"
 	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/placement"
+	"carawayproxy.example/caraway/internal/ratelimit"
 	"carawayproxy.example/caraway/internal/routes"
 	"carawayproxy.example/caraway/internal/routing"
 	"carawayproxy.example/caraway/internal/service"
@@ -93,6 +94,7 @@
 	groupWatcher  *datastore.GroupWatcher
 	stallDetector *datastore.StallDetector
 	refusals      *datastore.Refusals
+	rates         *ratelimit.Limits
 	detector      *suspect.Detector
 	unresponsive  *recentSet[fleet.InstanceID]
 	stalled       *recentSet[fleet.GroupID]
@@ -186,6 +188,12 @@
 	})
 	d.stallDetector = datastore.NewStallDetector(d.onGroupStalled)
 	d.refusals = datastore.NewRefusals()
+	d.rates = ratelimit.New(ratelimit.Config{
+		Self:     fleet.DaemonID(d.settings.Name),
+		Daemons:  d.daemonsSharingRates,
+		Announce: d.broadcastRate,
+		Events:   d.events,
+	})
 	d.store = datastore.New(datastore.Config{
 		Groups:       d.directory.Groups,
 		Reports:      d.directory,
@@ -195,6 +203,7 @@
 		PeerInFlight: d.mesh.PeerInFlight,
 		Stalled:      d.stallDetector.Stalled,
 		Refusals:     d.refusals,
+		Rates:        d.rates,
 		Limit:        groupLimit,
 		Policy:       routing.DefaultPolicy(),
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -251,6 +260,7 @@
 		LivenessProber: &sharedProber{prober: d.env.Platform.Liveness},
 		StallDetector:  stallAdapter{d.stallDetector},
 		Refusals:       d.refusals,
+		Rates:          d.rates,
 		Daemons:        d.countDaemons,
 		RetryRatio:     d.settings.RetryRatio,
 		RetryBurst:     d.retryBurst,
@@ -260,9 +270,13 @@
 	})
 }
 
+// boundedLinks is the value of the peer-links setting for daemons that link to
+// some of the others only.
+const boundedLinks = "bounded"
+
 var linkPolicies = map[string]membership.LinkPolicy{
-	"full":    membership.FullMesh{},
-	"bounded": membership.Bounded{},
+	"full":       membership.FullMesh{},
+	boundedLinks: membership.Bounded{},
 }
 
 // Run serves until ctx is canceled, which stops everything immediately, or until
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -176,6 +176,13 @@
 	return out
 }
 
+// names returns the names of the daemons that have an address.
+func (b *addressBook) names() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Keys(b.addresses))
+}
+
 func (d *Daemon) followDaemons(ctx context.Context) {
 	f := feed.Follower[string]{
 		Source:      d.env.Platform.Daemons,
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -28,6 +28,7 @@
 	"dispatch.events":                       "stream events forwarded",
 	"dispatch.first_token_ms":               "milliseconds from a request's arrival at dispatch to the first bytes of its answer, histogram",
 	"dispatch.lapsed":                       "attempts aborted because their group no longer exists",
+	"dispatch.rate_limited":                 "times that the share of an announced request rate was used up: requests refused for it, and attempts routed anew",
 	"dispatch.refused":                      "requests that the proxy itself refused or failed",
 	"dispatch.requests":                     "requests accepted by dispatch",
 	"dispatch.resumed":                      "streams resumed at another group",
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -67,7 +67,8 @@
 }
 
 // serverBroadcast is the body of a broadcast: a change of the list, the response
-// of an engine about its own state, or a verdict on a request.
+// of an engine about its own state, a verdict on a request, or a request rate that
+// a backend server announces.
 type serverBroadcast struct {
 	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
 	Deleted  bool              `cbor:"2,keyasint,omitempty"`
@@ -75,6 +76,7 @@
 	// AgeMilli is the age of an engine's response when it was broadcast, in ms.
 	AgeMilli uint64           `cbor:"4,keyasint,omitempty"`
 	Verdict  *suspect.Verdict `cbor:"5,keyasint,omitempty"`
+	Rate     *rateBroadcast   `cbor:"6,keyasint,omitempty"`
 }
 
 // broadcastingDirectory is the directory of the lease holder. It broadcasts
@@ -143,6 +145,10 @@
 			d.detector.Apply(*p.Verdict, false)
 			continue
 		}
+		if err == nil && p.Rate != nil {
+			d.applyRate(b, *p.Rate)
+			continue
+		}
 		if err != nil || b.Version == 0 || (p.Server == nil) != p.Deleted {
 			d.events.Emit(eventBadRecord, "what", "bulletin", "key", b.Key, "error", err)
 			continue
--- /dev/null
+++ b/internal/ratelimit/events.go
@@ -0,0 +1,16 @@
+package ratelimit
+
+import (
+	"github.com/charmbracelet/log"
+
+	"carawayproxy.example/caraway/internal/event"
+)
+
+var (
+	eventRateAnnounced = event.Define(2300, "ratelimit.announced", log.InfoLevel,
+		"A backend server names, or changes, the number of requests a second that it takes from all daemons together; a few daemons share that rate.",
+		"Check why the server is in need. Requests that exceed the rates of all its service's servers are refused.")
+	eventRateEnded = event.Define(2301, "ratelimit.ended", log.InfoLevel,
+		"A backend server that had named a request rate answers without one.",
+		"Nothing.")
+)
--- /dev/null
+++ b/internal/ratelimit/share.go
@@ -0,0 +1,39 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// ownerCount returns the number of daemons that share a rate. Each owner may have
+// saved up one request, so their number is bounded by the rate: in any 4 s the
+// server gets at most 4 x rate + owners <= 6 x rate + 2 requests, where it allows
+// 6 x rate + 5.
+func ownerCount(perSecond float64, daemons int) int {
+	if perSecond >= float64(daemons) {
+		return daemons
+	}
+	return min(int(2*perSecond)+2, daemons)
+}
+
+// shareOf returns the number of requests a second that a daemon may send to a
+// server, zero if it is no owner. The owners are consecutive in the server's
+// ranking of the daemons. The longer the server has not answered any daemon, the
+// later in the ranking they are, since the first ones may have no requests for it
+// or may be gone.
+func shareOf(a Announcement, self fleet.DaemonID, daemons []fleet.DaemonID, now time.Time) float64 {
+	if !slices.Contains(daemons, self) {
+		return 0
+	}
+	rate := max(a.PerSecond, minRate)
+	n := len(daemons)
+	owners := ownerCount(rate, n)
+	turn := int(max(now.Sub(a.At), 0) / ownerTurn)
+	rank := fleet.RendezvousRank(string(a.Server), self, daemons)
+	if position := ((rank-turn*owners)%n + n) % n; position >= owners {
+		return 0
+	}
+	return rate / float64(owners)
+}
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -19,7 +19,7 @@
 
 // DefaultFilters returns the filters of DefaultPolicy in evaluation order.
 func DefaultFilters() []Filter {
-	return []Filter{Service{}, WholeGroup{}, NotDraining{}, NotStalled{}, NotRefusing{}, Untried{}, Exclusive{}, BelowLimit{}}
+	return []Filter{Service{}, WholeGroup{}, NotDraining{}, NotStalled{}, NotRefusing{}, Untried{}, Exclusive{}, BelowLimit{}, WithinRate{}}
 }
 
 // Service keeps groups that match the service, version, adapter and role of
@@ -165,3 +165,21 @@
 	}
 	return true, ""
 }
+
+// WithinRate drops groups whose leader has announced a request rate of which this
+// daemon has used up its share. It is evaluated last, see Decision.RateWait.
+type WithinRate struct{}
+
+// rateFilter is the name of WithinRate.
+const rateFilter = "rate"
+
+// Name implements Filter.
+func (WithinRate) Name() string { return rateFilter }
+
+// Keep implements Filter.
+func (WithinRate) Keep(_ *Request, c *Candidate) (bool, string) {
+	if c.RateWait > 0 {
+		return false, "announced request rate used up"
+	}
+	return true, ""
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -93,7 +93,7 @@
 	defer p.putScratch(set)
 	d.Rejected = p.filter(&req, candidates, set)
 	if len(set.kept) == 0 {
-		p.filterWithoutSoft(&req, candidates, set)
+		d.RateWait = p.filterWithoutSoft(&req, candidates, set)
 	}
 	if len(set.kept) == 0 {
 		return d
@@ -129,13 +129,23 @@
 }
 
 // filterWithoutSoft adds the candidates that pass every filter that is not a
-// SoftFilter to set.
-func (p Policy) filterWithoutSoft(req *Request, candidates []Candidate, set *candidateSet) {
+// SoftFilter to set. If there are none, it returns the shortest RateWait of those
+// that WithinRate alone drops, zero for no such candidate.
+func (p Policy) filterWithoutSoft(req *Request, candidates []Candidate, set *candidateSet) (rateWait time.Duration) {
 	for i := range candidates {
-		if _, _, ok := p.firstRejection(req, &candidates[i], true); ok {
-			set.kept = append(set.kept, &candidates[i])
+		c := &candidates[i]
+		name, _, ok := p.firstRejection(req, c, true)
+		switch {
+		case ok:
+			set.kept = append(set.kept, c)
+		case name == rateFilter && (rateWait == 0 || c.RateWait < rateWait):
+			rateWait = c.RateWait
 		}
 	}
+	if len(set.kept) > 0 {
+		return 0
+	}
+	return rateWait
 }
 
 // score computes the cost of every kept candidate.
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -29,6 +29,9 @@
 	Leaving     bool // a member is leaving
 	Stalled     bool // streams make no progress
 	Refusing    bool // refused requests recently
+	// RateWait is the time until this daemon may send the group a request under the
+	// request rate that its leader announces; zero for now.
+	RateWait time.Duration
 
 	// Load from the engine's last report, which is ReportAge old.
 	Running         uint32
@@ -129,4 +132,8 @@
 	Rejected []Rejected
 	// Wait is the predicted time to first token at the chosen group.
 	Wait time.Duration
+	// RateWait is set if no candidate is left and some are excluded only by the
+	// request rate that their leaders announce: the shortest time until one of them
+	// may be sent a request.
+	RateWait time.Duration
 }
