standin/site: daemons that lose their links to the servers serve nobody (fails)

A daemon's links to backend servers can be lost in the stand-in: silent, reset, or alive for old connections and refused for new ones, per daemon and per server. TestDaemonsWithoutLinksServedNobody loses them at two of four daemons, the lease holder mostly among them, for 12 s, alone or with the death of an engine, the end of the holder, or the store away, and asks that first tries from 3 s on are served at all daemons, that no engine is found down that runs, no death is seen, and non-idempotent requests run once. TestLossOfAllLinksTakenForTheEngines loses them everywhere.

--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -81,6 +81,7 @@
 	run   *edge.Daemon
 	stop  context.CancelFunc
 	done  chan struct{}
+	links links
 }
 
 // Host is a machine that backend servers and the store listen on.
@@ -350,7 +351,7 @@
 	if err != nil {
 		return err
 	}
-	env := edge.Env{Dial: d.host.Dial, Log: d.world.log, Elapsed: func() time.Duration { return time.Since(d.world.started) }}
+	env := edge.Env{Dial: d.links.dialer(d.host.Dial), Log: d.world.log, Elapsed: func() time.Duration { return time.Since(d.world.started) }}
 	if env.Callers, err = d.host.Listen(portCallers); err != nil {
 		return err
 	}
