placement: an earlier place ended the wait for a member's new one

Cause: an engine's report is some hundred ms old. A member that is ordered from a group's old epoch into the new one reports the old place, in which it was ready, once more; the prober took that for the awaited change and asked no further. The list shows the new place a moment later, so that the group opens all the same; while the list is away, or the engine's writes to it are lost, nobody learns it, and the group is never opened. In the traced run: joined at 26.232 s, asked at 26.322 s, answered trio.1.1 of epoch 1048577, ready; the group was still closed at 40 s.

Ruled out: the engines (all three were ready under the new epoch), the lease (held throughout), the order to open (never sent).

Change: a probe waits for a state of a given group and epoch.

--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -72,9 +72,10 @@
 	// inconclusive counts the unanswered probes that did not count as failures.
 	inconclusive int
 	downAt       time.Time // when failures reached maxProbeFailures
-	// deadline is when the prober stops waiting for awaitedState of the place and
+	// deadline is when the prober stops waiting for awaitedState of awaitedPlace and
 	// for awaitedModel on the host.
 	deadline     time.Time
+	awaitedPlace placeKey
 	awaitedState directory.PlaceState
 	awaitedModel string
 	// stageDoneAt is when the staging of awaitedModel should be complete.
@@ -87,9 +88,11 @@
 	return pr.failures == 0 && pr.inconclusive == 0 && (pr.awaitedState != "" || pr.awaitedModel != "")
 }
 
-// isSatisfiedBy reports whether a status shows the awaited change.
+// isSatisfiedBy reports whether a status shows the awaited change. A status may be
+// older than the order, and show an earlier place in the same state.
 func (pr *probe) isSatisfiedBy(s directory.Server) bool {
-	placed := pr.awaitedState == "" || s.Place != nil && s.Place.State == pr.awaitedState
+	placed := pr.awaitedState == "" ||
+		s.Place != nil && s.Place.State == pr.awaitedState && pr.awaitedPlace == placeKey{s.Place.Group, s.Place.Epoch}
 	return placed && (pr.awaitedModel == "" || slices.Contains(s.Staged, pr.awaitedModel))
 }
 
@@ -251,15 +254,15 @@
 			p.c.cfg.Servers.Answered(s, d.at)
 		}
 		wait := p.c.localLoadTimes(d.listing)[d.order.Model]
-		p.awaitState(s.Instance, directory.PlaceReady, now, wait)
+		p.awaitState(s.Instance, key, directory.PlaceReady, now, wait)
 	case backend.OrderOpen:
-		p.awaitState(s.Instance, directory.PlaceOpen, now, p.c.cfg.OpenTime())
+		p.awaitState(s.Instance, key, directory.PlaceOpen, now, p.c.cfg.OpenTime())
 	case backend.OrderStage:
 		took := t.loadTime(d.order.Model)
 		pr := p.schedule(s.Instance, now.Add(took))
 		pr.awaitedModel, pr.stageDoneAt, pr.deadline = d.order.Model, now.Add(took), now.Add(stageTimeoutFactor*took)
 	case backend.OrderClose, backend.OrderAbort:
-		p.awaitState(s.Instance, directory.PlaceReady, now, 0)
+		p.awaitState(s.Instance, key, directory.PlaceReady, now, 0)
 	}
 }
 
@@ -281,9 +284,9 @@
 // time. The list shows the change in any case.
 const awaitTimeout = 3 * time.Second
 
-func (p *prober) awaitState(id fleet.InstanceID, state directory.PlaceState, now time.Time, wait time.Duration) {
+func (p *prober) awaitState(id fleet.InstanceID, place placeKey, state directory.PlaceState, now time.Time, wait time.Duration) {
 	pr := p.schedule(id, now.Add(wait+changePollInterval/2))
-	pr.awaitedState, pr.deadline = state, now.Add(wait+awaitTimeout)
+	pr.awaitedPlace, pr.awaitedState, pr.deadline = place, state, now.Add(wait+awaitTimeout)
 }
 
 // send probes one engine and records the result.
--- a/internal/placement/prober_test.go
+++ b/internal/placement/prober_test.go
@@ -26,6 +26,7 @@
 	dead     map[fleet.InstanceID]bool
 	failed   map[fleet.InstanceID]time.Time
 	probes   int
+	place    *directory.Place // in all answers
 	lost     bool  // the holder's own links are lost
 	err      error // of probes of dead engines, nil if they are not answered
 }
@@ -61,7 +62,7 @@
 	}
 	select {
 	case <-time.After(delay):
-		return directory.Status{Server: directory.Server{Instance: id}}, nil
+		return directory.Status{Server: directory.Server{Instance: id, Place: e.place}}, nil
 	case <-ctx.Done():
 		return directory.Status{}, ctx.Err()
 	}
@@ -163,7 +164,7 @@
 		c := &GroupController{wake: make(chan struct{}, 1), cfg: GroupControllerConfig{Servers: e, Engines: e, ReportAge: func() time.Duration { return 0 }}}
 		p, ctx := newProber(c), context.Background()
 		for id := range e.listings {
-			p.awaitState(id, directory.PlaceReady, time.Now(), 0)
+			p.awaitState(id, placeKey{}, directory.PlaceReady, time.Now(), 0)
 		}
 		for range int(time.Second / minRoundInterval) {
 			p.round(ctx, &termState{}, e.Servers(), nil, time.Now())
@@ -203,3 +204,28 @@
 		})
 	}
 }
+
+// An engine that is ordered from one group into another reports the earlier place,
+// in which it is ready, for a moment longer. That was taken for the awaited change:
+// while the list did not show the new place, the group was never opened.
+func TestEarlierPlaceEndedTheWaitForAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newProbedEngines(1)
+		e.place = &directory.Place{Group: "g", Epoch: 1, State: directory.PlaceReady}
+		c := &GroupController{wake: make(chan struct{}, 1), cfg: GroupControllerConfig{Servers: e, Engines: e, ReportAge: func() time.Duration { return 0 }}}
+		p, ctx := newProber(c), context.Background()
+		p.awaitState("i-00", placeKey{"g", 2}, directory.PlaceReady, time.Now(), 0)
+		probe := func() {
+			for range 10 {
+				p.round(ctx, &termState{}, e.Servers(), nil, time.Now())
+				time.Sleep(minRoundInterval)
+			}
+			c.running.Wait()
+		}
+		probe()
+		assert.Assert(t, p.probes["i-00"] != nil, "the wait has ended with the earlier place")
+		e.place = &directory.Place{Group: "g", Epoch: 2, State: directory.PlaceReady}
+		probe()
+		assert.Assert(t, p.probes["i-00"] == nil, "the wait has not ended")
+	})
+}
