--- a/internal/placement/prober_test.go
+++ b/internal/placement/prober_test.go
@@ -27,8 +27,8 @@
 	failed   map[fleet.InstanceID]time.Time
 	probes   int
 	place    *directory.Place // in all answers
-	lost     bool  // the holder's own links are lost
-	err      error // of probes of dead engines, nil if they are not answered
+	lost     bool             // the holder's own links are lost
+	err      error            // of probes of dead engines, nil if they are not answered
 }
 
 // newProbedEngines returns two fabric domains of engines.
