--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -35,7 +35,7 @@
 	// maxPeersAsked limits the daemons that are asked for a connection to one server.
 	// The next one is asked when the last one has failed or after askDelay: it may
 	// have lost its own links to the server, too.
-	maxPeersAsked = 5
+	maxPeersAsked = 8
 	askDelay      = 25 * time.Millisecond
 	// minLinkedFailures is the number of daemons with links to other servers that
 	// must fail to reach a server before it counts as down. All that were asked must,
--- a/standin/site/limit.go
+++ b/standin/site/limit.go
@@ -90,3 +90,34 @@
 	}
 	return len(l.arrivals), time.Since(l.since)
 }
+
+// ExcuseLimits stops counting what daemons have sent so far to servers that announce
+// a limit, as after a restart or a pause of one of them.
+func (w *World) ExcuseLimits() {
+	w.Update(func() {
+		for _, l := range w.shared.limits {
+			l.arrivals, l.told = nil, map[string]time.Time{}
+		}
+	})
+}
+
+// ServerAddresses returns the addresses of all backend servers.
+func (w *World) ServerAddresses() []string {
+	w.shared.mu.Lock()
+	defer w.shared.mu.Unlock()
+	seen := map[string]bool{}
+	var out []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			out = append(out, address)
+		}
+	}
+	for _, e := range w.Engines {
+		add(e.addr)
+	}
+	for _, p := range w.Plains {
+		add(p.addr)
+	}
+	return out
+}
--- a/standin/site/links.go
+++ b/standin/site/links.go
@@ -120,12 +120,7 @@
 // if there are none.
 func (w *World) serverIPs(addresses []string) []string {
 	if len(addresses) == 0 {
-		for _, e := range w.Engines {
-			addresses = append(addresses, e.addr)
-		}
-		for _, p := range w.Plains {
-			addresses = append(addresses, p.addr)
-		}
+		addresses = w.ServerAddresses()
 	}
 	var ips []string
 	for _, a := range addresses {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -28,6 +28,8 @@
 	Log      io.Writer     // output of the daemons
 	// Crashing adds requests that crash each backend server that runs them.
 	Crashing bool
+	// Limits makes backend servers announce the request rates that they take.
+	Limits bool
 }
 
 // Result counts the faults and responses of a run and lists its findings.
@@ -123,6 +125,9 @@
 		world.CrashOn(crashingPart)
 		callers.Go(func() { r.callCrashing(calling) })
 	}
+	if o.Limits {
+		callers.Go(func() { r.announceLimits(calling) })
+	}
 	r.injectFaults(ctx)
 	r.heal()
 	time.Sleep(settleTime)
@@ -152,6 +157,11 @@
 	// soundParts is the number of parts of prompts that do not, next to the one that
 	// all prompts have.
 	soundParts = 6
+	// limitedServers announce a rate at a time, for limitTime, of minLimit to minLimit +
+	// maxLimit requests a second.
+	limitedServers     = 8
+	limitTime          = 9 * time.Second
+	minLimit, maxLimit = 0.3, 2.0
 	// crashingPart is the part of a prompt that crashes engines.
 	crashingPart = "bad"
 	// recoverTime limits the time until every daemon serves again.
@@ -251,6 +261,7 @@
 		r.signal(d, syscall.SIGSTOP)
 		time.Sleep(duration)
 		r.signal(d, syscall.SIGCONT)
+		r.world.ExcuseLimits()
 	},
 	func(_ *run, d *daemon, duration time.Duration, pick int) {
 		d.proxy.SetMode([]Mode{Delay, Blackhole, DropResponses, Reset}[pick%4])
@@ -291,6 +302,7 @@
 	r.signal(d, syscall.SIGCONT)
 	r.signal(d, s)
 	<-exited
+	defer r.world.ExcuseLimits()
 	d.starting.Lock()
 	defer d.starting.Unlock()
 	r.mu.Lock()
@@ -354,6 +366,27 @@
 	}
 }
 
+// announceLimits makes a few backend servers at a time announce the request rate that
+// they take, each for some seconds, until ctx ends.
+func (r *run) announceLimits(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 1<<32))
+	addresses := r.world.ServerAddresses()
+	for ctx.Err() == nil {
+		limited := make([]string, limitedServers)
+		for i := range limited {
+			limited[i] = addresses[rng.IntN(len(addresses))]
+			r.world.SetRequestLimit(limited[i], minLimit+rng.Float64()*maxLimit)
+		}
+		select {
+		case <-time.After(limitTime):
+		case <-ctx.Done():
+		}
+		for _, a := range limited {
+			r.world.SetRequestLimit(a, 0)
+		}
+	}
+}
+
 // checkCrashing checks that few requests that crash servers reached one after the
 // daemons were in touch again.
 func (r *run) checkCrashing(healed time.Time) {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -46,7 +46,7 @@
 			defer log.Close()
 			res, err := Run(t.Context(), Options{
 				Seed: s, Binary: binary, Daemons: 3, Engines: 18, Duration: time.Duration(*seconds) * time.Second, Log: log,
-				Crashing: s%2 == 0,
+				Crashing: s%2 == 0, Limits: s%4 < 2,
 			})
 			runErr := err
 			t.Logf("faults %d, calls %d: served %d, rejected %d, cut %d, failed %d", res.Faults, res.Calls, res.Served, res.Rejected, res.Cut, res.Failed)
