reach: a daemon that does not answer delays no decision on a server

The end of a server is decided by peers' sightings within 0.3 s. A dial that is refused asks the other daemons first whether they reach the server; one that is paused was waited for up to 0.25 s. Now 50 ms after the first daemon with links has failed to reach the server, the others are not waited for.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -38,9 +38,11 @@
 	maxPeersAsked = 8
 	askDelay      = 25 * time.Millisecond
 	// minLinkedFailures is the number of daemons with links to other servers that
-	// must fail to reach a server before it counts as down. All that were asked must,
-	// if they are fewer.
+	// must fail to reach a server before it counts as down, one if no other has
+	// answered within failureGrace. Daemons that decide on the cause of a server's end
+	// wait for its sighting, so that a daemon that does not answer must not delay it.
 	minLinkedFailures = 2
+	failureGrace      = 50 * time.Millisecond
 )
 
 // Peer is another daemon that can open connections on this one's behalf.
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -73,31 +73,47 @@
 	ask()
 	next := time.NewTicker(askDelay)
 	defer next.Stop()
+	var grace <-chan time.Time // ends the wait for daemons that do not answer
+	failed := func(a answer) (net.Conn, bool, error) {
+		d.metrics.failed.Inc(1)
+		return nil, linkedFailures >= min(minLinkedFailures, answered), a.err
+	}
+	var last answer
+	discard := func() {
+		for range asked - answered {
+			if late := <-answers; late.err == nil {
+				_ = late.conn.Close() // nothing was sent on it
+			}
+		}
+	}
 	for {
 		select {
 		case a := <-answers:
 			answered++
 			if a.err == nil {
-				go func() {
-					for range asked - answered {
-						if late := <-answers; late.err == nil {
-							_ = late.conn.Close() // nothing was sent on it
-						}
-					}
-				}()
+				go discard()
 				d.metrics.opened.Inc(1)
 				return a.conn, false, nil
 			}
-			err = a.err
+			last = a
 			if a.linked {
 				linkedFailures++
 			}
-			if asked < len(peers) {
+			switch {
+			case asked < len(peers):
 				ask()
-			} else if answered == asked {
-				d.metrics.failed.Inc(1)
-				return nil, linkedFailures >= min(minLinkedFailures, len(peers)), err
+			case answered == asked:
+				return failed(last)
+			}
+			if a.linked && grace == nil {
+				grace = time.After(failureGrace)
+			}
+		case <-grace:
+			if asked == len(peers) || linkedFailures >= minLinkedFailures {
+				go discard()
+				return failed(last)
 			}
+			grace = time.After(askDelay)
 		case <-next.C:
 			if asked < len(peers) {
 				ask()
