--- a/internal/edge/links.go
+++ b/internal/edge/links.go
@@ -24,10 +24,11 @@
 		}
 	}
 	return reach.Config{
-		Self:    d.id,
-		Key:     key,
-		Peers:   d.tunnelPeers,
-		Servers: d.serverAddresses,
+		Self:        d.id,
+		Key:         key,
+		Peers:       d.tunnelPeers,
+		Servers:     d.serverAddresses,
+		ServerCount: d.directory.Len,
 		OnLost: func() {
 			d.stallDetector.Reset()
 			drop()
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -62,8 +62,8 @@
 		d.Attach(Config{
 			Self: d.id, Key: "key of " + string(d.id),
 			Peers:   func() []Peer { return w.peersOf(d) },
-			Servers: w.serverList,
-			OnLost:  func() {}, OnBack: func() {}, OnPeersChanged: func() {},
+			Servers: w.serverList, ServerCount: func() int { return len(w.serverList()) },
+			OnLost: func() {}, OnBack: func() {}, OnPeersChanged: func() {},
 		})
 		w.daemons = append(w.daemons, d)
 	}
