--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -255,8 +255,8 @@
 // broken connection to the store, an unavailable store, an unresponsive engine,
 // delayed orders, a new document, and a truncated server list.
 var faultKinds = []func(r *run, d *daemon, duration time.Duration, pick int){
-	func(r *run, d *daemon, _ time.Duration, _ int) { r.restart(d, syscall.SIGKILL) },
-	func(r *run, d *daemon, _ time.Duration, _ int) { r.restart(d, syscall.SIGTERM) },
+	func(r *run, d *daemon, _ time.Duration, _ int) { r.restartExcused(d, syscall.SIGKILL) },
+	func(r *run, d *daemon, _ time.Duration, _ int) { r.restartExcused(d, syscall.SIGTERM) },
 	func(r *run, d *daemon, duration time.Duration, _ int) {
 		r.signal(d, syscall.SIGSTOP)
 		time.Sleep(duration)
@@ -294,6 +294,13 @@
 	func(r *run, _ *daemon, _ time.Duration, _ int) { r.world.Store.TruncateHistory("keyed.servers") },
 }
 
+// restartExcused restarts a daemon and starts the count of its requests at servers
+// that announce rates anew.
+func (r *run) restartExcused(d *daemon, s syscall.Signal) {
+	r.restart(d, s)
+	r.world.ExcuseLimits()
+}
+
 // restart ends a daemon by a signal and starts a new process.
 func (r *run) restart(d *daemon, s syscall.Signal) {
 	r.mu.Lock()
@@ -302,7 +309,6 @@
 	r.signal(d, syscall.SIGCONT)
 	r.signal(d, s)
 	<-exited
-	defer r.world.ExcuseLimits()
 	d.starting.Lock()
 	defer d.starting.Unlock()
 	r.mu.Lock()
