standin/soak: the restarts of the test overlap on a busy machine, too

Cause: of its 16 goroutines one began after the first restart had completed, and rightly restarted the new process; such a fault is not concurrent with the others.

--- a/standin/soak/restart_test.go
+++ b/standin/soak/restart_test.go
@@ -25,10 +25,18 @@
 	r.daemons = append(r.daemons, d)
 	assert.NilError(t, r.start(d, true))
 	defer r.stopAll()
-	var restarts sync.WaitGroup
+	var restarts, begun sync.WaitGroup
+	d.starting.Lock() // no restart completes before all have begun
 	for range 16 {
-		restarts.Go(func() { r.restart(d, syscall.SIGKILL) })
+		begun.Add(1)
+		restarts.Go(func() {
+			begun.Done()
+			r.restart(d, syscall.SIGKILL)
+		})
 	}
+	begun.Wait()
+	time.Sleep(200 * time.Millisecond) // until each has found the first process
+	d.starting.Unlock()
 	restarts.Wait()
 	time.Sleep(200 * time.Millisecond) // until the script has written its line
 	data, err := os.ReadFile(binary + ".log")
