dispatch, entry, datastore: what ended an attempt, and how long its server was silent

The lines of a cut answer named a cause, but not how long its server had been silent, how many attempts were left, or which version of the routing document the request was accepted under. dispatch.attempt-failed now says what ended the attempt, its age, the silence, the events received and the attempts sent of those allowed; entry.answered the version at acceptance and the one in force at the end. datastore.stalls and datastore.stalls_ended count stalls, and those that an event ended: the silence of a sound group.

No decision has changed.

--- a/internal/datastore/stall.go
+++ b/internal/datastore/stall.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"carawayproxy.example/caraway/internal/fleet"
 )
 
@@ -44,6 +46,8 @@
 	// onStalled is called with each group that is found to be stalled; it must
 	// not block.
 	onStalled func(fleet.GroupID)
+	// found counts stalls, and ended those that an event of the group ended.
+	found, ended metrics.Counter
 
 	mu      sync.Mutex
 	groups  map[fleet.GroupID]*groupStreams
@@ -61,9 +65,17 @@
 }
 
 // NewStallDetector returns a detector without any stream. It needs Run to
-// detect stalls.
-func NewStallDetector(onStalled func(fleet.GroupID)) *StallDetector {
-	return &StallDetector{onStalled: onStalled, groups: map[fleet.GroupID]*groupStreams{}}
+// detect stalls. It registers its metrics in r; nil for none.
+func NewStallDetector(onStalled func(fleet.GroupID), r metrics.Registry) *StallDetector {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	return &StallDetector{
+		onStalled: onStalled,
+		found:     metrics.GetOrRegisterCounter("datastore.stalls", r),
+		ended:     metrics.GetOrRegisterCounter("datastore.stalls_ended", r),
+		groups:    map[fleet.GroupID]*groupStreams{},
+	}
 }
 
 // Attach registers an attempt at a group. The caller must call Detach at its end.
@@ -131,6 +143,7 @@
 			delete(d.groups, id)
 		case g.attached > 0 && g.stalledAt.IsZero() && now.Sub(g.lastEventAt) > g.stallTimeout(now):
 			g.stalledAt = now
+			d.found.Inc(1)
 			close(g.stalled)
 			stalled = append(stalled, id)
 		}
@@ -174,6 +187,7 @@
 		m.group.active++
 	}
 	if !m.group.stalledAt.IsZero() {
+		m.detector.ended.Inc(1)
 		m.group.stalledAt = time.Time{}
 		m.group.stalled = make(chan struct{})
 	}
--- a/internal/datastore/stall_test.go
+++ b/internal/datastore/stall_test.go
@@ -28,7 +28,7 @@
 		3: stallTimeouts[3],
 		9: stallTimeouts[3],
 	} {
-		d := NewStallDetector(func(fleet.GroupID) {})
+		d := NewStallDetector(func(fleet.GroupID) {}, nil)
 		var attempts []*StreamMonitor
 		for range max(active, 1) {
 			attempts = append(attempts, d.Attach("g"))
@@ -51,7 +51,7 @@
 
 // One event on any stream shows that the group makes progress.
 func TestAnyEventClearsTheStall(t *testing.T) {
-	d := NewStallDetector(func(fleet.GroupID) {})
+	d := NewStallDetector(func(fleet.GroupID) {}, nil)
 	a, b := d.Attach("g"), d.Attach("g")
 	a.RecordEvent()
 	b.RecordEvent()
@@ -64,7 +64,7 @@
 
 // A daemon that was itself frozen must not report groups as stalled.
 func TestFrozenDaemonReportsNoStall(t *testing.T) {
-	d := NewStallDetector(func(fleet.GroupID) {})
+	d := NewStallDetector(func(fleet.GroupID) {}, nil)
 	for range 4 {
 		d.Attach("g").RecordEvent()
 	}
@@ -76,7 +76,7 @@
 
 // A group without streams is never stalled, and is removed.
 func TestGroupWithoutStreams(t *testing.T) {
-	d := NewStallDetector(func(fleet.GroupID) {})
+	d := NewStallDetector(func(fleet.GroupID) {}, nil)
 	m := d.Attach("g")
 	m.RecordEvent()
 	m.Detach()
@@ -88,7 +88,7 @@
 // A peer's report shortens the timeout but does not by itself mark a group as
 // stalled.
 func TestPeerStallReportShortensTheTimeout(t *testing.T) {
-	d := NewStallDetector(func(fleet.GroupID) {})
+	d := NewStallDetector(func(fleet.GroupID) {}, nil)
 	d.Attach("g").RecordEvent()
 	d.RecordPeerStall("g")
 	d.RecordPeerStall("unknown")
@@ -97,7 +97,7 @@
 	assert.Assert(t, found >= peerStallTimeout && found <= peerStallTimeout+2*stallCheckInterval,
 		"found after %s", found)
 
-	fresh := NewStallDetector(func(fleet.GroupID) {})
+	fresh := NewStallDetector(func(fleet.GroupID) {}, nil)
 	fresh.Attach("g")
 	fresh.RecordPeerStall("g")
 	assert.Equal(t, sweepUntil(fresh, now, now.Add(time.Second)), time.Duration(0),
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,47 @@
 	routing.Candidate
 	attempt   fleet.AttemptID
 	rechecked bool
+	progress  *progress
+}
+
+// progress is what the attempt has received so far. It is safe for concurrent use.
+type progress struct {
+	mu          sync.Mutex
+	sentAt      time.Time
+	lastEventAt time.Time // zero before the first event
+	events      int
+}
+
+func (p *progress) recordSent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sentAt = time.Now()
+}
+
+func (p *progress) recordEvent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastEventAt = time.Now()
+	p.events++
+}
+
+func (p *progress) lastEventTime() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastEventAt
+}
+
+// summary returns the time since the attempt was sent, the time since it last
+// received an event, or since it was sent if there was none, and the number of
+// events.
+func (p *progress) summary(now time.Time) (age, silent time.Duration, events int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age = now.Sub(p.sentAt)
+	if p.events == 0 {
+		return age, age, 0
+	}
+	return age, now.Sub(p.lastEventAt), p.events
 }
 
 // attempts is the state shared by all attempts of one request.
@@ -66,7 +108,7 @@
 		if dec.Chosen == nil {
 			return target{}, a.noGroupFailure(dec.RateWait)
 		}
-		t := target{Candidate: *dec.Chosen, attempt: dec.attempt}
+		t := target{Candidate: *dec.Chosen, attempt: dec.attempt, progress: &progress{}}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
 		if !t.rechecked {
 			a.avoid(t.Candidate)
@@ -185,12 +227,33 @@
 	}
 	a.avoid(t.Candidate)
 	a.d.countFailure(cause)
-	a.d.cfg.Events.Emit(eventAttemptFailed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address, "cause", cause)
+	age, silent, events := t.progress.summary(time.Now())
+	a.d.cfg.Events.Emit(eventAttemptFailed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address, "cause", cause,
+		"ended_by", endedBy(cause), "age", age.Round(time.Millisecond), "silent", silent.Round(time.Millisecond), "events", events,
+		"sent", a.sentCount, "allowed", a.maxAttempts())
 	if isCrossed(cause) {
 		a.d.cfg.Events.Emit(eventCrossed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address)
 	}
 }
 
+// endedBy returns what ended an attempt.
+func endedBy(cause error) string {
+	switch {
+	case errors.Is(cause, errGroupLost):
+		return "loss of the group"
+	case errors.Is(cause, errGroupStalled), errors.Is(cause, errStalled), errors.Is(cause, errStraggler):
+		return "silence"
+	case errors.Is(cause, errCallerGone), errors.Is(cause, context.Canceled):
+		return "caller"
+	case errors.Is(cause, context.DeadlineExceeded):
+		return "deadline"
+	case provablyNotRun(cause):
+		return "refusal"
+	default:
+		return "answer or connection"
+	}
+}
+
 // isCrossed reports whether an answer carried the ids of another request or
 // attempt.
 func isCrossed(cause error) bool {
@@ -263,6 +326,7 @@
 	}
 	a.sentCount++
 	a.retryReserved = false
+	t.progress.recordSent()
 	a.d.metrics.attempts.Inc(1)
 	if a.route.Exclusive {
 		a.d.isolated.add(t.Group)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -14,7 +14,7 @@
 		"The candidates that a routing decision did not choose, with their costs or the filter that rejected them.",
 		"None.")
 	eventAttemptFailed = event.Define(1602, "dispatch.attempt-failed", log.WarnLevel,
-		"An attempt ended without a complete answer.",
+		"An attempt ended without a complete answer. The event says what ended it, the attempt's age, how long its server had been silent, the events received, and how many attempts were sent of those allowed.",
 		"See the cause; inspect the group or instance if it repeats there.")
 	eventCrossed = event.Define(1603, "dispatch.crossed-answer", log.ErrorLevel,
 		"A backend server answered with the ids of another request; the answer was discarded.",
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -398,8 +397,7 @@
 // stalls and the request can move to another one.
 type attemptWatch struct {
 	streamMonitor StreamMonitor // nil without stall detection
-	mu            sync.Mutex
-	lastEventAt   time.Time // zero before the first event
+	progress      *progress
 	stopped       chan struct{}
 	done          chan struct{}
 }
@@ -407,7 +405,7 @@
 // startWatch starts the watch of an attempt. Until stop returns, only the watch
 // may prepare the next attempt.
 func (r *forwardedRequest) startWatch(ctx context.Context, cancel context.CancelCauseFunc, t target) *attemptWatch {
-	w := &attemptWatch{stopped: make(chan struct{}), done: make(chan struct{})}
+	w := &attemptWatch{progress: t.progress, stopped: make(chan struct{}), done: make(chan struct{})}
 	groupLost := r.d.cfg.Router.GroupLost(t.Group, t.Epoch)
 	var groupStalled, linksLost <-chan struct{}
 	if r.d.cfg.LinksLost != nil {
@@ -455,33 +453,25 @@
 // whether no further one arrives within the grace period. For an attempt
 // without any event it returns true at once.
 func (w *attemptWatch) staysSilent(ctx context.Context, grace time.Duration) bool {
-	return w.lastEventTime().IsZero() || w.staysSilentFor(ctx, grace)
+	return w.progress.lastEventTime().IsZero() || w.staysSilentFor(ctx, grace)
 }
 
 // staysSilentFor reports whether nothing arrives within the grace period.
 func (w *attemptWatch) staysSilentFor(ctx context.Context, grace time.Duration) bool {
-	last := w.lastEventTime()
+	last := w.progress.lastEventTime()
 	timer := time.NewTimer(grace)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return w.lastEventTime().Equal(last)
+		return w.progress.lastEventTime().Equal(last)
 	case <-w.stopped:
 	case <-ctx.Done():
 	}
 	return false
 }
 
-func (w *attemptWatch) lastEventTime() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.lastEventAt
-}
-
 func (w *attemptWatch) recordEvent() {
-	w.mu.Lock()
-	w.lastEventAt = time.Now()
-	w.mu.Unlock()
+	w.progress.recordEvent()
 	if w.streamMonitor != nil {
 		w.streamMonitor.RecordEvent()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,7 +197,7 @@
 			d.mesh.RequestHeartbeat()
 		},
 	})
-	d.stallDetector = datastore.NewStallDetector(d.onGroupStalled)
+	d.stallDetector = datastore.NewStallDetector(d.onGroupStalled, d.metrics)
 	d.refusals = datastore.NewRefusals()
 	d.rates = ratelimit.New(ratelimit.Config{
 		Self:     fleet.DaemonID(d.settings.Name),
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -21,6 +21,8 @@
 
 // metricDescriptions describes each metric with its unit.
 var metricDescriptions = map[string]string{
+	"datastore.stalls":                      "groups found to have stalled",
+	"datastore.stalls_ended":                "stalled groups that sent an event again on a stream of this daemon",
 	"dispatch.attempts":                     "attempts started",
 	"dispatch.broken_answers":               "attempts that ended without a complete response",
 	"dispatch.cancels":                      "cancel requests sent to engines for attempts that are no longer needed; own protocol only",
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -166,11 +166,20 @@
 	late := first > req.route.Target && req.route.Target > 0 ||
 		req.route.PauseTarget > 0 && relay.longestPause > req.route.PauseTarget
 	h.cfg.Events.Emit(eventAnswered, "request", req.meta.Request, "outcome", outcome, "status", status, "late", late,
+		"document", req.version, "document_now", h.documentVersion(),
 		"first", first.Round(time.Millisecond), "longest_pause", relay.longestPause.Round(time.Millisecond),
 		"took", now.Sub(req.arrived).Round(time.Millisecond), "bytes", relay.bytes)
 	h.cfg.Events.EndRequest(req.meta.Request, outcome != "served" || late)
 }
 
+// documentVersion returns the version of the document in force.
+func (h *Handler) documentVersion() uint64 {
+	if table := h.cfg.Routes.Table(); table != nil {
+		return table.Document.Version
+	}
+	return 0
+}
+
 // refusal is the final answer to a request that is not forwarded.
 type refusal struct {
 	status     int
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -13,7 +13,7 @@
 	eventAccepted = event.Define(1701, "entry.accepted", log.InfoLevel,
 		"A request was parsed and matched to a route of the given version of the routing document.", "None.")
 	eventAnswered = event.Define(1702, "entry.answered", log.InfoLevel,
-		"A request got its final answer, or its caller disconnected; late means later than its route's targets.",
+		"A request got its final answer, or its caller disconnected; late means later than its route's targets. The event names the version of the routing document that the request was accepted under and the one in force at its end.",
 		"If it was not served, see the earlier events of the same request.")
 	eventWriteDeadlineFailed = event.Define(1703, "entry.no-write-deadline", log.WarnLevel,
 		"The write deadline of a caller's connection could not be set.", "Report it with the error.")
