--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -27,13 +27,14 @@
 	groups       []routing.Candidate
 	groupLost    map[fleet.GroupID]chan struct{}
 	failsRecheck map[fleet.GroupID]bool
-	inFlight     int           // attempts started and not ended
-	recheckDelay time.Duration // simulates a process paused during the recheck
+	stalled      map[fleet.GroupID]bool // not routed to
+	inFlight     int                    // attempts started and not ended
+	recheckDelay time.Duration          // simulates a process paused during the recheck
 	requests     []routing.Request
 }
 
 func newFakeRouter(n int) *fakeRouter {
-	r := &fakeRouter{groupLost: map[fleet.GroupID]chan struct{}{}, failsRecheck: map[fleet.GroupID]bool{}}
+	r := &fakeRouter{groupLost: map[fleet.GroupID]chan struct{}{}, failsRecheck: map[fleet.GroupID]bool{}, stalled: map[fleet.GroupID]bool{}}
 	for i := range n {
 		id := fleet.GroupID(fmt.Sprint("g", i))
 		r.groups = append(r.groups, routing.Candidate{
@@ -53,7 +54,7 @@
 	for pass := range 2 {
 		for _, c := range r.groups {
 			avoided := contains(req.AvoidFabric, c.Fabric)
-			if contains(req.FailedGroups, c.Group) || avoided != (pass == 1) {
+			if contains(req.FailedGroups, c.Group) || r.stalled[c.Group] || avoided != (pass == 1) {
 				continue
 			}
 			if dec.Chosen == nil {
@@ -78,6 +79,12 @@
 func (r *fakeRouter) Started(fleet.GroupID, uint32) { r.mu.Lock(); r.inFlight++; r.mu.Unlock() }
 func (r *fakeRouter) Ended(fleet.GroupID, uint32)   { r.mu.Lock(); r.inFlight--; r.mu.Unlock() }
 
+func (r *fakeRouter) setStalled(g fleet.GroupID, stalled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalled[g] = stalled
+}
+
 func (r *fakeRouter) Recheck(c routing.Candidate) bool {
 	time.Sleep(r.recheckDelay)
 	r.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/forward_test.go
@@ -0,0 +1,261 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/backend"
+	"carawayproxy.example/caraway/internal/dispatch"
+	"carawayproxy.example/caraway/internal/event"
+	"carawayproxy.example/caraway/internal/fleet"
+	"carawayproxy.example/caraway/internal/suspect"
+)
+
+const (
+	// streamEvents is the number of events of a complete stream.
+	streamEvents = 10
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 50 * time.Millisecond
+	// silence is longer than the stall timeouts of the tests.
+	silence = 1500 * time.Millisecond
+)
+
+// streamScript is what a group does with the streams that it receives.
+type streamScript struct {
+	refuse      bool          // 503, not executed
+	silentAfter int           // number of events before the silence
+	silence     time.Duration // zero for none
+	breaks      bool          // the connection breaks after breakAfter events
+	breakAfter  int
+	headerDelay time.Duration
+}
+
+// scriptedStreams are groups that answer with event streams according to a
+// script. It implements backend.Opaques.
+type scriptedStreams struct {
+	mu      sync.Mutex
+	scripts map[string]streamScript
+	// arrivals are the groups that attempts reached, in order, and the last event
+	// ids from which they resume.
+	arrivals []string
+	ended    map[string]error // why a group's stream ended: nil if complete
+	open     int              // streams that have not ended
+}
+
+func (s *scriptedStreams) Forward(ctx context.Context, address string, o backend.Opaque) (backend.OpaqueResponse, error) {
+	s.mu.Lock()
+	script := s.scripts[address]
+	s.arrivals = append(s.arrivals, address+" after "+o.ResumeAfter)
+	s.mu.Unlock()
+	if err := wait(ctx, script.headerDelay); err != nil {
+		return backend.OpaqueResponse{}, err
+	}
+	if script.refuse {
+		return backend.OpaqueResponse{}, &backend.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	from, _ := strconv.Atoi(o.ResumeAfter)
+	r, w := io.Pipe()
+	s.mu.Lock()
+	s.open++
+	s.mu.Unlock()
+	go func() {
+		err := writeEvents(ctx, w, string(o.Request), from, script)
+		_ = w.CloseWithError(err)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open--
+		s.ended[address] = err
+	}()
+	return backend.OpaqueResponse{Status: http.StatusOK, Header: http.Header{"X-Group": {address}}, Body: r}, nil
+}
+
+func writeEvents(ctx context.Context, w io.Writer, id string, from int, script streamScript) error {
+	for n := from + 1; n <= streamEvents; n++ {
+		pause := eventInterval
+		if n == from+script.silentAfter+1 {
+			pause += script.silence
+		}
+		if err := wait(ctx, pause); err != nil {
+			return context.Cause(ctx)
+		}
+		if script.breaks && n > from+script.breakAfter {
+			return errors.New("connection reset")
+		}
+		if _, err := io.WriteString(w, eventText(id, n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+
+func (s *scriptedStreams) reached() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.arrivals...)
+}
+
+// recordingRelay is a caller.
+type recordingRelay struct {
+	mu     sync.Mutex
+	status int
+	header http.Header
+	body   strings.Builder
+	leave  time.Time // when the caller disconnects; zero for never
+}
+
+func (r *recordingRelay) WriteHeader(status int, header http.Header) {
+	r.status, r.header = status, header
+}
+
+func (r *recordingRelay) WriteBody(p []byte, _ bool) error {
+	if !r.mu.TryLock() {
+		panic("two attempts write to the caller at once")
+	}
+	defer r.mu.Unlock()
+	r.body.Write(p)
+	return nil
+}
+
+func completeStream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		b.WriteString(eventText(id, n))
+	}
+	return b.String()
+}
+
+// stallTimeout is the time without an event after which a group counts as stalled.
+const stallTimeout = 300 * time.Millisecond
+
+// fakeStallDetector reports a group as stalled, to the router as well, once its
+// attempt has received nothing for stallTimeout. It monitors one attempt at each
+// group.
+type fakeStallDetector struct{ router *fakeRouter }
+
+func (d fakeStallDetector) Attach(group fleet.GroupID) dispatch.StreamMonitor {
+	m := &stallMonitor{router: d.router, group: group, stalled: make(chan struct{})}
+	m.timer = time.AfterFunc(stallTimeout, func() {
+		m.router.setStalled(group, true)
+		close(m.stalled)
+	})
+	return m
+}
+
+type stallMonitor struct {
+	router  *fakeRouter
+	group   fleet.GroupID
+	timer   *time.Timer
+	stalled chan struct{}
+}
+
+func (m *stallMonitor) RecordEvent() {
+	if m.timer.Stop() {
+		m.timer.Reset(stallTimeout)
+	} else {
+		m.router.setStalled(m.group, false)
+	}
+}
+func (m *stallMonitor) Stalled() <-chan struct{} { return m.stalled }
+func (m *stallMonitor) Detach()                  { m.timer.Stop() }
+
+// forwardFixture is a dispatcher that forwards streams to scripted groups.
+type forwardFixture struct {
+	*fixture
+	streams *scriptedStreams
+	metrics metrics.Registry
+	links   chan struct{}
+}
+
+func newForwardFixture(groups int, scripts map[string]streamScript) *forwardFixture {
+	f := &forwardFixture{
+		fixture: newFixture(groups),
+		streams: &scriptedStreams{scripts: scripts, ended: map[string]error{}},
+		metrics: metrics.NewRegistry(),
+		links:   make(chan struct{}),
+	}
+	f.fixture.Dispatcher.Close()
+	f.fixture.Dispatcher = dispatch.New(dispatch.Config{
+		Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, f.recordEvent), Metrics: f.metrics,
+		Router: f.router, Admission: f.admission, CatalogSource: f.catalog, Opaques: f.streams,
+		Suspects: suspect.NewTracker(suspect.TrackerConfig{Self: "d", Fold: suspect.NewFold()}), StallDetector: fakeStallDetector{f.router},
+		LinksLost: func() <-chan struct{} { return f.links },
+		Timings:   dispatch.Timings{BackoffBase: time.Millisecond, BackoffMax: time.Millisecond, StallGrace: 100 * time.Millisecond},
+	})
+	return f
+}
+
+func (f *forwardFixture) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter("dispatch."+name, f.metrics).Count()
+}
+
+func (f *forwardFixture) stream(ctx context.Context, relay *recordingRelay) *fleet.Failure {
+	return f.Forward(ctx, dispatch.Forwarding{
+		Workspace: "w", Service: "svc", Kind: fleet.KindEngine, Stream: true, Repeatable: true, MaxAttempts: 2,
+		Message: backend.Opaque{Request: "r", Method: http.MethodPost, Target: "/"},
+	}, relay)
+}
+
+// A running answer was ended because of what the daemon believed of its group:
+// that it had left the view, that it had stalled, or that the daemon's links were
+// lost. Only the attempt's own connection, its deadline and its caller end it.
+func TestAnswerWasCutOnABeliefAboutItsGroup(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		groups   int
+		scripts  map[string]streamScript
+		loseAt   time.Duration // when the only group leaves the view; zero for never
+		links    time.Duration // when the daemon's links count as lost; zero for never
+		arrivals []string
+	}{
+		{name: "group left the view while it answered", groups: 1, loseAt: 200 * time.Millisecond, arrivals: []string{"g0 after "}},
+		{name: "group left the view, others are there", groups: 2, loseAt: 200 * time.Millisecond, arrivals: []string{"g0 after "}},
+		{name: "group left the view before the first event", groups: 1, scripts: map[string]streamScript{"g0": {silence: silence}}, loseAt: 100 * time.Millisecond, arrivals: []string{"g0 after "}},
+		{name: "no other group", groups: 1, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}}, arrivals: []string{"g0 after "}},
+		{name: "second attempt refused", groups: 2, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}, "g1": {refuse: true}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+		{name: "second attempt refused before the first event", groups: 2, scripts: map[string]streamScript{"g0": {silence: silence}, "g1": {refuse: true}}, arrivals: []string{"g0 after ", "g1 after "}},
+		{name: "second attempt broken off", groups: 2, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}, "g1": {silence: 400 * time.Millisecond, breaks: true}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+		{name: "both silent", groups: 2, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}, "g1": {silence: 2 * silence}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+		{name: "first one breaks off, the second is silent", groups: 2, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence, breaks: true, breakAfter: 3}, "g1": {silence: 2 * silence}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+		{name: "second one takes over", groups: 2, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+		{name: "links lost while both are silent", groups: 2, links: 200 * time.Millisecond, scripts: map[string]streamScript{"g0": {silentAfter: 3, silence: silence}, "g1": {refuse: true}}, arrivals: []string{"g0 after ", "g1 after 3"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwardFixture(test.groups, test.scripts)
+				defer f.Close()
+				if test.loseAt > 0 {
+					time.AfterFunc(test.loseAt, func() { f.router.loseGroup("g0") })
+				}
+				if test.links > 0 {
+					time.AfterFunc(test.links, func() { close(f.links) })
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+				defer cancel()
+				relay := &recordingRelay{}
+				failure := f.stream(ctx, relay)
+				assert.Assert(t, failure == nil, "%v after %q", failure, relay.body.String())
+				assert.Equal(t, relay.body.String(), completeStream("r"))
+				assert.DeepEqual(t, f.streams.reached(), test.arrivals)
+				synctest.Wait()
+				assert.Equal(t, f.streams.open, 0, "streams that go on")
+				assert.Equal(t, f.router.inFlight, 0)
+				assert.Equal(t, f.admission.tickets, 0)
+			})
+		})
+	}
+}
