dispatch: an attempt ends by its connection, its deadline or its caller

Callers saw streams cut although their server was sound: beside a document that took their group out of the view, and when a server fell silent for a second or so and the attempt that was to replace it was refused.

Cause: the watch of an attempt canceled it on what the daemon believed of its group (gone from the view, stalled, own links lost) before anything had replaced it; the loss of a group did so even where no attempt, no retry budget and no other group was left. Class: a belief about a server ends an answer that it is giving.

Now such a belief only starts another attempt, beside one whose server is silent. Both may bring the next event; the first one that does answers the request, under one lock with its write to the caller, and the others end. If the second attempt is refused or breaks off, the first one goes on and is watched further; if the first one breaks off, the second goes on. Attempts, the retry budget, announced rates and the check of suspects bound it as they bound retries, requests that must not run twice and isolated ones get none, and a group is no longer its own replacement. dispatch.failover, dispatch.superseded, dispatch.failovers and dispatch.failovers_needless tell it.

--- a/internal/datastore/stall.go
+++ b/internal/datastore/stall.go
@@ -91,7 +91,7 @@
 		g.lastEventAt = time.Now()
 	}
 	g.attached++
-	return &StreamMonitor{detector: d, group: g, stalled: g.stalled}
+	return &StreamMonitor{detector: d, group: g}
 }
 
 // Stalled reports whether a group was found to be stalled within stallRetention.
@@ -173,7 +173,6 @@
 type StreamMonitor struct {
 	detector *StallDetector
 	group    *groupStreams
-	stalled  <-chan struct{}
 	active   bool // guarded by detector.mu
 }
 
@@ -194,7 +193,12 @@
 }
 
 // Stalled returns a channel that is closed once the group is found to be stalled.
-func (m *StreamMonitor) Stalled() <-chan struct{} { return m.stalled }
+// An event of the group replaces a closed channel.
+func (m *StreamMonitor) Stalled() <-chan struct{} {
+	m.detector.mu.Lock()
+	defer m.detector.mu.Unlock()
+	return m.group.stalled
+}
 
 // Detach ends the tracking of the attempt.
 func (m *StreamMonitor) Detach() {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -36,6 +36,8 @@
 	routing.Candidate
 	attempt   fleet.AttemptID
 	rechecked bool
+	isolated  bool // no other request of this daemon is sent to the group
+	number    int  // of the attempt, from 1
 	progress  *progress
 }
 
@@ -45,6 +47,8 @@
 	sentAt      time.Time
 	lastEventAt time.Time // zero before the first event
 	events      int
+	isError     bool // the answer is no success
+	logged      bool // logFailure was called
 }
 
 func (p *progress) recordSent() {
@@ -60,6 +64,27 @@
 	p.events++
 }
 
+func (p *progress) recordAnswer(status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isError = status/100 != 2
+}
+
+func (p *progress) answeredError() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isError
+}
+
+// markLogged returns false if it was called before.
+func (p *progress) markLogged() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.logged
+	p.logged = true
+	return first
+}
+
 func (p *progress) lastEventTime() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,7 +117,6 @@
 	mayHaveRun    bool             // at least one attempt may have run
 	nextDecision  *attemptDecision // routed in advance for the next attempt
 	retryReserved bool             // the retry budget has been charged for the next attempt
-	errorAnswered bool             // the caller received an answer that is no success
 	crashCount    int              // attempts that failed as if their server had ended
 }
 
@@ -108,7 +132,7 @@
 		if dec.Chosen == nil {
 			return target{}, a.noGroupFailure(dec.RateWait)
 		}
-		t := target{Candidate: *dec.Chosen, attempt: dec.attempt, progress: &progress{}}
+		t := target{Candidate: *dec.Chosen, attempt: dec.attempt, isolated: a.route.Exclusive, number: a.sentCount + 1, progress: &progress{}}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
 		if !t.rechecked {
 			a.avoid(t.Candidate)
@@ -219,6 +243,13 @@
 // recordFailure updates run state, metrics and events for a failed attempt and
 // excludes its group from further attempts.
 func (a *attempts) recordFailure(t target, cause error) {
+	a.recordOutcome(t, cause)
+	a.logFailure(t, cause)
+}
+
+// recordOutcome updates the run state for a failed attempt and excludes its group
+// from further attempts.
+func (a *attempts) recordOutcome(t target, cause error) {
 	if !provablyNotRun(cause) {
 		a.mayHaveRun = true
 	}
@@ -226,22 +257,37 @@
 		a.crashCount++
 	}
 	a.avoid(t.Candidate)
+}
+
+// logFailure updates metrics and events for a failed attempt, once. It may be
+// called while another attempt is planned.
+func (a *attempts) logFailure(t target, cause error) {
+	if !t.progress.markLogged() {
+		return
+	}
 	a.d.countFailure(cause)
 	age, silent, events := t.progress.summary(time.Now())
 	a.d.cfg.Events.Emit(eventAttemptFailed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address, "cause", cause,
 		"ended_by", endedBy(cause), "age", age.Round(time.Millisecond), "silent", silent.Round(time.Millisecond), "events", events,
-		"sent", a.sentCount, "allowed", a.maxAttempts())
+		"number", t.number, "allowed", a.maxAttempts())
 	if isCrossed(cause) {
 		a.d.cfg.Events.Emit(eventCrossed, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address)
 	}
 }
 
+// logSuperseded logs the end of an attempt for which another one answers.
+func (a *attempts) logSuperseded(t target) {
+	age, silent, events := t.progress.summary(time.Now())
+	a.d.cfg.Events.Emit(eventSuperseded, "request", a.id, "attempt", t.attempt, "group", t.Group, "address", t.Address,
+		"age", age.Round(time.Millisecond), "silent", silent.Round(time.Millisecond), "events", events, "number", t.number, "allowed", a.maxAttempts())
+}
+
 // endedBy returns what ended an attempt.
 func endedBy(cause error) string {
 	switch {
 	case errors.Is(cause, errGroupLost):
 		return "loss of the group"
-	case errors.Is(cause, errGroupStalled), errors.Is(cause, errStalled), errors.Is(cause, errStraggler):
+	case errors.Is(cause, errStalled), errors.Is(cause, errStraggler):
 		return "silence"
 	case errors.Is(cause, errCallerGone), errors.Is(cause, context.Canceled):
 		return "caller"
@@ -266,7 +312,7 @@
 		d.metrics.crossed.Inc(1)
 	case errors.Is(cause, errGroupLost):
 		d.metrics.groupLost.Inc(1)
-	case errors.Is(cause, errStalled), errors.Is(cause, errStraggler), errors.Is(cause, errGroupStalled):
+	case errors.Is(cause, errStalled), errors.Is(cause, errStraggler):
 		d.metrics.stalled.Inc(1)
 	default:
 		d.metrics.broken.Inc(1)
@@ -328,7 +374,7 @@
 	a.retryReserved = false
 	t.progress.recordSent()
 	a.d.metrics.attempts.Inc(1)
-	if a.route.Exclusive {
+	if t.isolated {
 		a.d.isolated.add(t.Group)
 	}
 	a.d.cfg.Router.Started(t.Group, a.route.MaxTokens)
@@ -339,13 +385,13 @@
 // stays registered with the suspect tracker until its group is known to have
 // survived or died.
 func (a *attempts) endAttempt(t target, cause error) {
-	if a.route.Exclusive {
+	if t.isolated {
 		a.d.isolated.remove(t.Group)
 	}
 	a.d.cfg.Router.Ended(t.Group, a.route.MaxTokens)
 	switch {
 	case cause == nil || provablyNotRun(cause):
-		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, cause == nil && !a.errorAnswered)
+		a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, cause == nil && !t.progress.answeredError())
 	case a.d.cfg.LivenessProber != nil:
 		if !mayBeCrash(cause) {
 			a.d.cfg.Suspects.Ended(t.Group, t.Epoch, a.subjects, false)
@@ -363,7 +409,7 @@
 // mayBeCrash reports whether an attempt may have failed because its server
 // ended. Attempts that this daemon canceled and error answers are not.
 func mayBeCrash(cause error) bool {
-	for _, other := range []error{errCallerGone, errGroupStalled, errBackendError, context.Canceled, context.DeadlineExceeded} {
+	for _, other := range []error{errCallerGone, errSuperseded, errBackendError, context.Canceled, context.DeadlineExceeded} {
 		if errors.Is(cause, other) {
 			return false
 		}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -14,7 +14,7 @@
 		"The candidates that a routing decision did not choose, with their costs or the filter that rejected them.",
 		"None.")
 	eventAttemptFailed = event.Define(1602, "dispatch.attempt-failed", log.WarnLevel,
-		"An attempt ended without a complete answer. The event says what ended it, the attempt's age, how long its server had been silent, the events received, and how many attempts were sent of those allowed.",
+		"An attempt ended without a complete answer. The event says what ended it, the attempt's age, how long its server had been silent, the events received, and its number among those allowed.",
 		"See the cause; inspect the group or instance if it repeats there.")
 	eventCrossed = event.Define(1603, "dispatch.crossed-answer", log.ErrorLevel,
 		"A backend server answered with the ids of another request; the answer was discarded.",
@@ -40,6 +40,12 @@
 	eventRelayed = event.Define(1611, "dispatch.relayed", log.InfoLevel,
 		"An attempt is sent on a connection that leads through another daemon.",
 		"See reach.links-lost at this daemon, and the lines of the daemon named by via.")
+	eventFailover = event.Define(1612, "dispatch.failover", log.InfoLevel,
+		"An attempt's server is silent and the attempt is doubted; another attempt is planned beside it. The first one that sends something new answers the request.",
+		"None; see the doubt. If servers often turn out sound, see dispatch.failovers_needless and datastore.stalls_ended.")
+	eventSuperseded = event.Define(1613, "dispatch.superseded", log.InfoLevel,
+		"An attempt was ended because another attempt of its request sent something new first.",
+		"None.")
 	eventDecisionAwaited = event.Define(1609, "dispatch.decision-awaited", log.InfoLevel,
 		"An attempt waits for the decision on recent deaths of groups, which may convict the request or a part of its prompt.",
 		"None.")
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,11 +20,8 @@
 // maxAnswerBytes bounds an answer that is buffered before it is relayed.
 const maxAnswerBytes = 32 << 20
 
-// Causes for which a forwarded attempt is canceled or retried.
-var (
-	errGroupStalled = errors.New("no stream of the group moves")
-	errBackendError = errors.New("the backend server answered that it failed")
-)
+// errBackendError is the cause of an attempt that was answered with an error.
+var errBackendError = errors.New("the backend server answered that it failed")
 
 // Forwarding is a request that is forwarded byte for byte.
 type Forwarding struct {
@@ -119,14 +117,19 @@
 // forwardedRequest is the state of one forwarded request.
 type forwardedRequest struct {
 	attempts
-	req         Forwarding
-	relay       Relay
-	start       time.Time
-	firstByteAt time.Time // when the body of the answer began
-	headerSent  bool      // the caller has received the answer's header
-	lastEventID string    // of the last event that the caller received
-	urgency     uint32
-	errorAnswer *bufferedAnswer // the last 5xx answer of a backend server
+	req     Forwarding
+	relay   Relay
+	start   time.Time
+	urgency uint32
+
+	// mu guards the fields below and the relay. An attempt holds it while it writes
+	// to the caller.
+	mu          sync.Mutex
+	flights     []*flight       // the attempts that may answer
+	firstByteAt time.Time       // when the body of the answer began
+	headerSent  bool            // the caller has received the answer's header
+	lastEventID string          // of the last event that the caller received
+	errorAnswer *bufferedAnswer // the last error answer of a backend server
 }
 
 // bufferedAnswer is an answer that was received completely.
@@ -171,10 +174,7 @@
 		if f != nil {
 			return r.preferErrorAnswer(f)
 		}
-		if r.lastEventID != r.req.Message.ResumeAfter {
-			r.d.metrics.resumed.Inc(1)
-		}
-		cause := r.attempt(ctx, t)
+		t, cause := r.attempt(ctx, t)
 		if cause == nil {
 			return nil
 		}
@@ -200,7 +200,7 @@
 func refusalReason(t target, cause error) routing.Refusal {
 	var refused *backend.RefusedError
 	switch {
-	case errors.Is(cause, errGroupStalled), errors.Is(cause, errGroupLost), errors.Is(cause, errCallerGone),
+	case errors.Is(cause, errSuperseded), errors.Is(cause, errCallerGone),
 		errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, backend.ErrLinksLost):
 		return 0
 	case errors.Is(cause, backend.ErrNotSent):
@@ -230,12 +230,7 @@
 		}
 		return r.newFailure(fleet.ReasonBackendFailed, 0, "the request was sent and got no answer that can be passed on: "+cause.Error())
 	}
-	if errors.Is(cause, backend.ErrNotSent) {
-		// The backend server received nothing, so this attempt does not count
-		// against the attempt limit or the retry budget.
-		r.sentCount--
-		r.retryReserved = true
-	}
+	r.refundUnsent(cause)
 	return r.prepareRetry(ctx, t, cause)
 }
 
@@ -245,36 +240,54 @@
 	if r.errorAnswer == nil || r.headerSent || f.Reason == fleet.ReasonCanceled {
 		return f
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err := r.deliver(r.errorAnswer); err != nil {
 		return r.newFailure(fleet.ReasonCanceled, 0, err.Error())
 	}
 	return nil
 }
 
-// attempt sends one attempt and relays its answer. The cause is nil once the
-// caller has received the complete answer.
-func (r *forwardedRequest) attempt(ctx context.Context, t target) (cause error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+// attempt sends one attempt and relays its answer. If another one is started
+// beside it, attempt returns when both have ended, with the attempt that decides
+// about the request. The cause is nil once the caller has received the complete
+// answer.
+func (r *forwardedRequest) attempt(ctx context.Context, t target) (last target, cause error) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	f := &flight{target: t, cancel: cancel}
 	r.startAttempt(t)
-	defer func() { r.endAttempt(t, attemptFailure(cause)) }()
-	w := r.startWatch(ctx, cancel, t)
-	defer w.stop()
+	r.takeOff(f)
+	w := r.startWatch(ctx, f)
+	cause = preferCancelCause(attemptCtx, r.send(attemptCtx, f, w))
+	next := w.stop()
+	r.land(f)
+	r.endAttempt(t, attemptFailure(cause))
+	if errors.Is(cause, errSuperseded) {
+		r.logSuperseded(t)
+	}
+	if next == nil {
+		return t, cause
+	}
+	return r.join(t, cause, next)
+}
 
+// send sends an attempt and relays its answer.
+func (r *forwardedRequest) send(ctx context.Context, f *flight, w *attemptWatch) error {
 	sentAt := time.Now()
-	ans, err := r.d.cfg.Opaques.Forward(ctx, t.Address, r.message(ctx, t))
-	r.observeRate(t, ans, err, sentAt)
+	ans, err := r.d.cfg.Opaques.Forward(ctx, f.Address, r.message(ctx, f.target))
+	r.observeRate(f.target, ans, err, sentAt)
 	if err != nil {
-		return preferCancelCause(ctx, err)
+		return err
 	}
 	defer ans.Body.Close()
 	if r.d.cfg.Refusals != nil {
-		r.d.cfg.Refusals.Reset(t.Group, t.Epoch)
+		r.d.cfg.Refusals.Reset(f.Group, f.Epoch)
 	}
 	if r.req.Stream && ans.Status/100 == 2 {
-		return preferCancelCause(ctx, r.relayStream(ans, w))
+		return r.relayStream(ans, f, w)
 	}
-	return preferCancelCause(ctx, r.relayBuffered(ans))
+	return r.relayBuffered(ans, f)
 }
 
 // observeRate passes on the request rate that an answer or a rejection announces.
@@ -302,7 +315,7 @@
 	m := r.req.Message
 	m.Instance = t.GroupLeader
 	m.Urgency = r.urgency
-	m.ResumeAfter = r.lastEventID
+	m.ResumeAfter = r.resumePoint()
 	m.Fresh = !r.req.Repeatable
 	m.Connected = func(via string) {
 		if via != "" {
@@ -315,9 +328,19 @@
 	return m
 }
 
+// resumePoint returns the id of the last event that the caller received.
+func (r *forwardedRequest) resumePoint() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastEventID != r.req.Message.ResumeAfter {
+		r.d.metrics.resumed.Inc(1)
+	}
+	return r.lastEventID
+}
+
 // relayBuffered buffers an answer before the caller receives any of it, so that
 // a truncated answer can be retried.
-func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse) error {
+func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse, f *flight) error {
 	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "the answer broke off")
@@ -326,20 +349,25 @@
 		return errors.Errorf("the answer has more than %d bytes", maxAnswerBytes)
 	}
 	answer := &bufferedAnswer{status: ans.Status, header: ans.Header, body: body}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.headerSent {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
-	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable {
+	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable || ans.Status/100 != 2 && len(r.flights) > 1 {
 		r.errorAnswer = answer
 		return errors.Wrapf(errBackendError, "status %d", ans.Status)
 	}
+	if err := r.claim(f); err != nil {
+		return err
+	}
+	f.progress.recordAnswer(ans.Status)
 	return r.deliver(answer)
 }
 
-// deliver writes a complete answer to the caller.
+// deliver writes a complete answer to the caller. Called with mu held.
 func (r *forwardedRequest) deliver(a *bufferedAnswer) error {
 	r.headerSent = true
-	r.errorAnswered = a.status/100 != 2
 	r.firstByteAt = time.Now()
 	r.relay.WriteHeader(a.status, a.header)
 	if err := r.relay.WriteBody(a.body, false); err != nil {
@@ -350,32 +378,46 @@
 
 // relayStream relays complete events as they arrive. When a stream resumes,
 // the caller keeps the header that it has already received.
-func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, w *attemptWatch) error {
+func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, f *flight, w *attemptWatch) error {
 	events := newEventReader(ans.Body)
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(ans)
+			return r.finishStream(ans, f)
 		}
 		if err != nil {
 			return err
 		}
 		w.recordEvent()
-		if alreadyDelivered(string(id), r.lastEventID) {
-			continue
-		}
-		r.sendHeader(ans)
-		if len(id) > 0 {
-			r.lastEventID = string(id)
-		}
-		r.d.metrics.events.Inc(1)
-		if err := r.relay.WriteBody(event, events.hasBuffered()); err != nil {
-			return errors.Wrap(errCallerGone, err.Error())
+		if err := r.relayEvent(ans, f, event, id, events.hasBuffered()); err != nil {
+			return err
 		}
 	}
 }
 
-// sendHeader writes the header of the first answer that is relayed.
+// relayEvent relays an event unless the caller has already received it.
+func (r *forwardedRequest) relayEvent(ans backend.OpaqueResponse, f *flight, event, id []byte, more bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if alreadyDelivered(string(id), r.lastEventID) {
+		return nil
+	}
+	if err := r.claim(f); err != nil {
+		return err
+	}
+	r.sendHeader(ans)
+	if len(id) > 0 {
+		r.lastEventID = string(id)
+	}
+	r.d.metrics.events.Inc(1)
+	if err := r.relay.WriteBody(event, more); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return nil
+}
+
+// sendHeader writes the header of the first answer that is relayed. Called with mu
+// held.
 func (r *forwardedRequest) sendHeader(ans backend.OpaqueResponse) {
 	if r.headerSent {
 		return
@@ -385,117 +427,15 @@
 	r.relay.WriteHeader(ans.Status, ans.Header)
 }
 
-func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse) error {
+func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse, f *flight) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.claim(f); err != nil {
+		return err
+	}
 	r.sendHeader(ans)
 	if err := r.relay.WriteBody(nil, false); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
 	return nil
 }
-
-// attemptWatch cancels an attempt when its group is lost, or when the group
-// stalls and the request can move to another one.
-type attemptWatch struct {
-	streamMonitor StreamMonitor // nil without stall detection
-	progress      *progress
-	stopped       chan struct{}
-	done          chan struct{}
-}
-
-// startWatch starts the watch of an attempt. Until stop returns, only the watch
-// may prepare the next attempt.
-func (r *forwardedRequest) startWatch(ctx context.Context, cancel context.CancelCauseFunc, t target) *attemptWatch {
-	w := &attemptWatch{progress: t.progress, stopped: make(chan struct{}), done: make(chan struct{})}
-	groupLost := r.d.cfg.Router.GroupLost(t.Group, t.Epoch)
-	var groupStalled, linksLost <-chan struct{}
-	if r.d.cfg.LinksLost != nil {
-		linksLost = r.d.cfg.LinksLost()
-		select {
-		case <-linksLost:
-			linksLost = nil // the attempt begins on a connection that leads through another daemon
-		default:
-		}
-	}
-	if r.d.cfg.StallDetector != nil && r.req.Stream {
-		w.streamMonitor = r.d.cfg.StallDetector.Attach(t.Group)
-		groupStalled = w.streamMonitor.Stalled()
-	}
-	go func() {
-		defer close(w.done)
-		for {
-			select {
-			case <-groupLost:
-				cancel(errGroupLost)
-				return
-			case <-groupStalled:
-				groupStalled = nil
-				if w.staysSilent(ctx, r.d.cfg.StallGrace) && r.prepareFailover() {
-					cancel(errGroupStalled)
-					return
-				}
-			case <-linksLost:
-				linksLost = nil
-				if w.staysSilentFor(ctx, r.d.cfg.StallGrace) && r.prepareFailover() {
-					cancel(errGroupStalled)
-					return
-				}
-			case <-ctx.Done():
-				return
-			case <-w.stopped:
-				return
-			}
-		}
-	}()
-	return w
-}
-
-// staysSilent waits for an attempt that has received events, and reports
-// whether no further one arrives within the grace period. For an attempt
-// without any event it returns true at once.
-func (w *attemptWatch) staysSilent(ctx context.Context, grace time.Duration) bool {
-	return w.progress.lastEventTime().IsZero() || w.staysSilentFor(ctx, grace)
-}
-
-// staysSilentFor reports whether nothing arrives within the grace period.
-func (w *attemptWatch) staysSilentFor(ctx context.Context, grace time.Duration) bool {
-	last := w.progress.lastEventTime()
-	timer := time.NewTimer(grace)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return w.progress.lastEventTime().Equal(last)
-	case <-w.stopped:
-	case <-ctx.Done():
-	}
-	return false
-}
-
-func (w *attemptWatch) recordEvent() {
-	w.progress.recordEvent()
-	if w.streamMonitor != nil {
-		w.streamMonitor.RecordEvent()
-	}
-}
-
-func (w *attemptWatch) stop() {
-	close(w.stopped)
-	<-w.done
-	if w.streamMonitor != nil {
-		w.streamMonitor.Detach()
-	}
-}
-
-// prepareFailover prepares another attempt while the current one is running.
-// It returns false if no other group is available or the attempt limit or the
-// retry budget is exhausted.
-func (r *forwardedRequest) prepareFailover() bool {
-	if !r.req.Repeatable || r.sentCount >= r.maxAttempts() {
-		return false
-	}
-	dec := r.routeNow()
-	if dec.Chosen == nil || !r.reserveRetry() {
-		return false
-	}
-	r.nextDecision = &dec
-	return true
-}
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"carawayproxy.example/caraway/internal/backend"
 	"carawayproxy.example/caraway/internal/dispatch"
@@ -51,6 +52,7 @@
 	// arrivals are the groups that attempts reached, in order, and the last event
 	// ids from which they resume.
 	arrivals []string
+	sent     int              // attempts that were not refused
 	ended    map[string]error // why a group's stream ended: nil if complete
 	open     int              // streams that have not ended
 }
@@ -70,6 +72,7 @@
 	r, w := io.Pipe()
 	s.mu.Lock()
 	s.open++
+	s.sent++
 	s.mu.Unlock()
 	go func() {
 		err := writeEvents(ctx, w, string(o.Request), from, script)
@@ -115,7 +118,6 @@
 	status int
 	header http.Header
 	body   strings.Builder
-	leave  time.Time // when the caller disconnects; zero for never
 }
 
 func (r *recordingRelay) WriteHeader(status int, header http.Header) {
@@ -179,6 +181,8 @@
 	streams *scriptedStreams
 	metrics metrics.Registry
 	links   chan struct{}
+	// attempts is the limit of attempts of a stream.
+	attempts int
 }
 
 func newForwardFixture(groups int, scripts map[string]streamScript) *forwardFixture {
@@ -187,6 +191,8 @@
 		streams: &scriptedStreams{scripts: scripts, ended: map[string]error{}},
 		metrics: metrics.NewRegistry(),
 		links:   make(chan struct{}),
+
+		attempts: 2,
 	}
 	f.fixture.Dispatcher.Close()
 	f.fixture.Dispatcher = dispatch.New(dispatch.Config{
@@ -205,7 +211,7 @@
 
 func (f *forwardFixture) stream(ctx context.Context, relay *recordingRelay) *fleet.Failure {
 	return f.Forward(ctx, dispatch.Forwarding{
-		Workspace: "w", Service: "svc", Kind: fleet.KindEngine, Stream: true, Repeatable: true, MaxAttempts: 2,
+		Workspace: "w", Service: "svc", Kind: fleet.KindEngine, Stream: true, Repeatable: true, MaxAttempts: f.attempts,
 		Message: backend.Opaque{Request: "r", Method: http.MethodPost, Target: "/"},
 	}, relay)
 }
@@ -259,3 +265,88 @@
 		})
 	}
 }
+
+// Whatever silent, refusing and breaking groups do, the caller receives a prefix of
+// one stream, complete or with a failure; attempts stay within their limit, and no
+// attempt that could still answer is given up.
+func TestConcurrentAttemptsOfStreams(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		scripts := map[string]streamScript{}
+		groups := rapid.IntRange(1, 4).Draw(rt, "groups")
+		for g := range groups {
+			scripts[fmt.Sprint("g", g)] = streamScript{
+				refuse:      rapid.IntRange(0, 4).Draw(rt, "refuse") == 0,
+				silentAfter: rapid.IntRange(0, 9).Draw(rt, "silentAfter"),
+				silence:     time.Duration(rapid.SampledFrom([]int{0, 200, 350, 400, 450, 500, 800, 2500, 60000}).Draw(rt, "silence")) * time.Millisecond,
+				breaks:      rapid.IntRange(0, 3).Draw(rt, "breaks") == 0,
+				breakAfter:  rapid.IntRange(0, 9).Draw(rt, "breakAfter"),
+				headerDelay: time.Duration(rapid.SampledFrom([]int{0, 0, 100, 700, 60000}).Draw(rt, "headerDelay")) * time.Millisecond,
+			}
+		}
+		limit := rapid.IntRange(1, 3).Draw(rt, "attempts")
+		loseAt := time.Duration(rapid.SampledFrom([]int{0, 0, 100, 300, 600}).Draw(rt, "loseAt")) * time.Millisecond
+		leaveAt := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 400, 600}).Draw(rt, "leaveAt")) * time.Millisecond
+		var problem error
+		synctest.Test(t, func(*testing.T) { problem = streamOnce(scripts, limit, loseAt, leaveAt, seen) })
+		if problem != nil {
+			rt.Fatal(problem)
+		}
+	})
+	t.Log(seen)
+	for _, outcome := range []string{"complete", "complete after a failover", "failed", "at its deadline", "left"} {
+		assert.Assert(t, seen[outcome] > 3, "%s not covered: %v", outcome, seen)
+	}
+}
+
+func streamOnce(scripts map[string]streamScript, limit int, loseAt, leaveAt time.Duration, seen map[string]int) error {
+	const deadline = 10 * time.Second
+	f := newForwardFixture(len(scripts), scripts)
+	defer f.Close()
+	f.attempts = limit
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	if loseAt > 0 {
+		time.AfterFunc(loseAt, func() { f.router.loseGroup("g0") })
+	}
+	if leaveAt > 0 {
+		time.AfterFunc(leaveAt, cancel)
+	}
+	began := time.Now()
+	relay := &recordingRelay{}
+	failure := f.stream(ctx, relay)
+	took := time.Since(began)
+	synctest.Wait()
+	switch {
+	case !strings.HasPrefix(completeStream("r"), relay.body.String()):
+		return errors.Errorf("the caller received %q", relay.body.String())
+	case failure == nil && relay.body.String() != completeStream("r"):
+		return errors.Errorf("success with %q", relay.body.String())
+	case f.streams.sent > limit:
+		return errors.Errorf("%d attempts of %d: %v", f.streams.sent, limit, f.streams.arrivals)
+	case f.streams.open > 0:
+		return errors.Errorf("%d streams go on", f.streams.open)
+	}
+	if took > deadline {
+		return errors.Errorf("answer after %s", took)
+	}
+	for group, err := range f.streams.ended {
+		gaveUp := errors.Is(err, context.Canceled)
+		if failure != nil && gaveUp && leaveAt == 0 {
+			return errors.Errorf("the attempt at %s was given up, and the request failed: %v", group, failure)
+		}
+	}
+	switch {
+	case failure == nil && f.counter("failovers") > 0:
+		seen["complete after a failover"]++
+	case failure == nil:
+		seen["complete"]++
+	case took == deadline:
+		seen["at its deadline"]++
+	case leaveAt > 0 && took == leaveAt:
+		seen["left"]++
+	default:
+		seen["failed"]++
+	}
+	return f.checkReleased()
+}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -231,7 +231,7 @@
 		return err
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errGroupLost) || errors.Is(cause, errStalled) || errors.Is(cause, errGroupStalled) {
+	if errors.Is(cause, errGroupLost) || errors.Is(cause, errStalled) || errors.Is(cause, errSuperseded) {
 		return cause
 	}
 	return err
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -10,7 +10,7 @@
 type dispatchMetrics struct {
 	requests, refused, attempts, retries, resumed, noBudget         metrics.Counter
 	crossed, broken, stalled, groupLost, cancels, uncertain, tokens metrics.Counter
-	events, rateLimited                                             metrics.Counter
+	events, rateLimited, failovers, needlessFailovers               metrics.Counter
 	firstToken                                                      metrics.Histogram // milliseconds
 }
 
@@ -20,21 +20,23 @@
 	}
 	count := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, r) }
 	return dispatchMetrics{
-		requests:    count("requests"),
-		refused:     count("refused"),
-		attempts:    count("attempts"),
-		retries:     count("retries"),
-		resumed:     count("resumed"),
-		noBudget:    count("retries_over_budget"),
-		crossed:     count("crossed_answers"),
-		broken:      count("broken_answers"),
-		stalled:     count("stalled"),
-		groupLost:   count("lapsed"),
-		cancels:     count("cancels"),
-		uncertain:   count("uncertain"),
-		tokens:      count("tokens"),
-		events:      count("events"),
-		rateLimited: count("rate_limited"),
-		firstToken:  metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
+		requests:          count("requests"),
+		refused:           count("refused"),
+		attempts:          count("attempts"),
+		retries:           count("retries"),
+		resumed:           count("resumed"),
+		noBudget:          count("retries_over_budget"),
+		crossed:           count("crossed_answers"),
+		broken:            count("broken_answers"),
+		stalled:           count("stalled"),
+		groupLost:         count("lapsed"),
+		cancels:           count("cancels"),
+		uncertain:         count("uncertain"),
+		tokens:            count("tokens"),
+		events:            count("events"),
+		rateLimited:       count("rate_limited"),
+		failovers:         count("failovers"),
+		needlessFailovers: count("failovers_needless"),
+		firstToken:        metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
 	}
 }
