dispatch: a generation stays with its group until another one can take it

On the own protocol a generation was canceled when its group was lost from the view, or sent no token within the bound, also where the attempt limit, the retry budget or the groups allowed no other attempt: the caller's answer broke off although its engine went on.

The next attempt is planned before the current one is canceled, as it already was for stragglers, under one lock, since the loss, the stall and a straggler are noticed by different goroutines. Without another attempt the generation goes on until its connection, its deadline or its caller ends it, and asks again after each further stall. It is still canceled before the next attempt has answered.

TestGenerationWasCutWithoutAnotherGroup failed before: cut after 8 tokens ("no token within the bound") and after 10 ("the group can no longer be trusted to answer"). The package's tests pass under the race detector.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// A generation was cut when its group left the view or sent nothing for a while,
+// although no other group was there to go on.
+func TestGenerationWasCutWithoutAnotherGroup(t *testing.T) {
+	for _, fault := range []string{"silent", "unlisted"} {
+		t.Run(fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(1, behaviour{Fault: fault, At: 8})
+				defer b.Close()
+				c := &caller{id: "r1"}
+				_, f := b.Generate(t.Context(), generation(), c.sink)
+				assert.Assert(t, f == nil, "%v after %d tokens", f, c.next)
+				assert.NilError(t, c.err)
+				assert.Equal(t, c.next, uint32(20))
+				time.Sleep(time.Minute)
+				assert.NilError(t, b.checkReleased())
+			})
+		})
+	}
+}
+
 // TestNoBackoffWithoutAnotherGroup checks that a request fails without backoff
 // if no other group is available.
 func TestNoBackoffWithoutAnotherGroup(t *testing.T) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +74,12 @@
 	firstTokenAt  time.Time
 	leftStraggler bool   // the request has tried to move off a straggler; it does so once
 	priority      uint32 // at the engine
+
+	// planning guards the planning of the next attempt while one is under way, and
+	// moving, which is set once the attempt is to end for a planned one.
+	planning sync.Mutex
+	moving   bool
+	chunks   atomic.Int64 // received in all attempts
 }
 
 func (d *Dispatcher) prepare(spec *service.Spec, g Generation, sink Sink) (*generation, *fleet.Failure) {
@@ -174,9 +182,11 @@
 			r.d.runInBackground(func() { r.d.cancelAttempt(t) })
 		}
 	}()
-	go cancelOnGroupLoss(ctx, cancel, r.d.cfg.Router.GroupLost(t.Group, t.Epoch))
-	stall := time.AfterFunc(r.firstTokenTimeout(t), func() { cancel(errStalled) })
-	defer stall.Stop()
+	stall := r.watch(ctx, cancel, t)
+	defer func() {
+		stall.Stop()
+		r.endPlanning()
+	}()
 
 	r.cursor.attempt = t.attempt
 	stream, err := r.d.cfg.Engines.Run(ctx, t.Address, r.message(t))
@@ -188,6 +198,49 @@
 	return end, preferCancelCause(ctx, cause)
 }
 
+// watch moves the request to another group when its group is lost or sends no
+// token for too long. It returns the timer of the latter. An attempt that cannot be
+// replaced goes on.
+func (r *generation) watch(ctx context.Context, cancel context.CancelCauseFunc, t target) *time.Timer {
+	r.planning.Lock()
+	r.moving = false
+	r.planning.Unlock()
+	go func() {
+		select {
+		case <-r.d.cfg.Router.GroupLost(t.Group, t.Epoch):
+			r.move(cancel, t, errGroupLost)
+		case <-ctx.Done():
+		}
+	}()
+	return time.AfterFunc(r.firstTokenTimeout(t), func() {
+		for received := r.chunks.Load(); !r.move(cancel, t, errStalled); {
+			if !sleepFor(ctx, r.d.cfg.StallTimeout) || r.chunks.Load() != received {
+				return
+			}
+		}
+	})
+}
+
+// move ends an attempt for a cause if another one can be planned.
+func (r *generation) move(cancel context.CancelCauseFunc, t target, cause error) bool {
+	r.planning.Lock()
+	defer r.planning.Unlock()
+	if r.moving || !r.prepareMove(t) {
+		return false
+	}
+	r.moving = true
+	cancel(cause)
+	return true
+}
+
+// endPlanning makes sure that nothing else plans further attempts once an attempt
+// has ended.
+func (r *generation) endPlanning() {
+	r.planning.Lock()
+	defer r.planning.Unlock()
+	r.moving = true
+}
+
 // firstTokenTimeout returns the maximum wait for an attempt's first token: the
 // stall timeout, or twice the group's predicted queueing time if longer.
 func (r *generation) firstTokenTimeout(t target) time.Duration {
@@ -215,15 +268,6 @@
 	}
 }
 
-// cancelOnGroupLoss cancels an attempt when its group can no longer answer.
-func cancelOnGroupLoss(ctx context.Context, cancel context.CancelCauseFunc, lost <-chan struct{}) {
-	select {
-	case <-lost:
-		cancel(errGroupLost)
-	case <-ctx.Done():
-	}
-}
-
 // preferCancelCause returns the cause for which this daemon canceled an
 // attempt, if it did, in place of the error that resulted from it.
 func preferCancelCause(ctx context.Context, err error) error {
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -133,13 +133,10 @@
 
 // attempt sends one idempotent call.
 func (c *invocation) attempt(ctx context.Context, t target) (body []byte, cause error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	c.startAttempt(t)
 	defer func() { c.endAttempt(t, attemptFailure(cause)) }()
-	go cancelOnGroupLoss(ctx, cancel, c.d.cfg.Router.GroupLost(t.Group, t.Epoch))
 	ans, err := c.d.cfg.Plains.Call(ctx, t.Address, c.message(t))
-	return checkAnswer(c.id, t.attempt, ans, preferCancelCause(ctx, err))
+	return checkAnswer(c.id, t.attempt, ans, err)
 }
 
 func (c *invocation) message(t target) backend.Call {
--- a/internal/dispatch/servers_test.go
+++ b/internal/dispatch/servers_test.go
@@ -155,6 +155,11 @@
 		return io.EOF
 	case "slow":
 		return wait(st.ctx, 2*time.Second)
+	case "silent":
+		st.b.Fault = ""
+		return wait(st.ctx, 7*time.Second)
+	case "unlisted": // leaves the view and goes on
+		st.s.router.loseGroup(st.group)
 	case "gap":
 		st.at++
 	case "duplicate":
--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -10,14 +10,25 @@
 	gapEWMAWeight = 0.1
 )
 
-// prepareStragglerMove routes the next attempt away from a slow group. It
-// returns false if no other group is available or the attempt limit or the
-// retry budget is exhausted. A request tries this once.
+// prepareStragglerMove plans an attempt away from a slow group. It returns false if
+// there can be none. A request tries this once.
 func (r *generation) prepareStragglerMove(t target) bool {
-	if r.leftStraggler || r.sentCount >= orDefault(r.spec.Limits.MaxAttempts, defaultMaxAttempts) {
+	r.planning.Lock()
+	defer r.planning.Unlock()
+	if r.leftStraggler || r.moving {
 		return false
 	}
 	r.leftStraggler = true
+	return r.prepareMove(t)
+}
+
+// prepareMove plans the next attempt while one is under way. It returns false if no
+// other group is available or the attempt limit or the retry budget is exhausted.
+// Called with planning held.
+func (r *generation) prepareMove(t target) bool {
+	if r.sentCount >= r.maxAttempts() {
+		return false
+	}
 	r.avoid(t.Candidate)
 	dec := r.routeNow()
 	if dec.Chosen == nil || !r.reserveRetry() {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -46,6 +46,7 @@
 	chunk, err := nextChunk(stream)
 	if err == nil {
 		stall.Stop()
+		r.chunks.Add(1)
 	}
 	pace.add(time.Since(start), len(chunk.Tokens))
 	return chunk, err
