dispatch: take a line for a line only once it is complete

Callers of streams with lines of 4 KiB or more could get an event that ended early, and a stream that was resumed at another backend server could skip events: the reader took each piece of a line that is longer than its buffer for a line. A line whose end began a new piece ended the event, and a piece that began with "id:" became the id after which the stream would resume.

The reader now keeps where the line began and looks at it once it is complete.

--- a/internal/dispatch/events_reader.go
+++ b/internal/dispatch/events_reader.go
@@ -39,17 +39,15 @@
 // stream ends within an event.
 func (e *eventReader) next() (event, id []byte, err error) {
 	e.event = e.event[:0]
-	idFrom, idTo := 0, 0
+	lineFrom, idFrom, idTo := 0, 0, 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		start := len(e.event)
-		e.event = append(e.event, line...)
+		piece, err := e.r.ReadSlice('\n')
+		e.event = append(e.event, piece...)
 		switch {
+		case len(e.event) > maxEventBytes:
+			return nil, nil, errEventSize
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.event) > maxEventBytes {
-				return nil, nil, errEventSize
-			}
-			continue
+			continue // the rest of the line follows
 		case errors.Is(err, io.EOF) && len(e.event) == 0:
 			return nil, nil, io.EOF
 		case errors.Is(err, io.EOF):
@@ -57,18 +55,16 @@
 		case err != nil:
 			return nil, nil, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && len(e.event) > len(line) {
+		text := bytes.TrimRight(e.event[lineFrom:], "\r\n")
+		if len(text) == 0 && lineFrom > 0 {
 			return e.event, e.event[idFrom:idTo], nil
 		}
 		if bytes.HasPrefix(text, idField) {
 			value := bytes.TrimPrefix(text[len(idField):], []byte(" "))
-			idTo = start + len(text)
+			idTo = lineFrom + len(text)
 			idFrom = idTo - len(value)
 		}
-		if len(e.event) > maxEventBytes {
-			return nil, nil, errEventSize
-		}
+		lineFrom = len(e.event)
 	}
 }
 
--- a/internal/dispatch/events_reader_test.go
+++ b/internal/dispatch/events_reader_test.go
@@ -52,10 +52,37 @@
 	}
 }
 
+// A line that is longer than the read buffer was read in pieces, and each piece
+// after the first was taken for a line: an empty one ended the event early, and
+// one that began with "id:" became the id after which a stream would resume.
+func TestPieceOfALongLineWasTakenForALine(t *testing.T) {
+	const field = "data: "
+	fill := strings.Repeat("x", eventBufferBytes-len(field))
+	for _, test := range []struct{ name, event string }{
+		{"line end after the buffer's end", field + fill + "\nid: 1\n\n"},
+		{"carriage return after the buffer's end", field + fill + "\r\nid: 1\n\n"},
+		{"id inside a line", "id: 1\n" + field + fill + "id: 9\n\n"},
+		{"id inside a line of several buffers", "id: 1\n" + field + fill + strings.Repeat("y", eventBufferBytes) + "id: 9\n\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEventReader(strings.NewReader(test.event))
+			event, id, err := e.next()
+			assert.NilError(t, err)
+			assert.Equal(t, string(event), test.event)
+			assert.Equal(t, string(id), "1")
+			_, _, err = e.next()
+			assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+		})
+	}
+}
+
 func TestEventIsBounded(t *testing.T) {
-	e := newEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes)))
-	_, _, err := e.next()
-	assert.Assert(t, errors.Is(err, errEventSize), "%v", err)
+	for _, stream := range []string{"data: " + strings.Repeat("x", 2*maxEventBytes), strings.Repeat("data: x\n", maxEventBytes/4)} {
+		e := newEventReader(strings.NewReader(stream))
+		_, _, err := e.next()
+		assert.Assert(t, errors.Is(err, errEventSize), "%v", err)
+		assert.Assert(t, len(e.event) <= maxEventBytes+eventBufferBytes, "%d bytes were kept", len(e.event))
+	}
 }
 
 func TestAlreadyDelivered(t *testing.T) {
