platform: believe a rejection only if it names the request

Callers could be told "not run, try again" (503) for a request that had run, and the request could be sent to a second engine: a 421 or a rejection was believed before its request id was compared, so that one that a faulty engine wrote once more, on a connection in use or a new one, counted for whatever request was waiting. The answer of another request without a body also left its connection in the pool, on which every later answer then came one request late.

TestRejectionOfAnotherRequestWasBelieved failed for the rejection of another request on new and kept connections, and for one without an id on a kept connection, with 503, 429, 421 and 400: all matched ErrRefused. TestConnectionWasKeptAfterTheAnswerOfAnotherRequest failed with the rejection believed, and with only the ids compared the next request got the late answer ("r2" in place of "r3").

A rejection without an id proves something only as the first answer on a connection; on a kept one it still tells routing about the group, but not that the request did not run.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -29,25 +29,32 @@
 var ErrLinksLost = errors.New("own links to the backend servers may be lost")
 
 // RefusedError is a rejection by the backend server with its details. It
-// matches ErrRefused.
+// matches ErrRefused unless it is unproven.
 type RefusedError struct {
 	Status int
 	Rate   Rate
 	// Fault is the instance that caused the rejection, empty if the server does
 	// not name one.
 	Fault fleet.InstanceID
+	// Unproven is set if the rejection names no request and may be that of an
+	// earlier one, so that this request may have run.
+	Unproven bool
 }
 
-// Error returns the text of the status and the instance at fault.
+// Error returns the text of the status, the instance at fault and the doubt.
 func (e *RefusedError) Error() string {
+	text := "refused with status " + http.StatusText(e.Status)
 	if e.Fault != "" {
-		return "refused with status " + http.StatusText(e.Status) + ", at fault is " + string(e.Fault)
+		text += ", at fault is " + string(e.Fault)
 	}
-	return "refused with status " + http.StatusText(e.Status)
+	if e.Unproven {
+		text += ", by an answer that may belong to an earlier request"
+	}
+	return text
 }
 
 // Is reports whether target is ErrRefused.
-func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
+func (e *RefusedError) Is(target error) bool { return target == ErrRefused && !e.Unproven }
 
 // Opaque is a request that is forwarded byte for byte.
 type Opaque struct {
