--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -195,6 +195,7 @@
 			return
 		}
 		if want := r.Header.Get("X-Carawayproxy-Expect-Instance"); want != "" && want != e.ID {
+			echoID(w, r)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -202,6 +203,11 @@
 	})
 }
 
+// echoID sets the id of the request in its answer, as all answers have it.
+func echoID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Carawayproxy-Attempt-Id", r.Header.Get("X-Carawayproxy-Attempt-Id"))
+}
+
 // report returns the engine's report or server-list entry. seq counts the
 // engine's orders in a report, and its announcements in the list. The caller
 // holds the lock of World.shared.
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -92,6 +92,7 @@
 	self := p.ID
 	s.mu.Unlock()
 	if want := r.Header.Get("X-Carawayproxy-Expect-Instance"); want != "" && want != self {
+		echoID(w, r)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
