dispatch: only an answer that continues a stream is joined to it

Where a stream that had begun broke off, callers could get the next server's text, a whole page or an error in events' form, in the middle of their stream; events of a run that started anew, without those they had; the first events twice, if they had no ids; and a stream that ended as if it were complete, because the next answer was empty. Answers that are no success were dropped already; one of them was read to its end first, however long. Callers that resumed a stream themselves got the same pieces of another run.

An answer now continues a stream if it has the first one's status, its media type or that of events, or none, and begins with an event whose id follows the last one. Every later id must follow as well: ids increase, but not by one, as an event may hold several tokens, so that a missing piece can't be told from them. An answer that breaks these rules is given up like one that broke off, after the events that were right. A continuation without any event is complete only if nothing showed that another event was due: the answer before had broken off inside one, or short of its Content-Length. After an event without an id nothing can be joined. Streams that may not be repeated are passed on as they are.

--- a/internal/dispatch/events_reader.go
+++ b/internal/dispatch/events_reader.go
@@ -68,6 +68,10 @@
 	}
 }
 
+// isInside reports whether a part of an event has been read, after next has returned
+// an error.
+func (e *eventReader) isInside() bool { return len(bytes.TrimSpace(e.event)) > 0 }
+
 // hasBuffered reports whether received bytes have not been read yet.
 func (e *eventReader) hasBuffered() bool { return e.r.Buffered() > 0 }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -125,10 +125,11 @@
 	// mu guards the fields below and the relay. An attempt holds it while it writes
 	// to the caller.
 	mu          sync.Mutex
-	flights     []*flight       // the attempts that may answer
-	firstByteAt time.Time       // when the body of the answer began
-	headerSent  bool            // the caller has received the answer's header
-	lastEventID string          // of the last event that the caller received
+	flights     []*flight // the attempts that may answer
+	firstByteAt time.Time // when the body of the answer began
+	headerSent  bool      // the caller has received the answer's header
+	lastEventID string    // of the last event that the caller received
+	delivered   streamProgress
 	errorAnswer *bufferedAnswer // the last error answer of a backend server
 }
 
@@ -338,9 +339,18 @@
 	return r.lastEventID
 }
 
+func (r *forwardedRequest) hasSentHeader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.headerSent
+}
+
 // relayBuffered buffers an answer before the caller receives any of it, so that
 // a truncated answer can be retried.
 func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse, f *flight) error {
+	if r.hasSentHeader() {
+		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
+	}
 	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "the answer broke off")
@@ -377,30 +387,42 @@
 }
 
 // relayStream relays complete events as they arrive. When a stream resumes,
-// the caller keeps the header that it has already received.
+// the caller keeps the header that it has already received, and gets only events
+// that continue its stream.
 func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, f *flight, w *attemptWatch) error {
+	placed, err := r.checkContinuation(ans)
+	if err != nil {
+		return err
+	}
+	empty := true
 	events := newEventReader(ans.Body)
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(ans, f)
+			return r.finishStream(ans, f, empty)
 		}
 		if err != nil {
+			r.recordBreak(ans, f, events.isInside())
 			return err
 		}
 		w.recordEvent()
-		if err := r.relayEvent(ans, f, event, id, events.hasBuffered()); err != nil {
+		if err := r.relayEvent(ans, f, event, id, placed, events.hasBuffered()); err != nil {
 			return err
 		}
+		placed, empty = true, false
 	}
 }
 
-// relayEvent relays an event unless the caller has already received it.
-func (r *forwardedRequest) relayEvent(ans backend.OpaqueResponse, f *flight, event, id []byte, more bool) error {
+// relayEvent relays the next event of an answer. placed is as in checkEvent, and
+// more as in Relay.WriteBody.
+func (r *forwardedRequest) relayEvent(ans backend.OpaqueResponse, f *flight, event, id []byte, placed, more bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if alreadyDelivered(string(id), r.lastEventID) {
-		return nil
+	if f.superseded {
+		return errSuperseded
+	}
+	if err := r.checkEvent(string(id), placed); err != nil {
+		return err
 	}
 	if err := r.claim(f); err != nil {
 		return err
@@ -409,6 +431,7 @@
 	if len(id) > 0 {
 		r.lastEventID = string(id)
 	}
+	r.delivered.unplaced, r.delivered.moreDue = len(id) == 0, false
 	r.d.metrics.events.Inc(1)
 	if err := r.relay.WriteBody(event, more); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
@@ -423,13 +446,20 @@
 		return
 	}
 	r.headerSent = true
+	r.delivered.begin(ans)
 	r.firstByteAt = time.Now()
 	r.relay.WriteHeader(ans.Status, ans.Header)
 }
 
-func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse, f *flight) error {
+// finishStream ends the caller's stream. empty is set if the answer had no event.
+func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse, f *flight, empty bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if empty {
+		if err := r.checkEmpty(); err != nil {
+			return err
+		}
+	}
 	if err := r.claim(f); err != nil {
 		return err
 	}
