dispatch: a connection that ends before any event is no complete stream

An answer may have neither a length nor chunks and end with its connection. A server that ended, and whose connection closed in order, after the header and before the first event counted as a complete stream: its callers got an empty success, or, where the stream had been resumed there, the end of one that lacked its rest.

TestConnectionThatEndedBeforeAnyEventWasACompleteStream failed before for the first answer, with an empty body and no failure, and so did "empty, ends with its connection" of TestAnswerThatIsNoContinuationEndedTheStream.

An answer now tells whether a length or chunks mark its end, and one without any event is complete only then. Streams of a model have at least one event; a resumed one may have none left, and if its server sends neither a length nor chunks either, it fails rather than being taken for complete. A stream that ends with its connection after an event still counts as complete, as it can't be told from a whole one.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -89,6 +89,9 @@
 	Rate   Rate
 	Header http.Header // without hop-by-hop headers
 	Body   io.ReadCloser
+	// Framed is set if a length or chunks tell the end of Body, or if there is none.
+	// Otherwise Body ends with its connection.
+	Framed bool
 }
 
 // Opaques forwards requests to backend servers unmodified.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -456,7 +456,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if empty {
-		if err := r.checkEmpty(); err != nil {
+		if err := r.checkEmpty(ans); err != nil {
 			return err
 		}
 	}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -67,9 +67,14 @@
 }
 
 // checkEmpty returns an error if an answer that ended without any event can't be
-// complete. Called with mu held.
-func (r *forwardedRequest) checkEmpty() error {
-	if r.headerSent && r.delivered.moreDue {
+// complete. A server that ends before its first event closes its connection like
+// one that has nothing more to send, so only a length or chunks show the difference.
+// Called with mu held.
+func (r *forwardedRequest) checkEmpty(ans backend.OpaqueResponse) error {
+	switch {
+	case !ans.Framed:
+		return errors.Wrap(errTruncated, "the connection ended before any event")
+	case r.headerSent && r.delivered.moreDue:
 		return errors.Wrap(errNotContinuation, "no event, though the answer before broke off inside one or before its length")
 	}
 	return nil
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -28,8 +28,9 @@
 	contentType string
 	length      string // Content-Length
 	body        string
-	reset       bool // breaks the connection after the body
-	framed      bool // the end of the body can be told from that of its connection
+	// reset breaks the connection after the body. Otherwise the body ends, in
+	// order with framed set, else with its connection.
+	reset, framed bool
 }
 
 // fakeOpaques answer one attempt after the other.
@@ -61,7 +62,7 @@
 	if a.status == 0 {
 		a.status = http.StatusOK
 	}
-	return backend.OpaqueResponse{Status: a.status, Header: header, Body: io.NopCloser(body)}, nil
+	return backend.OpaqueResponse{Status: a.status, Header: header, Body: io.NopCloser(body), Framed: a.framed || a.length != ""}, nil
 }
 
 // fakeRelay records what a caller receives.
@@ -132,6 +133,7 @@
 		{"goes back", inside, streamAnswer{contentType: eventStream, body: eventsFrom3 + "id: 4\ndata: x\n\n", framed: true}, eventsTo2 + eventsFrom3, false},
 		{"without ids", inside, streamAnswer{contentType: eventStream, body: "data: c\n\ndata: d\n\n", framed: true}, eventsTo2, false},
 		{"empty after a part of an event", inside, streamAnswer{contentType: eventStream, framed: true}, eventsTo2, false},
+		{"empty, ends with its connection", between, streamAnswer{contentType: eventStream}, eventsTo2, false},
 		{"empty after the last event", between, streamAnswer{contentType: eventStream, framed: true}, eventsTo2, true},
 		{"empty before the length was reached",
 			streamAnswer{contentType: eventStream, body: eventsTo2, length: "68", reset: true}, streamAnswer{contentType: eventStream, framed: true}, eventsTo2, false},
@@ -153,6 +155,34 @@
 	}
 }
 
+// A stream's first answer whose connection ended before any event was passed on as
+// a complete, empty stream.
+func TestConnectionThatEndedBeforeAnyEventWasACompleteStream(t *testing.T) {
+	whole := streamAnswer{contentType: eventStream, body: eventsTo2, framed: true}
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		lastID     string
+		first      streamAnswer
+		want       string
+		complete   bool
+	}{
+		{"ends with its connection", true, "", streamAnswer{contentType: eventStream}, eventsTo2, true},
+		{"ends with its connection, must not be repeated", false, "", streamAnswer{contentType: eventStream}, "", false},
+		{"with a length", true, "", streamAnswer{contentType: eventStream, length: "0"}, "", true},
+		{"in chunks", false, "", streamAnswer{contentType: eventStream, framed: true}, "", true},
+		{"caller resumes after the last event", true, "4", streamAnswer{contentType: eventStream, framed: true}, "", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				relay, _, f := forwardStream(t, test.repeatable, test.lastID, test.first, whole)
+				assert.Equal(t, relay.body.String(), test.want)
+				assert.Equal(t, f == nil, test.complete, "%v", f)
+			})
+		})
+	}
+}
+
 // Where a caller resumes a stream, a server that starts anew was passed on without
 // the events that the caller has: a piece of another run. Where the stream can't be
 // resumed, the caller gets the server's body as it is.
