--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -289,6 +289,37 @@
 	}
 }
 
+// A request that must not run twice is sent on a new connection. Through a tunnel, it
+// would not be if the other daemon kept connections.
+func TestTunnelsShareNoConnection(t *testing.T) {
+	w := newTestWorld(t, 2)
+	type opened struct{ connection, text string }
+	var accepted atomic.Int64
+	seen := make(chan opened, 2)
+	address := w.serve(t, func(c *net.TCPConn) {
+		n := accepted.Add(1)
+		buf := make([]byte, 16)
+		got, err := c.Read(buf)
+		assert.Check(t, err == nil, "%v", err)
+		seen <- opened{fmt.Sprint(n), string(buf[:got])}
+		_, _ = io.WriteString(c, "answer") // what follows is not needed
+		idle(c)
+	})
+	w.daemons[0].refusing.Store(true)
+	for i, text := range []string{"first", "second"} {
+		c, err := dialWithin(w.daemons[0], address)
+		assert.NilError(t, err)
+		assert.Equal(t, Via(c), "edge-1")
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		answer := make([]byte, len("answer"))
+		_, err = io.ReadFull(c, answer)
+		assert.NilError(t, err)
+		assert.Equal(t, <-seen, opened{fmt.Sprint(i + 1), text})
+		assert.NilError(t, c.Close())
+	}
+}
+
 // The server must notice within half a second that the caller has left.
 func TestClosedTunnelReachesTheServer(t *testing.T) {
 	w := newTestWorld(t, 2)
