--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -79,6 +79,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		var err error
+		following := synced
 		if !synced {
 			position, err = f.readAll(ctx)
 			synced = err == nil
@@ -97,7 +98,9 @@
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
-		backoff = minBackoff
+		if following { // a gap may follow each complete read
+			backoff = minBackoff
+		}
 		if f.Sink.OnRead != nil {
 			f.Sink.OnRead(time.Now())
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -14,7 +14,7 @@
 type source struct {
 	allCalls, sinceCalls int
 	failures             int // number of the next reads that fail
-	gap                  bool
+	gap, gapAlways       bool
 }
 
 func (s *source) All(context.Context) ([]Item[string], uint64, error) {
@@ -32,7 +32,7 @@
 	case s.failures > 0:
 		s.failures--
 		return nil, from, errors.New("away")
-	case s.gap:
+	case s.gap || s.gapAlways:
 		s.gap = false
 		return nil, from, ErrGap
 	}
@@ -80,6 +80,15 @@
 	assert.Equal(t, failed, 1)
 }
 
+// A source that loses its changes after every complete read was read without a
+// growing pause, over ten times a second.
+func TestRepeatedGapsWereReadWithoutBackoff(t *testing.T) {
+	s := &source{gapAlways: true}
+	follow(t, s, 0, 20*time.Second)
+	assert.Assert(t, s.allCalls >= 20, "%d complete reads in 20 s", s.allCalls)
+	assert.Assert(t, s.allCalls <= 60, "%d complete reads in 20 s", s.allCalls)
+}
+
 func TestRetriesAfterErrors(t *testing.T) {
 	s := &source{failures: 8}
 	complete, changes, failed := follow(t, s, 0, 20*time.Second)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -41,6 +41,7 @@
 	offset uint64
 	key    string
 	value  []byte
+	raw    []byte // the whole record if it holds no key
 }
 
 // NewStore returns an empty store.
@@ -105,6 +106,15 @@
 	s.put(name, key, value)
 }
 
+// PutRaw appends a record that need not hold a key.
+func (s *Store) PutRaw(name string, raw []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, record{offset: t.end(), raw: raw})
+	s.wakeReads()
+}
+
 // put is Put. The caller holds mu.
 func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
@@ -242,6 +252,10 @@
 	body := binary.BigEndian.AppendUint64(nil, end)
 	body = binary.BigEndian.AppendUint64(body, t.first)
 	for _, rec := range t.records[from-t.first:] {
+		if rec.raw != nil {
+			body = append(binary.BigEndian.AppendUint32(body, uint32(len(rec.raw))), rec.raw...)
+			continue
+		}
 		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
 		body = append(body, byte(len(rec.key)))
 		body = append(append(body, rec.key...), rec.value...)
