edge: count invalid records, and keep the address of a daemon beside one

An address of a daemon that can't be decoded deleted the last known one without a line in the log, so that no new link to that daemon was opened. Lines about other invalid records named the key and the error, but not the record, and nothing counted them.

Every invalid record is now logged with its key, its position and the error, and counted in edge.bad_records. An unreadable address leaves the last one in force, also after a complete read of the topic.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,6 +91,8 @@
 	spool    *event.Spool
 	events   *event.Logger
 	metrics  metrics.Registry
+	// badRecords counts the records and broadcasts that were skipped as invalid.
+	badRecords metrics.Counter
 
 	routes        *routes.CurrentDocument
 	directory     *directory.Directory
@@ -149,6 +151,7 @@
 	if d.env.ServerDialer == nil {
 		d.env.ServerDialer = reach.NewDialer(env.Dial)
 	}
+	d.badRecords = metrics.GetOrRegisterCounter("edge.bad_records", d.metrics)
 	d.spool = event.NewSpool(env.Log, level, d.metrics)
 	d.events = event.NewSpoolLogger(d.spool).With("daemon", d.id)
 	d.storeUnavailable.Store(true)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -22,7 +22,7 @@
 	eventDocument = event.Define(1807, "edge.document", log.InfoLevel,
 		"A newer routing document is in effect at this daemon.", "Nothing.")
 	eventBadRecord = event.Define(1808, "edge.bad-record", log.WarnLevel,
-		"A record of the store is invalid and was skipped; the error names the field.", "Report the error to the writer of the record.")
+		"A record of the store or a broadcast of a peer is invalid and was skipped; position is its offset or version, and the error names the field.", "Report the error to the writer of the record.")
 	eventStoreFailed = event.Define(1809, "edge.store-failed", log.WarnLevel,
 		"A call to the store failed; the last known state stays in effect.", "Check whether the store responds.")
 	eventListRecovered = event.Define(1810, "edge.list-back", log.InfoLevel,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -72,7 +72,7 @@
 func (d *Daemon) applyDocument(item feed.Item[*routes.Document]) {
 	switch {
 	case item.Err != nil:
-		d.events.Emit(eventBadRecord, "what", "routing document", "key", item.Key, "error", item.Err)
+		d.skipBadRecord("routing document", item.Key, item.Position, item.Err)
 	case item.Deleted:
 	case d.routes.Update(item.Value):
 		d.directory.InvalidateGroups()
@@ -139,7 +139,7 @@
 		}
 		switch {
 		case item.Err != nil:
-			d.events.Emit(eventBadRecord, "what", "list of backend servers", "key", item.Key, "error", item.Err)
+			d.skipBadRecord("list of backend servers", item.Key, item.Position, item.Err)
 			d.directory.Unreadable(fleet.InstanceID(item.Key))
 		case item.Deleted:
 			d.events.Emit(eventServerUnlisted, "instance", item.Key)
@@ -156,17 +156,24 @@
 	addresses map[string]string // daemon name to address
 }
 
+// update applies addresses that were read; complete is set if they are those of
+// all daemons. A daemon whose address can't be read keeps its last one.
 func (b *addressBook) update(items []feed.Item[string], complete bool) []membership.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := b.addresses
 	if complete || b.addresses == nil {
 		b.addresses = map[string]string{}
 	}
 	for _, item := range items {
-		if item.Err == nil && !item.Deleted {
-			b.addresses[item.Key] = item.Value
-		} else {
+		last, known := before[item.Key]
+		switch {
+		case item.Deleted:
 			delete(b.addresses, item.Key)
+		case item.Err == nil:
+			b.addresses[item.Key] = item.Value
+		case known:
+			b.addresses[item.Key] = last
 		}
 	}
 	var out []membership.Endpoint
@@ -189,14 +196,30 @@
 		MaxWait:     daemonsPollTimeout,
 		MinInterval: func() time.Duration { return daemonsInterval },
 		Sink: feed.Sink[string]{
-			OnSnapshot: func(items []feed.Item[string], _ uint64) { d.mesh.SetEndpoints(d.addresses.update(items, true)) },
-			OnChanges:  func(items []feed.Item[string]) { d.mesh.SetEndpoints(d.addresses.update(items, false)) },
+			OnSnapshot: func(items []feed.Item[string], _ uint64) { d.applyAddresses(items, true) },
+			OnChanges:  func(items []feed.Item[string]) { d.applyAddresses(items, false) },
 			OnError:    func(err error) { d.events.Emit(eventStoreFailed, "what", "daemons", "error", err) },
 		},
 	}
 	f.Run(ctx)
 }
 
+func (d *Daemon) applyAddresses(items []feed.Item[string], complete bool) {
+	for _, item := range items {
+		if item.Err != nil {
+			d.skipBadRecord("daemons", item.Key, item.Position, item.Err)
+		}
+	}
+	d.mesh.SetEndpoints(d.addresses.update(items, complete))
+}
+
+// skipBadRecord counts and logs a record that is skipped because it is invalid.
+// Position is its offset in the store, or the version of a peer's broadcast.
+func (d *Daemon) skipBadRecord(what string, key any, position uint64, err error) {
+	d.badRecords.Inc(1)
+	d.events.Emit(eventBadRecord, "what", what, "key", key, "position", position, "error", err)
+}
+
 // announce publishes this daemon's address once. It retries until it succeeds.
 func (d *Daemon) announce(ctx context.Context) {
 	for {
--- /dev/null
+++ b/internal/edge/follow_test.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/feed"
+	"carawayproxy.example/caraway/internal/fleet"
+)
+
+// An address of a daemon that can't be read took the last one away, without a line
+// in the log, so that no new link to that daemon was opened.
+func TestUnreadableAddressOfADaemonKeepsTheLastOne(t *testing.T) {
+	for name, complete := range map[string]bool{"a change": false, "a complete read": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newIdleDaemon(t)
+			d.applyAddresses([]feed.Item[string]{{Key: "edge-1", Value: "10.0.0.1:1"}, {Key: "edge-2", Value: "10.0.0.2:1"}}, true)
+			d.applyAddresses([]feed.Item[string]{
+				{Key: "edge-1", Position: 7, Err: errors.New("no address")},
+				{Key: "edge-2", Position: 8, Value: "10.0.0.2:2"},
+				{Position: 9, Err: errors.New("no key")},
+			}, complete)
+			assert.DeepEqual(t, d.addresses.addresses, map[string]string{"edge-1": "10.0.0.1:1", "edge-2": "10.0.0.2:2"})
+			assert.Equal(t, d.badRecords.Count(), int64(2))
+		})
+	}
+}
+
+// An odd entry is named by key, position and error, and leaves the others and the
+// known state of its server alone.
+func TestOddEntryCostsItself(t *testing.T) {
+	d := newIdleDaemon(t)
+	d.applyServerList([]feed.Item[directory.Server]{
+		{Key: "e", Position: 1, Value: directory.Server{Instance: "e", Slots: 8}},
+		{Key: "f", Position: 2, Value: directory.Server{Instance: "f", Slots: 8}},
+	}, 3)
+	d.applyServerChanges([]feed.Item[directory.Server]{
+		{Key: "e", Position: 3, Err: errors.New("slots is 0")},
+		{Position: 4, Err: errors.New("no key")},
+		{Key: "f", Position: 5, Value: directory.Server{Instance: "f", Slots: 9}},
+	})
+	assert.Equal(t, d.directory.Servers()["e"].Slots, uint32(8))
+	assert.Equal(t, d.directory.Servers()["f"].Slots, uint32(9))
+	assert.Assert(t, d.directory.Leaving(fleet.InstanceID("e")))
+	assert.Equal(t, d.badRecords.Count(), int64(2))
+}
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -41,6 +41,7 @@
 	"dispatch.stalled":                      "attempts aborted because no token came for too long; own protocol only",
 	"dispatch.tokens":                       "tokens forwarded; own protocol only",
 	"dispatch.uncertain":                    "requests that may have run and must not be retried",
+	"edge.bad_records":                      "records of the store and broadcasts of peers that were skipped because they are invalid",
 	"log.lines":                             "log lines written",
 	"log.lines_left_out":                    "log lines dropped because standard output is read too slowly",
 	"log.lines_left_out_of_served_requests": "log lines of served requests dropped by the rate limit",
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		if err != nil || b.Version == 0 || (p.Server == nil) != p.Deleted {
-			d.events.Emit(eventBadRecord, "what", "bulletin", "key", b.Key, "error", err)
+			d.skipBadRecord("bulletin", b.Key, b.Version, err)
 			continue
 		}
 		if p.Answered {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -62,7 +62,7 @@
 	for _, item := range items {
 		switch {
 		case item.Err != nil:
-			d.events.Emit(eventBadRecord, "what", "verdicts", "key", item.Key, "error", item.Err)
+			d.skipBadRecord("verdicts", item.Key, item.Position, item.Err)
 		case item.Deleted:
 		case item.Value.InForce(time.Now()):
 			d.detector.Apply(item.Value, true)
