edge: a broadcast that names no server is skipped

A broadcast of a peer with Answered and Deleted set and without a server passed the check in onBroadcasts and was dereferenced, which ended the process. The age of an answer in milliseconds overflowed a duration, so that an answer could count as one of the future, and all later ones of that engine as older.

Before: TestBroadcastWithoutServerEndedTheProcess ended with a nil dereference in onBroadcasts, and TestAgeOfAPeersAnswerOverflowed saw an answer as of an hour ahead. TestBroadcastsThatCannotBeDecoded passed before: the limits of the CBOR library for nesting and lengths hold; it guards them.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/feed"
@@ -134,6 +135,24 @@
 	d.mesh.Broadcast(broadcasts)
 }
 
+// maxAnswerAgeMilli bounds the age of an engine's response that a peer broadcasts,
+// which overflows a duration otherwise. It is many times a response's use.
+const maxAnswerAgeMilli = uint64(24 * time.Hour / time.Millisecond)
+
+// check returns an error for a broadcast that is no change of the list and no
+// engine's response.
+func (p serverBroadcast) check(version uint64) error {
+	switch {
+	case version == 0:
+		return errors.New("version is missing")
+	case p.Deleted && (p.Server != nil || p.Answered):
+		return errors.New("a deletion holds a server or an answer")
+	case !p.Deleted && p.Server == nil:
+		return errors.New("server is missing")
+	}
+	return nil
+}
+
 // onBroadcasts applies changes of the list and engine responses that a peer
 // broadcast.
 func (d *Daemon) onBroadcasts(broadcasts []membership.Broadcast) {
@@ -149,12 +168,16 @@
 			d.applyRate(b, *p.Rate)
 			continue
 		}
-		if err != nil || b.Version == 0 || (p.Server == nil) != p.Deleted {
+		if err == nil {
+			err = p.check(b.Version)
+		}
+		if err != nil {
 			d.skipBadRecord("bulletin", b.Key, b.Version, err)
 			continue
 		}
 		if p.Answered {
-			d.directory.RecordAnswer(*p.Server, time.Now().Add(-b.Age()-time.Duration(p.AgeMilli)*time.Millisecond))
+			age := time.Duration(min(p.AgeMilli, maxAnswerAgeMilli)) * time.Millisecond
+			d.directory.RecordAnswer(*p.Server, time.Now().Add(-b.Age()-age))
 			continue
 		}
 		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Deleted: p.Deleted, Age: b.Age()}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -1,9 +1,16 @@
 package edge
 
 import (
+	"bytes"
+	"math"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/membership"
 )
 
 func TestListPositions(t *testing.T) {
@@ -18,3 +25,61 @@
 	s.setBase(5)
 	assert.Assert(t, !s.advance("c", 9), "an older complete read must not lower the base")
 }
+
+// A broadcast that is both an engine's answer and a deletion names no server, and
+// ended the process.
+func TestBroadcastWithoutServerEndedTheProcess(t *testing.T) {
+	for name, p := range map[string]serverBroadcast{
+		"answer and deletion":   {Answered: true, Deleted: true},
+		"answer without server": {Answered: true},
+		"nothing":               {},
+		"server and deletion":   {Server: &directory.Server{Instance: "e"}, Deleted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newIdleDaemon(t)
+			d.directory.Announce(directory.Server{Instance: "e"}, time.Now())
+			body, err := cbor.Marshal(p)
+			assert.NilError(t, err)
+			d.onBroadcasts([]membership.Broadcast{{Key: "e", Version: 1, Body: body}})
+			assert.Equal(t, d.directory.Len(), 1)
+			assert.Equal(t, d.badRecords.Count(), int64(1))
+		})
+	}
+}
+
+// Peers' broadcasts that can't be decoded must leave the others alone.
+func TestBroadcastsThatCannotBeDecoded(t *testing.T) {
+	good, err := cbor.Marshal(serverBroadcast{Server: &directory.Server{Instance: "good"}})
+	assert.NilError(t, err)
+	for name, body := range map[string][]byte{
+		"empty":            nil,
+		"cut":              good[:len(good)-1],
+		"nested":           bytes.Repeat([]byte{0x81}, 1<<16),
+		"nested maps":      bytes.Repeat([]byte{0xa1, 0x01}, 1<<16),
+		"endless array":    {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"endless text":     {0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"indefinite array": {0xa1, 0x01, 0x9f},
+		"a number":         {0x01},
+		"server a text":    {0xa1, 0x01, 0x61, 'x'},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newIdleDaemon(t)
+			d.onBroadcasts([]membership.Broadcast{{Key: "bad", Version: 1, Body: body}, {Key: "good", Version: 2, Body: good}})
+			_, listed := d.directory.Servers()["good"]
+			assert.Assert(t, listed)
+			assert.Equal(t, d.badRecords.Count(), int64(1))
+		})
+	}
+}
+
+// The age of a peer's answer overflowed, so that the answer counted as one of the
+// future, and the engine's later ones as older.
+func TestAgeOfAPeersAnswerOverflowed(t *testing.T) {
+	d := newIdleDaemon(t)
+	d.directory.Announce(directory.Server{Instance: "e"}, time.Now())
+	const anHourAhead = math.MaxUint64/uint64(time.Millisecond) - uint64(time.Hour/time.Millisecond) // as a duration
+	body, err := cbor.Marshal(serverBroadcast{Server: &directory.Server{Instance: "e"}, Answered: true, AgeMilli: anHourAhead})
+	assert.NilError(t, err)
+	d.onBroadcasts([]membership.Broadcast{{Key: "answer/e", Version: 1, Body: body}})
+	assert.Assert(t, !d.directory.Servers()["e"].AnsweredAsOf.After(time.Now()), "answered as of %s", d.directory.Servers()["e"].AnsweredAsOf)
+}
