edge: engineModel without a routing document returns none

engineModel dereferenced the routing table without asking whether there is one. A request that is counted before the first document would end the process; today the entry accepts none that early, so no caller has seen it.

Before: TestEngineModelBeforeTheFirstDocument ended with a nil dereference.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -98,8 +98,7 @@
 // engineModel returns the engine and the model of a service, or nil if the
 // service is not an engine's model.
 func (d *Daemon) engineModel(name fleet.ServiceName) (*routes.Engine, *routes.Model) {
-	t := d.routes.Table()
-	pub := t.Catalog.Services[name]
+	pub := d.catalog().Services[name]
 	if pub == nil {
 		return nil, nil
 	}
