directory: one entry takes no group away from its members

An entry of another writer that named a group took it over in the view of every daemon: by any higher epoch, from any service, with any rank, or by a rank of the same epoch that another engine holds. The group was no longer whole (or had a leader that does not exist), so its streams had to move and it got no requests.

Three rules replace "the highest epoch wins": - A member's service must run the group's model, and its rank must lie below the model's size. SizeOf is asked for a service's model, no longer for any service's. - An epoch of which every rank is held by a server that has not failed, under a leader that is not broken, precedes a later one that is not complete. So the engines that agree keep their group, but the next epoch still shows as it forms: once one engine of the former has left, restarted or failed, or the leader has broken, or as soon as the next one is complete itself. What changes for real engines is the moment in which a spare has joined the next epoch while the former group still serves whole: it now keeps its requests until its leader leaves. Placement acts on its own groups and takes only those of another holder from the view; it opens an epoch only when each member has told that it is ready there, so TWO and PARTIAL don't depend on this choice. - Of two entries with the same rank in one epoch, which placement never gives out twice, the engine that has confirmed its place itself precedes, then the known member.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -13,9 +13,9 @@
 	// ReturnGrace is how long after an outage of the list a server that dropped
 	// off it still counts as listed.
 	ReturnGrace time.Duration
-	// SizeOf returns the number of instances of one replica of a model, zero
-	// for an unknown model.
-	SizeOf func(model string) int
+	// SizeOf returns the number of instances of one replica of a model, zero if the
+	// service does not run the model.
+	SizeOf func(service, model string) int
 	// ServiceOf returns the name of the service to which requests for a model
 	// of an engine service are routed.
 	ServiceOf func(service, model string) fleet.ServiceName
@@ -248,6 +248,9 @@
 	e.update(s, d.cfg.ModelOf)
 	e.failedAt = time.Time{}
 	if confirmed && asOf.After(e.answeredAsOf) {
+		if e.answeredAsOf.IsZero() {
+			d.version++ // the engine may now hold a rank that another entry reports
+		}
 		e.answeredAsOf = asOf
 	}
 	return updated
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -17,8 +17,13 @@
 func newDirectory() *Directory {
 	return New(Config{
 		ReturnGrace: 2 * time.Second,
-		SizeOf:      func(model string) int { return map[string]int{"duo": 2}[model] },
-		ServiceOf:   func(service, model string) fleet.ServiceName { return fleet.ServiceName(service + "/" + model) },
+		SizeOf: func(service, model string) int {
+			if service != "engines" {
+				return 0
+			}
+			return map[string]int{"duo": 2}[model]
+		},
+		ServiceOf: func(service, model string) fleet.ServiceName { return fleet.ServiceName(service + "/" + model) },
 		ModelOf: func(id fleet.GroupID) string {
 			model, _, _ := group.ParseID(id)
 			return string(model)
@@ -61,7 +66,7 @@
 // without another change of the list.
 func TestGroupsStayedUnknownAfterTheModelBecameKnown(t *testing.T) {
 	d, size := newDirectory(), 0
-	d.cfg.SizeOf = func(string) int { return size }
+	d.cfg.SizeOf = func(string, string) int { return size }
 	d.Announce(server("h", place(0, PlaceOpen)), at(0))
 	d.Announce(server("m", place(1, PlaceReady)), at(0))
 	assert.Equal(t, len(d.Groups().Groups), 0)
@@ -81,6 +86,115 @@
 	assert.Equal(t, g.Members[1].Instance, fleet.InstanceID("m"))
 }
 
+// One entry of another writer took a whole group over: by a higher epoch, by a
+// service that does not run the model, or by a rank that another engine holds.
+func TestOneEntryTookAGroupOver(t *testing.T) {
+	entry := func(service string, epoch fleet.Epoch, rank fleet.Rank, state PlaceState) Server {
+		s := server("x", &Place{Group: "duo.1.1", Epoch: epoch, Rank: rank, State: state})
+		s.Service = service
+		return s
+	}
+	const late = 1 << 52
+	for name, foreign := range map[string]Server{
+		"other service, later epoch":                   entry("plains", late, 0, PlaceOpen),
+		"other service, later epoch, rank beyond size": entry("plains", late, 4000, PlaceOpen),
+		"other service, same epoch, leader":            entry("plains", 7, 0, PlaceOpen),
+		"other service, same epoch, member":            entry("plains", 7, 1, PlaceReady),
+		"later epoch, leader":                          entry("engines", late, 0, PlaceOpen),
+		"later epoch, member":                          entry("engines", late, 1, PlaceJoining),
+		"later epoch, rank beyond size":                entry("engines", late, 4000, PlaceOpen),
+		"next epoch, member":                           entry("engines", 8, 1, PlaceReady),
+		"same epoch, leader":                           entry("engines", 7, 0, PlaceOpen),
+		"same epoch, closing leader":                   entry("engines", 7, 0, PlaceClosing),
+		"same epoch, member":                           entry("engines", 7, 1, PlaceReady),
+		"earlier epoch":                                entry("engines", 6, 0, PlaceOpen),
+	} {
+		for order, sequence := range map[string][]Server{
+			"first": {foreign, server("h", place(0, PlaceOpen)), server("m", place(1, PlaceReady))},
+			"last":  {server("h", place(0, PlaceOpen)), server("m", place(1, PlaceReady)), foreign},
+		} {
+			t.Run(name+", "+order, func(t *testing.T) {
+				d := newDirectory()
+				for _, s := range sequence {
+					d.Announce(s, at(0))
+					d.Groups()
+				}
+				d.RecordAnswer(server("h", place(0, PlaceOpen)), at(time.Second))
+				d.RecordAnswer(server("m", place(1, PlaceReady)), at(time.Second))
+				g := d.Groups().Groups["duo.1.1"]
+				assert.Assert(t, g != nil)
+				assert.Equal(t, g.Epoch, fleet.Epoch(7))
+				assert.Equal(t, g.Members[0].Instance, fleet.InstanceID("h"))
+				assert.Equal(t, g.Members[1].Instance, fleet.InstanceID("m"))
+				assert.Equal(t, g.Phase, group.PhaseActive)
+				assert.Assert(t, group.Whole(g, d, time.Now(), time.Second).Whole)
+				assert.Equal(t, d.Groups().ByInstance["x"], fleet.GroupID(""))
+			})
+		}
+	}
+}
+
+// An entry that claims a rank of a group that is known already must not replace its
+// engine, also if no engine has answered this daemon.
+func TestEntryReplacedTheKnownMemberOfARank(t *testing.T) {
+	for _, id := range []fleet.InstanceID{"a", "x"} {
+		d := newDirectory()
+		d.Announce(server("h", place(0, PlaceOpen)), at(0))
+		d.Announce(server("m", place(1, PlaceReady)), at(0))
+		d.Groups()
+		d.Announce(server(id, place(0, PlaceOpen)), at(1))
+		assert.Equal(t, d.Groups().Groups["duo.1.1"].Members[0].Instance, fleet.InstanceID("h"), "%s", id)
+	}
+}
+
+// The next epoch of a group shows as it forms: its first member may join while the
+// others are still in the previous epoch, and the leader leaves that one first.
+func TestNextEpochShowsAsItForms(t *testing.T) {
+	next := func(rank fleet.Rank, state PlaceState) *Place {
+		return &Place{Group: "duo.1.1", Epoch: 8, Rank: rank, State: state}
+	}
+	d := newDirectory()
+	epoch := func() fleet.Epoch { return d.Groups().Groups["duo.1.1"].Epoch }
+	d.Announce(server("h", place(0, PlaceOpen)), at(0))
+	d.Announce(server("m", place(1, PlaceReady)), at(0))
+	d.Announce(server("n", next(1, PlaceJoining)), at(1))
+	assert.Equal(t, epoch(), fleet.Epoch(7), "the group serves until its leader leaves")
+	assert.Assert(t, group.Whole(d.Groups().Groups["duo.1.1"], d, time.Now(), time.Second).Whole)
+	d.Announce(server("h", nil), at(2))
+	assert.Equal(t, epoch(), fleet.Epoch(8), "the leader has left")
+	d.Announce(server("h", next(0, PlaceOpen)), at(3))
+	d.Announce(server("n", next(1, PlaceReady)), at(3))
+	assert.Assert(t, group.Whole(d.Groups().Groups["duo.1.1"], d, time.Now(), time.Second).Whole)
+
+	for name, lose := range map[string]func(d *Directory){
+		"a member fails":       func(d *Directory) { d.Fail("m", at(1)) },
+		"a member is unlisted": func(d *Directory) { d.Withdraw("m", at(1)) },
+		"the leader breaks":    func(d *Directory) { d.Announce(server("h", place(0, PlaceBroken)), at(1)) },
+		"the leader restarts": func(d *Directory) {
+			restarted := server("h", nil)
+			restarted.Incarnation++
+			d.Announce(restarted, at(1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.Announce(server("h", place(0, PlaceOpen)), at(0))
+			d.Announce(server("m", place(1, PlaceReady)), at(0))
+			d.Announce(server("n", next(1, PlaceJoining)), at(0))
+			lose(d)
+			assert.Equal(t, d.Groups().Groups["duo.1.1"].Epoch, fleet.Epoch(8))
+		})
+	}
+	t.Run("both epochs complete", func(t *testing.T) {
+		d := newDirectory()
+		d.Announce(server("h", place(0, PlaceOpen)), at(0))
+		d.Announce(server("m", place(1, PlaceReady)), at(0))
+		d.Announce(server("n", next(1, PlaceJoining)), at(0))
+		d.Announce(server("o", next(0, PlaceJoining)), at(0))
+		assert.Equal(t, d.Groups().Groups["duo.1.1"].Epoch, fleet.Epoch(8))
+	})
+}
+
 // Group names that placement does not generate are ignored.
 func TestUnknownGroupNamesAreIgnored(t *testing.T) {
 	d := newDirectory()
--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -224,11 +224,22 @@
 	return nil, nil
 }
 
-func (d *Daemon) modelSize(model string) int {
-	if _, m := d.findModel(model); m != nil {
-		return m.Size
+// modelSize returns the size of a replica of a model that a service runs, zero if
+// it does not run the model.
+func (d *Daemon) modelSize(service, model string) int {
+	t := d.routes.Table()
+	if t == nil {
+		return 0
 	}
-	return 0
+	s, ok := t.Service(service)
+	if !ok || s.Engine == nil {
+		return 0
+	}
+	m, ok := s.Engine.Model(model)
+	if !ok {
+		return 0
+	}
+	return m.Size
 }
 
 func (d *Daemon) modelStagedTime(model string) time.Duration {
