--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -69,7 +69,4 @@
 // Status is an engine's answer to a direct status request.
 type Status struct {
 	Server
-	Running, Queued uint32
-	// Pace is the factor by which the engine is slower than usual.
-	Pace float64
 }
