placement: only the leader itself ends its membership

placeHistory took any entry with rank zero of a group and epoch for the group's leader, the first one that a map gave, and believed the list when it said that this server is broken or has started anew.

A membership now ends only by a leader that has itself answered in this term, as it had to for having left already, and an engine that has answered replaces one that has not.

Before: TestMembershipOfAnotherLeaderEnded failed in all four cases, three with a membership that had ended, one with the wrong leader.

--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -25,6 +25,9 @@
 type membership struct {
 	groupLeader            fleet.InstanceID // empty if unknown
 	groupLeaderIncarnation uint64
+	// isLeaderConfirmed is set once the group leader itself has confirmed its place.
+	// Until then, another server that reports its rank may be the leader.
+	isLeaderConfirmed bool
 	// ended is set once the group leader no longer serves under this membership.
 	ended bool
 }
@@ -39,8 +42,9 @@
 	return &placeHistory{memberships: map[placeKey]*membership{}, engines: map[fleet.InstanceID]*lastPlace{}}
 }
 
-// observe updates the history from the places that the engines report. An engine
-// has left a place only if isConfirmed holds for it.
+// observe updates the history from the places that the engines report. A membership
+// ends only if isConfirmed holds for its group leader: the list may be older than the
+// leader's state, and an entry in it may come from another writer.
 func (p *placeHistory) observe(servers map[fleet.InstanceID]directory.Listing, isConfirmed func(directory.Listing) bool) {
 	for id, l := range servers {
 		if l.Place == nil {
@@ -48,8 +52,8 @@
 		}
 		key := placeKey{l.Place.Group, l.Place.Epoch}
 		m := p.membership(key)
-		if l.Place.Rank == 0 && m.groupLeader == "" {
-			m.groupLeader, m.groupLeaderIncarnation = id, l.Incarnation
+		if l.Place.Rank == 0 && (m.groupLeader == "" || !m.isLeaderConfirmed && isConfirmed(l)) {
+			m.groupLeader, m.groupLeaderIncarnation, m.isLeaderConfirmed = id, l.Incarnation, isConfirmed(l)
 		}
 		m.ended = m.ended || isWarmup(l.Place.Group)
 		e := p.engines[id]
@@ -64,9 +68,12 @@
 			continue
 		}
 		groupLeader, listed := servers[m.groupLeader]
-		moved := listed && !groupLeader.Failed && isConfirmed(groupLeader) && (groupLeader.Place == nil || placeKey{groupLeader.Place.Group, groupLeader.Place.Epoch} != key)
-		broken := listed && groupLeader.Place != nil && groupLeader.Place.State == directory.PlaceBroken
-		restarted := listed && groupLeader.Incarnation != m.groupLeaderIncarnation
+		if !listed || !isConfirmed(groupLeader) {
+			continue
+		}
+		moved := !groupLeader.Failed && (groupLeader.Place == nil || placeKey{groupLeader.Place.Group, groupLeader.Place.Epoch} != key)
+		broken := groupLeader.Place != nil && groupLeader.Place.State == directory.PlaceBroken
+		restarted := groupLeader.Incarnation != m.groupLeaderIncarnation
 		m.ended = moved || broken || restarted
 	}
 }
--- a/internal/placement/places_test.go
+++ b/internal/placement/places_test.go
@@ -78,6 +78,46 @@
 	}
 }
 
+// An entry of another writer that claimed the rank of a group's leader was taken for
+// the leader. As it said that it is broken, or named another start, the members of
+// the group could be ordered into another one while their leader served.
+func TestMembershipOfAnotherLeaderEnded(t *testing.T) {
+	foreign := func(incarnation uint64, p *directory.Place) directory.Listing {
+		l := listing("foreign", incarnation, p)
+		l.AnsweredAsOf = time.Time{}
+		return l
+	}
+	for name, entries := range map[string][]directory.Listing{
+		"broken from the start": {foreign(1, placeOf(0, directory.PlaceBroken))},
+		"broken later":          {foreign(1, placeOf(0, directory.PlaceOpen)), foreign(1, placeOf(0, directory.PlaceBroken))},
+		"restarted":             {foreign(1, placeOf(0, directory.PlaceOpen)), foreign(2, nil)},
+		"left":                  {foreign(1, placeOf(0, directory.PlaceOpen)), foreign(1, nil)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			key := placeKey{"duo.1.1", 7}
+			term := &termState{since: time.Now()}
+			p := newPlaceHistory()
+			servers := map[fleet.InstanceID]directory.Listing{}
+			for _, e := range entries { // read before the engines of the group
+				servers["foreign"] = e
+				p.observe(servers, term.isConfirmed)
+			}
+			assert.Assert(t, !p.hasEnded(key))
+			servers["leader"] = listing("leader", 1, placeOf(0, directory.PlaceOpen))
+			servers["other"] = listing("other", 1, placeOf(1, directory.PlaceReady))
+			for _, e := range entries {
+				servers["foreign"] = e
+				p.observe(servers, term.isConfirmed)
+			}
+			assert.Assert(t, !p.hasEnded(key))
+			assert.Equal(t, p.membership(key).groupLeader, fleet.InstanceID("leader"))
+			servers["leader"] = listing("leader", 1, placeOf(0, directory.PlaceBroken))
+			p.observe(servers, term.isConfirmed)
+			assert.Assert(t, p.hasEnded(key), "the leader itself is broken")
+		})
+	}
+}
+
 // Engines that join a group of the model that they have loaded counted as loading,
 // so that repairs kept new engines from loading a model at all.
 func TestRejoiningEnginesCountedAsLoading(t *testing.T) {
