--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"reflect"
@@ -170,3 +171,25 @@
 	assert.NilError(t, err)
 	return conn
 }
+
+// Messages that are nested deeply, or announce more than they hold, must cost their
+// link only, and neither the stack nor memory.
+func TestMessagesNestedDeeply(t *testing.T) {
+	for name, body := range map[string][]byte{
+		"arrays":          bytes.Repeat([]byte{0x81}, 1<<20),
+		"maps":            bytes.Repeat([]byte{0xa1, 0x01}, 1<<20),
+		"unknown field":   append([]byte{0xa1, 0x18, 0x63}, bytes.Repeat([]byte{0x81}, 1<<20)...),
+		"endless array":   {0xa1, 0x03, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"endless map":     {0xbb, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"endless bytes":   {0xa1, 0x03, 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"open array":      bytes.Repeat([]byte{0x9f}, 1<<20),
+		"tags":            bytes.Repeat([]byte{0xc1}, 1<<20),
+		"too many items":  append([]byte{0xa1, 0x03, 0x99, 0xff, 0xff}, bytes.Repeat([]byte{0x00}, 1<<16)...),
+		"number too wide": {0xa1, 0x02, 0xc2, 0x49, 1, 1, 1, 1, 1, 1, 1, 1, 1},
+	} {
+		for kind := typeHello; kind <= typeLoad; kind++ {
+			_, err := decode(append([]byte{wireVersion, byte(kind)}, body...))
+			assert.Check(t, err != nil, "%s in a message of type %d", name, kind)
+		}
+	}
+}
