standin/site: engines and plain servers that fall silent and go on

A backend server's process can be made silent for a time: its connections stay open, its host accepts connections and bytes, but it reads and writes nothing, also no report and no answer to an order, and goes on where it stood. A silent member stops the events of its group. A silence can begin inside a write, so that callers' daemons hold half an event or half a head.

--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -66,6 +66,7 @@
 	active     int
 	arrivals   int // requests received, accepted or not
 	orders     int
+	silence    silence // has a lock of its own
 }
 
 // timedReport is the state that an engine reports from a point in time on.
@@ -120,7 +121,7 @@
 // start adds the engine to the world and serves its requests.
 func (e *Engine) start() error {
 	s := e.world.shared
-	server, err := e.world.serve(e.host, portServer, e.handler())
+	server, err := e.world.serve(silentHost{e.host, &e.silence}, portServer, e.handler())
 	if err != nil {
 		return err
 	}
@@ -504,7 +505,8 @@
 }
 
 // step waits for the next event and reports whether the stream continues. The
-// leader of an incomplete group stalls, and breaks after StallTime.
+// leader of an incomplete group stalls, and breaks after StallTime. No event
+// comes while a member is silent.
 func (e *Engine) step(r *http.Request, m *groupMembership) bool {
 	s := e.world.shared
 	var stalled time.Duration
@@ -516,7 +518,7 @@
 		}
 		s.mu.Lock()
 		gone := e.dead || e.membership != m
-		whole := s.whole(m)
+		whole, silent := s.whole(m), s.hasSilentMember(m)
 		if !whole && stalled >= StallTime && !gone {
 			m.State = "broken"
 			gone = true
@@ -525,6 +527,8 @@
 		switch {
 		case gone:
 			return false
+		case silent:
+			continue
 		case whole:
 			return true
 		}
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -22,7 +22,8 @@
 	// response.
 	DropResponses bool
 	// Fail answers every request with status 500.
-	Fail bool
+	Fail    bool
+	silence silence // has a lock of its own
 }
 
 const (
@@ -37,7 +38,7 @@
 
 // start listens for requests.
 func (p *Plain) start() error {
-	server, err := p.world.serve(p.host, portServer, p)
+	server, err := p.world.serve(silentHost{p.host, &p.silence}, portServer, p)
 	p.world.Update(func() { p.server = server })
 	return err
 }
