dispatch: test that an unproven rejection is no proof

TestUnprovenRejectionWasTakenAsProof holds what callers are told, and how often a request is sent, after a rejection without an id or of another request.

--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -31,6 +31,7 @@
 	// reset breaks the connection after the body. Otherwise the body ends, in
 	// order with framed set, else with its connection.
 	reset, framed bool
+	err           error // in place of an answer
 }
 
 // fakeOpaques answer one attempt after the other.
@@ -48,6 +49,9 @@
 	}
 	a := s.answers[0]
 	s.answers = s.answers[1:]
+	if a.err != nil {
+		return backend.OpaqueResponse{}, a.err
+	}
 	body := io.Reader(strings.NewReader(a.body))
 	if a.reset {
 		body = io.MultiReader(body, iotest.ErrReader(errReset))
@@ -208,3 +212,43 @@
 		})
 	}
 }
+
+// A rejection that may be another request's was taken as proof that this one had not
+// run: its caller was told so, or it ran a second time.
+func TestUnprovenRejectionWasTakenAsProof(t *testing.T) {
+	whole := streamAnswer{contentType: eventStream, body: eventsTo2, framed: true}
+	mismatch := errors.Wrap(backend.ErrRequestMismatch, "q in place of r")
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		answers    []error // the last one of them before a whole answer
+		state      fleet.RunState
+		attempts   int
+	}{
+		{"proven", false, []error{&backend.RefusedError{Status: 503}}, fleet.RunStateUnknown, 2},
+		{"proven, of all servers", false, []error{&backend.RefusedError{Status: 503}, &backend.RefusedError{Status: 421}}, fleet.NotRun, 2},
+		{"unproven", false, []error{&backend.RefusedError{Status: 503, Unproven: true}}, fleet.MayHaveRun, 1},
+		{"of another request", false, []error{mismatch}, fleet.MayHaveRun, 1},
+		{"unproven, may be repeated", true, []error{&backend.RefusedError{Status: 503, Unproven: true}}, fleet.RunStateUnknown, 2},
+		{"unproven of one server, may be repeated", true, []error{&backend.RefusedError{Status: 503, Unproven: true}, &backend.RefusedError{Status: 503}}, fleet.MayHaveRun, 2},
+		{"of another request, may be repeated", true, []error{mismatch, &backend.RefusedError{Status: 503}}, fleet.MayHaveRun, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var answers []streamAnswer
+				for _, err := range test.answers {
+					answers = append(answers, streamAnswer{err: err})
+				}
+				relay, servers, f := forwardStream(t, test.repeatable, "", append(answers, whole)...)
+				assert.Equal(t, len(servers.resumeAfter), test.attempts)
+				if test.state == fleet.RunStateUnknown {
+					assert.Assert(t, f == nil, "%v", f)
+					assert.Equal(t, relay.body.String(), eventsTo2)
+					return
+				}
+				assert.Assert(t, f != nil)
+				assert.Equal(t, f.State, test.state, "%v", f)
+			})
+		})
+	}
+}
