dispatch: an event id that no header can hold is no place to resume

A backend server's event with a control character in its id became the Last-Event-Id of the next attempt. net/http rejects such a header before it dials, which counted as a connection that could not be opened: the attempt was free, the next group was tried, and this daemon took each of them for unreachable for a second or more, for all its callers.

The answer is now given up at such an event, and the stream resumes after the one before. The same holds for ids over 1 KiB, which servers' limits on heads would reject.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -3,6 +3,8 @@
 import (
 	"mime"
 	"net/http"
+	"strings"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +13,9 @@
 
 const mediaTypeEvents = "text/event-stream"
 
+// maxEventIDBytes bounds the id of an event, well below the heads that servers accept.
+const maxEventIDBytes = 1 << 10
+
 // errNotContinuation marks an answer that does not continue the caller's stream.
 var errNotContinuation = errors.New("the answer does not continue the stream")
 
@@ -58,6 +63,8 @@
 	switch {
 	case !r.req.Repeatable:
 		return nil // no other answer follows, so that this one is passed on as it is
+	case !isSendable(id):
+		return errors.Wrapf(errNotContinuation, "an event whose id of %d bytes no header can hold", len(id))
 	case id == "" && !placed:
 		return errors.Wrap(errNotContinuation, "its first event has no id")
 	case id != "" && (id == r.lastEventID || alreadyDelivered(id, r.lastEventID)):
@@ -66,6 +73,11 @@
 	return nil
 }
 
+// isSendable reports whether an id can be sent to the next backend server, in a header.
+func isSendable(id string) bool {
+	return len(id) <= maxEventIDBytes && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
 // checkEmpty returns an error if an answer that ended without any event can't be
 // complete. A server that ends before its first event closes its connection like
 // one that has nothing more to send, so only a length or chunks show the difference.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// An event's id that no header can hold made each later attempt fail before it was
+// sent, as if no server could be reached.
+func TestEventIDThatNoHeaderHoldsWasSent(t *testing.T) {
+	for _, id := range []string{"2\x00", "2\r3", "2\x7f", strings.Repeat("2", 8<<10)} {
+		synctest.Test(t, func(t *testing.T) {
+			relay, servers, f := forwardStream(t, true, "",
+				streamAnswer{contentType: eventStream, body: "id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\nid: 3\nda"},
+				streamAnswer{contentType: eventStream, body: "id: 2\ndata: b\n\n", framed: true})
+			assert.Assert(t, f == nil, "%v", f)
+			assert.Equal(t, relay.body.String(), eventsTo2)
+			assert.DeepEqual(t, servers.resumeAfter, []string{"", "1"})
+		})
+	}
+}
+
 // A stream's first answer whose connection ended before any event was passed on as
 // a complete, empty stream.
 func TestConnectionThatEndedBeforeAnyEventWasACompleteStream(t *testing.T) {
