edge: a rate of a peer that is no number is skipped

A broadcast of a request rate of NaN was applied: no comparison with the credit that it gives holds, so that the server got no request from this daemon until the rate ended. Rates that are NaN, infinite or negative are skipped and logged, as decodeRate already does for those that servers announce.

Before: TestRateOfAPeerThatIsNoNumber refused the request for NaN, and counted no skipped record for any of the four rates.

--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/membership"
@@ -42,6 +44,10 @@
 
 // applyRate applies a rate that a peer broadcast.
 func (d *Daemon) applyRate(b membership.Broadcast, r rateBroadcast) {
+	if !(r.PerSecond >= 0) || math.IsInf(r.PerSecond, 0) {
+		d.skipBadRecord("bulletin", b.Key, b.Version, errors.Errorf("the rate of server %q is %g requests a second", r.Server, r.PerSecond))
+		return
+	}
 	now := time.Now()
 	d.rates.Apply(ratelimit.Announcement{
 		Server: r.Server, PerSecond: r.PerSecond, Unlimited: r.Unlimited, Version: b.Version, At: now.Add(-b.Age()),
