--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -93,6 +93,8 @@
 	// break off inside an event.
 	unframed bool
 	cuts     int
+	// brokenOff holds the requests whose streams engines ended on their own.
+	brokenOff map[string]bool
 	// limits are the request rates that backend servers announce, by address.
 	limits map[string]*announcedLimit
 	// crashingParts are the parts of a prompt on which engines crash.
@@ -106,7 +108,7 @@
 }
 
 func newSharedState() *sharedState {
-	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, crashingParts: map[string]bool{}, limits: map[string]*announcedLimit{},
+	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, brokenOff: map[string]bool{}, crashingParts: map[string]bool{}, limits: map[string]*announcedLimit{},
 		crashes: map[string][]time.Time{}, crashingRuns: map[string][]crashingRun{}}
 }
 
@@ -473,6 +475,9 @@
 	started := false
 	for n := from + 1; n <= eventsPerStream; n++ {
 		if !e.step(r, m) {
+			if r.Context().Err() == nil {
+				s.recordBrokenOff(id)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if !started {
--- a/standin/site/silent.go
+++ b/standin/site/silent.go
@@ -173,3 +173,17 @@
 	}
 	return false
 }
+
+func (s *sharedState) recordBrokenOff(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.brokenOff[id] = true
+}
+
+// BrokenOff reports whether an engine ended a stream of a request on its own, for
+// example because it was ordered out of its group.
+func (w *World) BrokenOff(id string) bool {
+	w.shared.mu.Lock()
+	defer w.shared.mu.Unlock()
+	return w.shared.brokenOff[id]
+}
--- a/standin/site/silent_test.go
+++ b/standin/site/silent_test.go
@@ -109,21 +109,24 @@
 
 // assertNoneCut checks that every stream is complete, or was refused with a status
 // if refusals are allowed.
-func assertNoneCut(t *testing.T, responses map[string]Response, refusalsAllowed bool) {
+func assertNoneCut(t *testing.T, w *World, responses map[string]Response, refusalsAllowed bool) {
 	t.Helper()
-	cut, refused := 0, 0
+	cut, refused, brokenOff := 0, 0, 0
 	for id, r := range responses {
 		switch {
 		case r.IsComplete(id):
 		case r.Status >= http.StatusBadRequest && r.Err == nil:
 			refused++
 		default:
+			if w.BrokenOff(id) {
+				brokenOff++
+			}
 			if cut++; cut == 1 {
 				t.Logf("%s: status %d, error %v, body %q", id, r.Status, r.Err, r.Body)
 			}
 		}
 	}
-	assert.Check(t, cut == 0, "%d of %d streams were cut", cut, len(responses))
+	assert.Check(t, cut == 0, "%d of %d streams were cut, %d of them by engines too", cut, len(responses), brokenOff)
 	assert.Check(t, refused == 0 || refusalsAllowed, "%d of %d streams were refused", refused, len(responses))
 }
 
@@ -159,7 +162,7 @@
 						time.Sleep(back)
 						w.Publish(longDocument(4))
 					}
-					assertNoneCut(t, wait(), false)
+					assertNoneCut(t, w, wait(), false)
 				})
 			})
 		}
@@ -186,7 +189,7 @@
 							w.runAfter(missing, e.announce)
 						}
 					}
-					assertNoneCut(t, wait(), false)
+					assertNoneCut(t, w, wait(), false)
 				})
 			})
 		}
@@ -204,20 +207,33 @@
 				wait := burst(w, ModelOfTwo, 4)
 				time.Sleep(beginTime)
 				for n, e := range w.membersOf(ModelOfTwo, 0) {
-					body, err := json.Marshal(map[string]any{
-						"service": service, "addr": fmt.Sprintf("10.4.0.%d:%s", n+1, portServer), "zone": "a", "version": "v1", "slots": Slots,
-						"state": "ready", "coldLeftMs": 0, "seq": 0, "born": 1,
-						"group": groupMembership{Name: e.membership.Name, Epoch: math.MaxUint64, Rank: 4000000000, State: "open"},
-					})
-					assert.NilError(t, err)
-					w.Store.Put("keyed.servers", fmt.Sprintf("foreign-%d", n), body)
+					w.Store.Put("keyed.servers", fmt.Sprintf("foreign-%d", n), w.foreignEntry(e, service, n, math.MaxUint64))
 				}
-				assertNoneCut(t, wait(), false)
+				assertNoneCut(t, w, wait(), false)
 			})
 		})
 	}
 }
 
+// foreignEntry returns a server-list entry of another service that names the group
+// of an engine.
+func (w *World) foreignEntry(e *Engine, service string, n int, epoch uint64) []byte {
+	w.shared.mu.Lock()
+	defer w.shared.mu.Unlock()
+	entry := map[string]any{
+		"service": service, "addr": fmt.Sprintf("10.4.0.%d:%s", n+1, portServer), "zone": "a", "version": "v1", "slots": Slots,
+		"state": "ready", "coldLeftMs": 0, "seq": 0, "born": 1,
+	}
+	if m := e.membership; m != nil {
+		entry["group"] = groupMembership{Name: m.Name, Epoch: epoch, Rank: 4000000000, State: "open"}
+	}
+	body, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
 // membersOf returns the live engines of the given rank in all groups of a model.
 func (w *World) membersOf(model string, rank int) []*Engine {
 	w.shared.mu.Lock()
@@ -231,32 +247,41 @@
 	return out
 }
 
-// changeDocuments publishes documents that change weights, timeouts, keys, models,
-// quotas and idle times, one every 150 ms, until stop is closed.
+// documentChanges is the number of changes that changedDocument makes.
+const documentChanges = 7
+
+// changedDocument returns a document with another weight, timeout, key, model, limit
+// of a service, limits of requests or objectives.
+func changedDocument(version, change int) map[string]any {
+	document := longDocument(version)
+	route, limits := routeOf(document, "stream"), document["limits"].(map[string]any)
+	switch change {
+	case 0:
+		route["split"] = []any{map[string]any{"service": EngineService, "weight": 0.5 + float64(version%3)}}
+	case 1:
+		route["timeoutMs"] = longTimeoutMs - 2000
+	case 2:
+		document["tenants"].([]any)[0].(map[string]any)["apiKeys"] = []string{Key, fmt.Sprintf("key-%d", version)}
+	case 3:
+		engine := serviceOf(document, EngineService)["engine"].(map[string]any)
+		engine["models"] = append(engine["models"].([]any), map[string]any{
+			"name": "solo", "size": 1, "share": 0.01, "pace": 1.0, "loadS": loadTime.Seconds(), "warmS": stagedTime.Seconds(),
+		})
+	case 4:
+		serviceOf(document, EngineService)["maxConns"] = 150
+	case 5:
+		limits["idleTimeoutMs"], limits["maxBodyBytes"] = 1000, 1<<19
+	default:
+		route["gapSloMs"], route["sloMs"], route["priority"] = 100, 200, 3
+	}
+	return document
+}
+
+// changeDocuments publishes changed documents, one every 150 ms, until stop is
+// closed.
 func changeDocuments(w *World, from int, stop <-chan struct{}) {
 	for version := from; ; version++ {
-		document := longDocument(version)
-		route, limits := routeOf(document, "stream"), document["limits"].(map[string]any)
-		switch version % 7 {
-		case 0: // weights
-			route["split"] = []any{map[string]any{"service": EngineService, "weight": 0.5 + float64(version%3)}}
-		case 1:
-			route["timeoutMs"] = longTimeoutMs - 2000
-		case 2:
-			document["tenants"].([]any)[0].(map[string]any)["apiKeys"] = []string{Key, fmt.Sprintf("key-%d", version)}
-		case 3:
-			engine := serviceOf(document, EngineService)["engine"].(map[string]any)
-			engine["models"] = append(engine["models"].([]any), map[string]any{
-				"name": "solo", "size": 1, "share": 0.01, "pace": 1.0, "loadS": loadTime.Seconds(), "warmS": stagedTime.Seconds(),
-			})
-		case 4:
-			serviceOf(document, EngineService)["maxConns"] = 150
-		case 5:
-			limits["idleTimeoutMs"], limits["maxBodyBytes"] = 1000, 1<<19
-		default:
-			route["gapSloMs"], route["sloMs"], route["priority"] = 100, 200, 3
-		}
-		w.Publish(document)
+		w.Publish(changedDocument(version, version%documentChanges))
 		select {
 		case <-stop:
 			return
@@ -333,7 +358,7 @@
 								time.Sleep(after)
 								test.begin(w, length)
 							}
-							assertNoneCut(t, wait(), test.refusals)
+							assertNoneCut(t, w, wait(), test.refusals)
 						})
 					})
 				})
@@ -401,3 +426,38 @@
 		}
 	}
 }
+
+// Engines that fall silent for a moment must not be ordered out of their groups, or
+// their groups repaired or dissolved: the orders end the streams that are under way.
+func TestOrdersEndedGroupsOfSilentEngines(t *testing.T) {
+	for _, test := range silenceCases() {
+		for _, length := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s-%s", test.name, length), func(t *testing.T) {
+				runWorld(t, func(t *testing.T, w *World) {
+					w.Publish(longDocument(2))
+					time.Sleep(loadTime + 2*time.Second) // all loads have ended
+					orders, before := w.OrderCount(), map[*Engine]*groupMembership{}
+					w.Update(func() {
+						for _, e := range w.Engines {
+							before[e] = e.membership
+						}
+					})
+					wait := burst(w, ModelOfTwo, 4)
+					time.Sleep(beginTime)
+					test.begin(w, length)
+					wait()
+					time.Sleep(length + 2*time.Second)
+					moved := 0
+					w.Update(func() {
+						for e, m := range before {
+							if m != nil && e.membership != m {
+								moved++
+							}
+						}
+					})
+					assert.Check(t, moved == 0, "%d of %d engines left their groups, %d orders", moved, len(before), w.OrderCount()-orders)
+				})
+			})
+		}
+	}
+}
