membership: a malformed message that nothing depends on ended its link

A gossip, load, request, response or goodbye message with a value of another type, or without a required field, closed the link to its sender. Each new link is sent the same gossip again, so daemons of two versions that disagree on one field would lose touch until the gossip expires, after which callers at both are refused or sent to groups that the other daemon knows to be gone.

Only hellos and heartbeats carry state that later messages refer to (the numbers of names). They still end the link; the others are logged and passed over, as messages of an unknown type were before.

Three of the new rows of TestInvalidMessagesFromPeer failed before ("gossip of another type", "counts of another type", "malformed request": the link was gone). The fourth, a heartbeat with nothing but its sequence, passed before.

--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -20,7 +20,7 @@
 		"A peer sent a message of an unknown type, which was ignored.",
 		"Expected during a rolling upgrade; otherwise compare the daemons' versions.")
 	eventBadMessage = event.Define(2004, "membership.bad-message", log.ErrorLevel,
-		"A peer sent a message that can't be decoded; the link was closed.",
+		"A peer sent a message that can't be decoded; the link was closed if later messages depend on it.",
 		"Compare the daemons' versions, and check that nothing else connects to the peer listener.")
 	eventRelayed = event.Define(2005, "membership.relayed", log.InfoLevel,
 		"This daemon was behind and fetched log records from a peer.",
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -16,7 +16,10 @@
 	}
 	if err != nil {
 		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
-		return err
+		if endsLink(frame) {
+			return err
+		}
+		return nil
 	}
 	switch b := body.(type) {
 	case *heartbeatMessage:
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -230,8 +230,8 @@
 	return append([]byte{wireVersion, byte(typeOf(body))}, data...), nil
 }
 
-// decode returns the message in a frame. A frame with errUnknownType may be
-// ignored; after any other error the link must be closed.
+// decode returns the message in a frame. After an error the link must be closed if
+// endsLink is true of the frame.
 func decode(frame []byte) (any, error) {
 	if len(frame) < headerBytes {
 		return nil, errTooShort
@@ -249,6 +249,16 @@
 	return body, validate(body)
 }
 
+// endsLink reports whether a frame that can't be decoded ends its link. Later messages
+// depend on hellos and heartbeats, which number the names; the others are passed over.
+func endsLink(frame []byte) bool {
+	if len(frame) < headerBytes || frame[0] != wireVersion {
+		return true
+	}
+	t := messageType(frame[1])
+	return t == typeHello || t == typeHeartbeat
+}
+
 func newBody(t messageType) any {
 	switch t {
 	case typeHello:
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -132,6 +132,10 @@
 		"unknown type is ignored":               {[]byte{wireVersion, 99}, false},
 		"malformed body closes the link":        {[]byte{wireVersion, byte(typeHeartbeat), 0xff}, true},
 		"other version closes the link":         {[]byte{7, byte(typeHeartbeat), 0xa0}, true},
+		"gossip of another type is ignored":     {append([]byte{wireVersion, byte(typeGossip)}, 0xa1, 0x01, 0x05), false},
+		"counts of another type are ignored":    {append([]byte{wireVersion, byte(typeLoad)}, 0xa1, 0x01, 0x61, 'x'), false},
+		"malformed request is ignored":          {[]byte{wireVersion, byte(typeRequest), 0xa0}, false},
+		"heartbeat with a sequence only":        {[]byte{wireVersion, byte(typeHeartbeat), 0xa1, 0x02, 0x01}, false},
 		"unknown stream is answered":            {mustEncode(&requestMessage{ID: 1, Kind: requestState, Stream: "no"}), false},
 		"response without a request is ignored": {mustEncode(&responseMessage{ID: 77}), false},
 	}
