membership: an instance id that is not UTF-8 ended the links of all daemons

Keys of the store may hold any bytes, and a daemon names instances in its heartbeats and gossip by them. Receivers refused such a heartbeat as malformed and closed the link, and each new link was sent the name again: one odd entry of the list, or its deletion, would cost the daemons their links.

Frames are decoded with strings of any bytes. Records of the control stream keep the strict mode, so that their fold does not change between versions.

TestInstanceIDThatIsNoUTF8EndedLinks failed before with "cbor: invalid UTF-8 string".

--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -179,6 +179,9 @@
 type codec struct {
 	enc cbor.EncMode
 	dec cbor.DecMode
+	// decFrame also accepts strings that are not UTF-8: ids of backend servers come
+	// from the store's keys, which may hold any bytes.
+	decFrame cbor.DecMode
 }
 
 var wireCodec = newCodec()
@@ -188,17 +191,23 @@
 	if err != nil {
 		panic(err)
 	}
-	dec, err := cbor.DecOptions{
+	options := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
 		MaxArrayElements: maxItems,
 		MaxMapPairs:      maxItems,
-	}.DecMode()
+	}
+	dec, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	options.UTF8 = cbor.UTF8DecodeInvalid
+	decFrame, err := options.DecMode()
 	if err != nil {
 		panic(err)
 	}
-	return codec{enc: enc, dec: dec}
+	return codec{enc: enc, dec: dec, decFrame: decFrame}
 }
 
 func typeOf(body any) messageType {
@@ -243,7 +252,7 @@
 	if body == nil {
 		return nil, errors.Wrapf(errUnknownType, "%d", frame[1])
 	}
-	if err := wireCodec.dec.Unmarshal(frame[headerBytes:], body); err != nil {
+	if err := wireCodec.decFrame.Unmarshal(frame[headerBytes:], body); err != nil {
 		return nil, errors.Wrap(err, "decode message")
 	}
 	return body, validate(body)
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// An instance whose id is not UTF-8 must not end the links of the daemons that tell
+// of it.
+func TestInstanceIDThatIsNoUTF8EndedLinks(t *testing.T) {
+	for _, m := range []any{
+		&heartbeatMessage{Sequence: 1, Names: []string{"i-\xff"}, Unresponsive: []uint32{0}},
+		&gossipMessage{Leaving: []leavingItem{{Instance: "i-\xff"}}, Broadcasts: []Broadcast{{Key: "i-\xff", Version: 1}}},
+	} {
+		got, err := decode(mustEncode(m))
+		assert.NilError(t, err)
+		assert.Assert(t, reflect.DeepEqual(got, m), "%#v", got)
+	}
+}
+
 func TestDecodeRejectsInvalidMessages(t *testing.T) {
 	frame, _ := encode(&heartbeatMessage{Sequence: 1})
 	tests := map[string]struct {
