--- /dev/null
+++ b/internal/edge/recorded_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/suspect"
+	"carawayproxy.example/caraway/standin/wiretest"
+)
+
+// recordedBroadcasts returns the bodies in testdata/recorded-aeb1337.txt.
+func recordedBroadcasts() map[string]serverBroadcast {
+	server := &directory.Server{
+		Instance: "i-1", Service: "service", Address: "10.0.0.1:80", Zone: "zone-a", Fabric: "f", Slots: 17, Leaving: true,
+		Incarnation: 1764900000123, Staged: []string{"m"},
+		Place: &directory.Place{Group: "m.1.2", Epoch: 9, Rank: 1, State: directory.PlaceReady},
+	}
+	return map[string]serverBroadcast{
+		"server":   {Server: server},
+		"deletion": {Deleted: true},
+		"answer":   {Server: server, Answered: true, AgeMilli: 30},
+		"verdict": {Verdict: &suspect.Verdict{
+			Fingerprint: 0xfedcba9876543210, Service: "service", Author: "edge-1-0123abcd", Until: 1764903600000, Deaths: 3,
+			Cleared: true, Part: true, Decided: 1764900000000, Survivals: 2, Uncertain: true,
+		}},
+	}
+}
+
+// ratesOfB909b5d returns the bodies in testdata/recorded-b909b5d.txt, which aeb1337
+// does not know.
+func ratesOfB909b5d() map[string]serverBroadcast {
+	return map[string]serverBroadcast{
+		"rate":         {Rate: &rateBroadcast{Server: "i-1", PerSecond: 2.5}},
+		"rate-removed": {Rate: &rateBroadcast{Server: "i-1", Unlimited: true}},
+	}
+}
+
+// Daemons of an earlier version run beside this one during an upgrade: each must
+// read what the other broadcasts.
+func TestBroadcastsOfEarlierVersions(t *testing.T) {
+	for commit, broadcasts := range map[string]map[string]serverBroadcast{"aeb1337": recordedBroadcasts(), "b909b5d": ratesOfB909b5d()} {
+		f, err := os.Open(filepath.Join("testdata", "recorded-"+commit+".txt"))
+		assert.NilError(t, err)
+		defer f.Close()
+		recorded, err := wiretest.Parse(f)
+		assert.NilError(t, err)
+		assert.Equal(t, len(recorded), len(broadcasts))
+		for name, want := range broadcasts {
+			var got serverBroadcast
+			assert.NilError(t, cbor.Unmarshal(recorded[name], &got), "%s of %s", name, commit)
+			assert.DeepEqual(t, got, want)
+			present, err := cbor.Marshal(want)
+			assert.NilError(t, err)
+			assert.NilError(t, wiretest.Extends(recorded[name], present), "%s as %s reads it", name, commit)
+		}
+	}
+}
