edge: a broadcast of an unknown kind that names a server changed the list

A broadcast body with a server and a field that this version does not know was taken for a change of the list of backend servers, at the position in its version number: the server would have been set back to an older state, or listed after it was removed, as soon as a later version uses a broadcast for something else about a server. Kinds without a server were passed over, but each with the warning that a record of the store is invalid.

A change of the list has the server's id as its key, and an engine's response that id with its prefix, in all versions since.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -35,4 +35,7 @@
 		"No stream of this daemon at a group makes progress; the group gets no new requests and its members are checked.", "See placement.engine-down for the failed member.")
 	eventSettingsChanged = event.Define(1814, "edge.hangup", log.InfoLevel,
 		"The daemon was notified that its settings changed; they take effect at its next start.", "Restart the daemon to apply the settings.")
+	eventUnknownBroadcast = event.Define(1815, "edge.unknown-broadcast", log.InfoLevel,
+		"Another daemon broadcast something that this version does not know; it was passed over.",
+		"Expected during a rolling upgrade; otherwise compare the daemons' versions.")
 )
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -80,6 +80,20 @@
 	Rate     *rateBroadcast   `cbor:"6,keyasint,omitempty"`
 }
 
+// isKnown reports whether a body that holds neither a verdict nor a rate is a change
+// of the list or an engine's response, by its fields and its key. Others are of a
+// later version.
+func (p serverBroadcast) isKnown(key string) bool {
+	switch {
+	case p.Server == nil:
+		return p.Deleted
+	case p.Answered:
+		return !p.Deleted && key == answerKeyPrefix+string(p.Server.Instance)
+	default:
+		return !p.Deleted && key == string(p.Server.Instance)
+	}
+}
+
 // broadcastingDirectory is the directory of the lease holder. It broadcasts
 // engines' responses about their group membership to the other daemons, before
 // the list contains them and while the list is unavailable.
@@ -139,16 +153,15 @@
 // which overflows a duration otherwise. It is many times a response's use.
 const maxAnswerAgeMilli = uint64(24 * time.Hour / time.Millisecond)
 
-// check returns an error for a broadcast that is no change of the list and no
-// engine's response.
+// check returns an error for a broadcast that contradicts itself.
 func (p serverBroadcast) check(version uint64) error {
 	switch {
 	case version == 0:
 		return errors.New("version is missing")
 	case p.Deleted && (p.Server != nil || p.Answered):
 		return errors.New("a deletion holds a server or an answer")
-	case !p.Deleted && p.Server == nil:
-		return errors.New("server is missing")
+	case p.Answered && p.Server == nil:
+		return errors.New("an answer holds no server")
 	}
 	return nil
 }
@@ -175,6 +188,10 @@
 			d.skipBadRecord("bulletin", b.Key, b.Version, err)
 			continue
 		}
+		if !p.isKnown(b.Key) {
+			d.events.Emit(eventUnknownBroadcast, "key", b.Key)
+			continue
+		}
 		if p.Answered {
 			age := time.Duration(min(p.AgeMilli, maxAnswerAgeMilli)) * time.Millisecond
 			d.directory.RecordAnswer(*p.Server, time.Now().Add(-b.Age()-age))
