settings: an empty variable prevented the start, or meant a first start

A placeholder of the deploy file becomes an empty variable where the platform states no value, for instance while a build runs with the deploy file of another version. An empty number, duration or choice ended the process with a usage error, so the machine would have served nobody, and an empty CARAWAY_FIRST_START was read as true: the daemon would have loaded replicas at once, as if no request could come yet.

Empty variables count as unset, so the defaults hold. Unknown variables were ignored before; a test holds that.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -85,6 +86,7 @@
 	if _, err := p.AddGroup("Settings", "", &s); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	ignoreEmptyVariables(p)
 	rest, err := p.ParseArgs(args)
 	if err != nil {
 		return nil, err
@@ -98,6 +100,18 @@
 	return &s, nil
 }
 
+// ignoreEmptyVariables makes empty variables count as unset. A deploy file passes an
+// empty one where the platform states no value.
+func ignoreEmptyVariables(p *flags.Parser) {
+	for _, group := range p.Groups() {
+		for _, option := range group.Options() {
+			if os.Getenv(option.EnvDefaultKey) == "" {
+				option.EnvDefaultKey = ""
+			}
+		}
+	}
+}
+
 // Validate checks all settings and returns ValidationErrors if any is invalid.
 func (s *Settings) Validate() error {
 	var errs ValidationErrors
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -70,6 +72,33 @@
 	assert.Equal(t, s.MemoryLimit, 160.5)
 }
 
+// Guards against a daemon that does not start, or that takes every start for the
+// first one, because the platform does not state a value yet or no longer.
+func TestEmptyVariablePreventedStart(t *testing.T) {
+	settings := reflect.TypeFor[Settings]()
+	for i := range settings.NumField() {
+		t.Setenv(settings.Field(i).Tag.Get("env"), "")
+	}
+	t.Setenv("CARAWAY_AVAILABILITY_ZONE", "regina")
+	t.Setenv("CARAWAY_STORE", "127.0.0.1:9")
+	got, err := Parse(nil)
+	assert.NilError(t, err)
+	want, err := Parse([]string{"--availability-zone=regina", "--store=127.0.0.1:9"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	assert.Assert(t, !got.FirstStart)
+	assert.Equal(t, got.DrainTimeout, 150*time.Second)
+}
+
+// A deploy file of a later version sets variables that this version does not know.
+func TestUnknownVariablePreventedStart(t *testing.T) {
+	t.Setenv("CARAWAY_AVAILABILITY_ZONE", "regina")
+	t.Setenv("CARAWAY_STORE", "127.0.0.1:9")
+	t.Setenv("CARAWAY_OF_A_LATER_VERSION", "on")
+	_, err := Parse(nil)
+	assert.NilError(t, err)
+}
+
 func TestDaemonIDContainsInstanceName(t *testing.T) {
 	for _, name := range []string{"edge-1", "a", "edge-syangja-3-d5409747"} {
 		settings := &Settings{Name: name}
