membership: a daemon that started later got the deaths without the survivals

What callers saw: after daemons had been replaced one after the other, a daemon refused requests that had run soundly everywhere, for an hour, and soon all daemons did.

Cause: a daemon tells its own survivals to each new link, but in a full mesh passes on nobody else's, while sightings of deaths are passed on to every link. Once the daemons that had run a request have ended, one that starts learns of its deaths from those that are left, and of no survival.

Acquittals of peers are kept like sightings, for evidenceRetention, and sent as the first gossip of a new link. Links that are open get them from their own daemon, as before, so nothing is sent twice while the mesh stands. A daemon's own acquittals have room beside those of peers. Receivers drop what they know by its id, as they did.

TestDaemonThatStartedLaterKnewDeathsOnly failed before: no acquittal in the first gossip to a new link.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -31,7 +31,9 @@
 	acquittals map[[16]byte]*gossipItem
 	broadcasts map[string]*gossipItem
 	// forwardsPeers is set if peers' acquittals and broadcast items are forwarded.
-	// In a full mesh that is not needed and would cost a copy over each link.
+	// In a full mesh that is not needed and would cost a copy over each link, except
+	// for acquittals on a new link, whose peer may have started after their daemon
+	// has ended. It would know the deaths and not the survivals.
 	forwardsPeers bool
 	// ownLeaving holds the instances that this daemon's source listed last, so
 	// that an instance that stays listed is added only once.
@@ -120,13 +122,13 @@
 	return true
 }
 
-// addAcquittal adds an acquittal and reports whether it may be new. A peer's
-// acquittal that is not forwarded is not kept.
+// addAcquittal adds an acquittal and reports whether it is new. Those of peers leave
+// room for this daemon's own.
 func (b *gossipBuffer) addAcquittal(a suspect.Acquittal, from fleet.DaemonID) bool {
 	if b.acquittals[a.ID] != nil {
 		return false
 	}
-	if len(b.acquittals) < maxGossipItems && (from == "" || b.forwardsPeers) {
+	if len(b.acquittals) < maxGossipItems || from == "" {
 		item := b.newItem(a.At, from)
 		item.acquittal = &a
 		b.acquittals[a.ID] = item
@@ -181,8 +183,8 @@
 	}
 }
 
-// itemsAfter returns a message to a peer with the items numbered above last, nil
-// if there are none.
+// itemsAfter returns a message to a peer with the items numbered above last, which is
+// zero for a new link, nil if there are none.
 func (b *gossipBuffer) itemsAfter(now time.Time, last uint64, to fleet.DaemonID) *gossipMessage {
 	if last == b.lastNumber {
 		return nil
@@ -201,7 +203,7 @@
 		}
 	}
 	for _, item := range b.acquittals {
-		if item.number > last && item.from != to {
+		if item.number > last && item.from != to && (item.from == "" || b.forwardsPeers || last == 0) {
 			msg.Acquittals = append(msg.Acquittals, newAcquittalItem(now, item.acquittal))
 		}
 	}
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -10,6 +10,7 @@
 
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/journal"
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -177,3 +178,30 @@
 		assert.Equal(t, len(b.broadcasts), 0)
 	}
 }
+
+// Daemons are replaced one after the other in an upgrade. The survivals of a request
+// must outlast the daemon that saw them, like the deaths, or a daemon that has just
+// started convicts a request that has run soundly everywhere.
+func TestDaemonThatStartedLaterKnewDeathsOnly(t *testing.T) {
+	b := newGossipBuffer(false)
+	fromPeer := &gossipMessage{Sightings: []sightingItem{{ID: [16]byte{1}}}, Acquittals: []acquittalItem{{ID: [16]byte{2}}}}
+	_, sightings, acquittals := b.addFromPeer(epoch, "p1", fromPeer)
+	assert.Equal(t, len(sightings)+len(acquittals), 2)
+	m := b.itemsAfter(epoch.Add(time.Second), 0, "p3")
+	assert.Equal(t, len(m.Sightings), 1)
+	assert.Equal(t, len(m.Acquittals), 1)
+	assert.Equal(t, m.Acquittals[0].AgeMilli, uint64(1000))
+	assert.Assert(t, b.itemsAfter(epoch, 0, "p1") == nil, "nothing is sent back to its sender")
+	_, _, acquittals = b.addFromPeer(epoch, "p2", fromPeer)
+	assert.Equal(t, len(acquittals), 0, "it is known already")
+	before := b.lastNumber
+	b.addFromPeer(epoch, "p1", &gossipMessage{Acquittals: []acquittalItem{{ID: [16]byte{3}}}})
+	assert.Assert(t, b.itemsAfter(epoch, before, "p3") == nil, "links that were open got it from its daemon")
+	for i := range maxGossipItems {
+		b.addFromPeer(epoch, "p1", &gossipMessage{Acquittals: []acquittalItem{{ID: [16]byte{4, byte(i), byte(i >> 8)}}}})
+	}
+	assert.Assert(t, b.addAcquittal(suspect.Acquittal{ID: [16]byte{5}, At: epoch}, ""))
+	assert.Equal(t, len(b.itemsAfter(epoch, b.lastNumber-1, "p3").Acquittals), 1, "its own have room")
+	b.expire(epoch.Add(evidenceRetention))
+	assert.Equal(t, len(b.acquittals), 0)
+}
