standin/soak: an earlier version runs beside the present one

No test ran two versions side by side, as upgrades do. Besides the soak's own findings, a daemon that logs that it can't read a message or record of another one is a finding. Where the commit is not in the history, the test is skipped and says so.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -20,8 +20,12 @@
 
 // Options configure one run.
 type Options struct {
-	Seed     uint64
-	Binary   string // path of carawayd
+	Seed   uint64
+	Binary string // path of carawayd
+	// Earlier is the path of carawayd of an earlier version. If it is set, all daemons
+	// start with it, and each in turn is replaced by the other version until the last
+	// fault.
+	Earlier  string
 	Daemons  int
 	Engines  int
 	Duration time.Duration // time during which faults are injected
@@ -35,6 +39,7 @@
 // Result counts the faults and responses of a run and lists its findings.
 type Result struct {
 	Faults, Calls, Served, Rejected, Cut, Failed int
+	Replaced                                     int // processes, by those of the other version
 	Findings                                     []string
 }
 
@@ -73,6 +78,7 @@
 	// starting is held from the check of exited until the next process has
 	// started, so that overlapping faults restart a daemon only once.
 	starting sync.Mutex
+	earlier  bool // the next process is of the earlier version
 }
 
 // run is the state of one run.
@@ -82,7 +88,7 @@
 	daemons []*daemon
 	rng     *rand.Rand
 
-	mu     sync.Mutex // guards result, unsafe, rejected, version and the processes
+	mu     sync.Mutex // guards result, unsafe, rejected, version, the processes and their versions
 	result Result
 	// unsafe holds the ids of requests that may run at most once, and rejected
 	// those that must not have run.
@@ -103,7 +109,7 @@
 	r := &run{o: o, world: world, rng: rand.New(rand.NewPCG(o.Seed, 1)), version: 1}
 	defer r.stopAll()
 	for n := range o.Daemons {
-		d := &daemon{name: fmt.Sprintf("edge-%d", n+1), ip: fmt.Sprintf("127.%d.1.%d", hosts.octet, n+1)}
+		d := &daemon{name: fmt.Sprintf("edge-%d", n+1), ip: fmt.Sprintf("127.%d.1.%d", hosts.octet, n+1), earlier: o.Earlier != ""}
 		if d.proxy, err = NewProxy(world.StoreAddress()); err != nil {
 			return Result{}, errors.Wrap(err, "proxy")
 		}
@@ -128,7 +134,15 @@
 	if o.Limits {
 		callers.Go(func() { r.announceLimits(calling) })
 	}
+	rolling, stopRolling := context.WithCancel(ctx)
+	defer stopRolling()
+	var roll sync.WaitGroup
+	if o.Earlier != "" {
+		roll.Go(func() { r.rollOver(rolling) })
+	}
 	r.injectFaults(ctx)
+	stopRolling()
+	roll.Wait()
 	r.heal()
 	time.Sleep(settleTime)
 	healed := time.Now()
@@ -166,6 +180,8 @@
 	crashingPart = "bad"
 	// recoverTime limits the time until every daemon serves again.
 	recoverTime = 30 * time.Second
+	// rollPause is the time between two replacements of a process by the other version.
+	rollPause = time.Second
 	// maxFaultPause is the longest pause between two faults and maxFaultTime the
 	// longest duration of one, so faults overlap.
 	maxFaultPause = 700 * time.Millisecond
@@ -184,7 +200,13 @@
 	if first {
 		args = append(args, "--first-start")
 	}
-	cmd := exec.Command(r.o.Binary, args...)
+	binary := r.o.Binary
+	r.mu.Lock()
+	if d.earlier {
+		binary = r.o.Earlier
+	}
+	r.mu.Unlock()
+	cmd := exec.Command(binary, args...)
 	cmd.Stdout, cmd.Stderr = r.o.Log, r.o.Log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start "+d.name)
@@ -322,6 +344,23 @@
 	}
 }
 
+// rollOver replaces the daemons' processes one after the other by the version that
+// they do not run, until ctx ends.
+func (r *run) rollOver(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		d := r.daemons[n%len(r.daemons)]
+		r.mu.Lock()
+		d.earlier = !d.earlier
+		r.result.Replaced++
+		r.mu.Unlock()
+		r.restartExcused(d, syscall.SIGTERM)
+		select {
+		case <-time.After(rollPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (r *run) heal() {
 	r.world.Store.SetUnavailable(false)
 	for _, d := range r.daemons {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -24,44 +24,92 @@
 	seed    = flag.Uint64("soak-seed", 1, "first seed")
 	count   = flag.Int("soak-count", 2, "number of seeds to run")
 	seconds = flag.Int("soak-seconds", 8, "seconds of faults per seed")
+	earlier = flag.String("soak-earlier", "b909b5d", "commit of the earlier version for TestUpgrade")
+	rolls   = flag.Int("soak-upgrades", 1, "number of seeds to run for TestUpgrade")
 )
 
-// build builds carawayd and returns its path.
-func build(t *testing.T) string {
+// build builds carawayd in a directory of the repository and returns its path.
+func build(t *testing.T, dir string) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "carawayd")
-	out, err := exec.Command("go", "build", "-o", binary, "carawayproxy.example/caraway/cmd/carawayd").CombinedOutput()
+	cmd := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "carawayproxy.example/caraway/cmd/carawayd")
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
 	assert.NilError(t, err, "%s", out)
 	return binary
 }
 
+// buildEarlier builds carawayd of a commit and returns its path. Without that commit
+// in the history it skips the test.
+func buildEarlier(t *testing.T, commit string) string {
+	t.Helper()
+	if out, err := exec.Command("git", "rev-parse", "--verify", "--quiet", commit+"^{commit}").CombinedOutput(); err != nil {
+		t.Skipf("commit %s of the earlier version is not in the history: %v %s", commit, err, out)
+	}
+	dir := filepath.Join(t.TempDir(), "earlier")
+	out, err := exec.Command("git", "worktree", "add", "--detach", dir, commit).CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	defer func() {
+		out, err := exec.Command("git", "worktree", "remove", "--force", dir).CombinedOutput()
+		assert.NilError(t, err, "%s", out)
+	}()
+	return build(t, dir)
+}
+
 // TestSoak runs seeds with the real binary. It checks only guarantees that do
 // not depend on the speed of the machine.
 func TestSoak(t *testing.T) {
-	binary := build(t)
-	for s := *seed; s < *seed+uint64(*count); s++ {
+	soak(t, *count, Options{Binary: build(t, ".")})
+}
+
+// Daemons of two versions run side by side while an installation is upgraded. All
+// guarantees hold, whichever of them runs where.
+func TestUpgrade(t *testing.T) {
+	soak(t, *rolls, Options{Earlier: buildEarlier(t, *earlier), Binary: build(t, ".")})
+}
+
+// soak runs a number of seeds.
+func soak(t *testing.T, count int, o Options) {
+	for s := *seed; s < *seed+uint64(count); s++ {
 		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) {
 			log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 			assert.NilError(t, err)
 			defer log.Close()
-			res, err := Run(t.Context(), Options{
-				Seed: s, Binary: binary, Daemons: 3, Engines: 18, Duration: time.Duration(*seconds) * time.Second, Log: log,
-				Crashing: s%2 == 0, Limits: s%4 < 2,
-			})
+			o := o
+			o.Seed, o.Daemons, o.Engines, o.Duration, o.Log = s, 3, 18, time.Duration(*seconds)*time.Second, log
+			o.Crashing, o.Limits = s%2 == 0, s%4 < 2
+			res, err := Run(t.Context(), o)
 			runErr := err
-			t.Logf("faults %d, calls %d: served %d, rejected %d, cut %d, failed %d", res.Faults, res.Calls, res.Served, res.Rejected, res.Cut, res.Failed)
+			t.Logf("faults %d, calls %d: served %d, rejected %d, cut %d, failed %d; replaced %d",
+				res.Faults, res.Calls, res.Served, res.Rejected, res.Cut, res.Failed, res.Replaced)
+			data, err := os.ReadFile(log.Name())
+			assert.NilError(t, err)
+			if o.Earlier != "" {
+				res.Findings = append(res.Findings, unreadMessages(string(data))...)
+			}
 			if runErr != nil || len(res.Findings) > 0 {
-				data, err := os.ReadFile(log.Name())
-				assert.NilError(t, err)
 				t.Logf("last 1 MiB of the daemons' log:\n%s", data[max(len(data)-1<<20, 0):])
 			}
 			assert.NilError(t, runErr)
 			assert.DeepEqual(t, res.Findings, []string(nil))
 			assert.Assert(t, res.Served > 0)
+			assert.Assert(t, o.Earlier == "" || res.Replaced > 0)
 		})
 	}
 }
 
+// unreadMessages returns the log lines of daemons that could not read what another
+// one sent.
+func unreadMessages(log string) []string {
+	var out []string
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "msg=membership.bad-message ") || strings.Contains(line, "msg=edge.bad-record ") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // Each check of a response must fail on a response that violates it.
 func TestChecksFail(t *testing.T) {
 	good := func() site.Response {
