dispatch: no other attempt after an event without an id

An answer that begins after the last id might repeat an event without one, so that nothing can be joined to such a stream. A second attempt was sent all the same, when the first one fell silent or broke off, and its answer dropped: a server's work, a retry of the service's budget, and for a while a second caller's place.

TestStreamWithoutIDsWasSentToASecondServer failed in both cases before, with "g1 after " among the arrivals. Both places that plan an attempt now ask whether its answer could be joined.

--- a/internal/dispatch/failover.go
+++ b/internal/dispatch/failover.go
@@ -244,7 +244,15 @@
 // mayFailOver reports whether the request allows another attempt while one is
 // running.
 func (r *forwardedRequest) mayFailOver() bool {
-	return r.req.Repeatable && r.sentCount < r.maxAttempts()
+	return r.req.Repeatable && r.sentCount < r.maxAttempts() && r.canContinue()
+}
+
+// canContinue reports whether the answer of another attempt could be joined to what
+// the caller has received.
+func (r *forwardedRequest) canContinue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.headerSent || !r.delivered.unplaced
 }
 
 // prepareFailover plans another attempt beside a running one. It returns false if
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -232,6 +232,10 @@
 		return r.newFailure(fleet.ReasonBackendFailed, 0, "the request was sent and got no answer that can be passed on: "+cause.Error())
 	}
 	r.refundUnsent(cause)
+	if !r.canContinue() {
+		r.recordFailure(t, cause)
+		return r.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "the stream broke off after an event without an id: "+cause.Error())
+	}
 	return r.prepareRetry(ctx, t, cause)
 }
 
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -42,6 +42,7 @@
 	breaks      bool          // the connection breaks after breakAfter events
 	breakAfter  int
 	headerDelay time.Duration
+	withoutIDs  bool // events have no ids
 }
 
 // scriptedStreams are groups that answer with event streams according to a
@@ -97,7 +98,11 @@
 		if script.breaks && n > from+script.breakAfter {
 			return errors.New("connection reset")
 		}
-		if _, err := io.WriteString(w, eventText(id, n)); err != nil {
+		text := eventText(id, n)
+		if script.withoutIDs {
+			_, text, _ = strings.Cut(text, "\n")
+		}
+		if _, err := io.WriteString(w, text); err != nil {
 			return err
 		}
 	}
@@ -266,6 +271,30 @@
 	}
 }
 
+// After an event without an id no other answer can be joined to a stream. Attempts
+// that could only be dropped reached a second server.
+func TestStreamWithoutIDsWasSentToASecondServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		script   streamScript
+		complete bool
+	}{
+		"silent":     {streamScript{silentAfter: 3, silence: silence, withoutIDs: true}, true},
+		"broken off": {streamScript{breaks: true, breakAfter: 3, withoutIDs: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwardFixture(2, map[string]streamScript{"g0": test.script})
+				defer f.Close()
+				failure := f.stream(t.Context(), &recordingRelay{})
+				assert.Equal(t, failure == nil, test.complete, "%v", failure)
+				assert.DeepEqual(t, f.streams.reached(), []string{"g0 after "})
+				synctest.Wait()
+				assert.NilError(t, f.checkReleased())
+			})
+		})
+	}
+}
+
 // Whatever silent, refusing and breaking groups do, the caller receives a prefix of
 // one stream, complete or with a failure; attempts stay within their limit, and no
 // attempt that could still answer is given up.
