datastore: a silence that lasts is found again

Callers' streams that stay with a silent group, since no other attempt is possible, kept the group in its first stall: after stallRetention (3 s) it was routed to again however long the silence lasted, it was never found stalled a second time, and each new attempt there counted as stalled at once, so that another one was started beside it without any wait.

Cause: a stall ended with an event or once no stream was attached. Until attempts stayed with silent groups, the latter came at once.

Now the end of stallRetention ends the stall, and the group's silence is measured anew. TestLastingSilenceWasNotFoundAgain failed before: "a new attempt counts as stalled at once" and "the silence was not found again".

--- a/internal/datastore/stall.go
+++ b/internal/datastore/stall.go
@@ -141,6 +141,9 @@
 			g.lastEventAt = now
 		case g.attached == 0 && (g.stalledAt.IsZero() || now.Sub(g.stalledAt) > stallRetention):
 			delete(d.groups, id)
+		case !g.stalledAt.IsZero() && now.Sub(g.stalledAt) > stallRetention:
+			g.clearStall() // the group is routed to again and measured anew
+			g.lastEventAt = now
 		case g.attached > 0 && g.stalledAt.IsZero() && now.Sub(g.lastEventAt) > g.stallTimeout(now):
 			g.stalledAt = now
 			d.found.Inc(1)
@@ -151,6 +154,11 @@
 	return stalled
 }
 
+func (g *groupStreams) clearStall() {
+	g.stalledAt = time.Time{}
+	g.stalled = make(chan struct{})
+}
+
 func (g *groupStreams) stallTimeout(now time.Time) time.Duration {
 	timeout := stallTimeouts[min(g.active, len(stallTimeouts)-1)]
 	if g.active > 0 && now.Sub(g.peerStalledAt) < peerStallRetention {
@@ -187,13 +195,12 @@
 	}
 	if !m.group.stalledAt.IsZero() {
 		m.detector.ended.Inc(1)
-		m.group.stalledAt = time.Time{}
-		m.group.stalled = make(chan struct{})
+		m.group.clearStall()
 	}
 }
 
 // Stalled returns a channel that is closed once the group is found to be stalled.
-// An event of the group replaces a closed channel.
+// An event of the group, or the end of stallRetention, replaces a closed channel.
 func (m *StreamMonitor) Stalled() <-chan struct{} {
 	m.detector.mu.Lock()
 	defer m.detector.mu.Unlock()
--- a/internal/datastore/stall_test.go
+++ b/internal/datastore/stall_test.go
@@ -103,3 +103,26 @@
 	assert.Equal(t, sweepUntil(fresh, now, now.Add(time.Second)), time.Duration(0),
 		"the timeout of a stream without an event is not shortened")
 }
+
+// Streams that stay with a silent group kept it from ever being found stalled again:
+// after stallRetention it was routed to although nothing moved, and each new attempt
+// counted as stalled at once.
+func TestLastingSilenceWasNotFoundAgain(t *testing.T) {
+	d := NewStallDetector(func(fleet.GroupID) {}, nil)
+	d.Attach("g").RecordEvent()
+	now := time.Now()
+	found := now.Add(sweepUntil(d, now, now.Add(time.Second)))
+	assert.Assert(t, d.Stalled("g", found))
+
+	ended := found.Add(stallRetention + 2*stallCheckInterval)
+	assert.Equal(t, sweepUntil(d, found, ended), time.Duration(0))
+	assert.Assert(t, !d.Stalled("g", ended))
+	select {
+	case <-d.Attach("g").Stalled():
+		t.Error("a new attempt counts as stalled at once")
+	default:
+	}
+	again := sweepUntil(d, ended, ended.Add(2*time.Second))
+	assert.Assert(t, again > 0, "the silence was not found again")
+	assert.Assert(t, d.Stalled("g", ended.Add(again)))
+}
