dispatch: a planned attempt is no sign that a request has run

Callers got 502, a request that may have run, where each of its servers had refused it, the first one after a silence of more than 1.5 s: the plan of an attempt beside the silent one marked the request as one that may have run.

Each attempt's own end says whether it may have run, also after others have been started beside it, and an attempt is superseded only by one that has sent something. TestRefusalsAfterASilenceWereTakenForRuns failed before: MAY_HAVE_RUN in place of NOT_RUN.

--- a/internal/dispatch/failover.go
+++ b/internal/dispatch/failover.go
@@ -269,7 +269,6 @@
 		return false
 	}
 	r.nextDecision = &dec
-	r.mayHaveRun = true
 	return true
 }
 
