dispatch: a stream stays watched while its links are lost

A stream whose links were lost hung until its connection was found dead or its deadline, if one more event had arrived in the 300 ms after the loss: the loss doubted an attempt once, and the stall detector forgets all attempts when it happens.

Now the loss doubts an attempt for as long as the links are lost, each time for StallGrace without an event. The tests' stall detector forgets its attempts too. TestStreamWasNotWatchedAfterItsLinksWereLost failed before: "the request did not end before its deadline" after 5 of 10 events.

--- a/internal/dispatch/failover.go
+++ b/internal/dispatch/failover.go
@@ -167,13 +167,16 @@
 		case <-groupLost:
 			groupLost, doubt = nil, doubtGroupLost
 		case <-linksLost:
-			linksLost, doubt = nil, doubtLinksLost
+			doubt = doubtLinksLost
 		case <-ctx.Done():
 			return
 		}
 		if !w.failOver(ctx, requestCtx, doubt, grace) {
 			return
 		}
+		if linksLost != nil {
+			linksLost = w.r.linksLost() // the stall detector has forgotten the attempt
+		}
 	}
 }
 
--- a/internal/dispatch/failover_test.go
+++ b/internal/dispatch/failover_test.go
@@ -28,3 +28,20 @@
 		assert.Equal(t, failure.State, fleet.NotRun)
 	})
 }
+
+// Once the daemon's links were lost, one more event that arrived in the grace period
+// ended the watch of a stream for good. The stall detector had forgotten it too.
+func TestStreamWasNotWatchedAfterItsLinksWereLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardFixture(2, map[string]streamScript{"g0": {silentAfter: 5, silence: time.Minute}})
+		defer f.Close()
+		time.AfterFunc(210*time.Millisecond, func() { close(f.links) }) // after the fourth event
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		relay := &recordingRelay{}
+		failure := f.stream(ctx, relay)
+		assert.Assert(t, failure == nil, "%v after %q", failure, relay.body.String())
+		assert.Equal(t, relay.body.String(), completeStream("r"))
+		assert.DeepEqual(t, f.streams.reached(), []string{"g0 after ", "g1 after 5"})
+	})
+}
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -151,12 +151,21 @@
 
 // fakeStallDetector reports a group as stalled, to the router as well, once its
 // attempt has received nothing for stallTimeout. It monitors one attempt at each
-// group.
-type fakeStallDetector struct{ router *fakeRouter }
+// group, and forgets its attempts once links is closed, as datastore.StallDetector
+// does.
+type fakeStallDetector struct {
+	router *fakeRouter
+	links  <-chan struct{}
+}
 
 func (d fakeStallDetector) Attach(group fleet.GroupID) dispatch.StreamMonitor {
 	m := &stallMonitor{router: d.router, group: group, stalled: make(chan struct{})}
 	m.timer = time.AfterFunc(stallTimeout, func() {
+		select {
+		case <-d.links:
+			return
+		default:
+		}
 		m.router.setStalled(group, true)
 		close(m.stalled)
 	})
@@ -203,7 +212,7 @@
 	f.fixture.Dispatcher = dispatch.New(dispatch.Config{
 		Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, f.recordEvent), Metrics: f.metrics,
 		Router: f.router, Admission: f.admission, CatalogSource: f.catalog, Opaques: f.streams,
-		Suspects: suspect.NewTracker(suspect.TrackerConfig{Self: "d", Fold: suspect.NewFold()}), StallDetector: fakeStallDetector{f.router},
+		Suspects: suspect.NewTracker(suspect.TrackerConfig{Self: "d", Fold: suspect.NewFold()}), StallDetector: fakeStallDetector{f.router, f.links},
 		LinksLost: func() <-chan struct{} { return f.links },
 		Timings:   dispatch.Timings{BackoffBase: time.Millisecond, BackoffMax: time.Millisecond, StallGrace: 100 * time.Millisecond},
 	})
