dispatch: servers that say in their answers that they leave get nothing new

What callers would see: a backend server that leaves says so in all its answers (Server-Leaving), errors and rejections included. Nothing read it. Until the list said the same, requests went on to a server that was about to end, and those that it no longer finished had to be repeated or were lost.

Cause: the header was passed to callers and not decoded. Some servers never announce in the list that they leave; their entry disappears, while they have said so for seconds.

The directory marks the process as leaving until the server's next start: an entry of the same start that says ready may be older than the answer. The other daemons are told by a broadcast, so that no tunnel leads there either.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -24,6 +24,14 @@
 	Err error
 }
 
+// Departure is whether a backend server announces in an answer that it leaves: it
+// finishes the requests that it has, and is to be sent no further ones.
+type Departure struct {
+	Announced bool
+	// Err is why an announcement is invalid, nil if it is valid.
+	Err error
+}
+
 // ErrLinksLost marks the failure of a dial that may be due to this daemon's own
 // links: it shows nothing about the backend server.
 var ErrLinksLost = errors.New("own links to the backend servers may be lost")
@@ -31,8 +39,9 @@
 // RefusedError is a rejection by the backend server with its details. It
 // matches ErrRefused unless it is unproven.
 type RefusedError struct {
-	Status int
-	Rate   Rate
+	Status    int
+	Rate      Rate
+	Departure Departure
 	// Fault is the instance that caused the rejection, empty if the server does
 	// not name one.
 	Fault fleet.InstanceID
@@ -85,10 +94,11 @@
 // OpaqueResponse is the status, header and body of a response. The caller must
 // close Body.
 type OpaqueResponse struct {
-	Status int
-	Rate   Rate
-	Header http.Header // without hop-by-hop headers
-	Body   io.ReadCloser
+	Status    int
+	Rate      Rate
+	Departure Departure
+	Header    http.Header // without hop-by-hop headers
+	Body      io.ReadCloser
 	// Framed is set if a length or chunks tell the end of Body, or if there is none.
 	// Otherwise Body ends with its connection.
 	Framed bool
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -190,6 +190,7 @@
 func (s *Store) fillLoad(c *routing.Candidate, now time.Time) {
 	r, _ := s.cfg.Reports.Report(c.GroupLeader)
 	measuredAt := r.ReceivedAt.Add(-r.LoadAge)
+	c.Incarnation = r.Incarnation
 	c.Running = r.Running
 	c.Queued = r.Queued
 	c.MaxRunning = r.MaxRunning
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,8 +37,21 @@
 	version                       uint64 // of the entries
 	view                          *group.View
 	viewVersion                   uint64
+	// leavers holds the servers that have announced in an answer that they leave,
+	// also while they are not listed.
+	leavers map[fleet.InstanceID]leaver
 }
 
+// leaver is a server process that has announced that it leaves.
+type leaver struct {
+	incarnation uint64
+	since       time.Time
+}
+
+// leaverRetention is how long a server that left the list is remembered as leaving,
+// longer than its entry may be missing while it runs.
+const leaverRetention = 10 * time.Minute
+
 // entry is one listed server.
 type entry struct {
 	server      Server
@@ -67,7 +80,7 @@
 
 // New returns an empty directory.
 func New(cfg Config) *Directory {
-	return &Directory{cfg: cfg, entries: map[fleet.InstanceID]*entry{}}
+	return &Directory{cfg: cfg, entries: map[fleet.InstanceID]*entry{}, leavers: map[fleet.InstanceID]leaver{}}
 }
 
 // Announce records a server's announcement in the list.
@@ -79,6 +92,7 @@
 		e = &entry{}
 		d.entries[s.Instance] = e
 	}
+	s.Leaving = s.Leaving || d.hasAnnouncedLeaving(s.Instance, s.Incarnation)
 	if e.hasNewerPlace(&s, now) {
 		s.Place = e.server.Place
 	} else {
@@ -94,6 +108,43 @@
 	e.unreadable = false
 }
 
+// RecordLeaving records that a server process has announced in an answer that it
+// leaves. It counts as leaving until the server's next start: an announcement in the
+// list that shows it as ready may have been written earlier, and some servers never
+// announce there that they leave. RecordLeaving returns the server as listed and
+// reports whether this was unknown and the server is listed.
+func (d *Directory) RecordLeaving(id fleet.InstanceID, incarnation uint64, now time.Time) (s Server, updated bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	known, marked := d.leavers[id]
+	switch {
+	case marked && known.incarnation == incarnation:
+		return Server{}, false
+	case e != nil && e.server.Incarnation > incarnation, e == nil && marked && known.incarnation > incarnation:
+		return Server{}, false // that process has ended
+	}
+	for other, l := range d.leavers {
+		if d.entries[other] == nil && now.Sub(l.since) > leaverRetention {
+			delete(d.leavers, other)
+		}
+	}
+	d.leavers[id] = leaver{incarnation, now}
+	if e == nil || e.server.Incarnation != incarnation {
+		return Server{}, false
+	}
+	if !e.server.Leaving {
+		e.server.Leaving = true
+		d.version++
+	}
+	return e.server, true
+}
+
+func (d *Directory) hasAnnouncedLeaving(id fleet.InstanceID, incarnation uint64) bool {
+	l, marked := d.leavers[id]
+	return marked && l.incarnation == incarnation
+}
+
 // Unreadable records that the newest announcement of a server cannot be read. The
 // server gets no new requests until the next valid one, because the announcement
 // may have replaced one that it leaves. It keeps its place in its group: the
@@ -240,7 +291,7 @@
 		e.placeAsOf, e.placeFromServer = asOf, true
 	}
 	s.Address, s.Zone, s.Service, s.Slots = e.server.Address, e.server.Zone, e.server.Service, e.server.Slots
-	s.Leaving = s.Leaving || e.server.Leaving
+	s.Leaving = s.Leaving || e.server.Leaving && e.server.Incarnation == s.Incarnation || d.hasAnnouncedLeaving(s.Instance, s.Incarnation)
 	if affectsViews(&e.server, &s) || !e.failedAt.IsZero() {
 		d.version++
 		updated = true
@@ -363,9 +414,9 @@
 	}
 }
 
-// Leaving reports whether a server is announced as leaving. It is true for
-// servers that are not listed and for those whose newest announcement cannot be
-// read.
+// Leaving reports whether a server is announced as leaving, in the list or by an
+// answer of its own. It is true for servers that are not listed and for those whose
+// newest announcement cannot be read.
 func (d *Directory) Leaving(id fleet.InstanceID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -370,3 +370,64 @@
 		})
 	}
 }
+
+// An entry that was written before a server's answer showed it as ready, and the
+// server got requests again.
+func TestAnnouncedLeavingOutlivesTheList(t *testing.T) {
+	restarted := server("e", nil)
+	restarted.Incarnation = 2
+	for _, test := range []struct {
+		name   string
+		change func(d *Directory)
+		want   bool
+	}{
+		{"at once", func(*Directory) {}, true},
+		{"a later entry of the same start", func(d *Directory) { d.Announce(server("e", nil), at(time.Second)) }, true},
+		{"a report of the same start", func(d *Directory) { d.RecordAnswer(server("e", nil), at(time.Second)) }, true},
+		{"its entry lapses and returns", func(d *Directory) {
+			d.Withdraw("e", at(time.Second))
+			d.Announce(server("e", nil), at(2*time.Second))
+		}, true},
+		{"the answer comes while its entry is away", func(d *Directory) {
+			d.leavers = map[fleet.InstanceID]leaver{}
+			d.Withdraw("e", at(time.Second))
+			d.RecordLeaving("e", 1, at(2*time.Second))
+			d.Announce(server("e", nil), at(3*time.Second))
+		}, true},
+		{"an entry of the next start", func(d *Directory) { d.Announce(restarted, at(time.Second)) }, false},
+		{"a report of the next start", func(d *Directory) { d.RecordAnswer(restarted, at(time.Second)) }, false},
+		{"a late answer of the last start", func(d *Directory) {
+			d.Announce(restarted, at(time.Second))
+			d.RecordLeaving("e", 1, at(2*time.Second))
+		}, false},
+		{"a peer knows the next start earlier", func(d *Directory) {
+			d.RecordLeaving("e", 2, at(time.Second))
+			d.Announce(restarted, at(2*time.Second))
+		}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDirectory()
+			d.Announce(server("e", nil), at(0))
+			d.Announce(server("other", nil), at(0))
+			s, updated := d.RecordLeaving("e", 1, at(0))
+			assert.Assert(t, updated && s.Leaving)
+			_, updated = d.RecordLeaving("e", 1, at(0))
+			assert.Assert(t, !updated, "it was known")
+			test.change(d)
+			assert.Equal(t, d.Leaving("e"), test.want)
+			assert.Equal(t, d.Servers()["e"].Leaving, test.want)
+			assert.Equal(t, d.Instances()["e"].Leaving, test.want)
+			assert.Assert(t, !d.Leaving("other"))
+		})
+	}
+}
+
+func TestLeaversAreForgotten(t *testing.T) {
+	d := newDirectory()
+	d.Announce(server("listed", nil), at(0))
+	d.RecordLeaving("listed", 1, at(0))
+	d.RecordLeaving("gone", 1, at(0))
+	d.RecordLeaving("later", 1, at(leaverRetention+time.Second))
+	assert.Equal(t, len(d.leavers), 2)
+	assert.Assert(t, d.Leaving("listed"))
+}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -25,6 +25,8 @@
 	Refusals Refusals
 	// Rates learns the request rates of backend servers; nil if they announce none.
 	Rates Rates
+	// Leavers learns which backend servers leave; nil if they do not announce it.
+	Leavers Leavers
 	// LinksLost returns a channel that is closed while this daemon's own links to
 	// the backend servers are lost; nil if that is not tracked. Attempts on
 	// connections that have fallen silent then move.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -37,6 +37,9 @@
 	eventBadRate = event.Define(1610, "dispatch.bad-rate", log.WarnLevel,
 		"A backend server's answer announces a request rate that is no number; the answer is passed on and the last known rate stays in force.",
 		"Report the error to the owner of the backend server.")
+	eventBadAnnouncement = event.Define(1614, "dispatch.bad-announcement", log.WarnLevel,
+		"A backend server's answer announces something of its own state in an invalid form; the answer is passed on, and the announcement is ignored or bounded.",
+		"Report the error to the owner of the backend server.")
 	eventRelayed = event.Define(1611, "dispatch.relayed", log.InfoLevel,
 		"An attempt is sent on a connection that leads through another daemon.",
 		"See reach.links-lost at this daemon, and the lines of the daemon named by via.")
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -281,7 +281,7 @@
 func (r *forwardedRequest) send(ctx context.Context, f *flight, w *attemptWatch) error {
 	sentAt := time.Now()
 	ans, err := r.d.cfg.Opaques.Forward(ctx, f.Address, r.message(ctx, f.target))
-	r.observeRate(f.target, ans, err, sentAt)
+	r.observeAnnouncements(f.target, ans, err, sentAt)
 	if err != nil {
 		return err
 	}
@@ -295,16 +295,34 @@
 	return r.relayBuffered(ans, f)
 }
 
-// observeRate passes on the request rate that an answer or a rejection announces.
-// Only a success without a rate shows that the server announces none any more.
-func (r *forwardedRequest) observeRate(t target, ans backend.OpaqueResponse, err error, sentAt time.Time) {
-	if r.d.cfg.Rates == nil {
-		return
-	}
-	rate, success := ans.Rate, err == nil && ans.Status/100 == 2
+// observeAnnouncements passes on what the server announces of itself in an answer
+// or a rejection.
+func (r *forwardedRequest) observeAnnouncements(t target, ans backend.OpaqueResponse, err error, sentAt time.Time) {
+	rate, departure := ans.Rate, ans.Departure
 	var refused *backend.RefusedError
 	if errors.As(err, &refused) {
-		rate = refused.Rate
+		rate, departure = refused.Rate, refused.Departure
+	}
+	r.observeDeparture(t, departure)
+	r.observeRate(t, rate, err == nil && ans.Status/100 == 2, sentAt)
+}
+
+func (r *forwardedRequest) observeDeparture(t target, departure backend.Departure) {
+	switch {
+	case r.d.cfg.Leavers == nil:
+	case departure.Err != nil:
+		r.d.cfg.Events.Emit(eventBadAnnouncement, "request", r.id, "instance", t.GroupLeader, "error", departure.Err)
+	case departure.Announced:
+		r.d.metrics.departures.Inc(1)
+		r.d.cfg.Leavers.RecordLeaving(t.GroupLeader, t.Incarnation)
+	}
+}
+
+// observeRate passes on the announced request rate. Only a success without a rate
+// shows that the server announces none any more.
+func (r *forwardedRequest) observeRate(t target, rate backend.Rate, success bool, sentAt time.Time) {
+	if r.d.cfg.Rates == nil {
+		return
 	}
 	switch {
 	case rate.Err != nil:
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -10,7 +10,7 @@
 type dispatchMetrics struct {
 	requests, refused, attempts, retries, resumed, noBudget         metrics.Counter
 	crossed, broken, stalled, groupLost, cancels, uncertain, tokens metrics.Counter
-	events, rateLimited, failovers, needlessFailovers               metrics.Counter
+	events, rateLimited, departures, failovers, needlessFailovers   metrics.Counter
 	firstToken                                                      metrics.Histogram // milliseconds
 }
 
@@ -35,6 +35,7 @@
 		tokens:            count("tokens"),
 		events:            count("events"),
 		rateLimited:       count("rate_limited"),
+		departures:        count("leaving_answers"),
 		failovers:         count("failovers"),
 		needlessFailovers: count("failovers_needless"),
 		firstToken:        metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -128,6 +128,13 @@
 	ObserveNoRate(server fleet.InstanceID, sentAt, now time.Time)
 }
 
+// Leavers learns that backend servers leave, from what they announce in answers.
+type Leavers interface {
+	// RecordLeaving records that the server announces that it leaves. The
+	// incarnation is that which was known when the request was routed.
+	RecordLeaving(server fleet.InstanceID, incarnation uint64)
+}
+
 // CatalogSource provides the configuration while it is recent enough to act on.
 type CatalogSource interface {
 	// Catalog returns the configuration in force, or a failure if it may be out
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -277,6 +277,7 @@
 		StallDetector:  stallAdapter{d.stallDetector},
 		Refusals:       d.refusals,
 		Rates:          d.rates,
+		Leavers:        leavers{d},
 		LinksLost:      d.env.ServerDialer.LostSignal,
 		Daemons:        d.countDaemons,
 		RetryRatio:     d.settings.RetryRatio,
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -33,6 +33,9 @@
 		"The daemon could not publish its address to the other daemons; it retries.", "Check whether the store responds.")
 	eventGroupStalled = event.Define(1813, "edge.group-stalled", log.WarnLevel,
 		"No stream of this daemon at a group makes progress; the group gets no new requests and its members are checked.", "See placement.engine-down for the failed member.")
+	eventServerLeaving = event.Define(1816, "edge.server-leaving", log.InfoLevel,
+		"A backend server has announced that it leaves, in an answer to this daemon or to a peer; it gets no new requests until its next start, whatever the list says.",
+		"Nothing if the server ends soon. Restart it if it does not.")
 	eventSettingsChanged = event.Define(1814, "edge.hangup", log.InfoLevel,
 		"The daemon was notified that its settings changed; they take effect at its next start.", "Restart the daemon to apply the settings.")
 	eventUnknownBroadcast = event.Define(1815, "edge.unknown-broadcast", log.InfoLevel,
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -32,6 +32,7 @@
 	"dispatch.failovers_needless":           "of these, attempts whose predecessor sent something before they did",
 	"dispatch.first_token_ms":               "milliseconds from a request's arrival at dispatch to the first bytes of its answer, histogram",
 	"dispatch.lapsed":                       "attempts aborted because their group no longer exists; own protocol only",
+	"dispatch.leaving_answers":              "answers and rejections in which a backend server announces that it leaves",
 	"dispatch.rate_limited":                 "times that the share of an announced request rate was used up: requests refused for it, and attempts routed anew",
 	"dispatch.refused":                      "requests that the proxy itself refused or failed",
 	"dispatch.requests":                     "requests accepted by dispatch",
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -88,7 +89,8 @@
 	case p.Server == nil:
 		return p.Deleted
 	case p.Answered:
-		return !p.Deleted && key == answerKeyPrefix+string(p.Server.Instance)
+		id := string(p.Server.Instance)
+		return !p.Deleted && (key == answerKeyPrefix+id || key == leavingKeyPrefix+id)
 	default:
 		return !p.Deleted && key == string(p.Server.Instance)
 	}
@@ -104,6 +106,9 @@
 
 // Answered implements placement.Servers.
 func (b broadcastingDirectory) Answered(s directory.Server, at time.Time) {
+	if s.Leaving {
+		b.d.recordLeaving(s.Instance, s.Incarnation, "report")
+	}
 	if b.Directory.RecordAnswer(s, at) {
 		b.d.broadcastAnswer(s, at)
 	}
@@ -192,6 +197,12 @@
 			d.events.Emit(eventUnknownBroadcast, "key", b.Key)
 			continue
 		}
+		if p.Answered && p.Server.Leaving {
+			d.applyLeaving(*p.Server)
+		}
+		if strings.HasPrefix(b.Key, leavingKeyPrefix) {
+			continue // no report: the place in it is not of its time
+		}
 		if p.Answered {
 			age := time.Duration(min(p.AgeMilli, maxAnswerAgeMilli)) * time.Millisecond
 			d.directory.RecordAnswer(*p.Server, time.Now().Add(-b.Age()-age))
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -16,6 +16,7 @@
 	Epoch       fleet.Epoch
 	Service     fleet.ServiceName
 	GroupLeader fleet.InstanceID
+	Incarnation uint64 // of the group leader
 	Address     string // of the group leader
 	Zone        fleet.Zone
 	Fabric      fleet.FabricDomain
--- /dev/null
+++ b/standin/site/announce.go
@@ -0,0 +1,88 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// leavingBound is how long after an answer that says that its server leaves
+// requests may still be sent that reach this server.
+const leavingBound = 2 * time.Second
+
+// headerSentAt carries the time at which a caller sent its request, in milliseconds
+// since the world's start. Daemons forward it like any other header.
+const headerSentAt = "X-Sent-At-Ms"
+
+// leavingServer is a backend server that says in its answers that it leaves.
+type leavingServer struct {
+	// refuses is set if it turns all requests away.
+	refuses bool
+	told    map[string]time.Time // when a daemon's first answer was sent, by IP address
+	// toldFirst is when the first answer to any daemon was sent, and late the number
+	// of requests from any daemon that were sent later than leavingBound after it.
+	toldFirst time.Time
+	late      int
+}
+
+// SetServerLeaving makes the backend server at an address say in all its answers
+// that it leaves. If refuses is set, it also turns all requests away.
+func (w *World) SetServerLeaving(addr string, refuses bool) {
+	w.Update(func() { w.shared.leaving[addr] = &leavingServer{refuses: refuses, told: map[string]time.Time{}} })
+}
+
+// SetServerStaying ends what SetServerLeaving began, as a restart does.
+func (w *World) SetServerStaying(addr string) {
+	w.Update(func() { delete(w.shared.leaving, addr) })
+}
+
+// LateArrivals returns the number of requests at a leaving server that were sent
+// later than leavingBound after its first answer to any daemon, and whether there
+// was one.
+func (w *World) LateArrivals(addr string) (late int, told bool) {
+	w.shared.mu.Lock()
+	defer w.shared.mu.Unlock()
+	l := w.shared.leaving[addr]
+	if l == nil {
+		return 0, false
+	}
+	return l.late, !l.toldFirst.IsZero()
+}
+
+// announceLeaving adds to an answer that the server at addr leaves, and reports
+// whether the request is turned away. The caller holds the lock.
+func (s *sharedState) announceLeaving(w http.ResponseWriter, r *http.Request, addr string) (refused bool) {
+	l := s.leaving[addr]
+	if l == nil {
+		return false
+	}
+	w.Header().Set("Server-Leaving", "1")
+	daemon, _, _ := net.SplitHostPort(r.RemoteAddr)
+	now := time.Now()
+	sent := now
+	if ms, err := strconv.ParseInt(r.Header.Get(headerSentAt), 10, 64); err == nil {
+		sent = s.started.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if told, known := l.told[daemon]; !known {
+		l.told[daemon] = now
+	} else if sent.Sub(told) > leavingBound {
+		s.addViolation("%s, which leaves, got a request from %s that was sent %s after its answer", addr, daemon, sent.Sub(told))
+	}
+	if l.toldFirst.IsZero() {
+		l.toldFirst = now
+	} else if sent.Sub(l.toldFirst) > leavingBound {
+		l.late++
+	}
+	if l.refuses {
+		refuse(w, r)
+	}
+	return l.refuses
+}
+
+// refuse answers that a request has not run.
+func refuse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Carawayproxy-Attempt-Id", r.Header.Get("X-Carawayproxy-Attempt-Id"))
+	w.Header().Set("X-Carawayproxy-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/standin/site/announce_test.go
@@ -0,0 +1,134 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A server said in its answers that it leaves, its entry in the list did not, and
+// requests went there as before.
+func TestServerGotRequestsAfterItSaidThatItLeaves(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// leaders is the number of leaders of groups that leave, plains that of plain
+		// servers.
+		leaders, plains int
+		refuses         bool
+		prepare         func(w *World)
+		// during runs half a second after the servers have begun to leave.
+		during func(w *World, addresses []string)
+		// apart is set if daemons can't tell each other.
+		apart bool
+	}{
+		{name: "a leader", leaders: 1},
+		{name: "two leaders", leaders: 2},
+		{name: "a leader that turns everything away", leaders: 1, refuses: true},
+		{name: "a plain server", plains: 1},
+		{name: "a plain server that fails", plains: 1, prepare: func(w *World) {
+			w.Update(func() { w.Plains[0].Fail = true })
+		}},
+		{name: "a plain server that turns everything away", plains: 1, refuses: true},
+		{name: "its entry says ready again", plains: 1, during: func(w *World, _ []string) { w.Plains[0].announce("ready") }},
+		{name: "its entry lapses and returns", plains: 1, during: func(w *World, _ []string) {
+			w.Store.Put("keyed.servers", w.Plains[0].ID, nil)
+			time.Sleep(time.Second)
+			w.Plains[0].announce("ready")
+		}},
+		{name: "a daemon without links", leaders: 1, prepare: func(w *World) {
+			w.Daemons[0].LoseLinks(LinksReset)
+			time.Sleep(2 * time.Second)
+		}},
+		{name: "daemons that do not hear each other", plains: 1, apart: true, prepare: func(w *World) {
+			for i, a := range w.Daemons {
+				for _, b := range w.Daemons[i+1:] {
+					w.Net.CutBoth(a.ip, b.ip)
+				}
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, err := New(Options{Daemons: 3, Engines: 24, Plains: 3})
+				assert.NilError(t, err)
+				defer time.Sleep(settleTime) // lets pending dials end
+				defer w.Close()
+				time.Sleep(leadTime)
+				call := func(d *Daemon, id string) Response { return w.Stream(d, id, ModelOfTwo) }
+				if test.plains > 0 {
+					call = func(d *Daemon, id string) Response {
+						return w.Call(d, http.MethodPost, "/safe/x", id, "", "entry "+id, nil)
+					}
+				}
+				if test.prepare != nil {
+					test.prepare(w)
+				}
+				var addresses []string
+				for _, e := range w.leaders(ModelOfTwo)[:test.leaders] {
+					addresses = append(addresses, e.addr)
+				}
+				for _, p := range w.Plains[:test.plains] {
+					addresses = append(addresses, p.addr)
+				}
+				var callers sync.WaitGroup
+				var responses []timedResponse
+				callers.Go(func() { responses = sendEvery(w, 40*time.Millisecond, 10*time.Second, call) })
+				time.Sleep(2 * time.Second) // streams are under way
+				for _, a := range addresses {
+					w.SetServerLeaving(a, test.refuses)
+				}
+				time.Sleep(500 * time.Millisecond)
+				if test.during != nil {
+					test.during(w, addresses)
+				}
+				callers.Wait()
+				assert.DeepEqual(t, w.Violations(), []string(nil))
+				for _, a := range addresses {
+					late, told := w.LateArrivals(a)
+					assert.Assert(t, told, "%s got no request", a)
+					assert.Check(t, late == 0 || test.apart, "%d late requests at %s", late, a)
+				}
+				served := 0
+				for _, r := range responses {
+					if r.Status == http.StatusOK && r.Err == nil {
+						served++
+					}
+					if r.Status == http.StatusOK && test.leaders > 0 {
+						assert.Check(t, r.IsComplete(r.id), "%s: %v", r.id, r.Err)
+					}
+				}
+				assert.Check(t, served*100 >= len(responses)*95, "%d of %d requests served", served, len(responses))
+				orders := w.OrderCount()
+				time.Sleep(5 * time.Second)
+				assert.Check(t, w.OrderCount()-orders <= 2, "%d orders in 5 s, long after the servers began to leave", w.OrderCount()-orders)
+			})
+		})
+	}
+}
+
+// A server that restarts under another id after it said that it leaves is used again.
+func TestServerIsUsedAgainAfterItLeft(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		p := w.Plains[0]
+		w.SetServerLeaving(p.addr, false)
+		for n := range 20 {
+			w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/safe/x", fmt.Sprintf("l-%d", n), "", "entry", nil)
+		}
+		_, told := w.LateArrivals(p.addr)
+		assert.Assert(t, told)
+		p.crash(p.ID)
+		w.SetServerStaying(p.addr)
+		time.Sleep(restartTime + 2*time.Second)
+		used := map[string]bool{}
+		for n := range 20 {
+			r := w.Call(w.Daemons[n%len(w.Daemons)], http.MethodPost, "/safe/x", fmt.Sprintf("r-%d", n), "", "entry", nil)
+			used[r.Header.Get("X-Carawayproxy-Server-Stamp")] = true
+		}
+		assert.Check(t, used["proof-p-00-1"], "%v", used)
+	})
+}
--- a/standin/site/calls.go
+++ b/standin/site/calls.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -50,6 +51,7 @@
 	req.Header.Set("X-Carawayproxy-Attempt-Id", id)
 	req.Header.Set("X-Carawayproxy-Key", Key)
 	req.Header.Set("X-Carawayproxy-Deadline-Ms", "6000")
+	req.Header.Set(headerSentAt, strconv.FormatInt(time.Since(w.shared.started).Milliseconds(), 10))
 	if model != "" {
 		req.Header.Set("X-Carawayproxy-Model", model)
 		req.Header.Set("X-Carawayproxy-Token-Usage", "700,100")
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -101,6 +101,9 @@
 	endedByOrder map[string]bool
 	// limits are the request rates that backend servers announce, by address.
 	limits map[string]*announcedLimit
+	// leaving are the backend servers that say that they leave, by address.
+	leaving map[string]*leavingServer
+	started time.Time // of the world
 	// crashingParts are the parts of a prompt on which engines crash.
 	crashingParts map[string]bool
 }
@@ -113,6 +116,7 @@
 
 func newSharedState() *sharedState {
 	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, brokenOff: map[string]bool{}, lastWriter: map[string]string{}, endedByOrder: map[string]bool{}, crashingParts: map[string]bool{}, limits: map[string]*announcedLimit{},
+		leaving: map[string]*leavingServer{}, started: time.Now(),
 		crashes: map[string][]time.Time{}, crashingRuns: map[string][]crashingRun{}}
 }
 
@@ -422,6 +426,10 @@
 	s.mu.Lock()
 	e.arrivals++
 	s.announceLimit(w, r, e.addr)
+	if s.announceLeaving(w, r, e.addr) {
+		s.mu.Unlock()
+		return
+	}
 	m := e.membership
 	if m == nil || m.Rank != 0 {
 		s.mu.Unlock()
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -105,6 +105,10 @@
 	id := r.Header.Get("X-Carawayproxy-Attempt-Id")
 	s.mu.Lock()
 	s.announceLimit(w, r, p.addr)
+	if s.announceLeaving(w, r, p.addr) {
+		s.mu.Unlock()
+		return
+	}
 	s.runs[id]++
 	if crashes {
 		s.crashingRuns[CrashingBody] = append(s.crashingRuns[CrashingBody], crashingRun{time.Now(), id})
