ratelimit: servers that ask a daemon for a pause get one

What callers would see: a backend server that turns a request away with 503 may say for how long it wants no other one from the same daemon (Retry-After). Nothing read it. Requests went there again after 0.1 to 0.5 s, at once where no other group was left, each at the price of an attempt; callers that no server would take were told to come back after 1 to 1.5 s, whatever the servers said.

Cause: the header was passed to callers, where the answer was, and not decoded.

The adapter decodes it, in a 503 only; more than a minute is logged and cut, anything but seconds logged and ignored. ratelimit.Pauses keeps it for each process of a server, for this daemon alone. Every attempt is checked next to its send, where rates are charged; before, routing drops the group like one whose rate is used up. A request that only pauses and rates exclude is refused at once, with what is left of the shortest pause. Orders and reports go on.

TestServerGotRequestsInThePauseThatItAskedFor failed before in eight of its nine cases, in each with a third request from a daemon between 0.5 s after such an answer and the end of its time; the ninth (short pauses, callers that come back) passed. All pass now. The log event is ratelimit.paused, the counter dispatch.pause_answers.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -32,6 +32,15 @@
 	Err error
 }
 
+// Pause is the time for which a backend server that has turned a request away wants
+// no other one from the daemon that it came from.
+type Pause struct {
+	Announced bool
+	Length    time.Duration
+	// Err is why an announced pause is invalid or was bounded, nil if it is valid.
+	Err error
+}
+
 // ErrLinksLost marks the failure of a dial that may be due to this daemon's own
 // links: it shows nothing about the backend server.
 var ErrLinksLost = errors.New("own links to the backend servers may be lost")
@@ -42,6 +51,7 @@
 	Status    int
 	Rate      Rate
 	Departure Departure
+	Pause     Pause
 	// Fault is the instance that caused the rejection, empty if the server does
 	// not name one.
 	Fault fleet.InstanceID
@@ -97,6 +107,7 @@
 	Status    int
 	Rate      Rate
 	Departure Departure
+	Pause     Pause
 	Header    http.Header // without hop-by-hop headers
 	Body      io.ReadCloser
 	// Framed is set if a length or chunks tell the end of Body, or if there is none.
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -46,6 +46,9 @@
 	// Rates tracks the request rates that backend servers announce; nil if they
 	// announce none.
 	Rates Rates
+	// Pauses tracks the pauses that backend servers ask for; nil if they ask for
+	// none.
+	Pauses Pauses
 	// Limit returns the maximum number of requests on a group, given how many
 	// it can run at once; nil for no limit.
 	Limit  func(c *routing.Candidate) uint32
@@ -62,6 +65,13 @@
 	Take(server fleet.InstanceID, now time.Time) bool
 }
 
+// Pauses tracks the times for which backend servers want no requests from this
+// daemon.
+type Pauses interface {
+	// Wait returns the time until this daemon may send the server a request.
+	Wait(server fleet.InstanceID, incarnation uint64, now time.Time) time.Duration
+}
+
 // Store tracks the groups and this daemon's requests on them. It is safe for
 // concurrent use.
 type Store struct {
@@ -207,6 +217,9 @@
 	if s.cfg.Rates != nil {
 		c.RateWait = s.cfg.Rates.Wait(c.GroupLeader, now)
 	}
+	if s.cfg.Pauses != nil {
+		c.PauseWait = s.cfg.Pauses.Wait(c.GroupLeader, c.Incarnation, now)
+	}
 	if s.cfg.Limit != nil {
 		c.Limit = s.cfg.Limit(c)
 	}
@@ -237,9 +250,14 @@
 }
 
 // Charge charges a request that is about to be sent to a group to the request rate
-// that its leader announces. It returns false if the request may not be sent now.
+// that its leader announces. It returns false if the request may not be sent now,
+// because of that rate or of a pause that the leader has asked for.
 func (s *Store) Charge(c routing.Candidate) bool {
-	return s.cfg.Rates == nil || s.cfg.Rates.Take(c.GroupLeader, time.Now())
+	now := time.Now()
+	if s.cfg.Pauses != nil && s.cfg.Pauses.Wait(c.GroupLeader, c.Incarnation, now) > 0 {
+		return false
+	}
+	return s.cfg.Rates == nil || s.cfg.Rates.Take(c.GroupLeader, now)
 }
 
 func (s *Store) usable(c routing.Candidate, now time.Time) bool {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -130,7 +130,7 @@
 		}
 		dec := a.takeDecision()
 		if dec.Chosen == nil {
-			return target{}, a.noGroupFailure(dec.RateWait)
+			return target{}, a.noGroupFailure(dec.Decision)
 		}
 		t := target{Candidate: *dec.Chosen, attempt: dec.attempt, isolated: a.route.Exclusive, number: a.sentCount + 1, progress: &progress{}}
 		t.rechecked = a.d.cfg.Router.Recheck(t.Candidate)
@@ -146,7 +146,7 @@
 		}
 		a.d.metrics.rateLimited.Inc(1)
 	}
-	return target{}, a.noGroupFailure(0)
+	return target{}, a.noGroupFailure(routing.Decision{})
 }
 
 // checkProceed returns a failure if the request's time is over or the catalog
@@ -212,7 +212,7 @@
 		a.nextDecision = &dec
 	}
 	if a.nextDecision.Chosen == nil {
-		return a.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "the attempt failed and no other group is left: "+cause.Error())
+		return a.newFailure(fleet.ReasonBackendFailed, retryAfterNone(a.nextDecision.Decision), "the attempt failed and no other group is left: "+cause.Error())
 	}
 	if !a.reserveRetry() {
 		return a.newFailure(fleet.ReasonBackendFailed, withJitter(retryAfterFailed), "the attempt failed and the service's retries are used up: "+cause.Error())
@@ -347,16 +347,28 @@
 	return f
 }
 
-// noGroupFailure returns the failure of a request that no group can take.
-// rateWait is the time until one may that has announced a request rate, if only
-// its rate excludes it.
-func (a *attempts) noGroupFailure(rateWait time.Duration) *fleet.Failure {
+// retryAfterNone returns the Retry-After of a request for whose next attempt no
+// group is left.
+func retryAfterNone(dec routing.Decision) time.Duration {
+	if dec.Paused {
+		return withJitter(max(min(dec.RateWait, retryAfterRateMax), retryAfterPauseMin))
+	}
+	return withJitter(retryAfterFailed)
+}
+
+// noGroupFailure returns the failure of a request that, by a decision, no group can
+// take.
+func (a *attempts) noGroupFailure(dec routing.Decision) *fleet.Failure {
 	if a.route.Exclusive {
 		return a.newFailure(fleet.ReasonSuspect, withJitter(retryAfterAlone), "the request was in flight when groups died and runs alone; no group is idle now")
 	}
-	if rateWait > 0 {
+	if dec.Paused {
+		a.d.metrics.rateLimited.Inc(1)
+		return a.newFailure(fleet.ReasonOverloaded, retryAfterNone(dec), "the service's backend servers want no requests from this daemon now")
+	}
+	if dec.RateWait > 0 {
 		a.d.metrics.rateLimited.Inc(1)
-		wait := max(min(rateWait, retryAfterRateMax), retryAfterNoGroup)
+		wait := max(min(dec.RateWait, retryAfterRateMax), retryAfterNoGroup)
 		return a.newFailure(fleet.ReasonOverloaded, withJitter(wait), "the request rates that the service's backend servers announced are used up")
 	}
 	return a.newFailure(fleet.ReasonNoGroup, withJitter(retryAfterNoGroup), "no whole, healthy group can take the request now")
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -25,6 +25,8 @@
 	Refusals Refusals
 	// Rates learns the request rates of backend servers; nil if they announce none.
 	Rates Rates
+	// Pauses learns the pauses that backend servers ask for; nil if they ask for none.
+	Pauses Pauses
 	// Leavers learns which backend servers leave; nil if they do not announce it.
 	Leavers Leavers
 	// LinksLost returns a channel that is closed while this daemon's own links to
@@ -104,6 +106,9 @@
 	// retryAfterRateMax bounds the wait for a share of an announced request rate.
 	// Other daemons may have one sooner.
 	retryAfterRateMax = 3 * time.Second
+	// retryAfterPauseMin is the shortest wait for the end of a pause that a backend
+	// server has asked for. Only that server's word, not a guess, sets the wait.
+	retryAfterPauseMin = 100 * time.Millisecond
 )
 
 // maxRechecks bounds how many selected groups may fail the recheck before one
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -143,7 +143,7 @@
 func (r *forwardedRequest) admitAndRun(ctx context.Context, ws service.WorkspaceSpec) *fleet.Failure {
 	dec := r.routeNow()
 	if dec.Chosen == nil {
-		return r.noGroupFailure(dec.RateWait)
+		return r.noGroupFailure(dec.Decision)
 	}
 	ticket, f := r.d.admit(ctx, r.spec, ws, dec.Decision)
 	if f != nil {
@@ -210,8 +210,8 @@
 		return 0
 	case refused.Status == http.StatusMisdirectedRequest:
 		return routing.RefusedNotServing
-	case refused.Rate.Announced:
-		return routing.RefusedAtCapacity // the rate, not the number of requests in flight, is the limit
+	case refused.Rate.Announced, refused.Pause.Announced:
+		return routing.RefusedAtCapacity // the rate or the pause, not the number of requests in flight, is the limit
 	case routing.InFlight(&t.Candidate) < float64(t.MaxRunning):
 		return routing.RefusedNotAccepting
 	default:
@@ -298,12 +298,13 @@
 // observeAnnouncements passes on what the server announces of itself in an answer
 // or a rejection.
 func (r *forwardedRequest) observeAnnouncements(t target, ans backend.OpaqueResponse, err error, sentAt time.Time) {
-	rate, departure := ans.Rate, ans.Departure
+	rate, departure, pause := ans.Rate, ans.Departure, ans.Pause
 	var refused *backend.RefusedError
 	if errors.As(err, &refused) {
-		rate, departure = refused.Rate, refused.Departure
+		rate, departure, pause = refused.Rate, refused.Departure, refused.Pause
 	}
 	r.observeDeparture(t, departure)
+	r.observePause(t, pause)
 	r.observeRate(t, rate, err == nil && ans.Status/100 == 2, sentAt)
 }
 
@@ -318,6 +319,19 @@
 	}
 }
 
+func (r *forwardedRequest) observePause(t target, pause backend.Pause) {
+	if r.d.cfg.Pauses == nil {
+		return
+	}
+	if pause.Err != nil {
+		r.d.cfg.Events.Emit(eventBadAnnouncement, "request", r.id, "instance", t.GroupLeader, "error", pause.Err)
+	}
+	if pause.Announced {
+		r.d.metrics.pauses.Inc(1)
+		r.d.cfg.Pauses.ObservePause(t.GroupLeader, t.Incarnation, pause.Length, time.Now())
+	}
+}
+
 // observeRate passes on the announced request rate. Only a success without a rate
 // shows that the server announces none any more.
 func (r *forwardedRequest) observeRate(t target, rate backend.Rate, success bool, sentAt time.Time) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -110,7 +110,7 @@
 func (r *generation) admitAndRun(ctx context.Context, ws service.WorkspaceSpec) (backend.End, *fleet.Failure) {
 	dec := r.routeNow()
 	if dec.Chosen == nil {
-		return backend.End{}, r.noGroupFailure(dec.RateWait)
+		return backend.End{}, r.noGroupFailure(dec.Decision)
 	}
 	ticket, f := r.d.admit(ctx, r.spec, ws, dec.Decision)
 	if f != nil {
--- a/internal/dispatch/invoke.go
+++ b/internal/dispatch/invoke.go
@@ -82,7 +82,7 @@
 	c.route.Exclusive = alone
 	dec := c.routeNow()
 	if dec.Chosen == nil {
-		return nil, c.noGroupFailure(dec.RateWait)
+		return nil, c.noGroupFailure(dec.Decision)
 	}
 	c.nextDecision = &dec
 	return c.d.admit(ctx, c.spec, c.ws, dec.Decision)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -10,7 +10,8 @@
 type dispatchMetrics struct {
 	requests, refused, attempts, retries, resumed, noBudget         metrics.Counter
 	crossed, broken, stalled, groupLost, cancels, uncertain, tokens metrics.Counter
-	events, rateLimited, departures, failovers, needlessFailovers   metrics.Counter
+	events, rateLimited, departures, pauses                         metrics.Counter
+	failovers, needlessFailovers                                    metrics.Counter
 	firstToken                                                      metrics.Histogram // milliseconds
 }
 
@@ -36,6 +37,7 @@
 		events:            count("events"),
 		rateLimited:       count("rate_limited"),
 		departures:        count("leaving_answers"),
+		pauses:            count("pause_answers"),
 		failovers:         count("failovers"),
 		needlessFailovers: count("failovers_needless"),
 		firstToken:        metrics.GetOrRegisterHistogram("dispatch.first_token_ms", r, metrics.NewUniformSample(sampleSize)),
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -59,8 +59,9 @@
 	// immediately before an attempt is sent.
 	Recheck(c routing.Candidate) bool
 	// Charge charges an attempt to the request rate that the group's leader
-	// announces, and reports whether it may be sent. It is called after Recheck, for
-	// each attempt of any kind.
+	// announces, and reports whether it may be sent under that rate and the pauses
+	// that the leader asks for. It is called after Recheck, for each attempt of any
+	// kind.
 	Charge(c routing.Candidate) bool
 	// IsLost reports whether the group can no longer answer in that epoch.
 	IsLost(group fleet.GroupID, epoch fleet.Epoch) (lost bool)
@@ -128,6 +129,13 @@
 	ObserveNoRate(server fleet.InstanceID, sentAt, now time.Time)
 }
 
+// Pauses learns for how long backend servers want no requests from this daemon.
+type Pauses interface {
+	// ObservePause records an answer that asks for a pause. The incarnation is that
+	// which was known when the request was routed.
+	ObservePause(server fleet.InstanceID, incarnation uint64, length time.Duration, now time.Time)
+}
+
 // Leavers learns that backend servers leave, from what they announce in answers.
 type Leavers interface {
 	// RecordLeaving records that the server announces that it leaves. The
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,6 +102,7 @@
 	stallDetector *datastore.StallDetector
 	refusals      *datastore.Refusals
 	rates         *ratelimit.Limits
+	pauses        *ratelimit.Pauses
 	detector      *suspect.Detector
 	unresponsive  *recentSet[fleet.InstanceID]
 	stalled       *recentSet[fleet.GroupID]
@@ -208,6 +209,7 @@
 		Announce: d.broadcastRate,
 		Events:   d.events,
 	})
+	d.pauses = ratelimit.NewPauses(d.events)
 	d.store = datastore.New(datastore.Config{
 		Groups:       d.directory.Groups,
 		Reports:      d.directory,
@@ -219,6 +221,7 @@
 		Unreachable:  func(fleet.InstanceID) bool { return d.env.ServerDialer.Unreachable() },
 		Refusals:     d.refusals,
 		Rates:        d.rates,
+		Pauses:       d.pauses,
 		Limit:        groupLimit,
 		Policy:       routing.DefaultPolicy(),
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -277,6 +280,7 @@
 		StallDetector:  stallAdapter{d.stallDetector},
 		Refusals:       d.refusals,
 		Rates:          d.rates,
+		Pauses:         d.pauses,
 		Leavers:        leavers{d},
 		LinksLost:      d.env.ServerDialer.LostSignal,
 		Daemons:        d.countDaemons,
--- a/internal/ratelimit/events.go
+++ b/internal/ratelimit/events.go
@@ -13,4 +13,7 @@
 	eventRateEnded = event.Define(2301, "ratelimit.ended", log.InfoLevel,
 		"A backend server that had named a request rate answers without one.",
 		"Nothing.")
+	eventPaused = event.Define(2302, "ratelimit.paused", log.InfoLevel,
+		"A backend server turned a request away and wants none from this daemon for a time; requests go elsewhere or are refused.",
+		"Check why the server is in need if it asks again and again.")
 )
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -1,7 +1,10 @@
-// Package ratelimit shares the request rates that backend servers announce among
-// the daemons. A server in need names in its answers how many requests a second
-// it takes from all daemons together. A few daemons, the owners, send requests to
-// it, each at an equal share of that rate. The package performs no I/O.
+// Package ratelimit keeps what backend servers in need ask of the daemons.
+//
+// A server names in its answers how many requests a second it takes from all
+// daemons together. A few daemons, the owners, send requests to it, each at an equal
+// share of that rate. A server that turns a request away may also ask the daemon
+// that it came from for a pause, which that daemon keeps by itself. The package
+// performs no I/O.
 package ratelimit
 
 import (
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -19,7 +19,7 @@
 
 // DefaultFilters returns the filters of DefaultPolicy in evaluation order.
 func DefaultFilters() []Filter {
-	return []Filter{Service{}, WholeGroup{}, NotDraining{}, NotStalled{}, NotRefusing{}, Untried{}, Exclusive{}, BelowLimit{}, WithinRate{}}
+	return []Filter{Service{}, WholeGroup{}, NotDraining{}, NotStalled{}, NotRefusing{}, Untried{}, Exclusive{}, BelowLimit{}, NotPaused{}, WithinRate{}}
 }
 
 // Service keeps groups that match the service, version, adapter and role of
@@ -166,6 +166,24 @@
 	return true, ""
 }
 
+// NotPaused drops groups whose leader has asked this daemon for a pause. It is
+// evaluated just before WithinRate, see Decision.RateWait.
+type NotPaused struct{}
+
+// pauseFilter is the name of NotPaused.
+const pauseFilter = "pause"
+
+// Name implements Filter.
+func (NotPaused) Name() string { return pauseFilter }
+
+// Keep implements Filter.
+func (NotPaused) Keep(_ *Request, c *Candidate) (bool, string) {
+	if c.PauseWait > 0 {
+		return false, "its leader asked for a pause"
+	}
+	return true, ""
+}
+
 // WithinRate drops groups whose leader has announced a request rate of which this
 // daemon has used up its share. It is evaluated last, see Decision.RateWait.
 type WithinRate struct{}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -93,7 +93,7 @@
 	defer p.putScratch(set)
 	d.Rejected = p.filter(&req, candidates, set)
 	if len(set.kept) == 0 {
-		d.RateWait = p.filterWithoutSoft(&req, candidates, set)
+		d.RateWait, d.Paused = p.filterWithoutSoft(&req, candidates, set)
 	}
 	if len(set.kept) == 0 {
 		return d
@@ -129,23 +129,25 @@
 }
 
 // filterWithoutSoft adds the candidates that pass every filter that is not a
-// SoftFilter to set. If there are none, it returns the shortest RateWait of those
-// that WithinRate alone drops, zero for no such candidate.
-func (p Policy) filterWithoutSoft(req *Request, candidates []Candidate, set *candidateSet) (rateWait time.Duration) {
+// SoftFilter to set. If there are none, it returns the shortest wait of those that
+// only NotPaused and WithinRate drop, zero for no such candidate.
+func (p Policy) filterWithoutSoft(req *Request, candidates []Candidate, set *candidateSet) (wait time.Duration, paused bool) {
 	for i := range candidates {
 		c := &candidates[i]
 		name, _, ok := p.firstRejection(req, c, true)
 		switch {
 		case ok:
 			set.kept = append(set.kept, c)
-		case name == rateFilter && (rateWait == 0 || c.RateWait < rateWait):
-			rateWait = c.RateWait
+		case name == rateFilter || name == pauseFilter:
+			if w := max(c.RateWait, c.PauseWait); wait == 0 || w < wait {
+				wait, paused = w, c.PauseWait >= c.RateWait
+			}
 		}
 	}
 	if len(set.kept) > 0 {
-		return 0
+		return 0, false
 	}
-	return rateWait
+	return wait, paused
 }
 
 // score computes the cost of every kept candidate.
--- a/internal/routing/policy_test.go
+++ b/internal/routing/policy_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -143,3 +144,32 @@
 	x.Forget("g")
 	assert.Equal(t, x.Match("g", p), 0)
 }
+
+// A request that only rates and pauses exclude must be told when the first of them
+// ends.
+func TestShortestWaitOfRatesAndPauses(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(c []Candidate)
+		want   time.Duration
+		paused bool
+	}{
+		{"pauses", func(c []Candidate) { c[0].PauseWait, c[1].PauseWait = 3*time.Second, 2*time.Second }, 2 * time.Second, true},
+		{"a rate and a pause", func(c []Candidate) { c[0].RateWait, c[1].PauseWait = time.Second, 2*time.Second }, time.Second, false},
+		{"both at each", func(c []Candidate) {
+			c[0].RateWait, c[0].PauseWait = 4*time.Second, time.Second
+			c[1].RateWait, c[1].PauseWait = time.Second, 3*time.Second
+		}, 3 * time.Second, true},
+		{"one is free but was tried", func(c []Candidate) { c[1].PauseWait = time.Second }, 0, false},
+		{"one is not whole", func(c []Candidate) { c[0].Whole, c[1].PauseWait = false, time.Second }, time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			candidates := wholeGroups(2)
+			test.change(candidates)
+			dec := DefaultPolicy().Choose(Request{Service: model, FailedGroups: []fleet.GroupID{"g0"}}, candidates, newRand(1))
+			assert.Equal(t, dec.Chosen != nil, test.want == 0)
+			assert.Equal(t, dec.RateWait, test.want)
+			assert.Equal(t, dec.Paused, test.paused)
+		})
+	}
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -33,6 +33,9 @@
 	// RateWait is the time until this daemon may send the group a request under the
 	// request rate that its leader announces; zero for now.
 	RateWait time.Duration
+	// PauseWait is the time until this daemon may send the group a request after a
+	// pause that its leader has asked for; zero for now.
+	PauseWait time.Duration
 
 	// Load from the engine's last report, which is ReportAge old.
 	Running         uint32
@@ -134,7 +137,9 @@
 	// Wait is the predicted time to first token at the chosen group.
 	Wait time.Duration
 	// RateWait is set if no candidate is left and some are excluded only by the
-	// request rate that their leaders announce: the shortest time until one of them
-	// may be sent a request.
+	// request rate that their leaders announce or the pause that they have asked for:
+	// the shortest time until one of them may be sent a request. Paused is set if a
+	// pause determines it.
 	RateWait time.Duration
+	Paused   bool
 }
--- a/standin/site/announce_test.go
+++ b/standin/site/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -132,3 +133,136 @@
 		assert.Check(t, used["proof-p-00-1"], "%v", used)
 	})
 }
+
+// retrying returns a caller that repeats a request up to three times after the
+// time that a refusal names.
+func retrying(call func(d *Daemon, id string) Response) func(d *Daemon, id string) Response {
+	return func(d *Daemon, id string) Response {
+		r := call(d, id)
+		for range 3 {
+			after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+			if r.Status != http.StatusServiceUnavailable || err != nil {
+				break
+			}
+			time.Sleep(time.Duration(after * float64(time.Second)))
+			r = call(d, id)
+		}
+		return r
+	}
+}
+
+// checkRetryAfter checks that callers are told to come back after what is left of
+// the pauses, with half as much jitter.
+func checkRetryAfter(t *testing.T, responses []timedResponse, pause time.Duration) {
+	t.Helper()
+	longest := 0.0
+	for _, r := range responses {
+		if r.Status != http.StatusServiceUnavailable {
+			continue
+		}
+		after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Check(t, after <= 1.5*pause.Seconds()+0.01, "Retry-After %g of %s", after, r.id)
+		longest = max(longest, after)
+	}
+	assert.Check(t, longest > pause.Seconds(), "the longest Retry-After is %g", longest)
+}
+
+// Servers that turned a request away said for how long they want no other one from
+// the same daemon, and got them all the same.
+func TestServerGotRequestsInThePauseThatItAskedFor(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// leaders and plains are the numbers of leaders of groups and of plain servers
+		// that ask for pauses, negative for all.
+		leaders, plains int
+		pausing         Pausing
+		path            string // of the requests, for plain servers
+		retries         bool   // callers come back
+		prepare         func(w *World)
+		// served is the least part of the requests, in percent.
+		served int
+		// taken is set if the server is to be sent requests by other daemons.
+		taken bool
+	}{
+		{name: "a leader", leaders: 1, pausing: Pausing{Pause: 5 * time.Second, Refusals: -1}, served: 95},
+		{name: "a leader, one request", leaders: 1, pausing: Pausing{Pause: 5 * time.Second, Refusals: 1}, served: 95, taken: true},
+		{name: "all leaders", leaders: -1, pausing: Pausing{Pause: 2 * time.Second, Refusals: -1}},
+		{name: "all leaders, callers that come back", leaders: -1, pausing: Pausing{Pause: 1500 * time.Millisecond, Refusals: 3}, retries: true, served: 90},
+		{name: "a plain server", plains: 1, path: "/safe/x", pausing: Pausing{Pause: 5 * time.Second, Refusals: -1}, served: 95},
+		{name: "a plain server that promises nothing", plains: 1, path: "/safe/x", pausing: Pausing{Pause: 5 * time.Second, Refusals: -1, Unpromised: true}, served: 95},
+		{name: "a plain server, one request", plains: 1, path: "/unsafe/x", pausing: Pausing{Pause: 4 * time.Second, Refusals: 1}, served: 95, taken: true},
+		{name: "all plain servers", plains: -1, path: "/unsafe/x", pausing: Pausing{Pause: 2500 * time.Millisecond, Refusals: -1}},
+		{name: "all plain servers, callers that come back", plains: -1, path: "/safe/x", pausing: Pausing{Pause: 800 * time.Millisecond, Refusals: 3}, retries: true, served: 95},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, err := New(Options{Daemons: 3, Engines: 24, Plains: 3})
+				assert.NilError(t, err)
+				defer time.Sleep(settleTime) // lets pending dials end
+				defer w.Close()
+				time.Sleep(leadTime)
+				call := func(d *Daemon, id string) Response { return w.Stream(d, id, ModelOfTwo) }
+				if test.plains != 0 {
+					call = func(d *Daemon, id string) Response {
+						return w.Call(d, http.MethodPost, test.path, id, "", "entry "+id, nil)
+					}
+				}
+				again := call
+				if test.retries {
+					again = retrying(call)
+				}
+				if test.prepare != nil {
+					test.prepare(w)
+				}
+				var addresses []string
+				for i, e := range w.leaders(ModelOfTwo) {
+					if i < test.leaders || test.leaders < 0 {
+						addresses = append(addresses, e.addr)
+					}
+				}
+				for i, p := range w.Plains {
+					if i < test.plains || test.plains < 0 {
+						addresses = append(addresses, p.addr)
+					}
+				}
+				var callers sync.WaitGroup
+				var responses []timedResponse
+				callers.Go(func() { responses = sendEvery(w, 40*time.Millisecond, 10*time.Second, again) })
+				time.Sleep(2 * time.Second) // streams are under way
+				for _, a := range addresses {
+					w.SetServerPausing(a, test.pausing)
+				}
+				callers.Wait()
+				assert.DeepEqual(t, w.Violations(), []string(nil))
+				served := 0
+				for _, r := range responses {
+					if r.Status == http.StatusOK {
+						served++
+						assert.Check(t, test.leaders == 0 || r.IsComplete(r.id), "%s: %v", r.id, r.Err)
+					}
+				}
+				assert.Check(t, served*100 >= len(responses)*test.served, "%d of %d requests served", served, len(responses))
+				for _, a := range addresses {
+					n := w.PausingArrivals(a)
+					assert.Check(t, n > 0, "%s got no request", a)
+					assert.Check(t, !test.taken || n >= 10, "%s got %d requests, of which it turned one away", a, n)
+					w.SetServerPausing(a, Pausing{})
+				}
+				if !test.retries && test.served == 0 {
+					checkRefusals(t, responses)
+					checkRetryAfter(t, responses, test.pausing.Pause)
+				}
+				time.Sleep(test.pausing.Pause)
+				served = 0
+				after := sendEvery(w, 80*time.Millisecond, 3*time.Second, call)
+				for _, r := range after {
+					if r.Status == http.StatusOK {
+						served++
+					}
+				}
+				assert.Check(t, served*100 >= len(after)*95, "%d of %d requests served after the pauses", served, len(after))
+			})
+		})
+	}
+}
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -103,6 +103,8 @@
 	limits map[string]*announcedLimit
 	// leaving are the backend servers that say that they leave, by address.
 	leaving map[string]*leavingServer
+	// pausing are those that turn requests away with Retry-After, by address.
+	pausing map[string]*pausingServer
 	started time.Time // of the world
 	// crashingParts are the parts of a prompt on which engines crash.
 	crashingParts map[string]bool
@@ -116,7 +118,7 @@
 
 func newSharedState() *sharedState {
 	return &sharedState{engines: map[string]*Engine{}, readyOnce: map[string]bool{}, runs: map[string]int{}, brokenOff: map[string]bool{}, lastWriter: map[string]string{}, endedByOrder: map[string]bool{}, crashingParts: map[string]bool{}, limits: map[string]*announcedLimit{},
-		leaving: map[string]*leavingServer{}, started: time.Now(),
+		leaving: map[string]*leavingServer{}, pausing: map[string]*pausingServer{}, started: time.Now(),
 		crashes: map[string][]time.Time{}, crashingRuns: map[string][]crashingRun{}}
 }
 
@@ -426,7 +428,7 @@
 	s.mu.Lock()
 	e.arrivals++
 	s.announceLimit(w, r, e.addr)
-	if s.announceLeaving(w, r, e.addr) {
+	if s.announceLeaving(w, r, e.addr) || s.askPause(w, r, e.addr) {
 		s.mu.Unlock()
 		return
 	}
--- a/standin/site/plain.go
+++ b/standin/site/plain.go
@@ -105,7 +105,7 @@
 	id := r.Header.Get("X-Carawayproxy-Attempt-Id")
 	s.mu.Lock()
 	s.announceLimit(w, r, p.addr)
-	if s.announceLeaving(w, r, p.addr) {
+	if s.announceLeaving(w, r, p.addr) || s.askPause(w, r, p.addr) {
 		s.mu.Unlock()
 		return
 	}
