routing: a busy group ends the wait sooner than a server's pause

What callers would see: all groups of a service but one were at their limit, and the leader of that one had asked for a pause. The caller was told to come back after the rest of the pause, 4.3 s in one case, although a slot of the other groups becomes free every few tens of milliseconds.

Cause: the wait of a decision was the shortest pause or rate, whatever excluded the other groups. Now a pause counts only if no group is excluded merely by its load; otherwise the caller gets the usual second.

Seen as "want no requests from this daemon now" with Retry-After 3.3 and 4.3 in a test of streams at nine daemons with two of the leaders in a pause. The case "one is at its limit" of TestShortestWaitOfRatesAndPauses failed before with a wait of 9 s.

--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -155,8 +155,11 @@
 // BelowLimit drops groups that have reached their learned concurrency limit.
 type BelowLimit struct{}
 
+// limitFilter is the name of BelowLimit.
+const limitFilter = "limit"
+
 // Name implements Filter.
-func (BelowLimit) Name() string { return "limit" }
+func (BelowLimit) Name() string { return limitFilter }
 
 // Keep implements Filter.
 func (BelowLimit) Keep(_ *Request, c *Candidate) (bool, string) {
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -130,21 +130,25 @@
 
 // filterWithoutSoft adds the candidates that pass every filter that is not a
 // SoftFilter to set. If there are none, it returns the shortest wait of those that
-// only NotPaused and WithinRate drop, zero for no such candidate.
+// only NotPaused and WithinRate drop, zero for no such candidate. A pause counts
+// only if no other candidate is merely busy, which is likely to end sooner.
 func (p Policy) filterWithoutSoft(req *Request, candidates []Candidate, set *candidateSet) (wait time.Duration, paused bool) {
+	busy := false
 	for i := range candidates {
 		c := &candidates[i]
 		name, _, ok := p.firstRejection(req, c, true)
 		switch {
 		case ok:
 			set.kept = append(set.kept, c)
+		case name == limitFilter:
+			busy = true
 		case name == rateFilter || name == pauseFilter:
 			if w := max(c.RateWait, c.PauseWait); wait == 0 || w < wait {
 				wait, paused = w, c.PauseWait >= c.RateWait
 			}
 		}
 	}
-	if len(set.kept) > 0 {
+	if len(set.kept) > 0 || paused && busy {
 		return 0, false
 	}
 	return wait, paused
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -139,7 +139,7 @@
 	// RateWait is set if no candidate is left and some are excluded only by the
 	// request rate that their leaders announce or the pause that they have asked for:
 	// the shortest time until one of them may be sent a request. Paused is set if a
-	// pause determines it.
+	// pause determines it; then none is excluded merely by its load.
 	RateWait time.Duration
 	Paused   bool
 }
