edge: pauses that servers ask for hold behind tunnels, too

What a backend server would see: it asked a daemon for a pause, and got requests from that daemon's machine all the same, sent by daemons that have lost their own links and whose connections lead through it.

Cause: a pause was kept by the daemon that read the answer. Behind a tunnel the server means the daemon that serves it, which can't see the answer; and a daemon that serves tunnels can't see whose requests pass.

The adapter says through which daemon an answer came. Pauses that were asked for through a tunnel, or of a daemon that serves any, are broadcast with the daemon that is meant; it keeps them, and so do the daemons that use tunnels. Others, whose requests the server takes, ignore them. Earlier releases take the broadcast for an old answer of the server and change nothing.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -37,6 +37,9 @@
 type Pause struct {
 	Announced bool
 	Length    time.Duration
+	// Via is the daemon that the server was reached through, and whose requests it
+	// therefore does not want either; empty for none.
+	Via string
 	// Err is why an announced pause is invalid or was bounded, nil if it is valid.
 	Err error
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -360,6 +360,17 @@
 	return out
 }
 
+// Server returns a listed server.
+func (d *Directory) Server(id fleet.InstanceID) (Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	if e == nil {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
 // Len returns how many servers are listed.
 func (d *Directory) Len() int {
 	d.mu.Lock()
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -328,7 +328,7 @@
 	}
 	if pause.Announced {
 		r.d.metrics.pauses.Inc(1)
-		r.d.cfg.Pauses.ObservePause(t.GroupLeader, t.Incarnation, pause.Length, time.Now())
+		r.d.cfg.Pauses.ObservePause(t.GroupLeader, t.Incarnation, pause)
 	}
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -133,7 +133,7 @@
 type Pauses interface {
 	// ObservePause records an answer that asks for a pause. The incarnation is that
 	// which was known when the request was routed.
-	ObservePause(server fleet.InstanceID, incarnation uint64, length time.Duration, now time.Time)
+	ObservePause(server fleet.InstanceID, incarnation uint64, pause backend.Pause)
 }
 
 // Leavers learns that backend servers leave, from what they announce in answers.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -280,7 +280,7 @@
 		StallDetector:  stallAdapter{d.stallDetector},
 		Refusals:       d.refusals,
 		Rates:          d.rates,
-		Pauses:         d.pauses,
+		Pauses:         pauses{d},
 		Leavers:        leavers{d},
 		LinksLost:      d.env.ServerDialer.LostSignal,
 		Daemons:        d.countDaemons,
--- a/internal/edge/leaving.go
+++ b/internal/edge/leaving.go
@@ -14,10 +14,10 @@
 // answers that they leave. No server ID starts with it.
 const leavingKeyPrefix = "leaving/"
 
-// leavingBroadcastAge is the age of the state in a broadcast that a server leaves.
-// Earlier releases take the broadcast for a server's answer about its place. At this
-// age they use only its mark of leaving, and keep the place that they know.
-const leavingBroadcastAge = 24 * time.Hour
+// oldAnswerAge is the age of the server's state in broadcasts that earlier releases
+// take for a server's answer about its place. At this age they use only its mark of
+// leaving, and keep the place that they know.
+const oldAnswerAge = 24 * time.Hour
 
 // leavers implements dispatch.Leavers.
 type leavers struct{ d *Daemon }
@@ -45,7 +45,7 @@
 
 // leavingBody returns the body of the broadcast that a server leaves.
 func leavingBody(s directory.Server) ([]byte, error) {
-	return cbor.Marshal(serverBroadcast{Server: &s, Answered: true, AgeMilli: uint64(leavingBroadcastAge.Milliseconds())})
+	return cbor.Marshal(serverBroadcast{Server: &s, Answered: true, AgeMilli: uint64(oldAnswerAge.Milliseconds())})
 }
 
 // applyLeaving applies a peer's broadcast that a server leaves.
--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -24,15 +24,7 @@
 	older.Leaving, older.Staged, older.Place = true, nil, nil
 	body, err := leavingBody(older)
 	assert.NilError(t, err)
-	var p struct { // the fields that earlier releases decode
-		Server   *directory.Server `cbor:"1,keyasint,omitempty"`
-		Deleted  bool              `cbor:"2,keyasint,omitempty"`
-		Answered bool              `cbor:"3,keyasint,omitempty"`
-		AgeMilli uint64            `cbor:"4,keyasint,omitempty"`
-	}
-	assert.NilError(t, cbor.Unmarshal(body, &p))
-	assert.Assert(t, p.Answered && p.Server != nil && !p.Deleted, "earlier releases log anything else as invalid")
-
+	p := decodeAsEarlierRelease(t, body)
 	d := newIdleDaemon(t).directory
 	now := time.Now()
 	d.Announce(listedServer(), now.Add(-time.Hour))
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -70,7 +70,8 @@
 
 // serverBroadcast is the body of a broadcast: a change of the list, the response
 // of an engine about its own state, a verdict on a request, or a request rate that
-// a backend server announces.
+// a backend server announces. Releases that do not know a field take the body for
+// what the others say, and log it as invalid if they say nothing.
 type serverBroadcast struct {
 	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
 	Deleted  bool              `cbor:"2,keyasint,omitempty"`
@@ -79,6 +80,7 @@
 	AgeMilli uint64           `cbor:"4,keyasint,omitempty"`
 	Verdict  *suspect.Verdict `cbor:"5,keyasint,omitempty"`
 	Rate     *rateBroadcast   `cbor:"6,keyasint,omitempty"`
+	Pause    *pauseBroadcast  `cbor:"7,keyasint,omitempty"`
 }
 
 // isKnown reports whether a body that holds neither a verdict nor a rate is a change
@@ -186,6 +188,10 @@
 			d.applyRate(b, *p.Rate)
 			continue
 		}
+		if err == nil && p.Pause != nil {
+			d.applyPause(b, *p.Pause)
+			continue
+		}
 		if err == nil {
 			err = p.check(b.Version)
 		}
--- a/internal/ratelimit/pauses.go
+++ b/internal/ratelimit/pauses.go
@@ -30,15 +30,15 @@
 	return &Pauses{events: events, until: map[Process]time.Time{}}
 }
 
-// ObservePause records that a server has asked for a pause. A pause that it asked
-// for earlier is not shortened.
-func (p *Pauses) ObservePause(server fleet.InstanceID, incarnation uint64, length time.Duration, now time.Time) {
+// ObservePause records that a server has asked for a pause, and reports whether it
+// lasts longer than those that were known. source says where it was learned.
+func (p *Pauses) ObservePause(server fleet.InstanceID, incarnation uint64, length time.Duration, source string, now time.Time) (longer bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	process, until := Process{server, incarnation}, now.Add(length)
 	known, paused := p.until[process]
 	if paused && !until.After(known) {
-		return
+		return false
 	}
 	for other, end := range p.until {
 		if !now.Before(end) {
@@ -46,10 +46,11 @@
 		}
 	}
 	if !now.Before(known) {
-		p.events.Emit(eventPaused, "instance", server, "incarnation", incarnation, "length", length)
+		p.events.Emit(eventPaused, "instance", server, "incarnation", incarnation, "length", length, "source", source)
 	}
 	p.until[process] = until
 	p.count.Store(int64(len(p.until)))
+	return true
 }
 
 // Wait returns the time until this daemon may send the server a request, zero if it
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -112,6 +112,15 @@
 // Lost reports whether this daemon's own links to the servers are lost.
 func (d *Dialer) Lost() bool { return d.paths.Lost() }
 
+// UsesTunnels reports whether connections lead, or may lead next, through other
+// daemons.
+func (d *Dialer) UsesTunnels() bool {
+	d.mu.Lock()
+	open := len(d.tunnels) > 0
+	d.mu.Unlock()
+	return open || d.paths.Lost()
+}
+
 // LostSignal returns a channel that is closed once the links are lost.
 func (d *Dialer) LostSignal() <-chan struct{} {
 	d.mu.Lock()
--- a/standin/site/announce_test.go
+++ b/standin/site/announce_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -168,6 +169,14 @@
 	assert.Check(t, longest > pause.Seconds(), "the longest Retry-After is %g", longest)
 }
 
+// cutMost makes all daemons but two lose their links to the backend servers.
+func cutMost(w *World) {
+	for _, d := range w.Daemons[2:] {
+		d.LoseLinks(LinksReset)
+	}
+	time.Sleep(2 * time.Second)
+}
+
 // Servers that turned a request away said for how long they want no other one from
 // the same daemon, and got them all the same.
 func TestServerGotRequestsInThePauseThatItAskedFor(t *testing.T) {
@@ -179,6 +188,7 @@
 		pausing         Pausing
 		path            string // of the requests, for plain servers
 		retries         bool   // callers come back
+		daemons         int    // three if zero
 		prepare         func(w *World)
 		// served is the least part of the requests, in percent.
 		served int
@@ -194,10 +204,12 @@
 		{name: "a plain server, one request", plains: 1, path: "/unsafe/x", pausing: Pausing{Pause: 4 * time.Second, Refusals: 1}, served: 95, taken: true},
 		{name: "all plain servers", plains: -1, path: "/unsafe/x", pausing: Pausing{Pause: 2500 * time.Millisecond, Refusals: -1}},
 		{name: "all plain servers, callers that come back", plains: -1, path: "/safe/x", pausing: Pausing{Pause: 800 * time.Millisecond, Refusals: 3}, retries: true, served: 95},
+		{name: "most daemons without links", plains: 1, path: "/safe/x", daemons: 9, pausing: Pausing{Pause: 5 * time.Second, Refusals: -1}, served: 95, prepare: cutMost},
+		{name: "most daemons without links, a leader", leaders: 1, daemons: 9, pausing: Pausing{Pause: 5 * time.Second, Refusals: -1}, served: 95, prepare: cutMost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w, err := New(Options{Daemons: 3, Engines: 24, Plains: 3})
+				w, err := New(Options{Daemons: cmp.Or(test.daemons, 3), Engines: 24, Plains: 3})
 				assert.NilError(t, err)
 				defer time.Sleep(settleTime) // lets pending dials end
 				defer w.Close()
