edge: daemons that start later learn which servers leave

What callers would see: a server says that it leaves and stays for long, or said so by mistake. A daemon that starts more than 30 s later does not know. If it comes to lead, it forms groups with that server, to which the other daemons send nothing.

Cause: broadcasts are forwarded for 30 s, and the mark was broadcast once.

It is repeated while the server is listed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -140,6 +140,20 @@
 	return e.server, true
 }
 
+// Leavers returns the listed servers that have announced in an answer that they
+// leave.
+func (d *Directory) Leavers() []Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Server
+	for id := range d.leavers {
+		if e := d.entries[id]; e != nil && d.hasAnnouncedLeaving(id, e.server.Incarnation) {
+			out = append(out, e.server)
+		}
+	}
+	return out
+}
+
 func (d *Directory) hasAnnouncedLeaving(id fleet.InstanceID, incarnation uint64) bool {
 	l, marked := d.leavers[id]
 	return marked && l.incarnation == incarnation
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -417,6 +417,7 @@
 			assert.Equal(t, d.Leaving("e"), test.want)
 			assert.Equal(t, d.Servers()["e"].Leaving, test.want)
 			assert.Equal(t, d.Instances()["e"].Leaving, test.want)
+			assert.Equal(t, len(d.Leavers()) == 1, test.want)
 			assert.Assert(t, !d.Leaving("other"))
 		})
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -350,6 +350,7 @@
 		d.checkStore,
 		d.detector.Run,
 		d.keepVerdicts,
+		d.repeatLeavers,
 	}
 }
 
--- a/internal/edge/leaving.go
+++ b/internal/edge/leaving.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,12 +36,31 @@
 		return
 	}
 	d.events.Emit(eventServerLeaving, "instance", id, "incarnation", incarnation, "source", source)
+	d.broadcastLeaving(s)
+}
+
+func (d *Daemon) broadcastLeaving(s directory.Server) {
 	body, err := leavingBody(s)
 	if err != nil {
-		d.events.Emit(eventBadRecord, "what", "bulletin", "key", id, "error", err)
+		d.events.Emit(eventBadRecord, "what", "bulletin", "key", s.Instance, "error", err)
 		return
 	}
-	d.mesh.Broadcast([]membership.Broadcast{{Key: leavingKeyPrefix + string(id), Version: max(incarnation, 1), Body: body}})
+	d.mesh.Broadcast([]membership.Broadcast{{Key: leavingKeyPrefix + string(s.Instance), Version: max(s.Incarnation, 1), Body: body}})
+}
+
+// leaversInterval is the time between two broadcasts of the servers that leave. Those
+// whose last broadcast is still being forwarded (30 s) are not sent again.
+const leaversInterval = 10 * time.Second
+
+// repeatLeavers broadcasts the servers that leave for daemons that have started
+// since: if the lease holder did not know of one, it would form groups that the
+// others do not use.
+func (d *Daemon) repeatLeavers(ctx context.Context) {
+	for sleep(ctx, leaversInterval) {
+		for _, s := range d.directory.Leavers() {
+			d.broadcastLeaving(s)
+		}
+	}
 }
 
 // leavingBody returns the body of the broadcast that a server leaves.
--- a/standin/site/announce_test.go
+++ b/standin/site/announce_test.go
@@ -278,3 +278,27 @@
 		})
 	}
 }
+
+// A daemon that started long after a server had said that it leaves did not know,
+// and where it led, formed groups that the other daemons did not use.
+func TestRestartedDaemonDidNotKnowThatAServerLeaves(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		p := w.Plains[0]
+		w.SetServerLeaving(p.addr, false)
+		for n := range 20 {
+			w.Call(w.Daemons[0], http.MethodPost, "/safe/x", fmt.Sprintf("l-%d", n), "", "entry", nil)
+		}
+		_, told := w.LateArrivals(p.addr)
+		assert.Assert(t, told)
+		time.Sleep(time.Minute)
+		w.Daemons[1].Kill()
+		assert.NilError(t, w.Daemons[1].Start(false))
+		time.Sleep(time.Minute)
+		for n := range 20 {
+			r := w.Call(w.Daemons[1], http.MethodPost, "/safe/x", fmt.Sprintf("r-%d", n), "", "entry", nil)
+			assert.Equal(t, r.Status, http.StatusOK)
+		}
+		late, _ := w.LateArrivals(p.addr)
+		assert.Equal(t, late, 0)
+	})
+}
