--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -208,15 +208,20 @@
 
 		attempts: 2,
 	}
+	f.useOpaques(f.streams)
+	return f
+}
+
+// useOpaques replaces the dispatcher by one that forwards to other servers.
+func (f *forwardFixture) useOpaques(servers backend.Opaques) {
 	f.fixture.Dispatcher.Close()
 	f.fixture.Dispatcher = dispatch.New(dispatch.Config{
 		Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, f.recordEvent), Metrics: f.metrics,
-		Router: f.router, Admission: f.admission, CatalogSource: f.catalog, Opaques: f.streams,
+		Router: f.router, Admission: f.admission, CatalogSource: f.catalog, Opaques: servers,
 		Suspects: suspect.NewTracker(suspect.TrackerConfig{Self: "d", Fold: suspect.NewFold()}), StallDetector: fakeStallDetector{f.router, f.links},
 		LinksLost: func() <-chan struct{} { return f.links },
 		Timings:   dispatch.Timings{BackoffBase: time.Millisecond, BackoffMax: time.Millisecond, StallGrace: 100 * time.Millisecond},
 	})
-	return f
 }
 
 func (f *forwardFixture) counter(name string) int64 {
