--- a/internal/dispatch/failover.go
+++ b/internal/dispatch/failover.go
@@ -19,27 +19,27 @@
 // answers the request.
 var errSuperseded = errors.New("another attempt answers the request")
 
-// flight is an attempt of a forwarded request that is under way.
-type flight struct {
+// runningAttempt is an attempt of a forwarded request that is under way.
+type runningAttempt struct {
 	target
 	cancel     context.CancelCauseFunc
 	superseded bool // guarded by forwardedRequest.mu
 }
 
-// takeOff registers an attempt as one that may answer the request.
-func (r *forwardedRequest) takeOff(f *flight) {
+// addRunning registers an attempt as one that may answer the request.
+func (r *forwardedRequest) addRunning(a *runningAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.flights = append(r.flights, f)
+	r.running = append(r.running, a)
 }
 
-// land removes an attempt that has ended.
-func (r *forwardedRequest) land(f *flight) {
+// removeRunning removes an attempt that has ended.
+func (r *forwardedRequest) removeRunning(a *runningAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, other := range r.flights {
-		if other == f {
-			r.flights = append(r.flights[:i], r.flights[i+1:]...)
+	for i, other := range r.running {
+		if other == a {
+			r.running = append(r.running[:i], r.running[i+1:]...)
 			return
 		}
 	}
@@ -47,18 +47,18 @@
 
 // claim lets an attempt answer the request, and ends the others. It returns
 // errSuperseded if another attempt already does. Called with mu held.
-func (r *forwardedRequest) claim(f *flight) error {
-	if f.superseded {
+func (r *forwardedRequest) claim(a *runningAttempt) error {
+	if a.superseded {
 		return errSuperseded
 	}
-	if len(r.flights) > 1 {
-		for _, other := range r.flights {
-			if other != f {
+	if len(r.running) > 1 {
+		for _, other := range r.running {
+			if other != a {
 				other.superseded = true
 				other.cancel(errSuperseded)
 			}
 		}
-		r.flights = append(r.flights[:0], f)
+		r.running = append(r.running[:0], a)
 	}
 	return nil
 }
@@ -83,7 +83,7 @@
 // is under way.
 type attemptWatch struct {
 	r             *forwardedRequest
-	flight        *flight
+	attempt       *runningAttempt
 	streamMonitor StreamMonitor // nil without stall detection
 	cancel        context.CancelFunc
 	done          chan struct{}
@@ -91,10 +91,10 @@
 }
 
 // startWatch starts the watch of an attempt. ctx is the context of the request.
-func (r *forwardedRequest) startWatch(ctx context.Context, f *flight) *attemptWatch {
-	w := &attemptWatch{r: r, flight: f, done: make(chan struct{})}
+func (r *forwardedRequest) startWatch(ctx context.Context, a *runningAttempt) *attemptWatch {
+	w := &attemptWatch{r: r, attempt: a, done: make(chan struct{})}
 	if r.d.cfg.StallDetector != nil && r.req.Stream {
-		w.streamMonitor = r.d.cfg.StallDetector.Attach(f.Group)
+		w.streamMonitor = r.d.cfg.StallDetector.Attach(a.Group)
 	}
 	linksLost := r.linksLost()
 	if isClosed(linksLost) {
@@ -139,7 +139,7 @@
 }
 
 func (w *attemptWatch) recordEvent() {
-	w.flight.progress.recordEvent()
+	w.attempt.progress.recordEvent()
 	if w.streamMonitor != nil {
 		w.streamMonitor.RecordEvent()
 	}
@@ -155,13 +155,13 @@
 // run waits for reasons to doubt the attempt until ctx ends. The successors' context
 // is that of the request.
 func (w *attemptWatch) run(ctx, requestCtx context.Context, linksLost <-chan struct{}) {
-	groupLost := w.r.d.cfg.Router.GroupLost(w.flight.Group, w.flight.Epoch)
+	groupLost := w.r.d.cfg.Router.GroupLost(w.attempt.Group, w.attempt.Epoch)
 	for {
 		doubt, grace := "", w.r.d.cfg.StallGrace
 		select {
 		case <-w.stalled():
 			doubt = doubtStalled
-			if w.flight.progress.lastEventTime().IsZero() {
+			if w.attempt.progress.lastEventTime().IsZero() {
 				grace = 0
 			}
 		case <-groupLost:
@@ -193,7 +193,7 @@
 // doubt is dispelled. It returns false once the watch is over: the attempt or the
 // request has ended, or no further attempt is allowed.
 func (w *attemptWatch) failOver(ctx, requestCtx context.Context, doubt string, grace time.Duration) (goOn bool) {
-	last := w.flight.progress.lastEventTime()
+	last := w.attempt.progress.lastEventTime()
 	for pause := w.r.d.cfg.StallGrace; ; pause *= 2 {
 		if !sleepFor(ctx, grace) {
 			return false
@@ -204,7 +204,7 @@
 		if !w.r.mayFailOver() {
 			return false
 		}
-		if w.r.prepareFailover(ctx, w.flight.target) {
+		if w.r.prepareFailover(ctx, w.attempt.target) {
 			s := w.startSuccessor(requestCtx, doubt, last)
 			select {
 			case <-s.done:
@@ -213,7 +213,7 @@
 				return false
 			}
 			switch {
-			case s.sent && s.cause == nil, w.r.isSuperseded(w.flight):
+			case s.sent && s.cause == nil, w.r.isSuperseded(w.attempt):
 				w.successor = s
 				return false
 			case errors.Is(s.cause, errSuperseded):
@@ -228,13 +228,13 @@
 
 // hasAnswered reports whether the attempt has received an event since the last one.
 func (w *attemptWatch) hasAnswered(last time.Time) bool {
-	return !w.flight.progress.lastEventTime().Equal(last)
+	return !w.attempt.progress.lastEventTime().Equal(last)
 }
 
-func (r *forwardedRequest) isSuperseded(f *flight) bool {
+func (r *forwardedRequest) isSuperseded(a *runningAttempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return f.superseded
+	return a.superseded
 }
 
 // countNeedless counts a successor whose predecessor has gone on.
@@ -279,8 +279,8 @@
 // attempt last received an event: nothing is sent if it has received one since.
 func (w *attemptWatch) startSuccessor(ctx context.Context, doubt string, lastEventAt time.Time) *successor {
 	r := w.r
-	age, silent, events := w.flight.progress.summary(time.Now())
-	r.d.cfg.Events.Emit(eventFailover, "request", r.id, "attempt", w.flight.attempt, "group", w.flight.Group, "doubt", doubt,
+	age, silent, events := w.attempt.progress.summary(time.Now())
+	r.d.cfg.Events.Emit(eventFailover, "request", r.id, "attempt", w.attempt.attempt, "group", w.attempt.Group, "doubt", doubt,
 		"age", age.Round(time.Millisecond), "silent", silent.Round(time.Millisecond), "events", events,
 		"sent", r.sentCount, "allowed", r.maxAttempts(), "next", r.nextDecision.attempt)
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -125,10 +125,10 @@
 	// mu guards the fields below and the relay. An attempt holds it while it writes
 	// to the caller.
 	mu          sync.Mutex
-	flights     []*flight // the attempts that may answer
-	firstByteAt time.Time // when the body of the answer began
-	headerSent  bool      // the caller has received the answer's header
-	lastEventID string    // of the last event that the caller received
+	running     []*runningAttempt // the attempts that may answer
+	firstByteAt time.Time         // when the body of the answer began
+	headerSent  bool              // the caller has received the answer's header
+	lastEventID string            // of the last event that the caller received
 	delivered   streamProgress
 	errorAnswer *bufferedAnswer // the last error answer of a backend server
 }
@@ -260,13 +260,13 @@
 func (r *forwardedRequest) attempt(ctx context.Context, t target) (last target, cause error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	f := &flight{target: t, cancel: cancel}
+	a := &runningAttempt{target: t, cancel: cancel}
 	r.startAttempt(t)
-	r.takeOff(f)
-	w := r.startWatch(ctx, f)
-	cause = preferCancelCause(attemptCtx, r.send(attemptCtx, f, w))
+	r.addRunning(a)
+	w := r.startWatch(ctx, a)
+	cause = preferCancelCause(attemptCtx, r.send(attemptCtx, a, w))
 	next := w.stop()
-	r.land(f)
+	r.removeRunning(a)
 	r.endAttempt(t, attemptFailure(cause))
 	if errors.Is(cause, errSuperseded) {
 		r.logSuperseded(t)
@@ -278,21 +278,21 @@
 }
 
 // send sends an attempt and relays its answer.
-func (r *forwardedRequest) send(ctx context.Context, f *flight, w *attemptWatch) error {
+func (r *forwardedRequest) send(ctx context.Context, a *runningAttempt, w *attemptWatch) error {
 	sentAt := time.Now()
-	ans, err := r.d.cfg.Opaques.Forward(ctx, f.Address, r.message(ctx, f.target))
-	r.observeAnnouncements(f.target, ans, err, sentAt)
+	ans, err := r.d.cfg.Opaques.Forward(ctx, a.Address, r.message(ctx, a.target))
+	r.observeAnnouncements(a.target, ans, err, sentAt)
 	if err != nil {
 		return err
 	}
 	defer ans.Body.Close()
 	if r.d.cfg.Refusals != nil {
-		r.d.cfg.Refusals.Reset(f.Group, f.Epoch)
+		r.d.cfg.Refusals.Reset(a.Group, a.Epoch)
 	}
 	if r.req.Stream && ans.Status/100 == 2 {
-		return r.relayStream(ans, f, w)
+		return r.relayStream(ans, a, w)
 	}
-	return r.relayBuffered(ans, f)
+	return r.relayBuffered(ans, a)
 }
 
 func (r *forwardedRequest) message(ctx context.Context, t target) backend.Opaque {
@@ -330,7 +330,7 @@
 
 // relayBuffered buffers an answer before the caller receives any of it, so that
 // a truncated answer can be retried.
-func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse, f *flight) error {
+func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse, a *runningAttempt) error {
 	if r.hasSentHeader() {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
@@ -347,14 +347,14 @@
 	if r.headerSent {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
-	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable || ans.Status/100 != 2 && len(r.flights) > 1 {
+	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable || ans.Status/100 != 2 && len(r.running) > 1 {
 		r.errorAnswer = answer
 		return errors.Wrapf(errBackendError, "status %d", ans.Status)
 	}
-	if err := r.claim(f); err != nil {
+	if err := r.claim(a); err != nil {
 		return err
 	}
-	f.progress.recordAnswer(ans.Status)
+	a.progress.recordAnswer(ans.Status)
 	return r.deliver(answer)
 }
 
@@ -372,7 +372,7 @@
 // relayStream relays complete events as they arrive. When a stream resumes,
 // the caller keeps the header that it has already received, and gets only events
 // that continue its stream.
-func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, f *flight, w *attemptWatch) error {
+func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, a *runningAttempt, w *attemptWatch) error {
 	placed, err := r.checkContinuation(ans)
 	if err != nil {
 		return err
@@ -382,14 +382,14 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(ans, f, empty)
+			return r.finishStream(ans, a, empty)
 		}
 		if err != nil {
-			r.recordBreak(ans, f, events.isInside())
+			r.recordBreak(ans, a, events.isInside())
 			return err
 		}
 		w.recordEvent()
-		if err := r.relayEvent(ans, f, event, id, placed, events.hasBuffered()); err != nil {
+		if err := r.relayEvent(ans, a, event, id, placed, events.hasBuffered()); err != nil {
 			return err
 		}
 		placed, empty = true, false
@@ -398,16 +398,16 @@
 
 // relayEvent relays the next event of an answer. placed is as in checkEvent, and
 // more as in Relay.WriteBody.
-func (r *forwardedRequest) relayEvent(ans backend.OpaqueResponse, f *flight, event, id []byte, placed, more bool) error {
+func (r *forwardedRequest) relayEvent(ans backend.OpaqueResponse, a *runningAttempt, event, id []byte, placed, more bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f.superseded {
+	if a.superseded {
 		return errSuperseded
 	}
 	if err := r.checkEvent(string(id), placed); err != nil {
 		return err
 	}
-	if err := r.claim(f); err != nil {
+	if err := r.claim(a); err != nil {
 		return err
 	}
 	r.sendHeader(ans)
@@ -435,7 +435,7 @@
 }
 
 // finishStream ends the caller's stream. empty is set if the answer had no event.
-func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse, f *flight, empty bool) error {
+func (r *forwardedRequest) finishStream(ans backend.OpaqueResponse, a *runningAttempt, empty bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if empty {
@@ -443,7 +443,7 @@
 			return err
 		}
 	}
-	if err := r.claim(f); err != nil {
+	if err := r.claim(a); err != nil {
 		return err
 	}
 	r.sendHeader(ans)
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -94,10 +94,10 @@
 
 // recordBreak records what an answer that broke off shows about the events to come.
 // inside is set if it ended within an event.
-func (r *forwardedRequest) recordBreak(ans backend.OpaqueResponse, f *flight, inside bool) {
+func (r *forwardedRequest) recordBreak(ans backend.OpaqueResponse, a *runningAttempt, inside bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !f.superseded && (inside || ans.Header.Get("Content-Length") != "") {
+	if !a.superseded && (inside || ans.Header.Get("Content-Length") != "") {
 		r.delivered.moreDue = true
 	}
 }
