placement: a group that may go on is no source of substitutes

Streams of a domain whose engines had all been silent for 2.5 s were still cut, 2 or 3 of 33 in 2 of 6 runs of TestStreamsOfSilentEnginesWereCut/domain-2.5s-between-events (race detector, six at a time) and in one run of the whole package: a group with requests in flight was dissolved because its members could repair one without any ("its instances repair duo.1.4"). The rule that such a group is left as it is was asked only when the group's own repair was decided.

It is now asked where broken groups are collected, so that one that waits is neither repaired nor taken apart for another, nor has another taken apart for it. TestGroupOfSilentMemberRepairedAnotherGroup failed before with "dissolve of g2: its instances repair g1"; eight runs of the tests of silent engines side by side pass.

The time for which such a group is left is 3 s now: a trace shows engines found down 1.9 s into a silence of a whole domain.

--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -53,7 +53,7 @@
 	// brokenSettle is how long a group with requests in flight and a member that
 	// does not answer is left as it is. A sound engine may be silent for a second or
 	// so, after which its requests go on; they end if a member leaves.
-	brokenSettle = 2200 * time.Millisecond
+	brokenSettle = 3 * time.Second
 	// idlePeriod is how long after the first start loads may exceed the weight
 	// store's rate limit. It is bounded because other daemons may receive
 	// requests before this one does. According to the logs of both sites, the
--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -285,6 +285,19 @@
 	}
 }
 
+// A group with requests in flight and a silent member was dissolved, because its
+// other members could repair a group without requests.
+func TestGroupOfSilentMemberRepairedAnotherGroup(t *testing.T) {
+	f := newModelFixture(0, 2)
+	f.group("g1", "duo", 2, "d0", 1)
+	f.group("g2", "duo", 2, "d0", 1)
+	f.s.InFlight = map[fleet.GroupID]uint32{"g2": 3}
+	planner := NewPlanner(Policy{Spread: true, LocalModelsOnly: true, BrokenSettle: 2 * time.Second, MaxLoads: 64, StoreRate: 64})
+	for _, a := range planner.Plan(f.s, time.Now()) {
+		assert.Assert(t, a.Kind == ActionWait || a.Group.ID != "g2", "%s of %s: %s", a.Kind, a.Group.ID, a.Reason)
+	}
+}
+
 // TestNoGroupWaitsForLoad covers a domain that lost members of each of its groups
 // and whose only free engines would have to load a model. The engines that hold a
 // model must form whole groups at once. None of them waits in a group for a load.
--- a/internal/placement/prober.go
+++ b/internal/placement/prober.go
@@ -28,7 +28,7 @@
 	probeInterval = time.Second
 	// An engine that is down without having ended may only be silent for a moment. It is probed every silentProbeInterval for silentProbePeriod.
 	silentProbeInterval = 100 * time.Millisecond
-	silentProbePeriod   = 3 * time.Second
+	silentProbePeriod   = 4 * time.Second
 	changePollInterval  = 120 * time.Millisecond
 	// lostLinksProbeInterval is the time between probes of an engine while this
 	// daemon's own links are lost.
--- a/internal/placement/repair.go
+++ b/internal/placement/repair.go
@@ -20,6 +20,8 @@
 		case !c.broken() || c.wanted == nil || c.draining():
 		case r.hasUnknownMembers(c):
 			r.wait(c, "members that are not known yet may return")
+		case r.mayStillServe(c):
+			r.wait(c, "the lost members may be silent, or reached by other daemons")
 		default:
 			broken = append(broken, c)
 		}
@@ -47,10 +49,6 @@
 
 // repairGroup chooses and applies an option for a broken group.
 func (r *round) repairGroup(c *groupState, broken []*groupState) {
-	if r.mayStillServe(c) {
-		r.wait(c, "the lost members may be silent, or reached by other daemons")
-		return
-	}
 	if r.localOnly() && !r.snap.LogDown && r.substitutes(c) == nil {
 		if !r.preempt(c) {
 			r.dissolve(c, "no instance in its fabric domain can complete it soon, "+r.describeDomain(c))
