dispatch: an engine's refusal of a request ends it beside a silent attempt

With a silent first attempt, a second one's final answer that is no success, such as 404, was kept back until the first one had ended: callers got it at their deadline. It now answers the request like any other complete answer; only 5xx answers of requests that may be repeated still leave the decision to the attempts that run. TestErrorAnswerWaitedForASilentServer failed before: no answer within the 8 s deadline.

In Generate, a notice of a stall or a lost group that came late, after the next attempt had begun, could plan another attempt and end one that had ended already. It is now dropped once the attempt's context has ended; read, not seen.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -347,7 +347,7 @@
 	if r.headerSent {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
-	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable || ans.Status/100 != 2 && len(r.running) > 1 {
+	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable {
 		r.errorAnswer = answer
 		return errors.Wrapf(errBackendError, "status %d", ans.Status)
 	}
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -43,6 +43,7 @@
 	breakAfter  int
 	headerDelay time.Duration
 	withoutIDs  bool // events have no ids
+	status      int  // of an answer that is no stream; zero for a stream
 }
 
 // scriptedStreams are groups that answer with event streams according to a
@@ -69,6 +70,9 @@
 	if script.refuse {
 		return backend.OpaqueResponse{}, &backend.RefusedError{Status: http.StatusServiceUnavailable}
 	}
+	if script.status != 0 {
+		return backend.OpaqueResponse{Status: script.status, Body: io.NopCloser(strings.NewReader("text"))}, nil
+	}
 	from, _ := strconv.Atoi(o.ResumeAfter)
 	r, w := io.Pipe()
 	s.mu.Lock()
@@ -285,6 +289,24 @@
 	}
 }
 
+// A server's refusal of the request itself was held back until the silent server of
+// an earlier attempt had answered.
+func TestErrorAnswerWaitedForASilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardFixture(2, map[string]streamScript{"g0": {silence: time.Minute}, "g1": {status: http.StatusNotFound}})
+		defer f.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		began, relay := time.Now(), &recordingRelay{}
+		failure := f.stream(ctx, relay)
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, relay.status, http.StatusNotFound)
+		assert.Assert(t, time.Since(began) < time.Second, "answered after %s", time.Since(began))
+		synctest.Wait()
+		assert.NilError(t, f.checkReleased())
+	})
+}
+
 // After an event without an id no other answer can be joined to a stream. Attempts
 // that could only be dropped reached a second server.
 func TestStreamWithoutIDsWasSentToASecondServer(t *testing.T) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -208,12 +208,12 @@
 	go func() {
 		select {
 		case <-r.d.cfg.Router.GroupLost(t.Group, t.Epoch):
-			r.move(cancel, t, errGroupLost)
+			r.move(ctx, cancel, t, errGroupLost)
 		case <-ctx.Done():
 		}
 	}()
 	return time.AfterFunc(r.firstTokenTimeout(t), func() {
-		for received := r.chunks.Load(); !r.move(cancel, t, errStalled); {
+		for received := r.chunks.Load(); !r.move(ctx, cancel, t, errStalled); {
 			if !sleepFor(ctx, r.d.cfg.StallTimeout) || r.chunks.Load() != received {
 				return
 			}
@@ -221,11 +221,12 @@
 	})
 }
 
-// move ends an attempt for a cause if another one can be planned.
-func (r *generation) move(cancel context.CancelCauseFunc, t target, cause error) bool {
+// move ends an attempt, whose context is ctx, for a cause if another one can be
+// planned.
+func (r *generation) move(ctx context.Context, cancel context.CancelCauseFunc, t target, cause error) bool {
 	r.planning.Lock()
 	defer r.planning.Unlock()
-	if r.moving || !r.prepareMove(t) {
+	if ctx.Err() != nil || r.moving || !r.prepareMove(t) {
 		return false
 	}
 	r.moving = true
