--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -16,6 +16,7 @@
 
 	"carawayproxy.example/caraway/internal/daemon"
 	"carawayproxy.example/caraway/internal/edge"
+	"carawayproxy.example/caraway/internal/hangup"
 	"carawayproxy.example/caraway/internal/httpx"
 	"carawayproxy.example/caraway/internal/reach"
 	"carawayproxy.example/caraway/internal/settings"
@@ -104,10 +105,8 @@
 	if err != nil {
 		return nil, err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		for range hangups {
+		for range hangup.Signals {
 			d.LogSettingsChanged()
 		}
 	}()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -283,8 +283,9 @@
 
 // linkPolicies maps the values of the peer-links setting to policies.
 var linkPolicies = map[string]membership.LinkPolicy{
-	"full":    membership.FullMesh{},
-	"bounded": membership.Bounded{},
+	settings.LinksAuto:    membership.FullMesh{},
+	settings.LinksFull:    membership.FullMesh{},
+	settings.LinksBounded: membership.Bounded{},
 }
 
 // Stream numbers of the random generators, one for each consumer.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -238,12 +238,29 @@
 	}
 }
 
-// ListUnavailable records that the list can't be read.
-func (d *Directory) ListUnavailable(now time.Time) {
+// ListUnavailable records that the list can't be read, and since when that may be so.
+func (d *Directory) ListUnavailable(since time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unavailableSince.IsZero() {
-		d.unavailableSince = now
+		d.unavailableSince = since
+	}
+}
+
+// InReturnGrace reports whether servers that drop off the list may return.
+func (d *Directory) InReturnGrace(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inReturnGrace(now)
+}
+
+// BeginReturnGrace records that an outage of the list has just ended, of which only
+// another daemon knows.
+func (d *Directory) BeginReturnGrace(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.inReturnGrace(now) {
+		d.recoveredAt = now
 	}
 }
 
--- a/internal/edge/adapters.go
+++ b/internal/edge/adapters.go
@@ -87,7 +87,8 @@
 // Heartbeat implements membership.Source.
 func (d *Daemon) Heartbeat() membership.Heartbeat {
 	ready, _ := d.Ready()
-	work, requests := d.demand.busyGroups(time.Now())
+	now := time.Now()
+	work, requests := d.demand.busyGroups(now)
 	sightings, acquittals := d.detector.Evidence()
 	return membership.Heartbeat{
 		Ready:            ready,
@@ -105,6 +106,7 @@
 		WorkRequests:     requests,
 		Renewal:          d.elector.LastRenewal(),
 		LinksLost:        d.env.ServerDialer.Lost(),
+		DocumentReadAge:  d.documentReadAge(now),
 		StoreUnavailable: d.storeUnavailable.Load() || d.groupController.HoldsLease() && d.elector.LogUnavailable(),
 	}
 }
@@ -176,15 +178,17 @@
 	return out
 }
 
-// countDaemons returns the number of daemons that share the groups.
+// countDaemons returns the number of daemons that share the groups: those that this
+// daemon hears, or as many as one of them hears.
 func (d *Daemon) countDaemons() int {
-	n := 1
+	n, heard := 1, 0
 	for _, p := range d.mesh.View().Peers {
 		if p.Alive && !p.Heartbeat.Draining {
 			n++
+			heard = max(heard, p.Heartbeat.Daemons)
 		}
 	}
-	return n
+	return max(n, heard)
 }
 
 // retryFraction is the fraction of the allowed retries of all daemons that is
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,9 +43,9 @@
 type Platform struct {
 	Documents feed.Source[*routes.Document]
 	Servers   feed.Source[directory.Server]
-	Daemons   feed.Source[string]
-	// Announce publishes the address of this daemon to the other daemons.
-	Announce func(ctx context.Context, name, address string) error
+	Daemons   feed.Source[membership.Endpoint]
+	// Announce publishes the endpoint of this daemon to the other daemons.
+	Announce func(ctx context.Context, name string, e membership.Endpoint) error
 	// Claims returns the log in which daemons claim a scope of control work.
 	Claims    func(scope lease.Scope) lease.ClaimLog
 	Verdicts  VerdictStore
@@ -115,6 +115,7 @@
 	hasServerList atomic.Bool  // the complete list of backend servers was read
 	listReadAt    atomic.Int64 // time of the last read of the list, in nanoseconds since started
 	holderSeenAt  atomic.Int64 // time another daemon last reported holding the lease, in nanoseconds since started
+	isFitSince    atomic.Int64 // time this daemon was last fit to hold the lease, or no other, in nanoseconds since started
 	// storeUnavailable is set until the store first responds to this daemon, and
 	// during outages. peersAtStoreContact is the number of peers with a recent
 	// heartbeat when the store last responded.
@@ -123,6 +124,8 @@
 	// by Env.Elapsed.
 	peersAtStoreContact, outageConfirmedAt atomic.Int64
 	positions                              listPositions
+	listNews                               listNews
+	documentReadAsOf                       atomic.Int64  // time as of which this daemon last read the document, in nanoseconds since started
 	broadcastCount                         atomic.Uint64 // number of engine responses that this daemon has broadcast
 	demand                                 demandMeter
 	addresses                              addressBook
@@ -183,10 +186,13 @@
 		OnUnresponsive: d.onPeerEnginesUnresponsive,
 		OnStalled:      d.onPeerGroupsStalled,
 		OnBroadcasts:   d.onBroadcasts,
+		ListPosition:   func(relayed bool) *membership.ListPosition { return d.listNews.position(relayed, time.Now()) },
+		OnListPosition: d.onListPosition,
 		OnSightings:    func(s []suspect.Sighting) { d.detector.Observe(s, nil) },
 		OnAcquittals:   func(a []suspect.Acquittal) { d.detector.Observe(nil, a) },
 		Loads:          func() map[fleet.GroupID]uint32 { return d.store.InFlight() },
 		Policy:         linkPolicies[d.settings.PeerLinks],
+		Processors:     d.settings.Processors,
 		Events:         d.events,
 		Metrics:        d.metrics,
 	})
@@ -240,6 +246,7 @@
 		IsPredecessor:      d.isFormerProcess,
 		IsCandidate:        d.isCandidate,
 		OutageConfirmed:    d.isOutageConfirmed,
+		ShouldYield:        d.shouldYield,
 		MaxOutageExtension: maxHoldInOutage,
 		NotifyPeers:        d.mesh.SendHeartbeat,
 		Elapsed:            d.env.Elapsed,
@@ -292,13 +299,11 @@
 	})
 }
 
-// boundedLinks is the value of the peer-links setting for daemons that link to
-// some of the others only.
-const boundedLinks = "bounded"
-
+// linkPolicies maps the values of the peer-links setting to policies.
 var linkPolicies = map[string]membership.LinkPolicy{
-	"full":       membership.FullMesh{},
-	boundedLinks: membership.Bounded{},
+	settings.LinksAuto:    membership.Hubs{},
+	settings.LinksFull:    membership.FullMesh{},
+	settings.LinksBounded: membership.Bounded{},
 }
 
 // Run serves until ctx is canceled, which stops everything immediately, or until
@@ -405,3 +410,7 @@
 	listener net.Listener
 	server   *http.Server
 }
+
+// LinksToAll reports whether this daemon has links to all others, as far as it knows
+// them.
+func (d *Daemon) LinksToAll() bool { return d.mesh.IsHub() }
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -22,15 +22,18 @@
 	return member != string(d.id) && settings.InstanceName(fleet.DaemonID(member)) == d.settings.Name
 }
 
-// isCandidate reports whether this daemon may claim the scope. Daemons that
+// isCandidate reports whether this daemon may claim the scope. A daemon without links
+// to all others may do so only if it hears none that has them: it might not hear the
+// holder, and would not know the counts that the control work needs. Daemons that
 // receive each other's heartbeats become candidates one after another. Daemons
 // with more processors come first, because the control work grows with the
 // number of backend servers and would take processor time from the requests on a
 // small machine. Among equals the order is by hash, independent of zones and
 // addresses.
 func (d *Daemon) isCandidate() bool {
-	ahead, hasHolder, hasOlder := 0, false, false
+	ahead, hasHolder, hasOlder, hearsHub := 0, false, false, false
 	d.anyRecentPeer(func(p membership.Peer) bool {
+		hearsHub = hearsHub || d.mesh.IsHubAt(p.Heartbeat.Address)
 		if !p.Heartbeat.Draining && d.claimsBefore(p.Heartbeat) {
 			ahead++
 		}
@@ -44,6 +47,9 @@
 		d.holderSeenAt.Store(int64(now))
 		return false
 	}
+	if !d.mesh.IsHub() && (hearsHub || now < startupPeriod) {
+		return false
+	}
 	wait := time.Duration(ahead) * claimStagger
 	if now < startupPeriod && hasOlder {
 		wait += startupClaimDelay
@@ -67,7 +73,7 @@
 	wait := storeCheckInterval
 	for sleep(ctx, wait) {
 		wait = storeCheckInterval
-		if d.storeUnavailable.Load() || !d.anyRecentPeer(func(p membership.Peer) bool { return p.Heartbeat.StoreUnavailable }) {
+		if d.storeUnavailable.Load() || !d.mesh.IsHub() || !d.anyRecentPeer(func(p membership.Peer) bool { return p.Heartbeat.StoreUnavailable }) {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, storeCheckTimeout)
@@ -85,14 +91,16 @@
 	}
 }
 
-// isOutageConfirmed reports whether all daemons with a recent heartbeat report
-// the store as unavailable, and they are at least half as many as when the store
-// last responded to this daemon. It also returns true for outageEndGrace
-// afterwards. Daemons that see this daemon as the lease holder do not claim the
-// scope when the store recovers.
+// isOutageConfirmed reports whether all daemons with a recent heartbeat that may
+// claim the scope report the store as unavailable, and they are at least half as many
+// as when the store last responded to this daemon. It also returns true for
+// outageEndGrace afterwards. Daemons that see this daemon as the lease holder do not
+// claim the scope when the store recovers.
 func (d *Daemon) isOutageConfirmed() bool {
 	now := d.env.Elapsed()
-	answered := d.anyRecentPeer(func(p membership.Peer) bool { return !p.Heartbeat.StoreUnavailable })
+	answered := d.anyRecentPeer(func(p membership.Peer) bool {
+		return !p.Heartbeat.StoreUnavailable && d.mesh.IsHubAt(p.Heartbeat.Address)
+	})
 	if !answered && 2*int64(d.countRecentPeers()) >= d.peersAtStoreContact.Load() {
 		d.outageConfirmedAt.Store(int64(now))
 		return true
@@ -100,12 +108,32 @@
 	return now-time.Duration(d.outageConfirmedAt.Load()) < outageEndGrace
 }
 
-// countRecentPeers returns the number of peers with a recent heartbeat.
+// countRecentPeers returns the number of peers with a recent heartbeat that may claim
+// the scope.
 func (d *Daemon) countRecentPeers() int {
 	n := 0
-	d.anyRecentPeer(func(membership.Peer) bool {
-		n++
+	d.anyRecentPeer(func(p membership.Peer) bool {
+		if d.mesh.IsHubAt(p.Heartbeat.Address) {
+			n++
+		}
 		return false
 	})
 	return n
 }
+
+// yieldAfter is how long a holder without links to all others keeps the scope once it
+// hears a daemon that has them.
+const yieldAfter = 3 * time.Second
+
+// shouldYield reports whether this daemon, which holds the scope, should leave it to a
+// daemon that has links to all others.
+func (d *Daemon) shouldYield() bool {
+	now := time.Since(d.started)
+	if d.mesh.IsHub() || !d.anyRecentPeer(func(p membership.Peer) bool {
+		return d.mesh.IsHubAt(p.Heartbeat.Address) && !p.Heartbeat.StoreUnavailable && !p.Heartbeat.Draining
+	}) {
+		d.isFitSince.Store(int64(now))
+		return false
+	}
+	return now-time.Duration(d.isFitSince.Load()) > yieldAfter
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -17,25 +17,21 @@
 )
 
 const (
-	// documentPollTimeout and serversPollTimeout are the long-poll durations. A
-	// read whose response is lost is aborted soon after. For the document this
-	// must happen within the 2 s in which a new version has to take effect.
-	documentPollTimeout = 1200 * time.Millisecond
-	serversPollTimeout  = 3 * time.Second
 	// serversInterval is the time between two reads of the list at a daemon that
 	// reads it for others, and holderServersInterval the time at the lease
 	// holder, which forms groups. Each read returns all changes since the
 	// previous one.
 	serversInterval       = 400 * time.Millisecond
 	holderServersInterval = 200 * time.Millisecond
-	// relayedServersInterval is the time between two reads of the list while
-	// another daemon broadcasts its changes. These reads compensate for lost
-	// broadcasts, and for a reader that the store rejects, within the limit of
-	// 2 s for noticing that a server has left.
-	relayedServersInterval = 1500 * time.Millisecond
+	// documentInterval is the least time between two reads of the document.
+	documentInterval = 200 * time.Millisecond
 	// daemonsPollTimeout is the long-poll duration for the list of daemons.
-	daemonsPollTimeout = 10 * time.Second
-	daemonsInterval    = 1500 * time.Millisecond
+	// daemonsInterval is the least time between two reads, and daemonsIntervalShare
+	// what each known daemon adds to it once this one has started, so that restarts
+	// do not make each of many daemons read each of their addresses.
+	daemonsPollTimeout   = 30 * time.Second
+	daemonsInterval      = 1500 * time.Millisecond
+	daemonsIntervalShare = 50 * time.Millisecond
 	// announceRetryDelay is the delay after a failed announcement.
 	announceRetryDelay = 500 * time.Millisecond
 )
@@ -47,12 +43,15 @@
 		}
 	}
 	f := feed.Follower[*routes.Document]{
-		Source:  d.env.Platform.Documents,
-		MaxWait: documentPollTimeout,
+		Source:      d.env.Platform.Documents,
+		Wait:        func() time.Duration { return d.pollTimeout(documentPollTimeout) },
+		Due:         d.isDocumentDue,
+		MinInterval: func() time.Duration { return documentInterval },
 		Sink: feed.Sink[*routes.Document]{
 			OnSnapshot: func(items []feed.Item[*routes.Document], _ uint64) { apply(items) },
 			OnChanges:  apply,
-			OnRead: func(time.Time) {
+			OnRead: func(r feed.Read) {
+				d.documentReadAsOf.Store(int64(r.AsOf.Sub(d.started)))
 				if d.storeUnavailable.Swap(false) {
 					d.elector.RenewNow()
 				}
@@ -82,22 +81,39 @@
 	}
 }
 
+// pollTimeout returns how long a read may wait for a change: a reader polls, others
+// catch up.
+func (d *Daemon) pollTimeout(reader time.Duration) time.Duration {
+	if d.readsForOthers() {
+		return reader
+	}
+	return 0
+}
+
 func (d *Daemon) followServers(ctx context.Context) {
+	broadcast := false // whether the changes of the present read were broadcast
 	f := feed.Follower[directory.Server]{
 		Source:      d.env.Platform.Servers,
-		MaxWait:     serversPollTimeout,
+		Wait:        func() time.Duration { return d.pollTimeout(readerPollTimeout) },
+		Due:         d.isListDue,
 		MinInterval: d.serversReadInterval,
 		Sink: feed.Sink[directory.Server]{
-			OnSnapshot: d.applyServerList, OnChanges: d.applyServerChanges,
-			OnRead: func(at time.Time) {
-				d.listReadAt.Store(int64(at.Sub(d.started)))
-				if outage := d.directory.ListRead(at); outage > 0 {
-					d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond))
+			OnSnapshot: d.applyServerList,
+			OnChanges: func(items []feed.Item[directory.Server]) {
+				broadcast = d.applyServerChanges(items)
+			},
+			OnRead: func(r feed.Read) {
+				if r.Next == r.From {
+					broadcast = d.readsForOthers() // there was nothing to broadcast
 				}
+				d.listNews.recordRead(r, broadcast)
+				broadcast = false
+				d.listReadAt.Store(int64(r.At.Sub(d.started)))
+				d.recordListKnown(r.At)
 			},
 			OnError: func(err error) {
 				if !errors.Is(err, feed.ErrGap) { // with a gap, the store did respond
-					d.directory.ListUnavailable(time.Now())
+					d.directory.ListUnavailable(d.listNews.knownAsOf(time.Now()))
 				}
 				d.events.Emit(eventStoreFailed, "what", "list of backend servers", "error", err)
 			},
@@ -106,23 +122,30 @@
 	f.Run(ctx)
 }
 
+// recordListKnown records that this daemon's copy of the list is current.
+func (d *Daemon) recordListKnown(now time.Time) {
+	if outage := d.directory.ListRead(now); outage > 0 {
+		d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond))
+	}
+}
+
 func (d *Daemon) applyServerList(items []feed.Item[directory.Server], next uint64) {
 	now := time.Now()
 	listed := map[fleet.InstanceID]bool{}
 	for _, item := range items {
 		listed[fleet.InstanceID(item.Key)] = !item.Deleted
 	}
-	d.applyServerChanges(items)
+	d.updateDirectory(items)
 	d.positions.setBase(next)
 	d.directory.Retain(listed, now)
 	d.hasServerList.Store(true)
 }
 
-func (d *Daemon) applyServerChanges(items []feed.Item[directory.Server]) {
+// applyServerChanges applies changes that this daemon has read. It reports whether all
+// of them were broadcast to the other daemons.
+func (d *Daemon) applyServerChanges(items []feed.Item[directory.Server]) bool {
 	d.updateDirectory(items)
-	if d.isReader() {
-		d.broadcastChanges(items)
-	}
+	return d.readsForOthers() && d.broadcastChanges(items)
 }
 
 // updateDirectory applies changes of the list that this daemon read or that a
@@ -150,61 +173,75 @@
 	}
 }
 
-// addressBook holds the addresses of the other daemons.
+// addressBook holds the endpoints of the other daemons.
 type addressBook struct {
 	mu        sync.Mutex
-	addresses map[string]string // daemon name to address
+	endpoints map[string]membership.Endpoint // by daemon name
 }
 
-// update applies addresses that were read; complete is set if they are those of
-// all daemons. A daemon whose address can't be read keeps its last one.
-func (b *addressBook) update(items []feed.Item[string], complete bool) []membership.Endpoint {
+// update applies endpoints that were read; complete is set if they are those of
+// all daemons. A daemon whose endpoint can't be read keeps its last one.
+func (b *addressBook) update(items []feed.Item[membership.Endpoint], complete bool) []membership.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.addresses
-	if complete || b.addresses == nil {
-		b.addresses = map[string]string{}
+	before := b.endpoints
+	if complete || b.endpoints == nil {
+		b.endpoints = map[string]membership.Endpoint{}
 	}
 	for _, item := range items {
 		last, known := before[item.Key]
 		switch {
 		case item.Deleted:
-			delete(b.addresses, item.Key)
+			delete(b.endpoints, item.Key)
 		case item.Err == nil:
-			b.addresses[item.Key] = item.Value
+			b.endpoints[item.Key] = item.Value
 		case known:
-			b.addresses[item.Key] = last
+			b.endpoints[item.Key] = last
 		}
 	}
 	var out []membership.Endpoint
-	for _, name := range slices.Sorted(maps.Keys(b.addresses)) {
-		out = append(out, membership.Endpoint{Address: b.addresses[name]})
+	for _, name := range slices.Sorted(maps.Keys(b.endpoints)) {
+		out = append(out, b.endpoints[name])
 	}
 	return out
 }
 
-// names returns the names of the daemons that have an address.
+// names returns the names of the daemons that have an endpoint.
 func (b *addressBook) names() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Collect(maps.Keys(b.addresses))
+	return slices.Collect(maps.Keys(b.endpoints))
+}
+
+func (b *addressBook) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.endpoints)
+}
+
+// daemonsReadInterval is the least time between two reads of the list of daemons.
+func (d *Daemon) daemonsReadInterval() time.Duration {
+	if time.Since(d.started) < startupPeriod {
+		return daemonsInterval
+	}
+	return max(daemonsInterval, time.Duration(d.addresses.len())*daemonsIntervalShare)
 }
 
 func (d *Daemon) followDaemons(ctx context.Context) {
-	f := feed.Follower[string]{
+	f := feed.Follower[membership.Endpoint]{
 		Source:      d.env.Platform.Daemons,
 		MaxWait:     daemonsPollTimeout,
-		MinInterval: func() time.Duration { return daemonsInterval },
-		Sink: feed.Sink[string]{
-			OnSnapshot: func(items []feed.Item[string], _ uint64) { d.applyAddresses(items, true) },
-			OnChanges:  func(items []feed.Item[string]) { d.applyAddresses(items, false) },
+		MinInterval: d.daemonsReadInterval,
+		Sink: feed.Sink[membership.Endpoint]{
+			OnSnapshot: func(items []feed.Item[membership.Endpoint], _ uint64) { d.applyAddresses(items, true) },
+			OnChanges:  func(items []feed.Item[membership.Endpoint]) { d.applyAddresses(items, false) },
 			OnError:    func(err error) { d.events.Emit(eventStoreFailed, "what", "daemons", "error", err) },
 		},
 	}
 	f.Run(ctx)
 }
 
-func (d *Daemon) applyAddresses(items []feed.Item[string], complete bool) {
+func (d *Daemon) applyAddresses(items []feed.Item[membership.Endpoint], complete bool) {
 	for _, item := range items {
 		if item.Err != nil {
 			d.skipBadRecord("daemons", item.Key, item.Position, item.Err)
@@ -220,10 +257,11 @@
 	d.events.Emit(eventBadRecord, "what", what, "key", key, "position", position, "error", err)
 }
 
-// announce publishes this daemon's address once. It retries until it succeeds.
+// announce publishes this daemon's endpoint once. It retries until it succeeds.
 func (d *Daemon) announce(ctx context.Context) {
+	self := membership.Endpoint{Address: d.peerAddress(), Zone: fleet.Zone(d.settings.Zone), Processors: d.settings.Processors}
 	for {
-		err := d.env.Platform.Announce(ctx, d.settings.Name, d.peerAddress())
+		err := d.env.Platform.Announce(ctx, d.settings.Name, self)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
--- a/internal/edge/links.go
+++ b/internal/edge/links.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -30,11 +31,13 @@
 		Servers:     d.serverAddresses,
 		ServerCount: d.directory.Len,
 		OnLost: func() {
+			d.mesh.LinkAlso(d.moreTunnelAddresses())
 			d.stallDetector.Reset()
 			drop()
 			d.mesh.RequestHeartbeat()
 		},
 		OnBack: func() {
+			d.mesh.LinkAlso(nil)
 			drop()
 			d.mesh.RequestHeartbeat()
 		},
@@ -48,6 +51,34 @@
 // over their links.
 func newTunnelKey() string { return crand.Text() }
 
+// moreTunnels is the number of daemons besides the hubs that a daemon without links to
+// the servers links to, so that not only the hubs carry its connections.
+const moreTunnels = 8
+
+// moreTunnelAddresses returns the addresses of random daemons, those of this daemon's
+// zone first.
+func (d *Daemon) moreTunnelAddresses() []string {
+	endpoints := d.mesh.Endpoints()
+	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	own := fleet.Zone(d.settings.Zone)
+	slices.SortStableFunc(endpoints, func(a, b membership.Endpoint) int {
+		switch {
+		case (a.Zone == own) == (b.Zone == own):
+			return 0
+		case a.Zone == own:
+			return -1
+		}
+		return 1
+	})
+	var addresses []string
+	for _, e := range endpoints {
+		if e.Address != d.peerAddress() && len(addresses) < moreTunnels {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	return addresses
+}
+
 // tunnelPeers returns the daemons that have their links to the backend servers, in
 // random order, those of this daemon's zone first.
 func (d *Daemon) tunnelPeers() []reach.Peer {
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -60,7 +60,7 @@
 // address.
 func (d *Daemon) daemonsSharingRates() []fleet.DaemonID {
 	names := map[fleet.DaemonID]bool{}
-	if d.settings.PeerLinks == boundedLinks {
+	if !d.mesh.LinksAll() {
 		for _, name := range d.addresses.names() {
 			names[fleet.DaemonID(name)] = true
 		}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -14,23 +14,9 @@
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
-// All daemons share the store's call limit. Therefore only a few daemons read
-// the list of backend servers frequently: the lease holder, and daemons that
-// know of no other reader. They broadcast the changes to the other daemons.
-
-const (
-	// maxHeartbeatAge is the maximum age of the heartbeat of a peer that this
-	// daemon relies on: almost two heartbeat intervals.
-	maxHeartbeatAge = 900 * time.Millisecond
-	// maxListAge is the maximum time since a reader's last read of the list. It
-	// includes the duration of a long poll.
-	maxListAge = serversPollTimeout + time.Second
-)
-
-// hasReaderPeer reports whether another daemon broadcasts changes of the list.
-func (d *Daemon) hasReaderPeer() bool {
-	return d.anyRecentPeer(func(p membership.Peer) bool { return p.Heartbeat.IsReader })
-}
+// maxHeartbeatAge is the maximum age of the heartbeat of a peer that this daemon
+// relies on: almost two heartbeat intervals.
+const maxHeartbeatAge = 900 * time.Millisecond
 
 func (d *Daemon) anyRecentPeer(match func(membership.Peer) bool) bool {
 	now := time.Now()
@@ -42,30 +28,11 @@
 	return false
 }
 
-// isReader reports whether this daemon reads the list for others. Of two readers
-// that receive each other's heartbeats, the one with the lower ID remains the
-// reader, unless the other one holds the lease.
-func (d *Daemon) isReader() bool {
-	if !d.hasServerList.Load() || time.Since(d.started)-time.Duration(d.listReadAt.Load()) > maxListAge {
-		return false
-	}
-	if d.groupController.HoldsLease() {
-		return true
-	}
-	return !d.anyRecentPeer(func(p membership.Peer) bool {
-		return p.Heartbeat.IsReader && (p.Heartbeat.HoldsScope || p.Heartbeat.From < d.id)
-	})
-}
-
 func (d *Daemon) serversReadInterval() time.Duration {
-	switch {
-	case d.groupController.HoldsLease():
+	if d.groupController.HoldsLease() {
 		return holderServersInterval
-	case !d.isReader() && d.hasReaderPeer():
-		return relayedServersInterval
-	default:
-		return serversInterval
 	}
+	return serversInterval
 }
 
 // serverBroadcast is the body of a broadcast: a change of the list, the response
@@ -81,6 +48,11 @@
 	Verdict  *suspect.Verdict `cbor:"5,keyasint,omitempty"`
 	Rate     *rateBroadcast   `cbor:"6,keyasint,omitempty"`
 	Pause    *pauseBroadcast  `cbor:"7,keyasint,omitempty"`
+	// Unreadable is set if the newest entry of the list can't be read.
+	Unreadable bool `cbor:"8,keyasint,omitempty"`
+	// MayReturn is set for a server that dropped off the list during an outage of the
+	// store, or shortly after one.
+	MayReturn bool `cbor:"9,keyasint,omitempty"`
 }
 
 // isKnown reports whether a body that holds neither a verdict nor a rate is a change
@@ -89,7 +61,7 @@
 func (p serverBroadcast) isKnown(key string) bool {
 	switch {
 	case p.Server == nil:
-		return p.Deleted
+		return p.Deleted || p.Unreadable
 	case p.Answered:
 		id := string(p.Server.Instance)
 		return !p.Deleted && (key == answerKeyPrefix+id || key == leavingKeyPrefix+id)
@@ -135,15 +107,19 @@
 	d.mesh.Broadcast([]membership.Broadcast{{Key: answerKeyPrefix + string(s.Instance), Version: version, Body: body}})
 }
 
-// broadcastChanges broadcasts changes of the list to all daemons.
-func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server]) {
+// broadcastChanges broadcasts changes of the list to all daemons. It returns false if
+// there are too many to send them all.
+func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server]) bool {
 	var broadcasts []membership.Broadcast
+	mayReturn := d.directory.InReturnGrace(time.Now())
 	for _, item := range items {
-		if item.Err != nil {
-			continue // every reader of the list logs the error itself
-		}
-		p := serverBroadcast{Deleted: item.Deleted}
-		if !item.Deleted {
+		p := serverBroadcast{Deleted: item.Deleted, MayReturn: item.Deleted && mayReturn}
+		switch {
+		case item.Err != nil && item.Key == "":
+			continue // it concerns no known server
+		case item.Err != nil:
+			p.Unreadable = true
+		case !item.Deleted:
 			p.Server = &item.Value
 		}
 		body, err := cbor.Marshal(p)
@@ -153,9 +129,12 @@
 		}
 		broadcasts = append(broadcasts, membership.Broadcast{Key: item.Key, Version: item.Position + 1, Body: body})
 	}
-	d.mesh.Broadcast(broadcasts)
+	return d.mesh.Broadcast(broadcasts)
 }
 
+// errUnreadableEntry is the error of an entry of the list that a peer could not read.
+var errUnreadableEntry = errors.New("a peer could not read the entry")
+
 // maxAnswerAgeMilli bounds the age of an engine's response that a peer broadcasts,
 // which overflows a duration otherwise. It is many times a response's use.
 const maxAnswerAgeMilli = uint64(24 * time.Hour / time.Millisecond)
@@ -215,6 +194,12 @@
 			continue
 		}
 		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Deleted: p.Deleted, Age: b.Age()}
+		if p.Unreadable {
+			item.Err = errUnreadableEntry
+		}
+		if p.Deleted && p.MayReturn {
+			d.directory.BeginReturnGrace(time.Now())
+		}
 		if p.Server != nil {
 			item.Value = *p.Server
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,12 +42,24 @@
 	// position next. OnChanges receives the changes after it.
 	OnSnapshot func(items []Item[T], next uint64)
 	OnChanges  func(items []Item[T])
-	// OnRead is called after each successful read and OnError after each error;
-	// both may be nil.
-	OnRead  func(at time.Time)
+	// OnRead is called after each successful read, and after the methods above, and
+	// OnError after each error; both may be nil.
+	OnRead  func(r Read)
 	OnError func(err error)
 }
 
+// Read is a successful read.
+type Read struct {
+	// Complete is set for a read of all values, which From is not known of. Otherwise
+	// the read returned the changes from position From on. Next is the position that
+	// follows.
+	Complete   bool
+	From, Next uint64
+	// At is when the read ended. AsOf is a time at which the source certainly ended
+	// at Next or later, before At.
+	At, AsOf time.Time
+}
+
 // Follower keeps a sink up to date with a source.
 type Follower[T any] struct {
 	Source Source[T]
@@ -55,8 +67,13 @@
 	// MinInterval returns the minimum time between the starts of two reads, for
 	// sources whose changes need not be read one by one; nil for no minimum.
 	MinInterval func() time.Duration
-	// MaxWait is how long one read may wait for a change.
+	// MaxWait is how long one read may wait for a change, and Wait, if set, returns
+	// it for the next read.
 	MaxWait time.Duration
+	Wait    func() time.Duration
+	// Due, if set, reports whether changes should be read now. It is called every
+	// intervalCheckEvery.
+	Due func() bool
 }
 
 // intervalCheckEvery is how often the follower checks whether the next read may
@@ -77,18 +94,24 @@
 	synced := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		following := synced
+		if following {
+			f.waitUntilDue(ctx)
+		}
+		read := Read{Complete: !following, From: position}
 		began := time.Now()
 		var err error
-		following := synced
-		if !synced {
-			position, err = f.readAll(ctx)
+		if !following {
+			read.AsOf = began
+			read.Next, err = f.readAll(ctx)
 			synced = err == nil
 		} else {
-			position, err = f.readChanges(ctx, position)
+			read.Next, read.AsOf, err = f.readChanges(ctx, position)
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		position = read.Next
 		if err != nil {
 			if errors.Is(err, ErrGap) {
 				synced = false
@@ -102,7 +125,8 @@
 			backoff = minBackoff
 		}
 		if f.Sink.OnRead != nil {
-			f.Sink.OnRead(time.Now())
+			read.At = time.Now()
+			f.Sink.OnRead(read)
 		}
 		f.waitInterval(ctx, began)
 	}
@@ -129,15 +153,31 @@
 	return next, nil
 }
 
-func (f *Follower[T]) readChanges(ctx context.Context, from uint64) (uint64, error) {
-	items, next, err := f.Source.Since(ctx, from, f.MaxWait)
+// readChanges reads the changes from a position on. It returns the next position and
+// a time at which the source certainly ended there or later.
+func (f *Follower[T]) readChanges(ctx context.Context, from uint64) (next uint64, asOf time.Time, err error) {
+	wait := f.MaxWait
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
+	began := time.Now()
+	items, next, err := f.Source.Since(ctx, from, wait)
 	if err != nil {
-		return from, err
+		return from, began, err
 	}
 	if len(items) > 0 {
 		f.Sink.OnChanges(items)
 	}
-	return next, nil
+	if next == from && time.Since(began) >= wait {
+		return next, began.Add(wait), nil // the source had waited that long for a change
+	}
+	return next, began, nil
+}
+
+func (f *Follower[T]) waitUntilDue(ctx context.Context) {
+	for f.Due != nil && ctx.Err() == nil && !f.Due() {
+		f.sleep(ctx, intervalCheckEvery)
+	}
 }
 
 func (f *Follower[T]) reportError(err error) {
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -27,6 +27,9 @@
 	// IsCandidate reports whether this daemon should claim the scope while the
 	// scope has no holder. Nil means always.
 	IsCandidate func() bool
+	// ShouldYield reports whether this daemon, which holds the scope, should leave it
+	// to others for now. Nil means never.
+	ShouldYield func() bool
 	// OutageConfirmed reports whether all daemons that could claim the scope
 	// have recently reported that the log is unavailable to them too. While it
 	// returns true, a hold whose renewals fail is extended, by at most
@@ -255,6 +258,8 @@
 	e.mu.Unlock()
 	switch {
 	case !due:
+	case holding && e.cfg.ShouldYield != nil && e.cfg.ShouldYield():
+		e.yield(ctx)
 	case holding:
 		e.write(ctx)
 	case e.cfg.IsCandidate != nil && !e.cfg.IsCandidate():
@@ -263,6 +268,20 @@
 	}
 }
 
+// yield ends the hold and writes a record, so that other daemons need not wait for it
+// to expire.
+func (e *Elector) yield(ctx context.Context) {
+	e.mu.Lock()
+	end, term := e.end, e.term
+	e.loseHold()
+	e.tailKnown, e.lastCallAt = false, e.cfg.Elapsed()
+	e.mu.Unlock()
+	if err := e.cfg.Log.Write(ctx, end, ClaimEntry{Term: term, TTL: e.cfg.TTL}); err != nil {
+		e.cfg.Events.Emit(eventShareFailed, "scope", e.cfg.Scope, "error", err)
+	}
+	e.notifyPeers()
+}
+
 // claimable reports whether the last holder's hold has expired or was released.
 func (e *Elector) claimable() bool {
 	e.mu.Lock()
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -61,9 +61,11 @@
 
 // Config configures a Mesh.
 type Config struct {
-	Self        fleet.DaemonID
-	Address     string // of the peer listener, "ip:port"
-	Zone        fleet.Zone
+	Self    fleet.DaemonID
+	Address string // of the peer listener, "ip:port"
+	Zone    fleet.Zone
+	// Processors is the number of cores that this daemon may use.
+	Processors  float64
 	Incarnation uint64
 	// TunnelKey is sent to each peer when a link opens; see Heartbeat.TunnelKey.
 	TunnelKey string
@@ -92,6 +94,13 @@
 	// OnBroadcasts receives each broadcast item of a peer once. It may be nil
 	// and must not block.
 	OnBroadcasts func([]Broadcast)
+	// ListPosition returns how far this daemon's broadcasts cover the list of backend
+	// servers or, if relayed is set, those of all daemons that it has received; nil if
+	// it is not known. OnListPosition receives such a position of a peer, after the
+	// broadcasts, and as of when the list certainly ended there or later. They may be
+	// nil and must not block.
+	ListPosition   func(relayed bool) *ListPosition
+	OnListPosition func(p ListPosition, asOf time.Time)
 	// OnStalled receives the groups at which a peer's streams have stalled. It
 	// may be nil and must not block.
 	OnStalled func([]fleet.GroupID)
--- a/internal/membership/connect.go
+++ b/internal/membership/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/coder/websocket"
@@ -77,7 +78,8 @@
 	defer tick.Stop()
 	for {
 		m.mu.Lock()
-		chosen := m.chosenAddresses()
+		m.updateTopology()
+		chosen := append(slices.Clone(m.topology.Load().chosen), m.extra...)
 		m.mu.Unlock()
 		m.adjustDialers(ctx, stops, chosen)
 		select {
@@ -237,6 +239,7 @@
 func (m *Mesh) sendHello(ctx context.Context, conn *websocket.Conn) error {
 	frame, err := encode(&helloMessage{
 		From: m.cfg.Self, Address: m.cfg.Address, Zone: m.cfg.Zone, Incarnation: m.cfg.Incarnation, TunnelKey: m.cfg.TunnelKey,
+		WantsTotals: m.wantsTotals(),
 	})
 	if err != nil {
 		return err
@@ -244,6 +247,12 @@
 	return writeFrame(ctx, conn, frame, &m.meters)
 }
 
+// wantsTotals reports whether this daemon reads totalsMessages. Hubs get none.
+func (m *Mesh) wantsTotals() bool {
+	_, ok := m.cfg.Policy.(Hubs)
+	return ok
+}
+
 // exchangeMessages sends and receives until either fails or ctx ends.
 func (m *Mesh) exchangeMessages(ctx context.Context, l *link) error {
 	written := make(chan error, 1)
--- a/internal/membership/dictionary.go
+++ b/internal/membership/dictionary.go
@@ -56,6 +56,15 @@
 	return n[i], nil
 }
 
+// add adds the names of a message.
+func (n *nameList) add(names []string) error {
+	if len(*n)+len(names) > maxNames {
+		return errTooManyNames
+	}
+	*n = append(*n, names...)
+	return nil
+}
+
 // wirePosition is a StreamPosition with its stream's number.
 type wirePosition struct {
 	_        struct{} `cbor:",toarray"`
@@ -80,10 +89,9 @@
 
 // unpack adds a message's names to the list and returns its positions and loads.
 func (n *nameList) unpack(b *heartbeatMessage) (map[journal.Stream]StreamPosition, map[fleet.GroupID]uint32, error) {
-	if len(*n)+len(b.Names) > maxNames {
-		return nil, nil, errTooManyNames
+	if err := n.add(b.Names); err != nil {
+		return nil, nil, err
 	}
-	*n = append(*n, b.Names...)
 	streams := make(map[journal.Stream]StreamPosition, len(b.Streams))
 	for _, p := range b.Streams {
 		name, err := n.get(p.Stream)
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,15 +9,22 @@
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
-// maxGossipItems bounds the items of each kind that are forwarded at a time.
-// Beyond it, new items are still processed by this daemon but not forwarded.
-const maxGossipItems = 2048
+// Bounds of the items of each kind that are forwarded at a time. Beyond them, new
+// items are still processed by this daemon but not forwarded. There are broadcasts
+// for each backend server; maxItems bounds those in one message.
+const (
+	maxGossipItems = 2048
+	maxBroadcasts  = maxItems
+)
 
 // gossipItem is a leaving instance, a sighting, an acquittal or a broadcast item.
 type gossipItem struct {
 	number    uint64 // in order of arrival, to track what was sent on a link
 	at        time.Time
 	from      fleet.DaemonID // peer that sent it, empty for this daemon's source
+	relayed   bool           // the peer had it from another daemon
+	replaced  bool           // by a later item of the same key
+	leaving   fleet.InstanceID
 	sighting  *suspect.Sighting
 	acquittal *suspect.Acquittal
 	broadcast *Broadcast
@@ -26,6 +34,9 @@
 // peer that sent it. It is not safe for concurrent use.
 type gossipBuffer struct {
 	lastNumber uint64
+	// order holds the items by number, so that what is new on a link costs no look
+	// at the others.
+	order      []*gossipItem
 	leaving    map[fleet.InstanceID]*gossipItem
 	sightings  map[[16]byte]*gossipItem
 	acquittals map[[16]byte]*gossipItem
@@ -35,11 +46,23 @@
 	// for acquittals on a new link, whose peer may have started after their daemon
 	// has ended. It would know the deaths and not the survivals.
 	forwardsPeers bool
+	// relay, if set, decides in place of forwardsPeers which peers' items this
+	// daemon passes on.
+	relay relayRule
 	// ownLeaving holds the instances that this daemon's source listed last, so
 	// that an instance that stays listed is added only once.
 	ownLeaving map[fleet.InstanceID]bool
 }
 
+// relayRule decides which items of peers a daemon passes on.
+type relayRule interface {
+	// passesOn reports whether an item of a peer is passed on to another one.
+	passesOn(item *gossipItem, to fleet.DaemonID) bool
+	// teaches reports whether a peer that has just linked gets what this daemon
+	// knows of deaths from all daemons.
+	teaches(to fleet.DaemonID) bool
+}
+
 func newGossipBuffer(forwardsPeers bool) *gossipBuffer {
 	return &gossipBuffer{
 		forwardsPeers: forwardsPeers,
@@ -105,7 +128,9 @@
 		return false
 	}
 	if len(b.leaving) < maxGossipItems {
-		b.leaving[id] = b.newItem(at, from)
+		item := b.newItem(at, from)
+		item.leaving = id
+		b.leaving[id] = item
 	}
 	return true
 }
@@ -136,27 +161,53 @@
 	return true
 }
 
-// addBroadcasts adds broadcast items and returns the new ones.
-func (b *gossipBuffer) addBroadcasts(now time.Time, from fleet.DaemonID, broadcasts []Broadcast) []Broadcast {
-	var added []Broadcast
+// addBroadcasts adds broadcast items and returns the new ones. An item of this
+// daemon that a peer has sent before becomes its own, so that peers that do not
+// hear that one get it. All is false if there was no room to send some of them.
+func (b *gossipBuffer) addBroadcasts(now time.Time, from fleet.DaemonID, broadcasts []Broadcast) (added []Broadcast, all bool) {
+	all = true
 	for _, broadcast := range broadcasts {
 		old := b.broadcasts[broadcast.Key]
-		if old != nil && old.broadcast.Version >= broadcast.Version {
+		adopts := old != nil && from == "" && old.from != "" && old.broadcast.Version == broadcast.Version
+		if old != nil && old.broadcast.Version >= broadcast.Version && !adopts {
 			continue
 		}
-		added = append(added, broadcast)
-		if old != nil || len(b.broadcasts) < maxGossipItems {
-			item := b.newItem(now.Add(-broadcast.Age()), from)
-			item.broadcast = &broadcast
-			b.broadcasts[broadcast.Key] = item
+		if !adopts {
+			added = append(added, broadcast)
 		}
+		if old == nil && len(b.broadcasts) >= maxBroadcasts {
+			all = false
+			continue
+		}
+		if old != nil {
+			old.replaced = true
+		}
+		item := b.newItem(now.Add(-broadcast.Age()), from)
+		item.broadcast = &broadcast
+		b.broadcasts[broadcast.Key] = item
 	}
-	return added
+	return added, all
 }
 
 func (b *gossipBuffer) newItem(at time.Time, from fleet.DaemonID) *gossipItem {
 	b.lastNumber++
-	return &gossipItem{number: b.lastNumber, at: at, from: from}
+	item := &gossipItem{number: b.lastNumber, at: at, from: from}
+	b.order = append(b.order, item)
+	return item
+}
+
+// markRelayed marks the items numbered above last as those that their sender had
+// from other daemons.
+func (b *gossipBuffer) markRelayed(last uint64) {
+	for _, item := range b.after(last) {
+		item.relayed = true
+	}
+}
+
+// after returns the items numbered above last.
+func (b *gossipBuffer) after(last uint64) []*gossipItem {
+	i := sort.Search(len(b.order), func(i int) bool { return b.order[i].number > last })
+	return b.order[i:]
 }
 
 // expire removes items older than their retention.
@@ -181,38 +232,64 @@
 			delete(b.broadcasts, key)
 		}
 	}
+	b.order = slices.DeleteFunc(b.order, func(item *gossipItem) bool {
+		retention := gossipRetention
+		if item.sighting != nil || item.acquittal != nil {
+			retention = evidenceRetention
+		}
+		return item.replaced || now.Sub(item.at) >= retention
+	})
 }
 
 // itemsAfter returns a message to a peer with the items numbered above last, which is
-// zero for a new link, nil if there are none.
+// zero for a new link, nil if there are none. With a relay rule, it holds no items of
+// peers but the evidence that a new link needs; see relayedAfter.
 func (b *gossipBuffer) itemsAfter(now time.Time, last uint64, to fleet.DaemonID) *gossipMessage {
-	if last == b.lastNumber {
+	isNew := last == 0 && (b.relay == nil || b.relay.teaches(to))
+	return b.message(now, last, to, func(item *gossipItem) bool {
+		switch {
+		case item.from == "" || isNew && (item.sighting != nil || item.acquittal != nil):
+			return true
+		case b.relay != nil:
+			return false
+		}
+		return b.forwardsPeers || item.leaving != "" || item.sighting != nil
+	})
+}
+
+// relayedAfter returns a message with the peers' items numbered above last that this
+// daemon passes on to a peer, nil if there are none. It is the same for all peers to
+// which the same items are passed on: it may return items to their sender.
+func (b *gossipBuffer) relayedAfter(now time.Time, last uint64, to fleet.DaemonID) *gossipMessage {
+	if b.relay == nil {
 		return nil
 	}
+	msg := b.message(now, last, "", func(item *gossipItem) bool { return item.from != "" && b.relay.passesOn(item, to) })
+	if msg != nil {
+		msg.Relayed = true
+	}
+	return msg
+}
+
+// message returns a message to a peer with the items numbered above last that match,
+// nil if there are none. If to is not empty, nothing is sent back to its sender.
+func (b *gossipBuffer) message(now time.Time, last uint64, to fleet.DaemonID, match func(item *gossipItem) bool) *gossipMessage {
 	msg := &gossipMessage{}
-	for id, item := range b.leaving {
-		if item.number > last && item.from != to {
-			msg.Leaving = append(msg.Leaving, leavingItem{
-				Instance: id, AgeMilli: ceilMillis(now.Sub(item.at)),
-			})
+	for _, item := range b.after(last) {
+		if item.replaced || to != "" && item.from == to || !match(item) {
+			continue
 		}
-	}
-	for _, item := range b.sightings {
-		if item.number > last && item.from != to {
+		switch {
+		case item.sighting != nil:
 			msg.Sightings = append(msg.Sightings, newSightingItem(now, item.sighting))
-		}
-	}
-	for _, item := range b.acquittals {
-		if item.number > last && item.from != to && (item.from == "" || b.forwardsPeers || last == 0) {
+		case item.acquittal != nil:
 			msg.Acquittals = append(msg.Acquittals, newAcquittalItem(now, item.acquittal))
-		}
-	}
-	for _, item := range b.broadcasts {
-		own := item.from == ""
-		if item.number > last && item.from != to && (own || b.forwardsPeers) {
+		case item.broadcast != nil:
 			broadcast := *item.broadcast
 			broadcast.AgeMilli = ceilMillis(now.Sub(item.at))
 			msg.Broadcasts = append(msg.Broadcasts, broadcast)
+		default:
+			msg.Leaving = append(msg.Leaving, leavingItem{Instance: item.leaving, AgeMilli: ceilMillis(now.Sub(item.at))})
 		}
 	}
 	if len(msg.Leaving)+len(msg.Sightings)+len(msg.Acquittals)+len(msg.Broadcasts) == 0 {
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -19,6 +19,7 @@
 		if endsLink(frame) {
 			return err
 		}
+		l.gossipMissed = l.gossipMissed || messageType(frame[1]) == typeGossip
 		return nil
 	}
 	switch b := body.(type) {
@@ -26,6 +27,8 @@
 		return m.handleHeartbeat(l, b)
 	case *loadMessage:
 		return m.handleLoad(l, b)
+	case *totalsMessage:
+		return m.handleTotals(l, b)
 	case *gossipMessage:
 		m.handleGossip(l, b)
 	case *goodbyeMessage:
@@ -56,6 +59,10 @@
 		ConfigRevision: b.ConfigRevision, Streams: streams,
 		HoldsScope: b.HoldsScope, IsReader: b.IsReader, Renewal: b.Renewal, StoreUnavailable: b.StoreUnavailable,
 		Processors: b.Processors, Work: work, WorkRequests: b.WorkRequests, LinksLost: b.LinksLost,
+		Daemons: int(b.Daemons), DocumentReadAge: -1,
+	}
+	if b.DocumentAge > 0 {
+		h.DocumentReadAge = boundedMillis(b.DocumentAge - 1)
 	}
 	timing := l.recordReceived(now, b)
 	if err := m.handleReports(l, b, timing.sentAt); err != nil {
@@ -95,7 +102,7 @@
 // changesState reports whether a peer's heartbeat tells another state than its
 // last one, which should not wait for the next regular update of the view.
 func changesState(before, h Heartbeat) bool {
-	return before.Incarnation != h.Incarnation || before.Ready != h.Ready || before.Draining != h.Draining || before.HoldsScope != h.HoldsScope ||
+	return before.Incarnation != h.Incarnation || before.ConfigRevision != h.ConfigRevision || before.Ready != h.Ready || before.Draining != h.Draining || before.HoldsScope != h.HoldsScope ||
 		before.IsReader != h.IsReader || before.StoreUnavailable != h.StoreUnavailable || before.LinksLost != h.LinksLost
 }
 
@@ -128,8 +135,12 @@
 
 func (m *Mesh) handleGossip(l *link, b *gossipMessage) {
 	m.mu.Lock()
+	last := m.gossip.lastNumber
 	leaving, sightings, acquittals := m.gossip.addFromPeer(time.Now(), l.peer.From, b)
-	broadcasts := m.gossip.addBroadcasts(time.Now(), l.peer.From, b.Broadcasts)
+	broadcasts, _ := m.gossip.addBroadcasts(time.Now(), l.peer.From, b.Broadcasts)
+	if b.Relayed {
+		m.gossip.markRelayed(last)
+	}
 	m.viewStale = true
 	m.mu.Unlock()
 	m.notify(leaving, sightings)
@@ -139,6 +150,12 @@
 	if len(broadcasts) > 0 && m.cfg.OnBroadcasts != nil {
 		m.cfg.OnBroadcasts(broadcasts)
 	}
+	if b.List == nil || m.cfg.OnListPosition == nil || l.gossipMissed {
+		return
+	}
+	if sentAt := l.timingOf(time.Now(), b.Echo).sentAt; !sentAt.IsZero() {
+		m.cfg.OnListPosition(*b.List, sentAt.Add(-b.List.Age()))
+	}
 }
 
 func (m *Mesh) notify(leaving []fleet.InstanceID, sightings []suspect.Sighting) {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -19,6 +19,7 @@
 		}
 		if m.cfg.Loads != nil {
 			m.sendLoads(time.Now())
+			m.sendTotals(time.Now())
 		}
 		m.tick(n%ticksPerHeartbeat == 0)
 		select {
@@ -48,6 +49,7 @@
 	m.gossip.addOwn(now, h.Leaving, h.Sightings, h.Acquittals)
 	m.sequence++
 	h.Sequence = m.sequence
+	h.Daemons = m.countDaemons(now)
 	for _, l := range m.links {
 		if err := l.sendHeartbeat(now, h); err != nil {
 			l.cancel(err)
@@ -89,9 +91,7 @@
 		m.resumedAt = now
 	}
 	m.tickedAt = now
-	for _, l := range m.links {
-		m.sendGossip(now, l)
-	}
+	m.sendGossip(now)
 	if full {
 		m.gossip.expire(now)
 		for _, id := range m.table.expire(now) {
@@ -103,23 +103,129 @@
 	}
 }
 
-// sendGossip sends the items that were not sent on the link yet. Called with mu
-// held.
-func (m *Mesh) sendGossip(now time.Time, l *link) {
-	items := m.gossip.itemsAfter(now, l.gossipSent, l.peer.From)
-	last := m.gossip.lastNumber
-	if items == nil {
-		l.gossipSent = last
-		return
+// listPositionInterval is the least time between two positions of the list on a link
+// without other news.
+const listPositionInterval = 250 * time.Millisecond
+
+// sendGossip sends each peer the items that were not sent on its link yet, and how far
+// the list is covered by them. Called with mu held.
+func (m *Mesh) sendGossip(now time.Time) {
+	round := gossipRound{now: now, frames: map[frameKey][]byte{}}
+	if m.cfg.ListPosition != nil {
+		round.author, round.relayed = m.cfg.ListPosition(false), m.cfg.ListPosition(true)
+	}
+	for _, l := range m.links {
+		if err := m.sendGossipTo(l, round); err != nil {
+			m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
+		}
+	}
+}
+
+// gossipRound is what one round of gossip sends on all links.
+type gossipRound struct {
+	now time.Time
+	// frames holds the encoded messages, which are the same for most links. Absent
+	// ones are nil.
+	frames map[frameKey][]byte
+	// author and relayed are the positions of the list that this daemon's own
+	// broadcasts, and those of all daemons, cover; nil if they are not known.
+	author, relayed *ListPosition
+}
+
+// frameKey identifies an encoded message: of this daemon's own items or of relayed
+// ones, for a peer that this daemon serves or for another one, after the last item
+// sent before.
+type frameKey struct {
+	relayed, served bool
+	last            uint64
+}
+
+// encode returns the frame of a message, which is the same for all links with the key.
+func (r gossipRound) encode(key frameKey, message func() *gossipMessage) ([]byte, error) {
+	frame, known := r.frames[key]
+	if known {
+		return frame, nil
+	}
+	if msg := message(); msg != nil {
+		var err error
+		if frame, err = encode(msg); err != nil {
+			return nil, err
+		}
+	}
+	r.frames[key] = frame
+	return frame, nil
+}
+
+func (m *Mesh) sendGossipTo(l *link, round gossipRound) error {
+	last, to := m.gossip.lastNumber, l.peer.From
+	sendsOwn, serves := m.sendsOwn(to), m.servesPeer(to)
+	position := l.listPosition(round, sendsOwn, serves)
+	if l.gossipSent == last && (position == nil || round.now.Sub(l.listSentAt) < listPositionInterval) {
+		return nil
 	}
-	frame, err := encode(items)
+	var frames [][]byte
+	add := func(frame []byte, err error) error {
+		if frame != nil {
+			frames = append(frames, frame)
+		}
+		return err
+	}
+	if sendsOwn {
+		key, message := frameKey{false, serves, l.gossipSent}, func() *gossipMessage { return m.gossip.itemsAfter(round.now, l.gossipSent, to) }
+		var err error
+		if m.gossip.relay != nil {
+			err = add(round.encode(key, message))
+		} else if msg := message(); msg != nil { // it depends on the peer
+			err = add(encode(msg))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	err := add(round.encode(frameKey{true, serves, l.gossipSent}, func() *gossipMessage { return m.gossip.relayedAfter(round.now, l.gossipSent, to) }))
 	if err != nil {
-		m.cfg.Events.Emit(eventBadMessage, "peer", l.peer.From, "err", err)
-		return
+		return err
+	}
+	if position != nil { // last, since it covers the others
+		if err := add(encode(&gossipMessage{List: position, Echo: l.echo(round.now)})); err != nil {
+			return err
+		}
+	}
+	if len(l.out)+len(frames) > cap(l.out) {
+		l.meters.dropped.Inc(1)
+		return nil // all are sent later
+	}
+	for _, frame := range frames {
+		if !l.send(frame) {
+			l.cancel(errCongested)
+		}
+	}
+	l.gossipSent = last
+	if position != nil {
+		l.listSentAt = round.now
+	}
+	return nil
+}
+
+// listPosition returns the position of the list to send on a link, nil for none. Items
+// of this daemon are sent on the link if sendsOwn is set, and those of others if relays
+// is. Changes before the first position were not sent on it.
+func (l *link) listPosition(round gossipRound, sendsOwn, relays bool) *ListPosition {
+	var p ListPosition
+	switch {
+	case relays && round.relayed != nil:
+		p = *round.relayed
+	case sendsOwn && round.author != nil:
+		p = *round.author
+	default:
+		l.listKnown = false
+		return nil
 	}
-	if l.send(frame) {
-		l.gossipSent = last
+	if !l.listKnown {
+		l.listSince, l.listKnown = p.Next, true
 	}
+	p.Since = max(p.Since, l.listSince)
+	return &p
 }
 
 // Goodbye notifies the peers that this daemon is about to stop. They remove it
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -34,6 +34,11 @@
 	receivedSequence uint64
 	sent             [sentHistory]sentHeartbeat
 	gossipSent       uint64 // number of the last gossip item sent
+	// listSince is the position of the list from which on its changes are sent on this
+	// link, once listKnown is set, and listSentAt when a position was last sent.
+	listSince  uint64
+	listKnown  bool
+	listSentAt time.Time
 
 	sentNames     *nameTable // used by one goroutine at a time
 	receivedNames nameList   // used by the reader only
@@ -45,6 +50,11 @@
 	unresponsiveSent map[fleet.InstanceID]bool
 	stalledSent      map[fleet.GroupID]bool
 	loadSent         map[fleet.GroupID]uint32
+	totalsSent       map[fleet.GroupID]uint32 // in totalsMessages
+	// totals holds the peer's totals, used by the reader only. gossipMissed is set
+	// once gossip of the peer could not be decoded.
+	totals       map[fleet.GroupID]uint32
+	gossipMissed bool
 }
 
 // errCongested closes a link whose peer does not read fast enough.
@@ -117,6 +127,10 @@
 		Echo: l.echo(now), Sequence: h.Sequence, Ready: h.Ready, Draining: h.Draining,
 		ConfigRevision: h.ConfigRevision, HoldsScope: h.HoldsScope, IsReader: h.IsReader,
 		Renewal: h.Renewal, StoreUnavailable: h.StoreUnavailable, Processors: h.Processors, LinksLost: h.LinksLost,
+		Daemons: uint32(h.Daemons),
+	}
+	if h.DocumentReadAge >= 0 {
+		b.DocumentAge = ceilMillis(h.DocumentReadAge) + 1
 	}
 	l.sentNames.packReports(&b, now, h.Reports, l.reportsSent)
 	b.Unresponsive = packNew(l.sentNames, h.Unresponsive, l.unresponsiveSent)
@@ -167,11 +181,23 @@
 	defer l.mu.Unlock()
 	l.receivedAt = now
 	l.receivedSequence = b.Sequence
-	s := l.sent[b.Echo.Sequence%sentHistory]
-	if b.Echo.Sequence == 0 || s.sequence != b.Echo.Sequence {
+	return l.timing(now, b.Echo)
+}
+
+// timingOf returns the bounds from the echo of a message that is no heartbeat.
+func (l *link) timingOf(now time.Time, e Echo) echoTiming {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.timing(now, e)
+}
+
+// timing returns the bounds from an echo. Called with mu held.
+func (l *link) timing(now time.Time, e Echo) echoTiming {
+	s := l.sent[e.Sequence%sentHistory]
+	if e.Sequence == 0 || s.sequence != e.Sequence {
 		return echoTiming{}
 	}
-	sentAt := s.at.Add(boundedMillis(b.Echo.HeldMilli))
+	sentAt := s.at.Add(boundedMillis(e.HeldMilli))
 	if sentAt.After(now) {
 		sentAt = now
 	}
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"maps"
 	"sync"
 
 	"carawayproxy.example/caraway/internal/fleet"
@@ -76,19 +75,3 @@
 		delete(l.total, group)
 	}
 }
-
-// PeerInFlight returns the number of requests that live peers have in flight on a
-// group.
-func (m *Mesh) PeerInFlight(id fleet.GroupID) uint32 {
-	m.loads.mu.Lock()
-	defer m.loads.mu.Unlock()
-	return m.loads.total[id]
-}
-
-// AllPeersInFlight returns the number of requests that live peers have in flight
-// on each group that has any.
-func (m *Mesh) AllPeersInFlight() map[fleet.GroupID]uint32 {
-	m.loads.mu.Lock()
-	defer m.loads.mu.Unlock()
-	return maps.Clone(m.loads.total)
-}
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -20,6 +20,9 @@
 	view               atomic.Pointer[View]
 	heartbeatRequested atomic.Bool // send the next heartbeat early
 	loadsSentAt        time.Time   // last sendLoads, used by runHeartbeats only
+	totalsSentAt       time.Time   // last sendTotals, used by runHeartbeats only
+	totals             atomic.Pointer[totals]
+	topology           atomic.Pointer[topology]
 	// heartbeatReceived wakes the relay after a heartbeat.
 	heartbeatReceived chan struct{}
 	// endpointsChanged wakes runDialers after a change of the known endpoints.
@@ -29,6 +32,7 @@
 	running   context.Context // nil while Run is not running
 	tasks     sync.WaitGroup
 	endpoints []Endpoint
+	extra     []string // addresses to dial besides the chosen ones
 	links     map[fleet.DaemonID]*link
 	table     *table
 	loads     *peerLoads
@@ -56,6 +60,7 @@
 		gossip:            newGossipBuffer(!full),
 	}
 	m.view.Store(&View{Peers: map[fleet.DaemonID]Peer{}})
+	m.updateTopology()
 	return m
 }
 
@@ -123,6 +128,7 @@
 func (m *Mesh) SetEndpoints(endpoints []Endpoint) {
 	m.mu.Lock()
 	m.endpoints = append([]Endpoint(nil), endpoints...)
+	m.updateTopology()
 	m.mu.Unlock()
 	wake(m.endpointsChanged)
 }
@@ -134,30 +140,17 @@
 	}
 }
 
-// chosenAddresses returns the addresses to dial. Called with mu held.
-func (m *Mesh) chosenAddresses() []string {
-	zones := map[string]fleet.Zone{}
-	for _, p := range m.table.peers {
-		zones[p.Heartbeat.Address] = p.Heartbeat.Zone
-	}
-	known := make([]Endpoint, len(m.endpoints))
-	for i, e := range m.endpoints {
-		if e.Zone == "" {
-			e.Zone = zones[e.Address]
-		}
-		known[i] = e
-	}
-	return m.cfg.Policy.Choose(m.self(), known)
+func (m *Mesh) self() Endpoint {
+	return Endpoint{Address: m.cfg.Address, Zone: m.cfg.Zone, Processors: m.cfg.Processors}
 }
 
-func (m *Mesh) self() Endpoint { return Endpoint{Address: m.cfg.Address, Zone: m.cfg.Zone} }
-
 // Broadcast sends keyed items to all daemons. They are sent within a fifth of the
-// heartbeat interval.
-func (m *Mesh) Broadcast(broadcasts []Broadcast) {
+// heartbeat interval. It returns false if there are too many to send them all.
+func (m *Mesh) Broadcast(broadcasts []Broadcast) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.gossip.addBroadcasts(time.Now(), "", broadcasts)
+	_, all := m.gossip.addBroadcasts(time.Now(), "", broadcasts)
+	return all
 }
 
 // View returns the membership, at most a fifth of the heartbeat interval old.
@@ -193,7 +186,7 @@
 // daemon. Called with mu held.
 func (m *Mesh) expectedLinks() int {
 	wanted := map[string]bool{}
-	for _, a := range m.chosenAddresses() {
+	for _, a := range m.topology.Load().chosen {
 		wanted[a] = true
 	}
 	known := make(map[string]bool, len(m.endpoints))
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -42,6 +42,7 @@
 	typeRequest
 	typeResponse
 	typeLoad
+	typeTotals
 )
 
 // Errors of decode and of requests.
@@ -64,6 +65,9 @@
 	// TunnelKey admits the receiver's tunnels to the sender. Releases that do not
 	// know it ignore it.
 	TunnelKey string `cbor:"5,keyasint,omitempty"`
+	// WantsTotals is set if the sender has links to hubs only, and reads
+	// totalsMessages.
+	WantsTotals bool `cbor:"6,keyasint,omitempty"`
 }
 
 // heartbeatMessage is a Heartbeat without the fields sent in hellos and gossip.
@@ -104,6 +108,12 @@
 	WorkRequests uint64   `cbor:"20,keyasint,omitempty"`
 	// LinksLost is set while the sender can't reach the backend servers directly.
 	LinksLost bool `cbor:"21,keyasint,omitempty"`
+	// Daemons is the number of daemons that the sender hears, with itself. Releases
+	// that do not know this field and the next one ignore them.
+	Daemons uint32 `cbor:"22,keyasint,omitempty"`
+	// DocumentAge is the age in milliseconds of the sender's last read of the routing
+	// document, plus one; zero if it has not read it lately.
+	DocumentAge uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // loadMessage holds the counts that have changed since the last message, sent
@@ -113,6 +123,17 @@
 	InFlight []uint32 `cbor:"1,keyasint"`
 }
 
+// totalsMessage holds the numbers of requests that all daemons have in flight, the
+// receiver included, as far as they have changed since the last one on the link. It
+// is sent to daemons that want it only.
+type totalsMessage struct {
+	// Names are new on this link, numbered after those of earlier heartbeats and
+	// totals.
+	Names []string `cbor:"1,keyasint,omitempty"`
+	// InFlight alternates a group's number and its count, zero for none.
+	InFlight []uint32 `cbor:"2,keyasint,omitempty"`
+}
+
 // gossipMessage holds items that are sent once on each link.
 type gossipMessage struct {
 	Leaving    []leavingItem  `cbor:"1,keyasint,omitempty"`
@@ -120,6 +141,12 @@
 	Broadcasts []Broadcast    `cbor:"3,keyasint,omitempty"`
 	// Releases that do not know Acquittals ignore them.
 	Acquittals []acquittalItem `cbor:"4,keyasint,omitempty"`
+	// Relayed is set if the sender has the items from other daemons.
+	Relayed bool `cbor:"5,keyasint,omitempty"`
+	// List is how far the broadcasts that the receiver has got on this link, with the
+	// items above, cover the list of backend servers. Echo is as in heartbeats.
+	List *ListPosition `cbor:"6,keyasint,omitempty"`
+	Echo Echo          `cbor:"7,keyasint,omitzero"`
 }
 
 type leavingItem struct {
@@ -226,6 +253,8 @@
 		return typeResponse
 	case *loadMessage:
 		return typeLoad
+	case *totalsMessage:
+		return typeTotals
 	}
 	panic("membership: unknown message type")
 }
@@ -259,13 +288,14 @@
 }
 
 // endsLink reports whether a frame that can't be decoded ends its link. Later messages
-// depend on hellos and heartbeats, which number the names; the others are passed over.
+// depend on hellos, and on heartbeats and totals, which number the names; the others
+// are passed over.
 func endsLink(frame []byte) bool {
 	if len(frame) < headerBytes || frame[0] != wireVersion {
 		return true
 	}
 	t := messageType(frame[1])
-	return t == typeHello || t == typeHeartbeat
+	return t == typeHello || t == typeHeartbeat || t == typeTotals
 }
 
 func newBody(t messageType) any {
@@ -284,6 +314,8 @@
 		return &responseMessage{}
 	case typeLoad:
 		return &loadMessage{}
+	case typeTotals:
+		return &totalsMessage{}
 	}
 	return nil
 }
--- a/internal/membership/policy.go
+++ b/internal/membership/policy.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sort"
 
@@ -13,6 +15,8 @@
 type Endpoint struct {
 	Address string
 	Zone    fleet.Zone // empty if unknown
+	// Processors is the number of cores that the daemon may use, 0 if unknown.
+	Processors float64
 }
 
 // LinkPolicy chooses the peers to dial. Peers dial by their own choices, too, and
@@ -36,6 +40,41 @@
 	return out
 }
 
+// Hubs links every daemon to the hubs, a few daemons of each availability zone, and
+// the hubs to each other. Daemons with more processors come first, since a hub has
+// a link to every daemon. Where there are few daemons all are hubs.
+type Hubs struct{}
+
+// minHubs is the number of hubs in all zones together, or more so that each zone has
+// equally many. It is the number of daemons up to which all are linked.
+const minHubs = 12
+
+// Choose implements LinkPolicy.
+func (h Hubs) Choose(self Endpoint, known []Endpoint) []string {
+	hubs := h.Hubs(self, known)
+	delete(hubs, self.Address)
+	return slices.Sorted(maps.Keys(hubs))
+}
+
+// Hubs returns the addresses of the hubs among the known daemons, which include
+// self, with their zones.
+func (Hubs) Hubs(self Endpoint, known []Endpoint) map[string]fleet.Zone {
+	rings := zoneRings(self, known)
+	processors := make(map[string]float64, len(known)+1)
+	for _, e := range append([]Endpoint{self}, known...) {
+		processors[e.Address] = max(processors[e.Address], e.Processors)
+	}
+	perZone := (minHubs + len(rings) - 1) / len(rings)
+	hubs := map[string]fleet.Zone{}
+	for zone, ring := range rings {
+		slices.SortStableFunc(ring, func(a, b string) int { return cmp.Compare(processors[b], processors[a]) })
+		for _, address := range ring[:min(perZone, len(ring))] {
+			hubs[address] = zone
+		}
+	}
+	return hubs
+}
+
 // Bounded links a daemon to a few daemons of its availability zone and to fewer
 // outside it. The daemons of a zone form a ring in the order of their hashes.
 // Each dials those 1, 4, 16, 64 ... positions further, so that any two are a
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -67,8 +67,27 @@
 	LinksLost bool `cbor:"-"`
 	// TunnelKey admits the receiver's tunnels to the sender; sent once on a link.
 	TunnelKey string `cbor:"-"`
+	// Daemons is the number of daemons that the sender hears, with itself. The mesh
+	// fills it in.
+	Daemons int `cbor:"-"`
+	// DocumentReadAge is how long ago the sender read the routing document of
+	// ConfigRevision and found no newer one, negative if it has not lately.
+	DocumentReadAge time.Duration `cbor:"-"`
 }
 
+// ListPosition tells that all changes of the list of backend servers from position
+// Since up to Next were broadcast, and that the list ended at Next or later some time
+// ago.
+type ListPosition struct {
+	Since uint64 `cbor:"1,keyasint,omitempty"`
+	Next  uint64 `cbor:"2,keyasint,omitempty"`
+	// AgeMilli is that time in milliseconds when the position is sent.
+	AgeMilli uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Age returns AgeMilli as a duration, at most a day.
+func (p ListPosition) Age() time.Duration { return boundedMillis(p.AgeMilli) }
+
 // StreamPosition is how far a daemon has folded a stream.
 type StreamPosition struct {
 	Next journal.Offset `cbor:"1,keyasint"`
--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -105,6 +105,8 @@
 
 	mu     sync.Mutex
 	orders map[fleet.InstanceID]*sentOrder
+	// ordersInFlight counts the orders that have no result yet.
+	ordersInFlight int
 	// rejectedStages are engines that rejected or failed an order to stage a model.
 	rejectedStages []fleet.InstanceID
 	running        sync.WaitGroup
--- a/internal/placement/group_orders.go
+++ b/internal/placement/group_orders.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,10 +15,22 @@
 	"carawayproxy.example/caraway/internal/group"
 )
 
-// sendOrders sends each engine the next order that leads to its planned place.
+// maxOrders limits the orders in flight. Each costs this daemon a connection, and all
+// together must not delay the renewals of the lease that allows them, nor each other
+// beyond orderTimeout.
+const maxOrders = 48
+
+// sendOrders sends each engine the next order that leads to its planned place. Orders
+// beyond maxOrders wait for a later round. Engines outside the planned groups come
+// first, since groups may wait for them, then one group after the other, so that the
+// first ones are complete early.
 func (c *GroupController) sendOrders(ctx context.Context, t *termState, servers map[fleet.InstanceID]directory.Listing, now time.Time) {
 	groups := t.view()
-	for id, l := range servers {
+	ids := slices.SortedFunc(maps.Keys(servers), func(a, b fleet.InstanceID) int {
+		return cmp.Or(cmp.Compare(groups.ByInstance[a], groups.ByInstance[b]), cmp.Compare(a, b))
+	})
+	for _, id := range ids {
+		l := servers[id]
 		if l.Failed || !t.isConfirmed(l) {
 			continue
 		}
@@ -113,6 +127,9 @@
 func (c *GroupController) maySend(id fleet.InstanceID, o backend.GroupOrder, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ordersInFlight >= maxOrders {
+		return false
+	}
 	last := c.orders[id]
 	if last == nil {
 		return true
@@ -133,6 +150,7 @@
 		c.orders[l.Instance] = sent
 	}
 	sent.sentAt, sent.inFlight, sent.accepted = now, true, false
+	c.ordersInFlight++
 	c.mu.Unlock()
 	c.running.Go(func() { c.deliver(ctx, t, l, sent) })
 }
@@ -155,6 +173,7 @@
 	}
 	c.mu.Lock()
 	sent.inFlight = false
+	c.ordersInFlight--
 	sent.accepted = err == nil
 	if err == nil {
 		sent.failures = 0
@@ -169,6 +188,7 @@
 		if !errors.Is(err, backend.ErrRefused) {
 			c.prober.probeEngine(l.Instance)
 		}
+		c.wakeLoop()
 		return
 	}
 	c.prober.recordAccepted(t, l, o)
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -14,8 +14,9 @@
 	// that this daemon's own links are lost.
 	failureWindow = time.Second
 	// minFailedServers is the number of servers whose dials must fail, with no
-	// successful one in between, or all servers if there are fewer. Of more than
-	// suspectServers, a further one is dialed at once.
+	// successful one in between. If fewer are listed, all must fail and one must have
+	// been reached before: while the deployment starts, the first server that is listed
+	// may not answer yet. Of suspectServers or more, a further one is dialed at once.
 	minFailedServers = 3
 	suspectServers   = 2
 	// relayTTL is how long a server that only another daemon could reach is dialed
@@ -32,8 +33,10 @@
 	mu       sync.Mutex
 	failedAt map[string]time.Time     // servers whose last direct dial failed, by address
 	relays   map[string]relayedServer // servers to dial through another daemon first
-	// succeededAt is when a direct dial of any server last succeeded.
+	// succeededAt is when a direct dial of any server last succeeded. linked is set
+	// once one has, or another daemon has reached a server that this one could not.
 	succeededAt time.Time
+	linked      bool
 	lost        bool
 	// reached is the only server that a direct dial has reached since the last
 	// failed one while the links are lost, empty for none.
@@ -58,7 +61,7 @@
 func (p *Paths) RecordSuccess(address string, servers int, now time.Time) (back, hopeful bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.succeededAt = now
+	p.succeededAt, p.linked = now, true
 	delete(p.failedAt, address)
 	delete(p.relays, address)
 	switch {
@@ -96,7 +99,7 @@
 	switch {
 	case p.lost:
 		return false, false
-	case failed < min(minFailedServers, max(servers, 1)):
+	case failed < minFailedServers && (failed < servers || !p.linked):
 		return false, failed >= suspectServers
 	}
 	p.lost = true
@@ -114,6 +117,7 @@
 		}
 	}
 	p.relays[address] = relayedServer{until: now.Add(relayTTL), via: via}
+	p.linked = true
 }
 
 // LastRelay returns the daemon that last reached a server for this one, empty if
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,7 @@
 	AdminListen      string        `long:"admin-listen" env:"CARAWAY_ADMIN_LISTEN" description:"ip:port for operators and metrics" default:"127.0.0.1:7401"`
 	PeersListen      string        `long:"peers-listen" env:"CARAWAY_PEERS_LISTEN" description:"ip:port for other daemons" default:"127.0.0.1:7402"`
 	PeersAdvertise   string        `long:"peers-advertise" env:"CARAWAY_PEERS_ADVERTISE" description:"ip:port other daemons dial; the peers listener's address when empty"`
-	PeerLinks        string        `long:"peer-links" env:"CARAWAY_PEER_LINKS" description:"which daemons this one links to: full (all, up to 14 daemons) or bounded (a few, the same at every daemon)" default:"full"`
+	PeerLinks        string        `long:"peer-links" env:"CARAWAY_PEER_LINKS" description:"which daemons this one links to, the same at every daemon: auto (with --store, all daemons link to a few in each zone, and these to all; otherwise full), full (all, up to 14 daemons) or bounded (a few, with no daemon linked to all)" default:"auto"`
 	WhenCutOff       string        `long:"when-cut-off" env:"CARAWAY_WHEN_CUT_OFF" description:"what a daemon does that has lost the log and most of its peers: refuse, or serve what needs no log by the configuration that it knows, which may be old" default:"refuse"`
 	WhenFlooded      string        `long:"when-flooded" env:"CARAWAY_WHEN_FLOODED" description:"groups that a workspace gets which floods a service: part, its share of them while the others keep to the rest, or all, which uses idle groups at the cost of the others' latency; the same at every daemon" default:"part"`
 	Platform         string        `long:"platform" env:"CARAWAY_PLATFORM" description:"ip:port of the platform's services"`
@@ -54,6 +54,13 @@
 	ExplainDecisions int           `long:"explain-decisions" env:"CARAWAY_EXPLAIN_DECISIONS" description:"decisions kept in memory for carawayctl explain, 0 to 1000000" default:"20000"`
 }
 
+// Values of PeerLinks.
+const (
+	LinksAuto    = "auto"
+	LinksFull    = "full"
+	LinksBounded = "bounded"
+)
+
 // Values of WhenCutOff.
 const (
 	CutOffRefuse = "refuse"
@@ -126,7 +133,7 @@
 	check(isAddress(s.AdminListen), "admin-listen", "ip:port", strconv.Quote(s.AdminListen))
 	check(isAddress(s.PeersListen), "peers-listen", "ip:port", strconv.Quote(s.PeersListen))
 	check(s.PeersAdvertise == "" || isAddress(s.PeersAdvertise), "peers-advertise", "ip:port", strconv.Quote(s.PeersAdvertise))
-	check(s.PeerLinks == "full" || s.PeerLinks == "bounded", "peer-links", "full or bounded", strconv.Quote(s.PeerLinks))
+	check(s.PeerLinks == LinksAuto || s.PeerLinks == LinksFull || s.PeerLinks == LinksBounded, "peer-links", "auto, full or bounded", strconv.Quote(s.PeerLinks))
 	check(s.WhenCutOff == CutOffRefuse || s.WhenCutOff == CutOffServe, "when-cut-off", "refuse or serve", strconv.Quote(s.WhenCutOff))
 	check(s.WhenFlooded == FloodedPart || s.WhenFlooded == FloodedAll, "when-flooded", "part or all", strconv.Quote(s.WhenFlooded))
 	check(s.Store != "" || isAddress(s.Platform), "platform", "ip:port, or --store", strconv.Quote(s.Platform))
--- /dev/null
+++ b/standin/site/news_test.go
@@ -0,0 +1,188 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// runLargerWorld runs a test in a world with a number of daemons in three zones once
+// its groups have formed.
+func runLargerWorld(t *testing.T, daemons int, test func(t *testing.T, w *World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w, err := New(Options{Daemons: daemons, Engines: 24, Plains: 2, Zones: 3})
+		assert.NilError(t, err)
+		defer time.Sleep(settleTime) // lets pending dials end
+		defer w.Close()
+		time.Sleep(leadTime)
+		test(t, w)
+		assert.DeepEqual(t, w.Violations(), []string(nil))
+	})
+}
+
+// readerOf returns the daemon that reads the list and the document for the others.
+func readerOf(w *World) *Daemon {
+	for _, d := range w.Daemons {
+		if d.HoldsLease() {
+			return d
+		}
+	}
+	return nil
+}
+
+// Every daemon polled the document and the list by itself, two calls a second however
+// many daemons there were. The target is 0.3 calls a second and daemon.
+func TestEveryDaemonPolledTheStore(t *testing.T) {
+	for _, daemons := range []int{9, 36} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+				const period = 20 * time.Second
+				before := map[string]int{}
+				total := w.Store.Calls()
+				for _, d := range w.Daemons {
+					before[d.name] = w.Store.CallsOf(d.ip)
+				}
+				for end := time.Now().Add(period); time.Now().Before(end); {
+					for _, e := range w.Engines[:8] {
+						e.announce()
+					}
+					time.Sleep(time.Second)
+				}
+				for _, d := range w.Daemons {
+					perSecond := float64(w.Store.CallsOf(d.ip)-before[d.name]) / period.Seconds()
+					if !d.HoldsLease() {
+						assert.Check(t, perSecond <= 0.3, "%s made %.2f calls a second", d.name, perSecond)
+					}
+				}
+				const reader = 10.0 // calls a second of the one that reads for all
+				perSecond := float64(w.Store.Calls()-total) / period.Seconds()
+				assert.Check(t, perSecond <= reader+0.3*float64(daemons-1), "%.2f calls a second in all", perSecond)
+			})
+		})
+	}
+}
+
+// documentBound is how long after a new version of the document requests may still be
+// handled by an earlier one.
+const documentBound = 2 * time.Second
+
+// A change must take effect at all daemons in time, whatever happens at that moment to
+// the daemon that reads the list and the document for the others.
+func TestChangeTookEffectLateWithoutTheReader(t *testing.T) {
+	for name, lose := range map[string]func(w *World, reader *Daemon){
+		"reader works": func(*World, *Daemon) {},
+		"reader dies":  func(_ *World, reader *Daemon) { reader.Kill() },
+		"reader is silent": func(w *World, reader *Daemon) {
+			w.Net.Freeze(reader.ip)
+		},
+		"reader is cut from the store":       func(w *World, reader *Daemon) { w.Net.CutBoth(reader.ip, storeIP) },
+		"reader is turned away by the store": func(w *World, reader *Daemon) { w.Store.TurnAway(reader.ip, true) },
+		"reader is cut from the others": func(w *World, reader *Daemon) {
+			for _, d := range w.Daemons {
+				if d != reader {
+					w.Net.CutBoth(reader.ip, d.ip)
+				}
+			}
+		},
+	} {
+		for _, daemons := range []int{7, 24} {
+			for _, after := range []time.Duration{0, 130 * time.Millisecond, 700 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %d daemons, %s", name, daemons, after), func(t *testing.T) {
+					runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+						reader := readerOf(w)
+						lose(w, reader)
+						time.Sleep(after)
+						w.Plains[0].announce("draining")
+						document := Document(2)
+						document["tenants"] = []any{map[string]any{"name": Workspace, "apiKeys": []string{"another key"}, "priority": 1}}
+						w.Publish(document)
+						time.Sleep(max(documentBound, drainBound))
+						for _, d := range w.Daemons {
+							if d == reader {
+								continue
+							}
+							r := w.Call(d, http.MethodPost, "/unsafe/x", "old-"+d.name, "", "", nil)
+							assert.Check(t, r.Status == http.StatusUnauthorized, "%s answers %d to a key that was removed", d.name, r.Status)
+							for n := range 4 {
+								r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprintf("new-%s-%d", d.name, n), "", "", http.Header{"X-Carawayproxy-Key": {"another key"}})
+								assert.Check(t, r.Header.Get("X-Carawayproxy-Server-Stamp") == "proof-p-01", "%s: status %d, stamp %q", d.name, r.Status, r.Header.Get("X-Carawayproxy-Server-Stamp"))
+							}
+						}
+						w.Net.Thaw(reader.ip)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Daemons that start together know nobody. One of those with the most processors must
+// lead, and groups must serve before the first requests.
+func TestManyDaemonsStartTogether(t *testing.T) {
+	runLargerWorld(t, 36, func(t *testing.T, w *World) {
+		assert.Equal(t, len(holders(w)), 1)
+		assert.Equal(t, readerOf(w).processors, 0.8)
+		assert.Assert(t, w.OpenGroups(ModelOfTwo) >= 2 && w.OpenGroups(ModelOfThree) >= 2, "groups: %d of two, %d of three", w.OpenGroups(ModelOfTwo), w.OpenGroups(ModelOfThree))
+		calls := float64(w.Store.Calls()) / float64(len(w.Daemons))
+		assert.Assert(t, calls <= 20, "%.1f calls to the store a daemon in the first %s", calls, leadTime)
+		for id, r := range sendStreams(w, ModelOfThree, 3*time.Second) {
+			assert.Check(t, r.IsComplete(id), "%s: status %d, %v, %q", id, r.Status, r.Err, r.Body)
+		}
+	})
+}
+
+// All daemons restart at once, with the same addresses.
+func TestManyDaemonsRestartTogether(t *testing.T) {
+	runLargerWorld(t, 36, func(t *testing.T, w *World) {
+		groups := w.OpenGroups(ModelOfThree) + w.OpenGroups(ModelOfTwo)
+		before := w.Store.Calls()
+		for _, d := range w.Daemons {
+			d.Kill()
+		}
+		for _, d := range w.Daemons {
+			assert.NilError(t, d.Start(false))
+		}
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(holders(w)), 1)
+		assert.Equal(t, w.OpenGroups(ModelOfThree)+w.OpenGroups(ModelOfTwo), groups)
+		calls := float64(w.Store.Calls()-before) / float64(len(w.Daemons))
+		assert.Assert(t, calls <= 16, "%.1f calls to the store a daemon in 4 s", calls)
+		for id, r := range sendStreams(w, ModelOfTwo, 2*time.Second) {
+			assert.Check(t, r.IsComplete(id), "%s: status %d, %v, %q", id, r.Status, r.Err, r.Body)
+		}
+	})
+}
+
+// A daemon of those that are not linked to all holds the scope once all others are
+// gone, and leaves it to one that is linked to all.
+func TestHolderWithFewLinksYields(t *testing.T) {
+	runLargerWorld(t, 18, func(t *testing.T, w *World) {
+		var hubs []*Daemon
+		for _, d := range w.Daemons {
+			if d.run.LinksToAll() {
+				hubs = append(hubs, d)
+			}
+		}
+		assert.Equal(t, len(hubs), 12)
+		for _, d := range hubs {
+			d.Kill()
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(holders(w)), 1)
+		assert.Assert(t, !readerOf(w).run.LinksToAll())
+		for _, d := range hubs {
+			assert.NilError(t, d.Start(false))
+		}
+		for range 300 {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, len(holders(w)) <= 1, "%v", holders(w))
+		}
+		assert.Equal(t, len(holders(w)), 1)
+		assert.Assert(t, readerOf(w).run.LinksToAll(), "%s holds the scope", readerOf(w).name)
+	})
+}
