--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -96,6 +96,7 @@
 		Source:      d.env.Platform.Servers,
 		Wait:        func() time.Duration { return d.pollTimeout(readerPollTimeout) },
 		Due:         d.isListDue,
+		Known:       d.listNews.knownUpTo,
 		MinInterval: d.serversReadInterval,
 		Sink: feed.Sink[directory.Server]{
 			OnSnapshot: d.applyServerList,
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -99,6 +99,13 @@
 	return true
 }
 
+// knownUpTo returns the position up to which all changes of the list have been applied.
+func (n *listNews) knownUpTo() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.next
+}
+
 // knownAsOf returns as of when this daemon's copy of the list is current, now if it has
 // none.
 func (n *listNews) knownAsOf(now time.Time) time.Time {
--- a/internal/edge/recorded_test.go
+++ b/internal/edge/recorded_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"testing"
@@ -40,10 +41,20 @@
 	}
 }
 
+// broadcastsOf5205858 returns the bodies in testdata/recorded-5205858.txt.
+func broadcastsOf5205858() map[string]serverBroadcast {
+	all := recordedBroadcasts()
+	maps.Copy(all, ratesOfB909b5d())
+	all["pause"] = serverBroadcast{Server: all["server"].Server, Answered: true, AgeMilli: 86400000, Pause: &pauseBroadcast{
+		Server: "i-1", Incarnation: 7, Daemon: "edge-1-0123abcd", LengthMilli: 900,
+	}}
+	return all
+}
+
 // Daemons of an earlier version run beside this one during an upgrade: each must
 // read what the other broadcasts.
 func TestBroadcastsOfEarlierVersions(t *testing.T) {
-	for commit, broadcasts := range map[string]map[string]serverBroadcast{"aeb1337": recordedBroadcasts(), "b909b5d": ratesOfB909b5d()} {
+	for commit, broadcasts := range map[string]map[string]serverBroadcast{"aeb1337": recordedBroadcasts(), "b909b5d": ratesOfB909b5d(), "5205858": broadcastsOf5205858()} {
 		f, err := os.Open(filepath.Join("testdata", "recorded-"+commit+".txt"))
 		assert.NilError(t, err)
 		defer f.Close()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -74,6 +74,9 @@
 	// Due, if set, reports whether changes should be read now. It is called every
 	// intervalCheckEvery.
 	Due func() bool
+	// Known, if set, returns a position up to which the changes are known without a
+	// read of this follower. If it is later, the next read starts there.
+	Known func() uint64
 }
 
 // intervalCheckEvery is how often the follower checks whether the next read may
@@ -97,6 +100,12 @@
 		following := synced
 		if following {
 			f.waitUntilDue(ctx)
+			if f.Known != nil {
+				position = max(position, f.Known())
+			}
+			if ctx.Err() != nil {
+				return
+			}
 		}
 		read := Read{Complete: !following, From: position}
 		began := time.Now()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -103,3 +103,31 @@
 	follow(t, s, 2500*time.Millisecond, 25*time.Second)
 	assert.Assert(t, s.sinceCalls >= 8 && s.sinceCalls <= 10, "%d reads in 25 s", s.sinceCalls)
 }
+
+// A follower that need not read reads nothing, and goes on at the position that is known
+// without it: a read from an earlier one returned the history again.
+func TestReadsOnlyWhatIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+		began := time.Now()
+		s := &source{}
+		var reads []Read
+		f := Follower[string]{
+			Source: s,
+			Wait:   func() time.Duration { return 0 },
+			Due:    func() bool { return time.Since(began) >= 5*time.Second && len(reads) < 3 },
+			Known:  func() uint64 { return 500 },
+			Sink: Sink[string]{
+				OnSnapshot: func([]Item[string], uint64) {}, OnChanges: func([]Item[string]) {},
+				OnRead: func(r Read) { reads = append(reads, r) },
+			},
+		}
+		f.Run(ctx)
+		assert.Equal(t, s.allCalls, 1)
+		assert.Equal(t, s.sinceCalls, 2)
+		assert.Assert(t, reads[0].Complete && reads[0].Next == 10)
+		assert.Assert(t, !reads[1].Complete && reads[1].From == 500 && reads[1].Next == 501)
+		assert.Equal(t, reads[2].From, uint64(501))
+	})
+}
--- a/internal/membership/recorded_test.go
+++ b/internal/membership/recorded_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -63,6 +64,13 @@
 	return map[string]any{"hello": hello, "heartbeat": heartbeat}
 }
 
+// messagesOf5205858 returns the messages in testdata/recorded-5205858.txt.
+func messagesOf5205858() map[string]any {
+	messages := recordedMessages()
+	maps.Copy(messages, messagesOfB909b5d())
+	return messages
+}
+
 func readRecorded(t *testing.T, commit string) wiretest.Messages {
 	f, err := os.Open(filepath.Join("testdata", "recorded-"+commit+".txt"))
 	assert.NilError(t, err)
@@ -75,7 +83,7 @@
 // Daemons of an earlier version run beside this one during an upgrade: each must
 // read what the other sends.
 func TestMessagesOfEarlierVersions(t *testing.T) {
-	for commit, messages := range map[string]map[string]any{"aeb1337": recordedMessages(), "b909b5d": messagesOfB909b5d()} {
+	for commit, messages := range map[string]map[string]any{"aeb1337": recordedMessages(), "b909b5d": messagesOfB909b5d(), "5205858": messagesOf5205858()} {
 		recorded := readRecorded(t, commit)
 		assert.Equal(t, len(recorded), len(messages))
 		for name, want := range messages {
--- a/standin/site/engine.go
+++ b/standin/site/engine.go
@@ -78,7 +78,12 @@
 // sharedState is the state that all backend servers share, and the violations
 // seen.
 type sharedState struct {
-	mu         sync.Mutex
+	mu sync.Mutex
+	// openOrders counts the orders that all engines are answering, and mostOrders the
+	// most of them at one time. orderTime is how long an answer takes.
+	openOrders, mostOrders int
+	orderTime              time.Duration
+
 	engines    map[string]*Engine
 	readyOnce  map[string]bool // instance/group/epoch that has been ready
 	violations []string
@@ -272,6 +277,8 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	e.world.shared.beginOrder()
+	defer e.world.shared.endOrder()
 	var o order
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -555,3 +562,18 @@
 		stalled += EventTime
 	}
 }
+
+func (s *sharedState) beginOrder() {
+	s.mu.Lock()
+	s.openOrders++
+	s.mostOrders = max(s.mostOrders, s.openOrders)
+	orderTime := s.orderTime
+	s.mu.Unlock()
+	time.Sleep(orderTime)
+}
+
+func (s *sharedState) endOrder() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.openOrders--
+}
