edge, directory: what an engine has loaded is told with its place

Cause: a daemon learns from the list what engines outside groups have loaded, by the places in which they were ready. Daemons that are told the list's changes get the newest place of each engine only: one that was replaced within 0.1 s, such as a warm-up group's, is not sent.

Change: broadcasts of places name the model and the epoch in which the engine was last ready, as far as the sender knows; the later epoch wins.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -356,6 +356,34 @@
 	}
 }
 
+// Loaded is the model of the last place in which a server was ready since its start.
+type Loaded struct {
+	Model string `cbor:"1,keyasint"`
+	// Epoch is that of the place.
+	Epoch fleet.Epoch `cbor:"2,keyasint"`
+}
+
+// Loaded returns what a server process has loaded, nil if it is not known.
+func (d *Directory) Loaded(id fleet.InstanceID, incarnation uint64) *Loaded {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	if e == nil || e.server.Incarnation != incarnation || e.loadedModel == "" {
+		return nil
+	}
+	return &Loaded{Model: e.loadedModel, Epoch: e.loadedEpoch}
+}
+
+// RecordLoaded records what a server process has loaded, as another daemon knows it.
+// That one may have seen places that this one has not.
+func (d *Directory) RecordLoaded(id fleet.InstanceID, incarnation uint64, l Loaded) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil && e.server.Incarnation == incarnation && l.Epoch > e.loadedEpoch {
+		e.loadedModel, e.loadedEpoch = l.Model, l.Epoch
+	}
+}
+
 // AnnouncedBefore records an announcement that a later one has replaced already.
 // Only the model that the server had loaded is taken from it.
 func (d *Directory) AnnouncedBefore(s Server) {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -53,6 +53,9 @@
 	// MayReturn is set for a server that dropped off the list during an outage of the
 	// store, or shortly after one.
 	MayReturn bool `cbor:"9,keyasint,omitempty"`
+	// Loaded is what Server has loaded. The places that show it may have been replaced
+	// by later ones before they were sent.
+	Loaded *directory.Loaded `cbor:"10,keyasint,omitempty"`
 }
 
 // isKnown reports whether a body that holds neither a verdict nor a rate is a change
@@ -97,7 +100,9 @@
 const answersPerTerm = 1 << 24
 
 func (d *Daemon) broadcastAnswer(s directory.Server, at time.Time) {
-	body, err := cbor.Marshal(serverBroadcast{Server: &s, Answered: true, AgeMilli: uint64(max(time.Since(at), 0).Milliseconds())})
+	body, err := cbor.Marshal(serverBroadcast{
+		Server: &s, Answered: true, AgeMilli: uint64(max(time.Since(at), 0).Milliseconds()), Loaded: d.directory.Loaded(s.Instance, s.Incarnation),
+	})
 	if err != nil {
 		d.events.Emit(eventBadRecord, "what", "bulletin", "key", s.Instance, "error", err)
 		return
@@ -120,7 +125,7 @@
 		case item.Err != nil:
 			p.Unreadable = true
 		case !item.Deleted:
-			p.Server = &item.Value
+			p.Server, p.Loaded = &item.Value, d.directory.Loaded(item.Value.Instance, item.Value.Incarnation)
 		}
 		body, err := cbor.Marshal(p)
 		if err != nil {
@@ -156,6 +161,7 @@
 // broadcast.
 func (d *Daemon) onBroadcasts(broadcasts []membership.Broadcast) {
 	var items []feed.Item[directory.Server]
+	var listed []serverBroadcast
 	for _, b := range broadcasts {
 		var p serverBroadcast
 		err := cbor.Unmarshal(b.Body, &p)
@@ -191,6 +197,7 @@
 		if p.Answered {
 			age := time.Duration(min(p.AgeMilli, maxAnswerAgeMilli)) * time.Millisecond
 			d.directory.RecordAnswer(*p.Server, time.Now().Add(-b.Age()-age))
+			d.recordLoaded(p)
 			continue
 		}
 		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Deleted: p.Deleted, Age: b.Age()}
@@ -204,8 +211,19 @@
 			item.Value = *p.Server
 		}
 		items = append(items, item)
+		listed = append(listed, p)
 	}
 	d.updateDirectory(items)
+	for _, p := range listed {
+		d.recordLoaded(p)
+	}
+}
+
+// recordLoaded applies what a peer knows that a server has loaded.
+func (d *Daemon) recordLoaded(p serverBroadcast) {
+	if p.Server != nil && p.Loaded != nil {
+		d.directory.RecordLoaded(p.Server.Instance, p.Server.Incarnation, *p.Loaded)
+	}
 }
 
 // listPositions tracks the position of the last applied change of each key.
