membership: news is applied in order across links, and passed on to each hub

- A position of the list could be applied while a change that it covers, which another link had brought a moment before, was still being applied.
- The encoded message with what daemons without links to all have said was shared by hubs and by daemons that get none, so that a hub might not get it from the others.

--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -134,6 +134,10 @@
 }
 
 func (m *Mesh) handleGossip(l *link, b *gossipMessage) {
+	// An item that came on another link at the same time must have been applied before
+	// a position that covers it.
+	m.gossipHandling.Lock()
+	defer m.gossipHandling.Unlock()
 	m.mu.Lock()
 	last := m.gossip.lastNumber
 	leaving, sightings, acquittals := m.gossip.addFromPeer(time.Now(), l.peer.From, b)
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -156,6 +156,8 @@
 	return frame, nil
 }
 
+// sendGossipTo sends one peer the items that were not sent on its link yet, and the
+// position of the list. It sends nothing, to try again, while the link is congested.
 func (m *Mesh) sendGossipTo(l *link, round gossipRound) error {
 	last, to := m.gossip.lastNumber, l.peer.From
 	sendsOwn, serves := m.sendsOwn(to), m.servesPeer(to)
@@ -181,10 +183,10 @@
 		if err != nil {
 			return err
 		}
-	}
-	err := add(round.encode(frameKey{true, serves, l.gossipSent}, func() *gossipMessage { return m.gossip.relayedAfter(round.now, l.gossipSent, to) }))
-	if err != nil {
-		return err
+		key, message = frameKey{true, serves, l.gossipSent}, func() *gossipMessage { return m.gossip.relayedAfter(round.now, l.gossipSent, to) }
+		if err := add(round.encode(key, message)); err != nil {
+			return err
+		}
 	}
 	if position != nil { // last, since it covers the others
 		if err := add(encode(&gossipMessage{List: position, Echo: l.echo(round.now)})); err != nil {
--- a/internal/membership/hubs_test.go
+++ b/internal/membership/hubs_test.go
@@ -376,3 +376,20 @@
 		assert.Equal(t, confirmed.Load(), int64(1))
 	})
 }
+
+// A daemon's news reaches those whose hubs it has lost its links to, by the hubs that it
+// still has.
+func TestNewsOfADaemonThatLostItsLinksToAZonesHubs(t *testing.T) {
+	runHubs(t, 40, 4, func(t *testing.T, c *hubCluster) {
+		author := c.other()
+		for _, m := range c.members {
+			if m.IsHub() && m.zone != author.zone {
+				c.net.CutBoth(author.ip, m.ip)
+			}
+		}
+		time.Sleep(10 * time.Second) // until the links have ended
+		author.Broadcast([]Broadcast{{Key: "late", Version: 1 << 40, Body: []byte{0xa0}}})
+		time.Sleep(4*DefaultHeartbeatInterval/ticksPerHeartbeat + 10*oneWay)
+		assert.Equal(t, c.countWithKey("late"), len(c.members)-1)
+	})
+}
--- a/internal/membership/mesh.go
+++ b/internal/membership/mesh.go
@@ -28,6 +28,8 @@
 	// endpointsChanged wakes runDialers after a change of the known endpoints.
 	endpointsChanged chan struct{}
 
+	gossipHandling sync.Mutex // held while a message of gossip is handled
+
 	mu        sync.Mutex
 	running   context.Context // nil while Run is not running
 	tasks     sync.WaitGroup
