--- a/internal/placement/local_models_test.go
+++ b/internal/placement/local_models_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -625,13 +626,23 @@
 	}
 	planner, now, least := NewPlanner(planningPolicyOfTests), time.Now(), time.Hour
 	for range 9 {
-		began := time.Now()
+		began := processorTime()
 		planner.Plan(f.s, now)
-		least = min(least, time.Since(began))
+		least = min(least, processorTime()-began)
 	}
 	return least
 }
 
+// processorTime returns the processor time of this process, which other processes on the
+// machine do not change.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // A holder that spends its processor on planning reads answers too late and takes
 // engines for down. The cost of a round must grow with the fleet, not faster.
 func TestPlanningCostGrewFasterThanTheFleet(t *testing.T) {
