edge: logs tell whether a server that left the list is kept, and for how long

Callers' requests reached servers that had left the list. The log could not tell a grace for servers that may return from late news: edge.unlisted was the same line whether the server went or stayed, complete reads removed servers without a line, and nothing said when a kept server was dropped.

edge.unlisted now has source, position, age and kept; edge.list-back has may_return; edge.not-returned is the end of the grace. No decision has changed; tests of directory and edge as before.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -275,7 +275,8 @@
 			d.Announce(server("m", nil), at(0))
 			if test.outage > 0 {
 				d.ListUnavailable(at(time.Second))
-				assert.Equal(t, d.ListRead(at(time.Second+test.outage)), test.outage)
+				outage, _ := d.ListRead(at(time.Second + test.outage))
+				assert.Equal(t, outage, test.outage)
 			}
 			recovered := time.Second + test.outage
 			d.Withdraw("m", at(recovered+test.withdrawn))
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -125,8 +125,12 @@
 
 // recordListKnown records that this daemon's copy of the list is current.
 func (d *Daemon) recordListKnown(now time.Time) {
-	if outage := d.directory.ListRead(now); outage > 0 {
-		d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond))
+	outage, removed := d.directory.ListRead(now)
+	if outage > 0 {
+		d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond), "may_return", d.directory.InReturnGrace(now))
+	}
+	for _, id := range removed {
+		d.events.Emit(eventServerNotReturned, "instance", id)
 	}
 }
 
@@ -136,23 +140,31 @@
 	for _, item := range items {
 		listed[fleet.InstanceID(item.Key)] = !item.Deleted
 	}
-	d.updateDirectory(items)
+	d.updateDirectory(items, sourceStore)
 	d.positions.setBase(next)
-	d.directory.Retain(listed, now)
+	for _, w := range d.directory.Retain(listed, now) {
+		d.events.Emit(eventServerUnlisted, "instance", w.ID, "source", sourceStore, "position", next, "kept", w.Kept)
+	}
 	d.hasServerList.Store(true)
 }
 
 // applyServerChanges applies changes that this daemon has read. It reports whether all
 // of them were broadcast to the other daemons.
 func (d *Daemon) applyServerChanges(items []feed.Item[directory.Server]) bool {
-	d.updateDirectory(items)
+	d.updateDirectory(items, sourceStore)
 	return d.readsForOthers() && d.broadcastChanges(items)
 }
 
+// Sources of changes of the list, for the log.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
 // updateDirectory applies changes of the list that this daemon read or that a
 // peer broadcast. It skips changes that are older than the known state of a
 // server.
-func (d *Daemon) updateDirectory(items []feed.Item[directory.Server]) {
+func (d *Daemon) updateDirectory(items []feed.Item[directory.Server], source string) {
 	now := time.Now()
 	for _, item := range items {
 		if !d.positions.advance(item.Key, item.Position) {
@@ -166,8 +178,8 @@
 			d.skipBadRecord("list of backend servers", item.Key, item.Position, item.Err)
 			d.directory.Unreadable(fleet.InstanceID(item.Key))
 		case item.Deleted:
-			d.events.Emit(eventServerUnlisted, "instance", item.Key)
-			d.directory.Withdraw(fleet.InstanceID(item.Key), now)
+			kept := d.directory.Withdraw(fleet.InstanceID(item.Key), now)
+			d.events.Emit(eventServerUnlisted, "instance", item.Key, "source", source, "position", item.Position, "age", item.Age.Round(time.Millisecond), "kept", kept)
 		default:
 			d.directory.Announce(item.Value, now.Add(-item.Age))
 		}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -213,7 +213,7 @@
 		items = append(items, item)
 		listed = append(listed, p)
 	}
-	d.updateDirectory(items)
+	d.updateDirectory(items, sourcePeer)
 	for _, p := range listed {
 		d.recordLoaded(p)
 	}
