--- /dev/null
+++ b/standin/site/departed_test.go
@@ -0,0 +1,98 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A server's entry was deleted while, or soon after, the list could not be read. The
+// daemons kept the server for 2 s from when they noticed, or from when a peer told
+// them, as one that might return. So long after it has left they must have stopped.
+func TestServerThatLeftWasKeptAsOneThatMayReturn(t *testing.T) {
+	const (
+		pause  = 700 * time.Millisecond
+		outage = 5300 * time.Millisecond
+		stable = 3 * time.Second // after an outage, until the bound holds again
+	)
+	leave := func(w *World) { w.Store.Put("keyed.servers", w.Plains[0].ID, nil) }
+	for _, test := range []struct {
+		name string
+		// run deletes the entry, and returns the daemons that must not use the server
+		// drainBound later.
+		run func(w *World, phase time.Duration) (bound []*Daemon)
+	}{
+		{"answers are lost", func(w *World, phase time.Duration) []*Daemon {
+			w.Store.DropPendingReads("keyed.servers")
+			time.Sleep(phase)
+			leave(w)
+			return w.Daemons
+		}},
+		{"reader stands still", func(w *World, phase time.Duration) []*Daemon {
+			time.Sleep(phase)
+			reader := readerOf(w)
+			w.Net.Freeze(reader.ip)
+			w.runAfter(pause, func() { w.Net.Thaw(reader.ip) })
+			time.Sleep(pause / 2)
+			leave(w)
+			return except(w.Daemons, reader)
+		}},
+		{"after an outage that refuses", func(w *World, phase time.Duration) []*Daemon {
+			time.Sleep(phase)
+			w.Store.SetUnavailable(true)
+			time.Sleep(outage)
+			w.Store.SetUnavailable(false)
+			time.Sleep(stable)
+			leave(w)
+			return w.Daemons
+		}},
+		{"after a silent outage", func(w *World, phase time.Duration) []*Daemon {
+			time.Sleep(phase)
+			w.Store.SetSilent(true)
+			time.Sleep(outage)
+			w.Store.SetSilent(false)
+			time.Sleep(stable)
+			leave(w)
+			return w.Daemons
+		}},
+		{"just before an outage", func(w *World, phase time.Duration) []*Daemon {
+			time.Sleep(phase)
+			w.Store.SetSilent(true)
+			leave(w)
+			time.Sleep(outage)
+			w.Store.SetSilent(false)
+			time.Sleep(stable - drainBound)
+			return w.Daemons
+		}},
+	} {
+		for _, daemons := range []int{7, 24} {
+			for _, phase := range []time.Duration{0, 230 * time.Millisecond, 490 * time.Millisecond, 810 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %d daemons, %s", test.name, daemons, phase), func(t *testing.T) {
+					runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+						bound := test.run(w, phase)
+						time.Sleep(drainBound)
+						for _, d := range bound {
+							for n := range 4 {
+								r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprintf("late-%s-%d", d.name, n), "", "", nil)
+								assert.Check(t, r.Header.Get("X-Carawayproxy-Server-Stamp") == "proof-p-01", "%s: status %d, stamp %q", d.name, r.Status, r.Header.Get("X-Carawayproxy-Server-Stamp"))
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// except returns all daemons but one.
+func except(all []*Daemon, one *Daemon) (others []*Daemon) {
+	for _, d := range all {
+		if d != one {
+			others = append(others, d)
+		}
+	}
+	return others
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -28,6 +28,7 @@
 	turnedAway   map[string]bool // IP addresses of callers that get 503
 	droppedReads map[string]int  // per topic: times that its pending reads were dropped
 	held         map[string]bool // topics whose reads are not answered
+	silent       bool            // calls are not answered, also later
 }
 
 // topic is the single partition that the system uses of a topic.
@@ -60,6 +61,30 @@
 	s.wakeReads()
 }
 
+// SetSilent leaves the calls that arrive or are pending while silent is true without an
+// answer for good. Their connections stay open.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.dropReads()
+}
+
+// DropAllPendingReads is DropPendingReads of all topics.
+func (s *Store) DropAllPendingReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropReads()
+}
+
+// dropReads drops the responses of all pending long polls. The caller holds mu.
+func (s *Store) dropReads() {
+	for name := range s.topics {
+		s.droppedReads[name]++
+	}
+	s.wakeReads()
+}
+
 // DropPendingReads drops the responses of the pending long polls of a topic.
 // Their connections stay open without data.
 func (s *Store) DropPendingReads(name string) {
@@ -189,8 +214,13 @@
 		s.mu.Lock()
 		s.calls++
 		s.callsOf[ip]++
-		unavailable := s.unavailable || s.turnedAway[ip]
+		unavailable, silent := s.unavailable || s.turnedAway[ip], s.silent
 		s.mu.Unlock()
+		if silent {
+			_, _ = io.Copy(io.Discard, r.Body) // the caller's leaving ends it
+			<-r.Context().Done()
+			return
+		}
 		if unavailable {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
