directory, edge: a server that has left the list is kept no longer than the bound

Callers saw: their requests reached servers more than 2 s after the store had removed their entries.

Cause: after an outage of the list a server that drops off it was kept for 2 s, because its entry may only have expired. The 2 s counted from when a daemon noticed the end of the outage, up to 1.7 s late; one lost answer in calm, or a reader that stood still for 0.7 s, counted as an outage; and a peer that heard of such a deletion began 2 s of its own, so that graces followed one another. The grace is as long as the bound for servers that leave.

Change: - What looks like an outage shorter than the bound keeps servers until the bound after the list was last known, which is never too long, whatever happened. - A longer one keeps them for 2 s as before. Its end is noticed within 0.9 s: a list that cannot be read is read without waiting, with pauses of at most 0.4 s. - The reader says with a deletion how long it keeps the server, and others keep it no longer; deletions of earlier releases, which do not say so, begin no grace. - A server that has returned and drops off again has left. - A kept server is used until its time, not until the next read.

TestPeersDeletionStartedAnotherGrace and TestServerThatReturnedAndLeftWasKept are new.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,8 +11,11 @@
 // Config sets up a Directory.
 type Config struct {
 	// ReturnGrace is how long after an outage of the list a server that dropped
-	// off it still counts as listed.
+	// off it may return.
 	ReturnGrace time.Duration
+	// LeavingBound is how long a server may still get requests after its entry has been
+	// removed.
+	LeavingBound time.Duration
 	// SizeOf returns the number of instances of one replica of a model, zero if the
 	// service does not run the model.
 	SizeOf func(service, model string) int
@@ -31,9 +34,10 @@
 
 	mu      sync.Mutex
 	entries map[fleet.InstanceID]*entry
-	// unavailableSince is when the current outage of the list was first noticed,
-	// zero while the list can be read; recoveredAt is when the last outage ended.
-	unavailableSince, recoveredAt time.Time
+	// unavailableSince is the time as of which the list was last known before the
+	// present outage, zero while the list can be read. returnUntil is the time until
+	// which servers that drop off the list after the last outage may return.
+	unavailableSince, returnUntil time.Time
 	version                       uint64 // of the entries
 	view                          *group.View
 	viewVersion                   uint64
@@ -69,9 +73,9 @@
 	// since its start, and loadedEpoch the epoch of that place.
 	loadedModel string
 	loadedEpoch fleet.Epoch
-	// unlistedAt is when the server left the list during or shortly after an
-	// outage of the list, zero while it is listed.
-	unlistedAt time.Time
+	// keptUntil is set while the server is not listed, but may return until then.
+	// returnedAt is when it has last done so.
+	keptUntil, returnedAt time.Time
 	// failedAt is when the server was found not to respond, zero while it does.
 	failedAt time.Time
 	// unreadable is set while the newest announcement cannot be read.
@@ -98,12 +102,14 @@
 	} else {
 		e.placeAsOf, e.placeFromServer = now, false
 	}
-	if e.announcedAt.IsZero() || affectsViews(&e.server, &s) || !e.unlistedAt.IsZero() || !e.failedAt.IsZero() {
+	if e.announcedAt.IsZero() || affectsViews(&e.server, &s) || e.isUnlisted() || !e.failedAt.IsZero() {
 		d.version++
 	}
 	e.update(s, d.cfg.ModelOf)
 	e.announcedAt = now
-	e.unlistedAt = time.Time{}
+	if e.isUnlisted() {
+		e.keptUntil, e.returnedAt = time.Time{}, now
+	}
 	e.failedAt = time.Time{}
 	e.unreadable = false
 }
@@ -318,7 +324,7 @@
 	defer d.mu.Unlock()
 	out := make(map[fleet.InstanceID]Listing, len(d.entries))
 	for id, e := range d.entries {
-		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, AnsweredAsOf: e.answeredAsOf, Failed: !e.failedAt.IsZero(), Unlisted: !e.unlistedAt.IsZero(), LoadedModel: e.loadedModel}
+		out[id] = Listing{Server: e.server, AnnouncedAt: e.announcedAt, AnsweredAsOf: e.answeredAsOf, Failed: !e.failedAt.IsZero(), Unlisted: e.isUnlisted(), LoadedModel: e.loadedModel}
 	}
 	return out
 }
@@ -389,13 +395,13 @@
 }
 
 // Leaving reports whether a server is announced as leaving, in the list or by an
-// answer of its own. It is true for servers that are not listed and for those whose
-// newest announcement cannot be read.
+// answer of its own. It is true for servers that are not listed, unless they may
+// return, and for those whose newest announcement cannot be read.
 func (d *Directory) Leaving(id fleet.InstanceID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entries[id]
-	return e == nil || e.server.Leaving || e.unreadable
+	return e == nil || e.server.Leaving || e.unreadable || e.isExpired(time.Now())
 }
 
 // Report implements group.Reports. It returns the last known state of a server
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -16,7 +16,8 @@
 
 func newDirectory() *Directory {
 	return New(Config{
-		ReturnGrace: 2 * time.Second,
+		ReturnGrace:  2 * time.Second,
+		LeavingBound: 2 * time.Second,
 		SizeOf: func(service, model string) int {
 			if service != "engines" {
 				return 0
@@ -57,7 +58,7 @@
 	assert.Assert(t, !whole(), "a member does not respond")
 	d.Announce(server("m", place(1, PlaceReady)), at(2))
 	assert.Assert(t, whole(), "it has announced itself again")
-	d.Withdraw("m", at(3))
+	d.Withdraw("m", time.Time{}, at(3))
 	assert.Assert(t, !whole(), "a member is gone")
 	assert.Equal(t, len(d.Groups().Groups["duo.1.1"].Members), 2, "a rank that no server reports stays vacant")
 }
@@ -168,7 +169,7 @@
 
 	for name, lose := range map[string]func(d *Directory){
 		"a member fails":       func(d *Directory) { d.Fail("m", at(1)) },
-		"a member is unlisted": func(d *Directory) { d.Withdraw("m", at(1)) },
+		"a member is unlisted": func(d *Directory) { d.Withdraw("m", time.Time{}, at(1)) },
 		"the leader breaks":    func(d *Directory) { d.Announce(server("h", place(0, PlaceBroken)), at(1)) },
 		"the leader restarts": func(d *Directory) {
 			restarted := server("h", nil)
@@ -269,6 +270,8 @@
 		{"within the grace period", 4 * time.Second, 100 * time.Millisecond, 1900 * time.Millisecond, true},
 		{"grace period over", 4 * time.Second, 100 * time.Millisecond, 2100 * time.Millisecond, false},
 		{"withdrawn after the grace period", 4 * time.Second, 2100 * time.Millisecond, 2200 * time.Millisecond, false},
+		{"outage shorter than the bound", 1500 * time.Millisecond, 10 * time.Millisecond, 300 * time.Millisecond, true},
+		{"outage shorter than the bound, over", 1500 * time.Millisecond, 10 * time.Millisecond, 500 * time.Millisecond, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDirectory()
@@ -279,7 +282,7 @@
 				assert.Equal(t, outage, test.outage)
 			}
 			recovered := time.Second + test.outage
-			d.Withdraw("m", at(recovered+test.withdrawn))
+			d.Withdraw("m", d.ReturnUntil(), at(recovered+test.withdrawn))
 			d.ListRead(at(recovered + test.readAt))
 			_, listed := d.Servers()["m"]
 			assert.Equal(t, listed, test.listed)
@@ -287,11 +290,24 @@
 	}
 }
 
+// A server that has returned after an outage, and drops off the list again, has left. It
+// was kept until the end of the grace period.
+func TestServerThatReturnedAndLeftWasKept(t *testing.T) {
+	d := newDirectory()
+	d.Announce(server("m", nil), at(0))
+	d.ListUnavailable(at(time.Second))
+	d.ListRead(at(5 * time.Second))
+	assert.Assert(t, d.Withdraw("m", d.ReturnUntil(), at(5*time.Second)), "it may return")
+	d.Announce(server("m", nil), at(5500*time.Millisecond))
+	assert.Assert(t, !d.Withdraw("m", d.ReturnUntil(), at(6*time.Second)))
+	assert.Equal(t, d.Len(), 0)
+}
+
 func TestRetainDropsUnlistedServers(t *testing.T) {
 	d := newDirectory()
 	d.Announce(server("a", nil), at(0))
 	d.Announce(server("b", nil), at(0))
-	d.Retain(map[fleet.InstanceID]bool{"a": true}, at(1))
+	d.Retain(map[fleet.InstanceID]bool{"a": true}, time.Time{}, at(1))
 	assert.Equal(t, d.Len(), 1)
 	assert.Assert(t, d.Leaving("b"), "a server that is not listed counts as leaving")
 	assert.Assert(t, !d.Leaving("a"))
@@ -386,12 +402,12 @@
 		{"a later entry of the same start", func(d *Directory) { d.Announce(server("e", nil), at(time.Second)) }, true},
 		{"a report of the same start", func(d *Directory) { d.RecordAnswer(server("e", nil), at(time.Second)) }, true},
 		{"its entry lapses and returns", func(d *Directory) {
-			d.Withdraw("e", at(time.Second))
+			d.Withdraw("e", time.Time{}, at(time.Second))
 			d.Announce(server("e", nil), at(2*time.Second))
 		}, true},
 		{"the answer comes while its entry is away", func(d *Directory) {
 			d.leavers = map[fleet.InstanceID]leaver{}
-			d.Withdraw("e", at(time.Second))
+			d.Withdraw("e", time.Time{}, at(time.Second))
 			d.RecordLeaving("e", 1, at(2*time.Second))
 			d.Announce(server("e", nil), at(3*time.Second))
 		}, true},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,11 +167,12 @@
 // createState creates the components that track the state of the system.
 func (d *Daemon) createState() {
 	d.directory = directory.New(directory.Config{
-		ReturnGrace: returnGrace,
-		SizeOf:      d.modelSize,
-		ServiceOf:   routes.ModelService,
-		ModelOf:     placement.ModelOfID,
-		Generates:   d.isEngineService,
+		ReturnGrace:  returnGrace,
+		LeavingBound: leavingBound,
+		SizeOf:       d.modelSize,
+		ServiceOf:    routes.ModelService,
+		ModelOf:      placement.ModelOfID,
+		Generates:    d.isEngineService,
 	})
 	tunnelKey := newTunnelKey()
 	d.env.ServerDialer.Attach(d.reachConfig(tunnelKey))
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -26,7 +26,7 @@
 	eventStoreFailed = event.Define(1809, "edge.store-failed", log.WarnLevel,
 		"A call to the store failed; the last known state stays in effect.", "Check whether the store responds.")
 	eventListRecovered = event.Define(1810, "edge.list-back", log.InfoLevel,
-		"The list of backend servers can be read again, or is known from a peer; away is since when it was not known to be current, and may_return whether servers that drop off it are kept for a while.", "Nothing.")
+		"The list of backend servers can be read again, or is known from a peer; away is how long it was not known to be current, and kept_for how long servers that drop off it are kept.", "Nothing.")
 	eventServerUnlisted = event.Define(1811, "edge.unlisted", log.InfoLevel,
 		"A backend server was removed from the list; kept says that it still gets requests, because an outage of the store may have removed its entry.", "Nothing, unless the server should be listed.")
 	eventServerNotReturned = event.Define(1817, "edge.not-returned", log.InfoLevel,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,6 +23,11 @@
 	// previous one.
 	serversInterval       = 400 * time.Millisecond
 	holderServersInterval = 200 * time.Millisecond
+	// listMaxBackoff is the longest pause after a read of the list that has failed. With
+	// the timeout of a read it bounds how late the end of an outage is noticed, from
+	// which returnGrace counts: both must end within 3 s of the outage, when leavingBound
+	// holds again.
+	listMaxBackoff = 400 * time.Millisecond
 	// documentInterval is the least time between two reads of the document.
 	documentInterval = 200 * time.Millisecond
 	// daemonsPollTimeout is the long-poll duration for the list of daemons.
@@ -90,11 +95,21 @@
 	return 0
 }
 
+// listPollTimeout returns how long a read of the list may wait for a change. After an
+// error it does not wait, so that the end of an outage is noticed soon.
+func (d *Daemon) listPollTimeout() time.Duration {
+	if d.directory.IsListUnavailable() {
+		return 0
+	}
+	return d.pollTimeout(readerPollTimeout)
+}
+
 func (d *Daemon) followServers(ctx context.Context) {
 	broadcast := false // whether the changes of the present read were broadcast
 	f := feed.Follower[directory.Server]{
 		Source:      d.env.Platform.Servers,
-		Wait:        func() time.Duration { return d.pollTimeout(readerPollTimeout) },
+		Wait:        d.listPollTimeout,
+		MaxBackoff:  listMaxBackoff,
 		Due:         d.isListDue,
 		Known:       d.listNews.knownUpTo,
 		MinInterval: d.serversReadInterval,
@@ -123,11 +138,12 @@
 	f.Run(ctx)
 }
 
-// recordListKnown records that this daemon's copy of the list is current.
+// recordListKnown records that the list could be read, by this daemon or by a peer that
+// has told it all changes.
 func (d *Daemon) recordListKnown(now time.Time) {
 	outage, removed := d.directory.ListRead(now)
 	if outage > 0 {
-		d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond), "may_return", d.directory.InReturnGrace(now))
+		d.events.Emit(eventListRecovered, "away", outage.Round(time.Millisecond), "kept_for", max(d.directory.ReturnUntil().Sub(now), 0).Round(time.Millisecond))
 	}
 	for _, id := range removed {
 		d.events.Emit(eventServerNotReturned, "instance", id)
@@ -140,9 +156,11 @@
 	for _, item := range items {
 		listed[fleet.InstanceID(item.Key)] = !item.Deleted
 	}
-	d.updateDirectory(items, sourceStore)
+	d.recordListKnown(now)
+	until := d.directory.ReturnUntil()
+	d.updateDirectory(items, sourceStore, func(uint64) time.Time { return until })
 	d.positions.setBase(next)
-	for _, w := range d.directory.Retain(listed, now) {
+	for _, w := range d.directory.Retain(listed, until, now) {
 		d.events.Emit(eventServerUnlisted, "instance", w.ID, "source", sourceStore, "position", next, "kept", w.Kept)
 	}
 	d.hasServerList.Store(true)
@@ -151,8 +169,10 @@
 // applyServerChanges applies changes that this daemon has read. It reports whether all
 // of them were broadcast to the other daemons.
 func (d *Daemon) applyServerChanges(items []feed.Item[directory.Server]) bool {
-	d.updateDirectory(items, sourceStore)
-	return d.readsForOthers() && d.broadcastChanges(items)
+	d.recordListKnown(time.Now())
+	until := d.directory.ReturnUntil()
+	left := d.updateDirectory(items, sourceStore, func(uint64) time.Time { return until })
+	return d.readsForOthers() && d.broadcastChanges(items, until, left)
 }
 
 // Sources of changes of the list, for the log.
@@ -163,9 +183,12 @@
 
 // updateDirectory applies changes of the list that this daemon read or that a
 // peer broadcast. It skips changes that are older than the known state of a
-// server.
-func (d *Daemon) updateDirectory(items []feed.Item[directory.Server], source string) {
+// server. MayReturnUntil returns until when a server whose entry was removed at a
+// position may return. updateDirectory returns the positions of the removals of
+// servers that have left for certain.
+func (d *Daemon) updateDirectory(items []feed.Item[directory.Server], source string, mayReturnUntil func(position uint64) time.Time) (left map[uint64]bool) {
 	now := time.Now()
+	left = map[uint64]bool{}
 	for _, item := range items {
 		if !d.positions.advance(item.Key, item.Position) {
 			if item.Err == nil && !item.Deleted {
@@ -178,12 +201,14 @@
 			d.skipBadRecord("list of backend servers", item.Key, item.Position, item.Err)
 			d.directory.Unreadable(fleet.InstanceID(item.Key))
 		case item.Deleted:
-			kept := d.directory.Withdraw(fleet.InstanceID(item.Key), now)
+			kept := d.directory.Withdraw(fleet.InstanceID(item.Key), mayReturnUntil(item.Position), now)
+			left[item.Position] = !kept
 			d.events.Emit(eventServerUnlisted, "instance", item.Key, "source", source, "position", item.Position, "age", item.Age.Round(time.Millisecond), "kept", kept)
 		default:
 			d.directory.Announce(item.Value, now.Add(-item.Age))
 		}
 	}
+	return left
 }
 
 // addressBook holds the endpoints of the other daemons.
--- a/internal/edge/recorded_test.go
+++ b/internal/edge/recorded_test.go
@@ -51,10 +51,20 @@
 	return all
 }
 
+// broadcastsOf8dd3310 returns the bodies in testdata/recorded-8dd3310.txt, which
+// 5205858 does not know.
+func broadcastsOf8dd3310() map[string]serverBroadcast {
+	server := recordedBroadcasts()["server"].Server
+	return map[string]serverBroadcast{
+		"deletion-may-return": {Deleted: true, MayReturn: true},
+		"server-loaded":       {Server: server, Loaded: &directory.Loaded{Model: "m", Epoch: 9}},
+	}
+}
+
 // Daemons of an earlier version run beside this one during an upgrade: each must
 // read what the other broadcasts.
 func TestBroadcastsOfEarlierVersions(t *testing.T) {
-	for commit, broadcasts := range map[string]map[string]serverBroadcast{"aeb1337": recordedBroadcasts(), "b909b5d": ratesOfB909b5d(), "5205858": broadcastsOf5205858()} {
+	for commit, broadcasts := range map[string]map[string]serverBroadcast{"aeb1337": recordedBroadcasts(), "b909b5d": ratesOfB909b5d(), "5205858": broadcastsOf5205858(), "8dd3310": broadcastsOf8dd3310()} {
 		f, err := os.Open(filepath.Join("testdata", "recorded-"+commit+".txt"))
 		assert.NilError(t, err)
 		defer f.Close()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -51,11 +51,23 @@
 	// Unreadable is set if the newest entry of the list can't be read.
 	Unreadable bool `cbor:"8,keyasint,omitempty"`
 	// MayReturn is set for a server that dropped off the list during an outage of the
-	// store, or shortly after one.
+	// store, or shortly after one, and KeepMilli is for how long it may return, in ms.
+	// Earlier releases set only MayReturn.
 	MayReturn bool `cbor:"9,keyasint,omitempty"`
 	// Loaded is what Server has loaded. The places that show it may have been replaced
 	// by later ones before they were sent.
-	Loaded *directory.Loaded `cbor:"10,keyasint,omitempty"`
+	Loaded    *directory.Loaded `cbor:"10,keyasint,omitempty"`
+	KeepMilli uint64            `cbor:"11,keyasint,omitempty"`
+}
+
+// mayReturnUntil returns until when the server of a deletion that was broadcast some
+// time ago may return; zero if it has left, or if the sender does not say.
+func (p serverBroadcast) mayReturnUntil(now time.Time, age time.Duration) time.Time {
+	if !p.MayReturn || p.KeepMilli == 0 {
+		return time.Time{}
+	}
+	keep := time.Duration(min(p.KeepMilli, uint64(returnGrace.Milliseconds()))) * time.Millisecond
+	return now.Add(keep - age)
 }
 
 // isKnown reports whether a body that holds neither a verdict nor a rate is a change
@@ -112,13 +124,17 @@
 	d.mesh.Broadcast([]membership.Broadcast{{Key: answerKeyPrefix + string(s.Instance), Version: version, Body: body}})
 }
 
-// broadcastChanges broadcasts changes of the list to all daemons. It returns false if
-// there are too many to send them all.
-func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server]) bool {
+// broadcastChanges broadcasts changes of the list to all daemons. Servers whose entries
+// were removed may return until a time, except at the positions in left. It returns
+// false if there are too many changes to send them all.
+func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server], mayReturnUntil time.Time, left map[uint64]bool) bool {
 	var broadcasts []membership.Broadcast
-	mayReturn := d.directory.InReturnGrace(time.Now())
+	keep := time.Until(mayReturnUntil).Milliseconds()
 	for _, item := range items {
-		p := serverBroadcast{Deleted: item.Deleted, MayReturn: item.Deleted && mayReturn}
+		p := serverBroadcast{Deleted: item.Deleted}
+		if item.Deleted && keep > 0 && !left[item.Position] {
+			p.MayReturn, p.KeepMilli = true, uint64(keep)
+		}
 		switch {
 		case item.Err != nil && item.Key == "":
 			continue // it concerns no known server
@@ -162,6 +178,8 @@
 func (d *Daemon) onBroadcasts(broadcasts []membership.Broadcast) {
 	var items []feed.Item[directory.Server]
 	var listed []serverBroadcast
+	now := time.Now()
+	mayReturnUntil := map[uint64]time.Time{} // by position
 	for _, b := range broadcasts {
 		var p serverBroadcast
 		err := cbor.Unmarshal(b.Body, &p)
@@ -204,8 +222,8 @@
 		if p.Unreadable {
 			item.Err = errUnreadableEntry
 		}
-		if p.Deleted && p.MayReturn {
-			d.directory.BeginReturnGrace(time.Now())
+		if p.Deleted {
+			mayReturnUntil[item.Position] = latest(d.directory.ReturnUntil(), p.mayReturnUntil(now, b.Age()))
 		}
 		if p.Server != nil {
 			item.Value = *p.Server
@@ -213,7 +231,7 @@
 		items = append(items, item)
 		listed = append(listed, p)
 	}
-	d.updateDirectory(items, sourcePeer)
+	d.updateDirectory(items, sourcePeer, func(position uint64) time.Time { return mayReturnUntil[position] })
 	for _, p := range listed {
 		d.recordLoaded(p)
 	}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -50,6 +51,38 @@
 	}
 }
 
+// A peer's deletion started a grace of its own at each daemon that heard of it, however
+// little was left of the peer's.
+func TestPeersDeletionStartedAnotherGrace(t *testing.T) {
+	for name, test := range map[string]struct {
+		body serverBroadcast
+		age  uint64 // in ms
+		kept time.Duration
+	}{
+		"has left":                    {serverBroadcast{Deleted: true}, 0, 0},
+		"may return":                  {serverBroadcast{Deleted: true, MayReturn: true, KeepMilli: 700}, 0, 700 * time.Millisecond},
+		"may return, on its way":      {serverBroadcast{Deleted: true, MayReturn: true, KeepMilli: 700}, 400, 300 * time.Millisecond},
+		"may return, too late":        {serverBroadcast{Deleted: true, MayReturn: true, KeepMilli: 700}, 700, 0},
+		"may return, of 8dd3310":      {serverBroadcast{Deleted: true, MayReturn: true}, 0, 0},
+		"may return, longer than any": {serverBroadcast{Deleted: true, MayReturn: true, KeepMilli: math.MaxUint64}, 0, returnGrace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newIdleDaemon(t)
+				d.directory.Announce(directory.Server{Instance: "e"}, time.Now())
+				body, err := cbor.Marshal(test.body)
+				assert.NilError(t, err)
+				d.onBroadcasts([]membership.Broadcast{{Key: "e", Version: 1, Body: body, AgeMilli: test.age}})
+				assert.Equal(t, !d.directory.Leaving("e"), test.kept > 0)
+				time.Sleep(test.kept - time.Millisecond)
+				assert.Equal(t, !d.directory.Leaving("e"), test.kept > 0)
+				time.Sleep(time.Millisecond)
+				assert.Assert(t, d.directory.Leaving("e"))
+			})
+		})
+	}
+}
+
 // Peers' broadcasts that can't be decoded must leave the others alone.
 func TestBroadcastsThatCannotBeDecoded(t *testing.T) {
 	good, err := cbor.Marshal(serverBroadcast{Server: &directory.Server{Instance: "good"}})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -71,6 +72,8 @@
 	// it for the next read.
 	MaxWait time.Duration
 	Wait    func() time.Duration
+	// MaxBackoff is the longest pause after an error, maxBackoff if zero.
+	MaxBackoff time.Duration
 	// Due, if set, reports whether changes should be read now. It is called every
 	// intervalCheckEvery.
 	Due func() bool
@@ -83,7 +86,8 @@
 // start. The interval may change in the meantime.
 const intervalCheckEvery = 100 * time.Millisecond
 
-// Backoff after errors: it starts at minBackoff and doubles up to maxBackoff.
+// Backoff after errors: it starts at minBackoff and doubles up to maxBackoff, or to
+// Follower.MaxBackoff.
 // Each pause is shortened by up to half, so that daemons do not retry at the
 // same time.
 const (
@@ -95,7 +99,7 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	var position uint64
 	synced := false
-	backoff := minBackoff
+	backoff, longest := minBackoff, cmp.Or(f.MaxBackoff, maxBackoff)
 	for ctx.Err() == nil {
 		following := synced
 		if following {
@@ -127,7 +131,7 @@
 			}
 			f.reportError(err)
 			f.sleep(ctx, backoff/2+rand.N(backoff/2))
-			backoff = min(2*backoff, maxBackoff)
+			backoff = min(2*backoff, longest)
 			continue
 		}
 		if following { // a gap may follow each complete read
--- a/standin/site/departed_test.go
+++ b/standin/site/departed_test.go
@@ -96,3 +96,25 @@
 	}
 	return others
 }
+
+// All entries expire in an outage and return just in time. The daemons must use the
+// servers all the while, those too that do not read the list by themselves.
+func TestServersWhoseEntriesExpiredWereDropped(t *testing.T) {
+	for _, daemons := range []int{7, 24} {
+		for _, outage := range []time.Duration{2200 * time.Millisecond, 5300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d daemons, %s", daemons, outage), func(t *testing.T) {
+				runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+					w.Store.SetSilent(true)
+					time.Sleep(outage)
+					for _, e := range w.Engines {
+						w.Store.Put("keyed.servers", e.ID, nil)
+						w.runAfter(1500*time.Millisecond, e.announce)
+					}
+					w.Store.SetSilent(false)
+					cut, rejected := countCutAndRejected(t, sendStreams(w, ModelOfTwo, 4*time.Second))
+					assert.Equal(t, cut+rejected, 0)
+				})
+			})
+		}
+	}
+}
