edge: a change takes effect in time also if the reader and one answer are lost

Callers saw: with the reader dead and the answer of a daemon's own first read lost, a server that leaves got requests, and a removed key was served, later than 2 s after.

Cause: the delays were constants in four files that nobody added up. A daemon read for itself once its list was 1.5 s old (its document 1.3 s), gave up a read that hung after 0.5 s, and paused for 0.1 s: 2.2 s and the way of a request.

Change: the constants of both delays are in budget.go, with their sums, which do not compile if they exceed the bounds: 1.15 s of age, 0.1 s until a read is due, 0.4 s until one that hangs is given up, 0.1 s of pause, 0.1 s for a read of a slow store, 0.15 s for a request on its way. A reader polls the document for 0.4 s in place of 0.6 s, so that the others hear of it in time.

--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -16,9 +16,9 @@
 	// kept. It is less than the shortest interval at which a server renews its entry,
 	// so that a shorter outage can't remove the entry of a running server.
 	minOutage = 800 * time.Millisecond
-	// requestWay is the time that a request may take from the choice of its server to
+	// RequestWay is the time that a request may take from the choice of its server to
 	// the server.
-	requestWay = 150 * time.Millisecond
+	RequestWay = 150 * time.Millisecond
 )
 
 // Withdrawn is a server that was removed from the list.
@@ -132,7 +132,7 @@
 	case outage < minOutage:
 		return time.Time{}
 	case outage < d.cfg.LeavingBound:
-		return since.Add(d.cfg.LeavingBound - requestWay)
+		return since.Add(d.cfg.LeavingBound - RequestWay)
 	default:
 		return now.Add(d.cfg.ReturnGrace)
 	}
--- /dev/null
+++ b/internal/edge/budget.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"time"
+
+	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/feed"
+)
+
+// Bounds that the operators specify.
+const (
+	// leavingBound is how long after its entry says that it leaves, or is removed, a
+	// server may still get requests.
+	leavingBound = 2 * time.Second
+	// documentBound is how long after it was stored an earlier version of the routing
+	// document may still be used.
+	documentBound = 2 * time.Second
+)
+
+// What a change in the store takes to reach a daemon without a reader that tells of it.
+const (
+	// readerPollTimeout and documentPollTimeout are the long-poll durations of a reader.
+	// The end of a poll shows as of when it is current.
+	readerPollTimeout   = 400 * time.Millisecond
+	documentPollTimeout = 400 * time.Millisecond
+	// listPatience and documentPatience are the maximum ages of what a daemon knows
+	// without reading. They exceed the age at which a reader's position usually arrives:
+	// that of its long poll and of its heartbeat.
+	listPatience     = 1150 * time.Millisecond
+	documentPatience = 1150 * time.Millisecond
+	// StoreReadMargin is how long a read of the store may take beyond the time for which
+	// it waits for a change.
+	StoreReadMargin = 400 * time.Millisecond
+	// slowRead is the time that a read takes at a slow store.
+	slowRead = 100 * time.Millisecond
+)
+
+// The longest delays, if the news was told just before the change, and the answer of the
+// daemon's first read is lost.
+const (
+	rereadDelay        = feed.DueInterval + StoreReadMargin + feed.MinBackoff + slowRead
+	worstListDelay     = listPatience + rereadDelay + directory.RequestWay
+	worstDocumentDelay = documentPatience + rereadDelay + directory.RequestWay
+)
+
+// These don't compile if a bound is exceeded.
+const (
+	_ = uint64(leavingBound - worstListDelay)
+	_ = uint64(documentBound - worstDocumentDelay)
+)
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -18,23 +18,9 @@
 // that nothing rests on a reader: one that is dead, cut off, frozen or turned away by
 // the store only costs the others a read each.
 
-const (
-	// listPatience and documentPatience are the maximum ages of what this daemon
-	// knows without reading. They bound how late it notices that a server has left,
-	// or a new version of the document, both of which must take effect within 2 s.
-	// They exceed the age at which a reader's position usually arrives: that of its
-	// long poll and of its heartbeat.
-	listPatience     = 1500 * time.Millisecond
-	documentPatience = 1300 * time.Millisecond
-	// readerPollTimeout is the long-poll duration of a reader. The end of a poll shows
-	// as of when it is current.
-	readerPollTimeout = 400 * time.Millisecond
-	// documentPollTimeout is that of a reader's polls of the document.
-	documentPollTimeout = 600 * time.Millisecond
-	// minReaderAge is how long after its start a daemon without the lease begins to
-	// read for others: before, it may not have heard of their readers yet.
-	minReaderAge = time.Second
-)
+// minReaderAge is how long after its start a daemon without the lease begins to read for
+// others: before, it may not have heard of their readers yet.
+const minReaderAge = time.Second
 
 // listNews tracks up to which position of the list all changes are known to this
 // daemon, and which of them it has broadcast. It is safe for concurrent use.
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -11,9 +11,6 @@
 	// returnGrace is how long after the store recovers an unlisted server may
 	// still register again, as specified by the operators.
 	returnGrace = 2 * time.Second
-	// leavingBound is how long after its entry says that it leaves, or is removed, a
-	// server may still get requests, as specified by the operators.
-	leavingBound = 2 * time.Second
 	// startupPeriod is how long after its start a daemon may know fewer servers
 	// than the others. During that time it delays its claim to the scope by
 	// startupClaimDelay if an older daemon exists.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -75,23 +75,23 @@
 	// MaxBackoff is the longest pause after an error, maxBackoff if zero.
 	MaxBackoff time.Duration
 	// Due, if set, reports whether changes should be read now. It is called every
-	// intervalCheckEvery.
+	// DueInterval.
 	Due func() bool
 	// Known, if set, returns a position up to which the changes are known without a
 	// read of this follower. If it is later, the next read starts there.
 	Known func() uint64
 }
 
-// intervalCheckEvery is how often the follower checks whether the next read may
+// DueInterval is how often a follower checks whether the next read may
 // start. The interval may change in the meantime.
-const intervalCheckEvery = 100 * time.Millisecond
+const DueInterval = 100 * time.Millisecond
 
-// Backoff after errors: it starts at minBackoff and doubles up to maxBackoff, or to
+// Backoff after errors: it starts at MinBackoff and doubles up to maxBackoff, or to
 // Follower.MaxBackoff.
 // Each pause is shortened by up to half, so that daemons do not retry at the
 // same time.
 const (
-	minBackoff = 100 * time.Millisecond
+	MinBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 )
 
@@ -99,7 +99,7 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	var position uint64
 	synced := false
-	backoff, longest := minBackoff, cmp.Or(f.MaxBackoff, maxBackoff)
+	backoff, longest := MinBackoff, cmp.Or(f.MaxBackoff, maxBackoff)
 	for ctx.Err() == nil {
 		following := synced
 		if following {
@@ -135,7 +135,7 @@
 			continue
 		}
 		if following { // a gap may follow each complete read
-			backoff = minBackoff
+			backoff = MinBackoff
 		}
 		if f.Sink.OnRead != nil {
 			read.At = time.Now()
@@ -153,7 +153,7 @@
 		if left <= 0 {
 			return
 		}
-		f.sleep(ctx, min(left, intervalCheckEvery))
+		f.sleep(ctx, min(left, DueInterval))
 	}
 }
 
@@ -189,7 +189,7 @@
 
 func (f *Follower[T]) waitUntilDue(ctx context.Context) {
 	for f.Due != nil && ctx.Err() == nil && !f.Due() {
-		f.sleep(ctx, intervalCheckEvery)
+		f.sleep(ctx, DueInterval)
 	}
 }
 
--- a/standin/site/news_test.go
+++ b/standin/site/news_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"testing"
@@ -67,10 +68,57 @@
 	}
 }
 
+// slowAnswer is the response time of a slow store.
+const slowAnswer = 60 * time.Millisecond
+
 // documentBound is how long after a new version of the document requests may still be
 // handled by an earlier one.
 const documentBound = 2 * time.Second
 
+// changeListAndDocument makes a server leave and replaces the only key, and checks that
+// both have taken effect at some daemons within their bounds.
+func changeListAndDocument(t *testing.T, w *World, daemons []*Daemon) {
+	t.Helper()
+	w.Plains[0].announce("draining")
+	document := Document(2)
+	document["tenants"] = []any{map[string]any{"name": Workspace, "apiKeys": []string{"another key"}, "priority": 1}}
+	w.Publish(document)
+	time.Sleep(max(documentBound, drainBound))
+	for _, d := range daemons {
+		r := w.Call(d, http.MethodPost, "/unsafe/x", "old-"+d.name, "", "", nil)
+		assert.Check(t, r.Status == http.StatusUnauthorized, "%s answers %d to a key that was removed", d.name, r.Status)
+		for n := range 4 {
+			r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprintf("new-%s-%d", d.name, n), "", "", http.Header{"X-Carawayproxy-Key": {"another key"}})
+			assert.Check(t, r.Header.Get("X-Carawayproxy-Server-Stamp") == "proof-p-01", "%s: status %d, stamp %q", d.name, r.Status, r.Header.Get("X-Carawayproxy-Server-Stamp"))
+		}
+	}
+}
+
+// newsDaemons is a further number of daemons, such as 195.
+var newsDaemons = flag.Int("news-daemons", 63, "daemons in the largest case of TestChangeTookEffectLateWithoutReaderAndAnswer")
+
+// The reader dies just after it has told its position, and the answer of the first read
+// of each other daemon is lost. What the others knew was too old when they read again.
+func TestChangeTookEffectLateWithoutReaderAndAnswer(t *testing.T) {
+	const phases, step = 14, 31 * time.Millisecond // more than a long poll
+	for _, daemons := range []int{7, 24, *newsDaemons} {
+		for phase := range phases {
+			if daemons == *newsDaemons && phase%6 != 5 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d daemons, %s", daemons, time.Duration(phase)*step), func(t *testing.T) {
+				runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+					time.Sleep(time.Duration(phase) * step)
+					reader := readerOf(w)
+					reader.Kill()
+					w.Store.LoseNextReads("keyed.servers", "keyed.op")
+					changeListAndDocument(t, w, except(w.Daemons, reader))
+				})
+			})
+		}
+	}
+}
+
 // A change must take effect at all daemons in time, whatever happens at that moment to
 // the daemon that reads the list and the document for the others.
 func TestChangeTookEffectLateWithoutTheReader(t *testing.T) {
@@ -82,6 +130,15 @@
 		},
 		"reader is cut from the store":       func(w *World, reader *Daemon) { w.Net.CutBoth(reader.ip, storeIP) },
 		"reader is turned away by the store": func(w *World, reader *Daemon) { w.Store.TurnAway(reader.ip, true) },
+		"reader's answers are lost":          func(w *World, _ *Daemon) { w.Store.DropAllPendingReads() },
+		"history is dropped": func(w *World, _ *Daemon) {
+			w.Store.TruncateHistory("keyed.servers")
+			w.Store.TruncateHistory("keyed.op")
+		},
+		"reader is silent, and the store slow": func(w *World, reader *Daemon) {
+			w.Net.Freeze(reader.ip)
+			w.Store.SetDelay(slowAnswer)
+		},
 		"reader is cut from the others": func(w *World, reader *Daemon) {
 			for _, d := range w.Daemons {
 				if d != reader {
@@ -97,22 +154,7 @@
 						reader := readerOf(w)
 						lose(w, reader)
 						time.Sleep(after)
-						w.Plains[0].announce("draining")
-						document := Document(2)
-						document["tenants"] = []any{map[string]any{"name": Workspace, "apiKeys": []string{"another key"}, "priority": 1}}
-						w.Publish(document)
-						time.Sleep(max(documentBound, drainBound))
-						for _, d := range w.Daemons {
-							if d == reader {
-								continue
-							}
-							r := w.Call(d, http.MethodPost, "/unsafe/x", "old-"+d.name, "", "", nil)
-							assert.Check(t, r.Status == http.StatusUnauthorized, "%s answers %d to a key that was removed", d.name, r.Status)
-							for n := range 4 {
-								r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprintf("new-%s-%d", d.name, n), "", "", http.Header{"X-Carawayproxy-Key": {"another key"}})
-								assert.Check(t, r.Header.Get("X-Carawayproxy-Server-Stamp") == "proof-p-01", "%s: status %d, stamp %q", d.name, r.Status, r.Header.Get("X-Carawayproxy-Server-Stamp"))
-							}
-						}
+						changeListAndDocument(t, w, except(w.Daemons, reader))
 						w.Net.Thaw(reader.ip)
 					})
 				})
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -29,6 +29,10 @@
 	droppedReads map[string]int  // per topic: times that its pending reads were dropped
 	held         map[string]bool // topics whose reads are not answered
 	silent       bool            // calls are not answered, also later
+	// loses is the topics of which the next read of each caller is not answered, by IP
+	// address. nil for none.
+	loses map[string]map[string]bool
+	delay time.Duration // before each answer
 }
 
 // topic is the single partition that the system uses of a topic.
@@ -70,6 +74,34 @@
 	s.dropReads()
 }
 
+// LoseNextReads leaves the next read of each caller of each of the topics without an
+// answer. Their connections stay open.
+func (s *Store) LoseNextReads(topics ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loses = map[string]map[string]bool{}
+	for _, name := range topics {
+		s.loses[name] = map[string]bool{}
+	}
+}
+
+// losesRead reports whether a read is not answered. The caller holds mu.
+func (s *Store) losesRead(name, ip string) bool {
+	lost := s.loses[name]
+	if lost == nil || lost[ip] {
+		return false
+	}
+	lost[ip] = true
+	return true
+}
+
+// SetDelay makes the store answer later by a delay.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // DropAllPendingReads is DropPendingReads of all topics.
 func (s *Store) DropAllPendingReads() {
 	s.mu.Lock()
@@ -214,13 +246,16 @@
 		s.mu.Lock()
 		s.calls++
 		s.callsOf[ip]++
-		unavailable, silent := s.unavailable || s.turnedAway[ip], s.silent
+		unavailable := s.unavailable || s.turnedAway[ip]
+		silent := s.silent || r.Method == http.MethodGet && s.losesRead(r.URL.Query().Get("topic"), ip)
+		delay := s.delay
 		s.mu.Unlock()
 		if silent {
 			_, _ = io.Copy(io.Discard, r.Body) // the caller's leaving ends it
 			<-r.Context().Done()
 			return
 		}
+		time.Sleep(delay)
 		if unavailable {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
