edge: an outage of the store that ends with dropped history ends with that answer

Callers saw: 3 s after an outage of the store, requests still reached a server that had left the list just before it.

Cause: a daemon whose first read after the outage was told that the history had been dropped counted the outage until its complete read, after another pause of up to 0.4 s, and kept servers for 2 s from there.

Change: that answer ends the outage, as the store did respond.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -128,8 +128,11 @@
 				d.recordListKnown(r.At)
 			},
 			OnError: func(err error) {
-				if !errors.Is(err, feed.ErrGap) { // with a gap, the store did respond
-					d.directory.ListUnavailable(d.listNews.knownAsOf(time.Now()))
+				now := time.Now()
+				if errors.Is(err, feed.ErrGap) { // the store did respond
+					d.recordListKnown(now)
+				} else {
+					d.directory.ListUnavailable(d.listNews.knownAsOf(now))
 				}
 				d.events.Emit(eventStoreFailed, "what", "list of backend servers", "error", err)
 			},
@@ -138,8 +141,8 @@
 	f.Run(ctx)
 }
 
-// recordListKnown records that the list could be read, by this daemon or by a peer that
-// has told it all changes.
+// recordListKnown records that the store lets the list be read, by this daemon or by a
+// peer that has told it all changes.
 func (d *Daemon) recordListKnown(now time.Time) {
 	outage, removed := d.directory.ListRead(now)
 	if outage > 0 {
--- a/standin/site/departed_test.go
+++ b/standin/site/departed_test.go
@@ -67,6 +67,16 @@
 			time.Sleep(stable - drainBound)
 			return w.Daemons
 		}},
+		{"just before an outage that drops the history", func(w *World, phase time.Duration) []*Daemon {
+			time.Sleep(phase)
+			w.Store.SetSilent(true)
+			leave(w)
+			time.Sleep(outage)
+			w.Store.TruncateHistory("keyed.servers")
+			w.Store.SetSilent(false)
+			time.Sleep(stable - drainBound)
+			return w.Daemons
+		}},
 	} {
 		for _, daemons := range []int{7, 24} {
 			for _, phase := range []time.Duration{0, 230 * time.Millisecond, 490 * time.Millisecond, 810 * time.Millisecond} {
