edge: requests that arrive during a planned stop are answered before its end

Callers saw (reported by other operators): requests that arrived late in the grace of a planned stop were passed on, and their connections were closed without an answer at the end of the stop, also those of requests that may not be repeated.

Cause: such a request kept its own deadline, up to 8 s after its arrival at 2.5 s of a stop of 8 s. The end of the stop closed its connection.

Change: its deadline is at most 0.3 s before the end of the stop, so that its caller gets 504, and its server is told less time.

Requests that were in flight when the stop began keep their deadlines.

The other report, an answer that ends inside its head, does not happen here: TestAnswerThatEndedInItsHeadWasPassedOn cuts the head at every byte, with three framings, and passed on the code as it was.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -130,6 +130,7 @@
 	demand                                 demandMeter
 	addresses                              addressBook
 	draining                               atomic.Bool
+	drainingSince                          atomic.Int64 // nanoseconds since started
 	drainStarted                           chan struct{}
 	drainOnce                              sync.Once
 	started                                time.Time
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -41,6 +41,7 @@
 		Routes:     d.routes,
 		Dispatcher: demandRecorder{d},
 		Draining:   d.draining.Load,
+		StopsAt:    d.stopsAt,
 		Events:     d.events,
 	})
 	readiness := http.NewServeMux()
@@ -88,11 +89,21 @@
 // Drain starts a planned stop. Run returns when it has completed.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
+		d.drainingSince.Store(int64(time.Since(d.started)))
 		d.draining.Store(true)
 		close(d.drainStarted)
 	})
 }
 
+// stopsAt returns the time by which requests that arrive during a planned stop must be
+// answered, zero while there is none.
+func (d *Daemon) stopsAt() time.Time {
+	if !d.draining.Load() {
+		return time.Time{}
+	}
+	return d.started.Add(time.Duration(d.drainingSince.Load()) + d.settings.DrainTimeout - shutdownTimeout)
+}
+
 // LogSettingsChanged logs that the settings changed. A running process keeps
 // its settings, which come from the environment.
 func (d *Daemon) LogSettingsChanged() { d.events.Emit(eventSettingsChanged) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,10 @@
 	// Draining reports whether the daemon is shutting down. Connections are
 	// then closed after the answer.
 	Draining func() bool
-	Events   *event.Logger
+	// StopsAt returns the time by which requests that arrive during a planned stop must
+	// be answered, zero while there is none.
+	StopsAt func() time.Time
+	Events  *event.Logger
 }
 
 // Handler serves callers' requests.
@@ -106,6 +109,9 @@
 		return
 	}
 	deadline := req.deadline()
+	if stop := h.cfg.StopsAt(); !stop.IsZero() && stop.Before(deadline) {
+		deadline = stop // the caller learns whether its request may have run
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	relay := &relay{w: w, control: http.NewResponseController(w), stream: req.route.Kind == routes.KindStream}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -45,7 +45,8 @@
 		current := &routes.CurrentDocument{}
 		assert.Assert(t, current.Update(testDocument()))
 		server := httptest.NewServer(NewHandler(Config{
-			Codec: noMeta{}, Routes: current, Dispatcher: canceledDispatcher{state}, Draining: func() bool { return false }, Events: event.Discard(),
+			Codec: noMeta{}, Routes: current, Dispatcher: canceledDispatcher{state}, Draining: func() bool { return false },
+			StopsAt: func() time.Time { return time.Time{} }, Events: event.Discard(),
 		}))
 		defer server.Close()
 		conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -742,3 +742,25 @@
 		assert.Assert(t, w.OpenGroups(ModelOfThree) >= larger-1, "%d of %d groups of three are left", w.OpenGroups(ModelOfThree), larger)
 	})
 }
+
+// A request that arrived late in the grace of a planned stop was passed on, and its
+// connection was closed without an answer at the end of the stop. Its caller could not
+// tell whether it had run.
+func TestPlannedStopEndedWithoutAnAnswer(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		for _, p := range w.Plains {
+			w.interpose(p.server, func(http.ResponseWriter, *http.Request, http.Handler) { time.Sleep(10 * time.Second) })
+		}
+		d := w.Daemons[0]
+		var callers sync.WaitGroup
+		for _, path := range []string{"/unsafe/x", "/safe/x"} {
+			callers.Go(func() {
+				time.Sleep(2300 * time.Millisecond)
+				r := w.Call(d, http.MethodPost, path, "late"+strings.ReplaceAll(path, "/", "-"), "", "b", nil)
+				assert.Check(t, r.Err == nil && r.Status == http.StatusGatewayTimeout, "%s: status %d, %v", path, r.Status, r.Err)
+			})
+		}
+		d.Drain()
+		callers.Wait()
+	})
+}
--- a/standin/site/unframed_test.go
+++ b/standin/site/unframed_test.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -62,3 +64,46 @@
 		assert.Assert(t, took <= 2*time.Second, "answered after %s, the route's time-out is 1.5 s", took)
 	})
 }
+
+// A server's answer ended inside its head. Callers must not get it as a success, with an
+// empty or a shorter body.
+func TestAnswerThatEndedInItsHeadWasPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Carawayproxy-Attempt-Id: %s\r\nX-Carawayproxy-Server-Stamp: proof\r\nContent-Type: text/event-stream\r\n%s\r\n"
+	for name, framing := range map[string]string{"no length": "", "length": "Content-Length: 0\r\n", "chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			runWorld(t, func(t *testing.T, w *World) {
+				sent := 0 // bytes of the head, set between requests
+				cut := func(rw http.ResponseWriter, r *http.Request, _ http.Handler) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					conn, _, err := http.NewResponseController(rw).Hijack()
+					if err != nil {
+						panic(err)
+					}
+					answer := fmt.Sprintf(head, r.Header.Get("X-Carawayproxy-Attempt-Id"), framing)
+					_, _ = io.WriteString(conn, answer[:sent])
+					_ = conn.Close()
+				}
+				for _, p := range w.Plains {
+					w.interpose(p.server, cut)
+				}
+				for _, e := range w.Engines {
+					w.interpose(e.server, cut)
+				}
+				length := len(fmt.Sprintf(head, "u-000", framing))
+				for ; sent < length-1; sent++ {
+					for _, path := range []string{"/unsafe/x", "/safe/x"} {
+						r := w.Call(w.Daemons[sent%3], http.MethodPost, path, fmt.Sprintf("%c-%03d", path[1], sent), "", "b", nil)
+						assert.Check(t, r.Status != http.StatusOK, "%s after %d bytes: %d, %q, %v", path, sent, r.Status, r.Body, r.Err)
+					}
+					if sent%10 == 0 {
+						r := w.Stream(w.Daemons[sent%3], fmt.Sprintf("s-%03d", sent), ModelOfTwo)
+						assert.Check(t, r.Status != http.StatusOK || r.Err != nil, "stream after %d bytes: %d, %q", sent, r.Status, r.Body)
+					}
+				}
+				sent = length
+				r := w.Call(w.Daemons[0], http.MethodPost, "/unsafe/x", "u-all", "", "b", nil)
+				assert.Equal(t, r.Status == http.StatusOK, name != "chunks", "a whole head: status %d", r.Status)
+			})
+		})
+	}
+}
