--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -51,13 +51,14 @@
 	// Unreadable is set if the newest entry of the list can't be read.
 	Unreadable bool `cbor:"8,keyasint,omitempty"`
 	// MayReturn is set for a server that dropped off the list during an outage of the
-	// store, or shortly after one, and KeepMilli is for how long it may return, in ms.
-	// Earlier releases set only MayReturn.
+	// store, or shortly after one.
 	MayReturn bool `cbor:"9,keyasint,omitempty"`
 	// Loaded is what Server has loaded. The places that show it may have been replaced
 	// by later ones before they were sent.
-	Loaded    *directory.Loaded `cbor:"10,keyasint,omitempty"`
-	KeepMilli uint64            `cbor:"11,keyasint,omitempty"`
+	Loaded *directory.Loaded `cbor:"10,keyasint,omitempty"`
+	// KeepMilli is for how long a server with MayReturn may return, in ms. Releases
+	// until 8dd3310 do not set it.
+	KeepMilli uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // mayReturnUntil returns until when the server of a deletion that was broadcast some
