dispatch, platform: a request is held back if its server has left while it was dialed

Callers' side: a request could reach a server up to 0.4 s (the time-out of a dial) after its daemon knew that the server leaves.

Cause: the group was checked for the last time before the connection was opened.

Change: it is checked once more when there is a connection. If it can't be used any more nothing is sent, the attempt counts as not sent, and the request goes to another server, also if it may run only once. The 0.15 s of the budget count from that check.

--- a/internal/backend/opaque.go
+++ b/internal/backend/opaque.go
@@ -100,8 +100,10 @@
 	// Fresh requests a new connection instead of a pooled one.
 	Fresh bool
 	// Connected, if not nil, is called before the request is sent, with the daemon
-	// that its connection leads through, empty for a direct one.
-	Connected func(via string)
+	// that its connection leads through, empty for a direct one. If it returns an
+	// error, the request is not sent, and the error of the call matches that one and
+	// ErrNotSent.
+	Connected func(via string) error
 }
 
 // OpaqueResponse is the status, header and body of a response. The caller must
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -16,8 +16,8 @@
 	// kept. It is less than the shortest interval at which a server renews its entry,
 	// so that a shorter outage can't remove the entry of a running server.
 	minOutage = 800 * time.Millisecond
-	// RequestWay is the time that a request may take from the choice of its server to
-	// the server.
+	// RequestWay is the time that a request may take to its server from the last check
+	// that the server has not left, when there is a connection to it.
 	RequestWay = 150 * time.Millisecond
 )
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -20,6 +20,10 @@
 // maxAnswerBytes bounds an answer that is buffered before it is relayed.
 const maxAnswerBytes = 32 << 20
 
+// errNotUsable is the cause of an attempt that was not sent, because the group could no
+// longer be used when there was a connection.
+var errNotUsable = errors.New("the group can no longer be used")
+
 // errBackendError is the cause of an attempt that was answered with an error.
 var errBackendError = errors.New("the backend server answered that it failed")
 
@@ -202,7 +206,7 @@
 	var refused *backend.RefusedError
 	switch {
 	case errors.Is(cause, errSuperseded), errors.Is(cause, errCallerGone),
-		errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, backend.ErrLinksLost):
+		errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, backend.ErrLinksLost), errors.Is(cause, errNotUsable):
 		return 0
 	case errors.Is(cause, backend.ErrNotSent):
 		return routing.RefusedUnreachable
@@ -301,10 +305,14 @@
 	m.Urgency = r.urgency
 	m.ResumeAfter = r.resumePoint()
 	m.Fresh = !r.req.Repeatable
-	m.Connected = func(via string) {
+	m.Connected = func(via string) error {
+		if !r.d.cfg.Router.Recheck(t.Candidate) { // a server may have left while it was dialed
+			return errNotUsable
+		}
 		if via != "" {
 			r.d.cfg.Events.Emit(eventRelayed, "request", r.id, "attempt", t.attempt, "instance", t.GroupLeader, "address", t.Address, "via", via)
 		}
+		return nil
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		m.Remaining = time.Until(deadline)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -56,7 +56,8 @@
 	Started(group fleet.GroupID, maxTokens uint32)
 	Ended(group fleet.GroupID, maxTokens uint32)
 	// Recheck reports whether the selected group may still be used. It is called
-	// immediately before an attempt is sent.
+	// before an attempt is sent, and for forwarded requests again once there is a
+	// connection.
 	Recheck(c routing.Candidate) bool
 	// Charge charges an attempt to the request rate that the group's leader
 	// announces, and reports whether it may be sent under that rate and the pauses
--- a/standin/site/departed_test.go
+++ b/standin/site/departed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,3 +133,47 @@
 		}
 	}
 }
+
+// A server was chosen, and left while the connection to it was being opened. The request
+// was sent to it all the same, up to 0.4 s later.
+func TestRequestSentToAServerThatLeftWhileItWasDialed(t *testing.T) {
+	for name, leave := range map[string]func(w *World){
+		"draining": func(w *World) { w.Plains[0].announce("draining") },
+		"deleted":  func(w *World) { w.Store.Put("keyed.servers", w.Plains[0].ID, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWorld(t, func(t *testing.T, w *World) {
+				const (
+					requests = 8                      // one server can run all of them
+					chosen   = 10 * time.Millisecond  // by then each has its server
+					known    = 300 * time.Millisecond // by then the leaving is, and no dial has timed out
+				)
+				plain, _, err := net.SplitHostPort(w.Plains[0].addr)
+				assert.NilError(t, err)
+				separate := func(f func(a, b string)) {
+					for _, d := range w.Daemons {
+						f(d.ip, plain)
+					}
+				}
+				separate(w.Net.CutBoth)
+				var calls sync.WaitGroup
+				for n := range requests {
+					calls.Go(func() {
+						method, path := http.MethodPost, "/unsafe/x"
+						if n%2 == 0 {
+							method, path = http.MethodGet, "/safe/x"
+						}
+						r := w.Call(w.Daemons[0], method, path, fmt.Sprint("dialed-", n), "", "", nil)
+						stamp := r.Header.Get("X-Carawayproxy-Server-Stamp")
+						assert.Check(t, r.Status == http.StatusOK && stamp == "proof-"+w.Plains[1].ID, "%s: status %d, stamp %q, %v, %s", path, r.Status, stamp, r.Err, r.Body)
+					})
+				}
+				time.Sleep(chosen)
+				leave(w)
+				time.Sleep(known - chosen)
+				separate(w.Net.Heal)
+				calls.Wait()
+			})
+		})
+	}
+}
