lease: a daemon that was paused within a check claimed a scope that was held

Callers' side: two daemons would act for one scope for up to 6 s, the one that claimed it and the paused holder when it wakes; this is the operators' report of orders that go out twice around a hand-over. It concerns the product's own log, not the platform's claim log (lease.Elector takes the time after it has read).

Cause: the manager took the time, then asked for the live daemons and read the leases, and dated a change of a lease by the earlier time. A pause in between made a renewal that was just written look as old as the pause, and the claim was due at once.

Change: a change is dated after it was read.

The test's sampling had a fault of its own: it read the daemons one after the other, and took a scope that was released and claimed in between for one with two holders. Several holders are read again now, so that all of them held the scope when the last of the first reading was read; holders that overlap for any time still show.

--- a/internal/lease/helper_test.go
+++ b/internal/lease/helper_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,8 +103,10 @@
 	fold    *lease.Fold
 	replica *journal.Replica
 	log     *pausableLog
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	// stepPause is a pause in the manager's next check of the leases.
+	stepPause atomic.Int64 // time.Duration
+	stop      context.CancelFunc
+	done      sync.WaitGroup
 }
 
 // cluster is several daemons on one log.
@@ -166,6 +170,7 @@
 func (d *daemon) livePeers(c *cluster) func() []fleet.DaemonID {
 	return func() []fleet.DaemonID {
 		d.log.waitResumed()
+		time.Sleep(time.Duration(d.stepPause.Swap(0)))
 		return c.ids()
 	}
 }
@@ -180,8 +185,19 @@
 	d.done.Wait()
 }
 
-// holders returns the daemons that hold a scope now.
+// holders returns the daemons that hold a scope at the same time. While they are read
+// one after the other, one may release the scope to a later one, so several are read
+// again.
 func (c *cluster) holders(scope lease.Scope) []fleet.DaemonID {
+	ids := c.readHolders(scope)
+	if len(ids) <= 1 {
+		return ids
+	}
+	again := c.readHolders(scope)
+	return slices.DeleteFunc(ids, func(id fleet.DaemonID) bool { return !slices.Contains(again, id) })
+}
+
+func (c *cluster) readHolders(scope lease.Scope) []fleet.DaemonID {
 	var ids []fleet.DaemonID
 	for _, d := range c.all() {
 		if _, ok := d.Held(scope); ok {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -86,7 +86,7 @@
 // scopeState is the manager's state of one scope.
 type scopeState struct {
 	seen   Lease          // as of the last check
-	seenAt time.Time      // when seen last changed
+	seenAt time.Time      // a time after seen was read, when it last changed
 	sent   []sentProposal // renewals and claims of this daemon, oldest first
 	// releasedTerm is the term that this daemon is releasing.
 	releasedTerm Term
--- a/internal/lease/manager_step.go
+++ b/internal/lease/manager_step.go
@@ -17,7 +17,7 @@
 		l, _ := m.cfg.Fold.Current(scope)
 		if l != st.seen || st.seenAt.IsZero() {
 			st.seen = l
-			st.seenAt = now
+			st.seenAt = time.Now() // the process may have been paused since now
 		}
 		st.observeOrder(rank(scope, m.cfg.Self, alive), now)
 		hold, ok := m.hold(scope, now)
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -258,3 +258,26 @@
 		assert.Equal(t, unheld, time.Duration(0))
 	})
 }
+
+// A daemon that was paused within a check of the leases dated the holder's latest
+// renewal back to before the pause, and claimed the scope at once. A holder that does
+// not read the claim, since it is paused then, held it for some seconds more.
+func TestPausedObserverTookAFreshRenewalForAnOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		daemons := []*daemon{c.start("d0"), c.start("d1")}
+		c.watch(3 * time.Second)
+		holder := c.holder(c.scopes[0])
+		const pause = 10 * time.Second
+		for _, d := range daemons {
+			if d != holder {
+				d.stepPause.Store(int64(pause))
+			}
+		}
+		c.watch(pause - 100*time.Millisecond)
+		assert.Equal(t, c.holder(c.scopes[0]), holder)
+		holder.log.pause()
+		c.watch(lease.TakeoverBound)
+		assert.Assert(t, c.holder(c.scopes[0]) != holder)
+	})
+}
--- a/internal/lease/property_test.go
+++ b/internal/lease/property_test.go
@@ -34,6 +34,11 @@
 			}
 		}), 4, 9).Draw(rt, "steps")
 		synctest.Test(t, func(t *testing.T) {
+			defer func() {
+				if t.Failed() { // rapid does not see the failure
+					t.Logf("steps: %+v", steps)
+				}
+			}()
 			c := newCluster(t, 3)
 			slots := make([]*daemon, 4)
 			for i := range slots {
