placement: a term begins once its lease is held, also after a pause

Callers' side: a holder that was paused for half a second or more between the clock and its lease would act at once, while orders of the previous holder are on their way, so that an engine could be ordered into two groups.

Cause: the round took the time before it asked for the lease, and the term began at that time, from which SettleTime counts and engines' answers confirm their places.

Change: the term begins when the lease is held. The other uses of the earlier time only make the controller wait longer.

TestTermBeganBeforeItsLease: the term began 1 s before the lease before, not after. internal/placement passes.

--- a/internal/placement/group_controller.go
+++ b/internal/placement/group_controller.go
@@ -214,7 +214,7 @@
 		return
 	}
 	if c.termState == nil || c.termState.term != hold.Term {
-		c.startTerm(hold.Term, now)
+		c.startTerm(hold.Term, time.Now()) // the process may have been paused since now
 	}
 	t := c.termState
 	if !t.leaseLostAt.IsZero() {
--- a/internal/placement/prober_test.go
+++ b/internal/placement/prober_test.go
@@ -15,6 +15,7 @@
 	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/group"
+	"carawayproxy.example/caraway/internal/lease"
 )
 
 // probedEngines is a fleet whose engines answer probes after a delay. It
@@ -229,3 +230,32 @@
 		assert.Assert(t, p.probes["i-00"] == nil, "the wait has not ended")
 	})
 }
+
+// pausedHolder gets the lease after the process was paused. It implements lease.Holder.
+type pausedHolder struct {
+	pause  time.Duration
+	heldAt time.Time
+}
+
+func (h *pausedHolder) Held(scope lease.Scope) (lease.Hold, bool) {
+	time.Sleep(h.pause)
+	h.heldAt = time.Now()
+	return lease.Hold{Scope: scope, Term: 1, ValidUntil: h.heldAt.Add(time.Second)}, true
+}
+
+// The term of a holder that was paused just before it got the lease began before the
+// pause. It acted while orders of the previous holder were on their way, and took
+// engines' older answers for confirmations of their places.
+func TestTermBeganBeforeItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, h := newProbedEngines(1), &pausedHolder{pause: time.Second}
+		c := NewGroupController(GroupControllerConfig{
+			Planner: NewPlanner(Policy{}), Leases: h, Servers: e, Engines: e, SettleTime: 500 * time.Millisecond,
+			Wanted: func(map[fleet.ServiceName]GroupCounts) ([]Wanted, uint64) { return nil, 0 },
+			IsIdle: func() bool { return false }, ReportAge: func() time.Duration { return 0 },
+		})
+		c.round(t.Context(), time.Now())
+		assert.Assert(t, !c.termState.since.Before(h.heldAt), "the term began %s before the lease was held", h.heldAt.Sub(c.termState.since))
+		c.running.Wait()
+	})
+}
