--- /dev/null
+++ b/review/_rig/main.go
@@ -0,0 +1,24 @@
+// Command rig plays the cases of the review that can't be put as a day.
+package main
+
+import (
+	"os"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fatal("usage: rig CASE DIR")
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	code := 2
+	switch os.Args[1] {
+	case "endless":
+		code = runEndless(os.Args[2], trouble)
+	case "drill":
+		code = runDrill(os.Args[2], trouble)
+	case "path":
+		code = runPath(os.Args[2], trouble)
+	}
+	stopDaemons()
+	os.Exit(code)
+}
