review/2: a stream that a crash cut looks complete

An answer without a length or chunks ends with its channel, and so does the channel of an engine whose process ends between two events.

It adds a case for ORDER with engines in processes of their own, and moves the cases of the drill and of the path behind it.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # 2 if the case could not run. With TROUBLE=0, without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/rig ] && [ -x target/carawayd ] || exit 2
-exec review/bin/rig path review/3
+exec review/bin/rig drill review/3
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -6,6 +6,10 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "engine" {
+		runEngine(os.Args[2:])
+		return
+	}
 	if len(os.Args) != 3 {
 		fatal("usage: rig CASE DIR")
 	}
@@ -16,6 +20,8 @@
 		code = runEndless(os.Args[2], trouble)
 	case "drill":
 		code = runDrill(os.Args[2], trouble)
+	case "unframed":
+		code = runUnframed(os.Args[2], trouble)
 	case "path":
 		code = runPath(os.Args[2], trouble)
 	}
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -24,6 +24,7 @@
 	changed chan struct{}
 	era     int
 	away    bool
+	beats   map[string]time.Time // when each engine last wrote, by id
 }
 
 type topic struct{ records []storeRecord }
@@ -137,6 +138,8 @@
 	query := r.URL.Query()
 	name := query.Get("topic")
 	switch r.URL.Path {
+	case "/rig/announce": // the way of the engines' own writes
+		s.announced(query.Get("key"), body)
 	case "/carawayproxy/log-append":
 		s.append(w, name, query.Get("at"), query.Has("at"), body)
 	case "/carawayproxy/log-newest":
@@ -235,3 +238,50 @@
 		}
 	}
 }
+
+// announced takes an engine's report of itself. An entry changes only if more than
+// its seq does.
+func (s *store) announced(key string, body []byte) {
+	withoutSeq := func(data []byte) string {
+		var fields map[string]any
+		if json.Unmarshal(data, &fields) != nil {
+			return ""
+		}
+		delete(fields, "seq")
+		out, _ := json.Marshal(fields)
+		return string(out)
+	}
+	s.mu.Lock()
+	if s.beats != nil {
+		s.beats[key] = time.Now()
+	}
+	s.mu.Unlock()
+	if old := s.value("keyed.servers", key); old == nil || withoutSeq(old) != withoutSeq(body) {
+		s.put("keyed.servers", key, body)
+	}
+}
+
+// expireSilent removes the entries of engines after three status report intervals of
+// silence.
+func (s *store) expireSilent() {
+	s.mu.Lock()
+	s.beats = map[string]time.Time{}
+	s.mu.Unlock()
+	go func() {
+		for range time.Tick(100 * time.Millisecond) {
+			var gone []string
+			s.mu.Lock()
+			for key, at := range s.beats {
+				if time.Since(at) > 3*heartbeat {
+					gone = append(gone, key)
+					delete(s.beats, key)
+				}
+			}
+			s.mu.Unlock()
+			for _, key := range gone {
+				s.put("keyed.servers", key, nil)
+				s.rec.add("store: the entry of %s has expired", key)
+			}
+		}
+	}()
+}
