--- a/review/_rig/drill.go
+++ b/review/_rig/drill.go
@@ -34,7 +34,7 @@
 	var sent, served, refused, failed atomic.Int64
 	requesters := map[*daemon][]*requester{}
 	for _, d := range daemons {
-		for range 6 {
+		for range 10 {
 			requesters[d] = append(requesters[d], newRequester(d))
 		}
 	}
