--- a/review/_rig/engine.go
+++ b/review/_rig/engine.go
@@ -73,8 +73,12 @@
 		os.Exit(2)
 	}
 	e.announce()
+	parent := os.Getppid()
 	go func() {
 		for range time.Tick(heartbeat) {
+			if os.Getppid() != parent {
+				os.Exit(0) // the case has ended without ending its engines
+			}
 			e.announce()
 		}
 	}()
--- a/review/_rig/unframed.go
+++ b/review/_rig/unframed.go
@@ -52,11 +52,12 @@
 	s.put("keyed.op", "config", engineManifest(1))
 	const lead = 10 * time.Second
 	var engines []*engineProcess
-	defer func() {
+	endAlso = func() {
 		for _, p := range engines {
 			p.kill()
 		}
-	}()
+	}
+	defer endAlso()
 	for i := range 12 {
 		p := &engineProcess{addr: freeAddress(), domain: fmt.Sprintf("d%d", i/10)}
 		p.start(s.addr, "", notes, lead)
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -38,10 +38,14 @@
 	fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
 }
 
+// endAlso ends the other processes that the case has started.
+var endAlso = func() {}
+
 // fatal ends the process with the code for a case that could not run.
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	stopDaemons()
+	endAlso()
 	os.Exit(2)
 }
 
