--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -13,6 +15,9 @@
 	if len(os.Args) != 3 {
 		fatal("usage: rig CASE DIR")
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { fatal("stopped by %v", <-stopped) }()
 	trouble := os.Getenv("TROUBLE") != "0"
 	code := 2
 	switch os.Args[1] {
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -104,17 +104,24 @@
 		"CARAWAY_RETRY_RATIO=0.2", "CARAWAY_RETRY_SLACK=109",
 		"CARAWAY_DRAIN_GRACE=2500ms", "CARAWAY_DRAIN_TIMEOUT=8s",
 	}
-	if err := cmd.Start(); err != nil {
+	exited := make(chan struct{})
+	d.mu.Lock()
+	if d.ended {
+		d.mu.Unlock()
+		return
+	}
+	err := cmd.Start()
+	if err == nil {
+		d.cmd, d.exited = cmd, exited
+	}
+	d.mu.Unlock()
+	if err != nil {
 		fatal("start %s: %v", d.name, err)
 	}
-	exited := make(chan struct{})
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
 	}()
-	d.mu.Lock()
-	d.cmd, d.exited = cmd, exited
-	d.mu.Unlock()
 }
 
 func (d *daemon) signal(s syscall.Signal) {
