feed, edge, platform: a change after a restore of the store is newer than all before it

Cause: an offset named a change, but a restored store gives out offsets again. A change of the list counted only above the last offset of its key and above the end of the last complete read, both kept from before the restore, and so did the broadcasts of such changes. Nothing read Store-Era.

Change: a position is an era and an offset (feed.Position). Broadcasts and positions of the list have the era as a field of its own, so that versions stay the plain offsets that earlier releases compare; a position of another era confirms nothing. edge.store-restored says which era a daemon has come to, and from where.

What else outlives a restore (claims, the restored list itself, what daemons have written) is looked at one by one next.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -55,7 +55,7 @@
 		Due:         d.isDocumentDue,
 		MinInterval: func() time.Duration { return documentInterval },
 		Sink: feed.Sink[*routes.Document]{
-			OnSnapshot: func(items []feed.Item[*routes.Document], _ uint64) { apply(items) },
+			OnSnapshot: func(items []feed.Item[*routes.Document], _ feed.Position) { apply(items) },
 			OnChanges:  apply,
 			OnRead: func(r feed.Read) {
 				d.documentReadAsOf.Store(int64(r.AsOf.Sub(d.started)))
@@ -155,7 +155,7 @@
 	}
 }
 
-func (d *Daemon) applyServerList(items []feed.Item[directory.Server], next uint64) {
+func (d *Daemon) applyServerList(items []feed.Item[directory.Server], next feed.Position) {
 	now := time.Now()
 	listed := map[fleet.InstanceID]bool{}
 	for _, item := range items {
@@ -163,8 +163,10 @@
 	}
 	d.recordListKnown(now)
 	until := d.directory.ReturnUntil()
-	d.updateDirectory(items, sourceStore, func(uint64) time.Time { return until })
-	d.positions.setBase(next)
+	d.updateDirectory(items, sourceStore, func(feed.Position) time.Time { return until })
+	if before := d.positions.setBase(next); d.hasServerList.Load() && before.Era < next.Era {
+		d.events.Emit(eventStoreRestored, "era", next.Era, "before", before.Era, "position", next, "known", before, "servers", len(items))
+	}
 	for _, w := range d.directory.Retain(listed, until, now) {
 		d.events.Emit(eventServerUnlisted, "instance", w.ID, "source", sourceStore, "position", next, "kept", w.Kept)
 	}
@@ -176,7 +178,7 @@
 func (d *Daemon) applyServerChanges(items []feed.Item[directory.Server]) bool {
 	d.recordListKnown(time.Now())
 	until := d.directory.ReturnUntil()
-	left := d.updateDirectory(items, sourceStore, func(uint64) time.Time { return until })
+	left := d.updateDirectory(items, sourceStore, func(feed.Position) time.Time { return until })
 	return d.readsForOthers() && d.broadcastChanges(items, until, left)
 }
 
@@ -191,9 +193,9 @@
 // server. MayReturnUntil returns until when a server whose entry was removed at a
 // position may return. updateDirectory returns the positions of the removals of
 // servers that have left for certain.
-func (d *Daemon) updateDirectory(items []feed.Item[directory.Server], source string, mayReturnUntil func(position uint64) time.Time) (left map[uint64]bool) {
+func (d *Daemon) updateDirectory(items []feed.Item[directory.Server], source string, mayReturnUntil func(at feed.Position) time.Time) (left map[feed.Position]bool) {
 	now := time.Now()
-	left = map[uint64]bool{}
+	left = map[feed.Position]bool{}
 	for _, item := range items {
 		if !d.positions.advance(item.Key, item.Position) {
 			if item.Err == nil && !item.Deleted {
@@ -280,7 +282,7 @@
 		MaxWait:     daemonsPollTimeout,
 		MinInterval: d.daemonsReadInterval,
 		Sink: feed.Sink[membership.Endpoint]{
-			OnSnapshot: func(items []feed.Item[membership.Endpoint], _ uint64) { d.applyAddresses(items, true) },
+			OnSnapshot: func(items []feed.Item[membership.Endpoint], _ feed.Position) { d.applyAddresses(items, true) },
 			OnChanges:  func(items []feed.Item[membership.Endpoint]) { d.applyAddresses(items, false) },
 			OnError:    func(err error) { d.events.Emit(eventStoreFailed, "what", "daemons", "error", err) },
 		},
@@ -299,7 +301,7 @@
 
 // skipBadRecord counts and logs a record that is skipped because it is invalid.
 // Position is its offset in the store, or the version of a peer's broadcast.
-func (d *Daemon) skipBadRecord(what string, key any, position uint64, err error) {
+func (d *Daemon) skipBadRecord(what string, key, position any, err error) {
 	d.badRecords.Inc(1)
 	d.events.Emit(eventBadRecord, "what", what, "key", key, "position", position, "error", err)
 }
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -26,14 +26,14 @@
 // daemon, and which of them it has broadcast. It is safe for concurrent use.
 type listNews struct {
 	mu   sync.Mutex
-	next uint64    // all changes before it have been applied
-	asOf time.Time // when the list certainly ended at next or later
+	next feed.Position // all changes before it have been applied
+	asOf time.Time     // when the list certainly ended at next or later
 	// relayedSince is the position from which on this daemon has all changes by
 	// broadcasts, its own included.
-	relayedSince uint64
+	relayedSince feed.Position
 	// sentSince and sentNext are the range of the changes that this daemon has itself
 	// broadcast. It read them as of sentAsOf, zero for none.
-	sentSince, sentNext uint64
+	sentSince, sentNext feed.Position
 	sentAsOf            time.Time
 }
 
@@ -42,7 +42,7 @@
 func (n *listNews) recordRead(r feed.Read, broadcast bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r.Complete || r.Next >= n.next {
+	if r.Complete || !r.Next.Before(n.next) {
 		n.next, n.asOf = r.Next, latest(n.asOf, r.AsOf)
 	}
 	switch {
@@ -70,7 +70,7 @@
 	if asOf.IsZero() || now.Sub(asOf) > listPatience {
 		return nil
 	}
-	return &membership.ListPosition{Since: since, Next: next, AgeMilli: ageMilli(now, asOf)}
+	return &membership.ListPosition{Era: next.Era, Since: since.Offset, Next: next.Offset, AgeMilli: ageMilli(now, asOf)}
 }
 
 // confirm applies a peer's position: all changes that it covers have been applied, as
@@ -78,15 +78,15 @@
 func (n *listNews) confirm(p membership.ListPosition, asOf time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.asOf.IsZero() || p.Since > n.next || p.Next < n.next || !asOf.After(n.asOf) {
+	if n.asOf.IsZero() || p.Era != n.next.Era || p.Since > n.next.Offset || p.Next < n.next.Offset || !asOf.After(n.asOf) {
 		return false // this daemon lacks changes before it, or knows as much
 	}
-	n.next, n.asOf = p.Next, asOf
+	n.next.Offset, n.asOf = p.Next, asOf
 	return true
 }
 
 // knownUpTo returns the position up to which all changes of the list have been applied.
-func (n *listNews) knownUpTo() uint64 {
+func (n *listNews) knownUpTo() feed.Position {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.next
--- a/internal/edge/news_test.go
+++ b/internal/edge/news_test.go
@@ -14,9 +14,9 @@
 	start := time.Now()
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	read := func(from, next uint64, ms int) feed.Read {
-		return feed.Read{From: from, Next: next, AsOf: at(ms), At: at(ms + 5)}
+		return feed.Read{From: feed.Position{Offset: from}, Next: feed.Position{Offset: next}, AsOf: at(ms), At: at(ms + 5)}
 	}
-	complete := feed.Read{Complete: true, Next: 40, AsOf: at(0), At: at(5)}
+	complete := feed.Read{Complete: true, Next: feed.Position{Offset: 40}, AsOf: at(0), At: at(5)}
 
 	t.Run("a reader", func(t *testing.T) {
 		var n listNews
@@ -38,11 +38,11 @@
 		assert.Assert(t, !n.confirm(membership.ListPosition{Next: 50}, at(10)), "it has no list to begin with")
 		n.recordRead(complete, false)
 		assert.Assert(t, !n.confirm(membership.ListPosition{Since: 41, Next: 50}, at(20)), "it lacks the change at 40")
-		assert.Equal(t, n.knownUpTo(), uint64(40))
+		assert.Equal(t, n.knownUpTo().Offset, uint64(40))
 		assert.Assert(t, n.confirm(membership.ListPosition{Since: 38, Next: 50}, at(20)))
 		assert.Assert(t, !n.confirm(membership.ListPosition{Since: 38, Next: 49}, at(30)), "it knows a later one")
 		assert.Assert(t, !n.confirm(membership.ListPosition{Since: 38, Next: 50}, at(10)), "it knows that as of later")
-		assert.Equal(t, n.knownUpTo(), uint64(50))
+		assert.Equal(t, n.knownUpTo().Offset, uint64(50))
 		assert.Equal(t, n.age(at(120)), 100*time.Millisecond)
 		assert.DeepEqual(t, *n.position(true, at(20)), membership.ListPosition{Since: 40, Next: 50})
 		n.recordRead(read(50, 53, 200), false)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -128,7 +128,7 @@
 // broadcastChanges broadcasts changes of the list to all daemons. Servers whose entries
 // were removed may return until a time, except at the positions in left. It returns
 // false if there are too many changes to send them all.
-func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server], mayReturnUntil time.Time, left map[uint64]bool) bool {
+func (d *Daemon) broadcastChanges(items []feed.Item[directory.Server], mayReturnUntil time.Time, left map[feed.Position]bool) bool {
 	var broadcasts []membership.Broadcast
 	keep := time.Until(mayReturnUntil).Milliseconds()
 	for _, item := range items {
@@ -149,7 +149,7 @@
 			d.events.Emit(eventBadRecord, "what", "bulletin", "key", item.Key, "error", err)
 			continue
 		}
-		broadcasts = append(broadcasts, membership.Broadcast{Key: item.Key, Version: item.Position + 1, Body: body})
+		broadcasts = append(broadcasts, membership.Broadcast{Key: item.Key, Era: item.Position.Era, Version: item.Position.Offset + 1, Body: body})
 	}
 	return d.mesh.Broadcast(broadcasts)
 }
@@ -180,7 +180,7 @@
 	var items []feed.Item[directory.Server]
 	var listed []serverBroadcast
 	now := time.Now()
-	mayReturnUntil := map[uint64]time.Time{} // by position
+	mayReturnUntil := map[feed.Position]time.Time{}
 	for _, b := range broadcasts {
 		var p serverBroadcast
 		err := cbor.Unmarshal(b.Body, &p)
@@ -219,7 +219,7 @@
 			d.recordLoaded(p)
 			continue
 		}
-		item := feed.Item[directory.Server]{Key: b.Key, Position: b.Version - 1, Deleted: p.Deleted, Age: b.Age()}
+		item := feed.Item[directory.Server]{Key: b.Key, Position: feed.Position{Era: b.Era, Offset: b.Version - 1}, Deleted: p.Deleted, Age: b.Age()}
 		if p.Unreadable {
 			item.Err = errUnreadableEntry
 		}
@@ -232,7 +232,7 @@
 		items = append(items, item)
 		listed = append(listed, p)
 	}
-	d.updateDirectory(items, sourcePeer, func(position uint64) time.Time { return mayReturnUntil[position] })
+	d.updateDirectory(items, sourcePeer, func(at feed.Position) time.Time { return mayReturnUntil[at] })
 	for _, p := range listed {
 		d.recordLoaded(p)
 	}
@@ -248,32 +248,36 @@
 // listPositions tracks the position of the last applied change of each key.
 type listPositions struct {
 	mu   sync.Mutex
-	next map[string]uint64 // position of the last change, plus one
+	next map[string]feed.Position // of the last change, plus one
 	// base is the end position of the last complete read of the list. Earlier
 	// changes are already applied.
-	base uint64
+	base feed.Position
 }
 
 // advance reports whether a change is newer than the last one of its key. If so,
 // it records the position.
-func (s *listPositions) advance(key string, position uint64) bool {
+func (s *listPositions) advance(key string, at feed.Position) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.next == nil {
-		s.next = map[string]uint64{}
+		s.next = map[string]feed.Position{}
 	}
-	if s.next[key] > position || position < s.base {
+	if at.Before(s.next[key]) || at.Before(s.base) {
 		return false
 	}
-	s.next[key] = position + 1
+	s.next[key] = at.Next()
 	return true
 }
 
 // setBase records that all changes before position next are applied. A key
 // that is missing from the complete read was deleted, although a peer may still
-// relay its last value.
-func (s *listPositions) setBase(next uint64) {
+// relay its last value. It returns the position up to which that was recorded before.
+func (s *listPositions) setBase(next feed.Position) (before feed.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.base = max(s.base, next)
+	before = s.base
+	if s.base.Before(next) {
+		s.base = next
+	}
+	return before
 }
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -11,20 +11,27 @@
 	"gotest.tools/v3/assert"
 
 	"carawayproxy.example/caraway/internal/directory"
+	"carawayproxy.example/caraway/internal/feed"
 	"carawayproxy.example/caraway/internal/membership"
 )
 
 func TestListPositions(t *testing.T) {
 	var s listPositions
-	assert.Assert(t, s.advance("a", 0))
-	assert.Assert(t, s.advance("a", 3))
-	assert.Assert(t, !s.advance("a", 2), "an older change of the key must be skipped")
-	assert.Assert(t, s.advance("b", 1))
-	s.setBase(10)
-	assert.Assert(t, !s.advance("gone", 7), "the complete read no longer contained the key")
-	assert.Assert(t, s.advance("gone", 10))
-	s.setBase(5)
-	assert.Assert(t, !s.advance("c", 9), "an older complete read must not lower the base")
+	at := func(era, offset uint64) feed.Position { return feed.Position{Era: era, Offset: offset} }
+	assert.Assert(t, s.advance("a", at(0, 0)))
+	assert.Assert(t, s.advance("a", at(0, 3)))
+	assert.Assert(t, !s.advance("a", at(0, 2)), "an older change of the key must be skipped")
+	assert.Assert(t, s.advance("b", at(0, 1)))
+	s.setBase(at(0, 10))
+	assert.Assert(t, !s.advance("gone", at(0, 7)), "the complete read no longer contained the key")
+	assert.Assert(t, s.advance("gone", at(0, 10)))
+	s.setBase(at(0, 5))
+	assert.Assert(t, !s.advance("c", at(0, 9)), "an older complete read must not lower the base")
+	assert.Assert(t, s.advance("a", at(1, 2)), "the store was restored since")
+	assert.Assert(t, !s.advance("a", at(0, 12)), "a peer has not heard of that yet")
+	s.setBase(at(1, 4))
+	assert.Assert(t, !s.advance("d", at(1, 3)))
+	assert.Assert(t, s.advance("d", at(3, 0)), "it was restored twice since")
 }
 
 // A broadcast that is both an engine's answer and a deletion names no server, and
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,7 +5,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,12 +16,48 @@
 // ErrGap means that changes were lost, so that all values must be read again.
 var ErrGap = errors.New("changes were lost")
 
+// Position is the position of a change in a source. Positions grow with each change.
+type Position struct {
+	// Era counts how often the source has come back from an older copy of itself, after
+	// which it gives out offsets again. It is zero for a source that does not say.
+	Era uint64
+	// Offset is the number of the change within the era.
+	Offset uint64
+}
+
+// Compare returns -1, 0 or 1 if p is before, at or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Offset, q.Offset))
+}
+
+// Before reports whether p is before q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
+
+// Next returns the position that follows p in its era.
+func (p Position) Next() Position { return Position{p.Era, p.Offset + 1} }
+
+// String returns the offset, and the era if there is one.
+func (p Position) String() string {
+	if p.Era == 0 {
+		return strconv.FormatUint(p.Offset, 10)
+	}
+	return fmt.Sprintf("%d/%d", p.Era, p.Offset)
+}
+
+// later returns the later one of two positions.
+func later(p, q Position) Position {
+	if p.Before(q) {
+		return q
+	}
+	return p
+}
+
 // Item is the newest value of a key, or its deletion.
 type Item[T any] struct {
 	Key   string
 	Value T
 	// Position is the position of the change in the source.
-	Position uint64
+	Position Position
 	Deleted  bool
 	// Age is the time since the value was read, if another daemon read it.
 	Age time.Duration
@@ -27,21 +65,22 @@
 	Err error
 }
 
-// Source is a source of keyed values. Positions grow with each change.
+// Source is a source of keyed values. That it has come back from an older copy of itself
+// is a gap: later reads of all values may lack changes that were read before.
 type Source[T any] interface {
 	// All returns the newest value of each key and the position to continue at.
-	All(ctx context.Context) ([]Item[T], uint64, error)
+	All(ctx context.Context) ([]Item[T], Position, error)
 	// Since returns the changes starting at position from, and the next
 	// position. If there are none, it waits up to wait. It returns ErrGap if
 	// changes were lost.
-	Since(ctx context.Context, from uint64, wait time.Duration) ([]Item[T], uint64, error)
+	Since(ctx context.Context, from Position, wait time.Duration) ([]Item[T], Position, error)
 }
 
 // Sink receives what a Follower reads. Its methods are not called concurrently.
 type Sink[T any] struct {
 	// OnSnapshot receives a complete read, which includes all changes before the
 	// position next. OnChanges receives the changes after it.
-	OnSnapshot func(items []Item[T], next uint64)
+	OnSnapshot func(items []Item[T], next Position)
 	OnChanges  func(items []Item[T])
 	// OnRead is called after each successful read, and after the methods above, and
 	// OnError after each error; both may be nil.
@@ -55,7 +94,7 @@
 	// the read returned the changes from position From on. Next is the position that
 	// follows.
 	Complete   bool
-	From, Next uint64
+	From, Next Position
 	// At is when the read ended. AsOf is a time at which the source certainly ended
 	// at Next or later, before At.
 	At, AsOf time.Time
@@ -79,7 +118,7 @@
 	Due func() bool
 	// Known, if set, returns a position up to which the changes are known without a
 	// read of this follower. If it is later, the next read starts there.
-	Known func() uint64
+	Known func() Position
 }
 
 // DueInterval is how often a follower checks whether the next read may
@@ -97,7 +136,7 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	var position uint64
+	var position Position
 	synced := false
 	backoff, longest := MinBackoff, cmp.Or(f.MaxBackoff, maxBackoff)
 	for ctx.Err() == nil {
@@ -105,7 +144,7 @@
 		if following {
 			f.waitUntilDue(ctx)
 			if f.Known != nil {
-				position = max(position, f.Known())
+				position = later(position, f.Known())
 			}
 			if ctx.Err() != nil {
 				return
@@ -157,10 +196,10 @@
 	}
 }
 
-func (f *Follower[T]) readAll(ctx context.Context) (uint64, error) {
+func (f *Follower[T]) readAll(ctx context.Context) (Position, error) {
 	items, next, err := f.Source.All(ctx)
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
 	f.Sink.OnSnapshot(items, next)
 	return next, nil
@@ -168,7 +207,7 @@
 
 // readChanges reads the changes from a position on. It returns the next position and
 // a time at which the source certainly ended there or later.
-func (f *Follower[T]) readChanges(ctx context.Context, from uint64) (next uint64, asOf time.Time, err error) {
+func (f *Follower[T]) readChanges(ctx context.Context, from Position) (next Position, asOf time.Time, err error) {
 	wait := f.MaxWait
 	if f.Wait != nil {
 		wait = f.Wait()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,16 +17,16 @@
 	gap, gapAlways       bool
 }
 
-func (s *source) All(context.Context) ([]Item[string], uint64, error) {
+func (s *source) All(context.Context) ([]Item[string], Position, error) {
 	s.allCalls++
 	if s.failures > 0 {
 		s.failures--
-		return nil, 0, errors.New("away")
+		return nil, Position{}, errors.New("away")
 	}
-	return []Item[string]{{Key: "a", Value: "1"}}, 10, nil
+	return []Item[string]{{Key: "a", Value: "1"}}, Position{Offset: 10}, nil
 }
 
-func (s *source) Since(ctx context.Context, from uint64, wait time.Duration) ([]Item[string], uint64, error) {
+func (s *source) Since(ctx context.Context, from Position, wait time.Duration) ([]Item[string], Position, error) {
 	s.sinceCalls++
 	switch {
 	case s.failures > 0:
@@ -41,7 +41,7 @@
 	case <-ctx.Done():
 		return nil, from, ctx.Err()
 	}
-	return []Item[string]{{Key: "b", Position: from}}, from + 1, nil
+	return []Item[string]{{Key: "b", Position: from}}, from.Next(), nil
 }
 
 // follow runs a follower for forTime of synthetic time and returns the numbers
@@ -54,7 +54,7 @@
 		f := Follower[string]{
 			Source: s, MaxWait: 5 * time.Second,
 			Sink: Sink[string]{
-				OnSnapshot: func([]Item[string], uint64) { complete++ },
+				OnSnapshot: func([]Item[string], Position) { complete++ },
 				OnChanges:  func(items []Item[string]) { changes += len(items) },
 				OnError:    func(error) { failed++ },
 			},
@@ -117,17 +117,17 @@
 			Source: s,
 			Wait:   func() time.Duration { return 0 },
 			Due:    func() bool { return time.Since(began) >= 5*time.Second && len(reads) < 3 },
-			Known:  func() uint64 { return 500 },
+			Known:  func() Position { return Position{Offset: 500} },
 			Sink: Sink[string]{
-				OnSnapshot: func([]Item[string], uint64) {}, OnChanges: func([]Item[string]) {},
+				OnSnapshot: func([]Item[string], Position) {}, OnChanges: func([]Item[string]) {},
 				OnRead: func(r Read) { reads = append(reads, r) },
 			},
 		}
 		f.Run(ctx)
 		assert.Equal(t, s.allCalls, 1)
 		assert.Equal(t, s.sinceCalls, 2)
-		assert.Assert(t, reads[0].Complete && reads[0].Next == 10)
-		assert.Assert(t, !reads[1].Complete && reads[1].From == 500 && reads[1].Next == 501)
-		assert.Equal(t, reads[2].From, uint64(501))
+		assert.Assert(t, reads[0].Complete && reads[0].Next.Offset == 10)
+		assert.Assert(t, !reads[1].Complete && reads[1].From.Offset == 500 && reads[1].Next.Offset == 501)
+		assert.Equal(t, reads[2].From.Offset, uint64(501))
 	})
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -168,8 +168,8 @@
 	all = true
 	for _, broadcast := range broadcasts {
 		old := b.broadcasts[broadcast.Key]
-		adopts := old != nil && from == "" && old.from != "" && old.broadcast.Version == broadcast.Version
-		if old != nil && old.broadcast.Version >= broadcast.Version && !adopts {
+		adopts := old != nil && from == "" && old.from != "" && old.broadcast.Version == broadcast.Version && old.broadcast.Era == broadcast.Era
+		if old != nil && !broadcast.replaces(old.broadcast) && !adopts {
 			continue
 		}
 		if !adopts {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -223,8 +223,11 @@
 		l.listKnown = false
 		return nil
 	}
-	if !l.listKnown {
-		l.listSince, l.listKnown = p.Next, true
+	switch {
+	case !l.listKnown:
+		l.listEra, l.listSince, l.listKnown = p.Era, p.Next, true
+	case l.listEra != p.Era: // all changes of the new era were sent
+		l.listEra, l.listSince = p.Era, 0
 	}
 	p.Since = max(p.Since, l.listSince)
 	return &p
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -35,8 +35,10 @@
 	sent             [sentHistory]sentHeartbeat
 	gossipSent       uint64 // number of the last gossip item sent
 	// listSince is the position of the list from which on its changes are sent on this
-	// link, once listKnown is set, and listSentAt when a position was last sent.
+	// link, once listKnown is set, and listSentAt when a position was last sent. listEra
+	// is its era.
 	listSince  uint64
+	listEra    uint64
 	listKnown  bool
 	listSentAt time.Time
 
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -83,6 +83,9 @@
 	Next  uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMilli is that time in milliseconds when the position is sent.
 	AgeMilli uint64 `cbor:"3,keyasint,omitempty"`
+	// Era is that of the store in which both positions were given out, zero if it names
+	// none. Releases until ff36b26 do not send it.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Age returns AgeMilli as a duration, at most a day.
@@ -97,7 +100,8 @@
 }
 
 // Broadcast is a keyed item that is broadcast to all daemons. It crosses every
-// link once. Of two items with the same key, the higher version wins.
+// link once. Of two items with the same key, that of the later era wins, and of one era
+// the one with the higher version.
 type Broadcast struct {
 	Key     string `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint"`
@@ -105,6 +109,15 @@
 	// AgeMilli is the age in milliseconds when the item is sent or received.
 	// Links that open later get earlier items, too.
 	AgeMilli uint64 `cbor:"4,keyasint,omitempty"`
+	// Era is that of the store in which the version was given out, zero for versions of
+	// other origin. Releases until ff36b26 do not send it, and drop it from what they
+	// pass on.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// replaces reports whether b is newer than another item of its key.
+func (b *Broadcast) replaces(other *Broadcast) bool {
+	return b.Era > other.Era || b.Era == other.Era && b.Version > other.Version
 }
 
 // Age returns AgeMilli as a duration, at most a day.
--- a/standin/site/news_test.go
+++ b/standin/site/news_test.go
@@ -14,9 +14,15 @@
 // runLargerWorld runs a test in a world with a number of daemons in three zones once
 // its groups have formed.
 func runLargerWorld(t *testing.T, daemons int, test func(t *testing.T, w *World)) {
+	t.Helper()
+	runWorldWith(t, Options{Daemons: daemons, Engines: 24, Plains: 2, Zones: 3}, test)
+}
+
+// runWorldWith runs a test in a world once its groups have formed.
+func runWorldWith(t *testing.T, o Options, test func(t *testing.T, w *World)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w, err := New(Options{Daemons: daemons, Engines: 24, Plains: 2, Zones: 3})
+		w, err := New(o)
 		assert.NilError(t, err)
 		defer time.Sleep(settleTime) // lets pending dials end
 		defer w.Close()
--- /dev/null
+++ b/standin/site/restore_test.go
@@ -0,0 +1,109 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stableAfter is how long after a disturbance of the store the bounds hold again.
+const stableAfter = 3 * time.Second
+
+// renewEntries makes the entries of the plain servers change for some time, as those of
+// servers that have just started.
+func renewEntries(w *World, length time.Duration) {
+	const interval = 200 * time.Millisecond
+	for range length / interval {
+		for _, p := range w.Plains {
+			p.announce("ready")
+		}
+		time.Sleep(interval)
+	}
+}
+
+// checkUnused checks that requests to the daemons do not reach the first plain server.
+func checkUnused(t *testing.T, w *World, daemons []*Daemon, name string) {
+	t.Helper()
+	for _, d := range daemons {
+		for n := range 4 {
+			r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprintf("%s-%s-%d", name, d.name, n), "", "", nil)
+			stamp := r.Header.Get("X-Carawayproxy-Server-Stamp")
+			assert.Check(t, r.Status == http.StatusOK && stamp != "proof-"+w.Plains[0].ID, "%s: status %d, stamp %q, %v, %s", d.name, r.Status, stamp, r.Err, r.Body)
+		}
+	}
+}
+
+// The store came back from a copy and gave out offsets again. Changes of the list at
+// offsets below those before were taken for old: a server that drains got requests until
+// the topic had grown past its former end.
+func TestChangesAfterARestoreWereSkipped(t *testing.T) {
+	leave := map[string]func(w *World){
+		"draining": func(w *World) { w.Plains[0].announce("draining") },
+		"deleted":  func(w *World) { w.Store.Put("keyed.servers", w.Plains[0].ID, nil) },
+	}
+	for _, test := range []struct {
+		name string
+		// namesNoEra is set for a store that names no era before the drill.
+		namesNoEra bool
+		leave      string // after the drill; empty if the drill includes it
+		drill      func(w *World)
+	}{
+		{name: "draining", leave: "draining", drill: func(w *World) { w.Drill(time.Second, 5*time.Second) }},
+		{name: "deleted", leave: "deleted", drill: func(w *World) { w.Drill(time.Second, 5*time.Second) }},
+		{name: "away for an instant", leave: "draining", drill: func(w *World) { w.Drill(time.Millisecond, 5*time.Second) }},
+		{name: "first era that is named", namesNoEra: true, leave: "draining", drill: func(w *World) { w.Drill(time.Second, 5*time.Second) }},
+		{name: "twice", leave: "draining", drill: func(w *World) {
+			w.Drill(time.Second, 5*time.Second)
+			time.Sleep(500 * time.Millisecond)
+			w.Drill(time.Second, 3*time.Second)
+		}},
+		{name: "grown past its former end at once", drill: func(w *World) {
+			w.Drill(time.Millisecond, 500*time.Millisecond)
+			leave["draining"](w)
+			for range 40 {
+				w.Plains[1].announce("ready")
+			}
+		}},
+		{name: "a daemon sleeps through it", leave: "draining", drill: func(w *World) {
+			sleeper := w.Daemons[len(w.Daemons)-1]
+			w.Net.Freeze(sleeper.ip)
+			w.Drill(time.Second, 5*time.Second)
+			time.Sleep(2 * time.Second)
+			w.Net.Thaw(sleeper.ip)
+		}},
+		{name: "a daemon starts within it", leave: "draining", drill: func(w *World) {
+			last := w.Daemons[len(w.Daemons)-1]
+			last.Kill()
+			w.runAfter(900*time.Millisecond, func() { _ = last.Start(false) })
+			w.Drill(time.Second, 5*time.Second)
+		}},
+		{name: "the reader dies within it", leave: "draining", drill: func(w *World) {
+			reader := readerOf(w)
+			reader.Kill()
+			w.runAfter(2*time.Second, func() { _ = reader.Start(false) })
+			w.Drill(time.Second, 5*time.Second)
+		}},
+	} {
+		for _, daemons := range []int{3, 24} {
+			if underRace && daemons > 3 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d daemons", test.name, daemons), func(t *testing.T) {
+				o := Options{Daemons: daemons, Engines: 24, Plains: 2, Zones: 3, NamesNoEra: test.namesNoEra}
+				runWorldWith(t, o, func(t *testing.T, w *World) {
+					renewEntries(w, 6*time.Second)
+					test.drill(w)
+					time.Sleep(stableAfter + heartbeatInterval)
+					if test.leave != "" {
+						leave[test.leave](w)
+					}
+					time.Sleep(drainBound)
+					checkUnused(t, w, w.Daemons, "late")
+				})
+			})
+		}
+	}
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -33,6 +33,8 @@
 	// address. nil for none.
 	loses map[string]map[string]bool
 	delay time.Duration // before each answer
+	// era is sent with each answer unless it is zero. It rises with each Restore.
+	era uint64
 }
 
 // topic is the single partition that the system uses of a topic.
@@ -40,6 +42,7 @@
 	first   uint64
 	records []record
 	newest  map[string]record
+	history []record // all records, for Restore
 }
 
 // end returns the offset of the next record.
@@ -50,11 +53,12 @@
 	key    string
 	value  []byte
 	raw    []byte // the whole record if it holds no key
+	at     time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, changed: make(chan struct{}), droppedReads: map[string]int{}, held: map[string]bool{}, callsOf: map[string]int{}, turnedAway: map[string]bool{}}
+	return &Store{topics: map[string]*topic{}, changed: make(chan struct{}), era: 1, droppedReads: map[string]int{}, held: map[string]bool{}, callsOf: map[string]int{}, turnedAway: map[string]bool{}}
 }
 
 // SetUnavailable makes every call fail with status 503 while unavailable is true.
@@ -186,23 +190,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	t.records = append(t.records, record{offset: t.end(), raw: raw})
+	t.add(record{offset: t.end(), raw: raw, at: time.Now()})
 	s.wakeReads()
 }
 
 // put is Put. The caller holds mu.
 func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
-	r := record{offset: t.end(), key: key, value: value}
-	t.records = append(t.records, r)
-	if len(value) == 0 {
-		delete(t.newest, key)
-	} else {
-		t.newest[key] = r
-	}
+	t.add(record{offset: t.end(), key: key, value: value, at: time.Now()})
 	s.wakeReads()
 }
 
+// add appends a record.
+func (t *topic) add(r record) {
+	t.records, t.history = append(t.records, r), append(t.history, r)
+	switch {
+	case r.raw != nil:
+	case len(r.value) == 0:
+		delete(t.newest, r.key)
+	default:
+		t.newest[r.key] = r
+	}
+}
+
 // Keys returns the keys of a topic that have a value, sorted.
 func (s *Store) Keys(name string) []string {
 	s.mu.Lock()
@@ -249,6 +259,7 @@
 		unavailable := s.unavailable || s.turnedAway[ip]
 		silent := s.silent || r.Method == http.MethodGet && s.losesRead(r.URL.Query().Get("topic"), ip)
 		delay := s.delay
+		s.setEra(w)
 		s.mu.Unlock()
 		if silent {
 			_, _ = io.Copy(io.Discard, r.Body) // the caller's leaving ends it
@@ -306,7 +317,8 @@
 		}
 		t := s.topic(r.URL.Query().Get("topic"))
 		end, changed, unavailable := t.end(), s.changed, s.unavailable || s.turnedAway[ip]
-		if unavailable || from < t.first {
+		s.setEra(w)
+		if unavailable || from < t.first || from > end {
 			s.mu.Unlock()
 			status := http.StatusGone
 			if unavailable {
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -54,7 +54,9 @@
 	// Zones is the number of availability zones that the daemons are in, 1 if zero.
 	// The first three of each zone have more processors than the others.
 	Zones int
-	Log   io.Writer // log of the daemons, nil for none
+	// NamesNoEra is set for a store that names no era before its first drill.
+	NamesNoEra bool
+	Log        io.Writer // log of the daemons, nil for none
 }
 
 // World is a simulated platform with backend servers and daemons. Use it inside
@@ -149,6 +151,9 @@
 	if w.log == nil {
 		w.log = io.Discard
 	}
+	if o.NamesNoEra {
+		w.Store.SetEra(0)
+	}
 	w.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
 	if _, err := w.serve(hosts.Host(storeIP), portStore, w.Store.Handler()); err != nil {
 		return nil, err
