directory, edge: what is known counts until a restored list is written again

Cause: a restored list was taken for the present one. It lacks the servers that have started since the copy, shows those that have left since, and the others as they were.

Change: an entry of a restored list that contradicts what is known counts only if its server does not announce itself again within the 2 s that the operators give; that of a server that had left only after 10 s, when the list would have dropped a silent one. Servers that it lacks may return for 2 s. What leaves stays leaving until its next start. Removals within 2 s of a restore are as those after an outage. edge.store-restored has the counts.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,6 +44,10 @@
 	// leavers holds the servers that have announced in an answer that they leave,
 	// also while they are not listed.
 	leavers map[fleet.InstanceID]leaver
+	// departures holds the servers that were removed from the list lately, and withheld
+	// the entries of a restored list that do not count yet.
+	departures map[fleet.InstanceID]departure
+	withheld   map[fleet.InstanceID]withheldEntry
 }
 
 // leaver is a server process that has announced that it leaves.
@@ -76,6 +80,9 @@
 	// keptUntil is set while the server is not listed, but may return until then.
 	// returnedAt is when it has last done so.
 	keptUntil, returnedAt time.Time
+	// missingInCopy is set if it is not listed because a copy from which the list was
+	// restored lacks it.
+	missingInCopy bool
 	// failedAt is when the server was found not to respond, zero while it does.
 	failedAt time.Time
 	// unreadable is set while the newest announcement cannot be read.
@@ -84,13 +91,23 @@
 
 // New returns an empty directory.
 func New(cfg Config) *Directory {
-	return &Directory{cfg: cfg, entries: map[fleet.InstanceID]*entry{}, leavers: map[fleet.InstanceID]leaver{}}
+	return &Directory{
+		cfg: cfg, entries: map[fleet.InstanceID]*entry{}, leavers: map[fleet.InstanceID]leaver{},
+		departures: map[fleet.InstanceID]departure{}, withheld: map[fleet.InstanceID]withheldEntry{},
+	}
 }
 
 // Announce records a server's announcement in the list.
 func (d *Directory) Announce(s Server, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.withheld, s.Instance)
+	d.announce(s, now)
+}
+
+// announce is Announce, with mu held.
+func (d *Directory) announce(s Server, now time.Time) {
+	delete(d.departures, s.Instance)
 	e := d.entries[s.Instance]
 	if e == nil {
 		e = &entry{}
@@ -108,7 +125,7 @@
 	e.update(s, d.cfg.ModelOf)
 	e.announcedAt = now
 	if e.isUnlisted() {
-		e.keptUntil, e.returnedAt = time.Time{}, now
+		e.keptUntil, e.returnedAt, e.missingInCopy = time.Time{}, now, false
 	}
 	e.failedAt = time.Time{}
 	e.unreadable = false
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -33,6 +33,7 @@
 func (d *Directory) Withdraw(id fleet.InstanceID, mayReturnUntil, now time.Time) (kept bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.withheld, id)
 	e := d.entries[id]
 	if e == nil {
 		return false
@@ -45,8 +46,7 @@
 		}
 		return true
 	}
-	delete(d.entries, id)
-	d.version++
+	d.remove(id, now)
 	return false
 }
 
@@ -113,11 +113,11 @@
 	}
 	for id, e := range d.entries {
 		if e.isExpired(now) {
-			delete(d.entries, id)
+			d.remove(id, now)
 			removed = append(removed, id)
-			d.version++
 		}
 	}
+	d.releaseWithheld(now)
 	return outage, removed
 }
 
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -26,7 +26,7 @@
 	eventStoreFailed = event.Define(1809, "edge.store-failed", log.WarnLevel,
 		"A call to the store failed; the last known state stays in effect.", "Check whether the store responds.")
 	eventStoreRestored = event.Define(1818, "edge.store-restored", log.WarnLevel,
-		"The store has come back from an older copy, in which entries of the list may be missing or outdated until their servers write them again; era is that of its answers, before is the last one.", "Nothing, unless it was not intended.")
+		"The store has come back from an older copy, in which entries of the list may be missing or outdated until their servers write them again; era is that of its answers, before is the last one. Withheld is the number of entries that contradict what is known and do not count yet, missing that of servers without an entry, which are kept for now.", "Nothing, unless it was not intended.")
 	eventListRecovered = event.Define(1810, "edge.list-back", log.InfoLevel,
 		"The list of backend servers can be read again, or is known from a peer; away is how long it was not known to be current, and kept_for how long servers that drop off it are kept.", "Nothing.")
 	eventServerUnlisted = event.Define(1811, "edge.unlisted", log.InfoLevel,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -162,15 +162,43 @@
 		listed[fleet.InstanceID(item.Key)] = !item.Deleted
 	}
 	d.recordListKnown(now)
+	if known := d.positions.end(); d.hasServerList.Load() && known.Era < next.Era {
+		d.applyRestoredList(items, known, next, listed, now)
+		return
+	}
 	until := d.directory.ReturnUntil()
 	d.updateDirectory(items, sourceStore, func(feed.Position) time.Time { return until })
-	if before := d.positions.setBase(next); d.hasServerList.Load() && before.Era < next.Era {
-		d.events.Emit(eventStoreRestored, "era", next.Era, "before", before.Era, "position", next, "known", before, "servers", len(items))
+	d.positions.setBase(next)
+	d.logUnlisted(d.directory.Retain(listed, until, now), next)
+	d.hasServerList.Store(true)
+}
+
+// applyRestoredList applies a complete read of a list that has come back from an older
+// copy since the position up to which it was known.
+func (d *Daemon) applyRestoredList(items []feed.Item[directory.Server], known, next feed.Position, listed map[fleet.InstanceID]bool, now time.Time) {
+	withheld := 0
+	d.directory.ListRestored(now)
+	for _, item := range items {
+		switch {
+		case !d.positions.advance(item.Key, item.Position):
+		case item.Err != nil:
+			d.skipBadRecord("list of backend servers", item.Key, item.Position, item.Err)
+			d.directory.Unreadable(fleet.InstanceID(item.Key))
+		case !item.Deleted && !d.directory.AnnounceRestored(item.Value, now):
+			withheld++
+		}
 	}
-	for _, w := range d.directory.Retain(listed, until, now) {
-		d.events.Emit(eventServerUnlisted, "instance", w.ID, "source", sourceStore, "position", next, "kept", w.Kept)
+	d.positions.setBase(next)
+	missing := d.directory.RetainRestored(listed, now)
+	d.events.Emit(eventStoreRestored, "era", next.Era, "before", known.Era, "position", next, "known", known,
+		"servers", len(items), "withheld", withheld, "missing", len(missing))
+	d.logUnlisted(missing, next)
+}
+
+func (d *Daemon) logUnlisted(servers []directory.Withdrawn, at feed.Position) {
+	for _, w := range servers {
+		d.events.Emit(eventServerUnlisted, "instance", w.ID, "source", sourceStore, "position", at, "kept", w.Kept)
 	}
-	d.hasServerList.Store(true)
 }
 
 // applyServerChanges applies changes that this daemon has read. It reports whether all
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -271,13 +271,18 @@
 
 // setBase records that all changes before position next are applied. A key
 // that is missing from the complete read was deleted, although a peer may still
-// relay its last value. It returns the position up to which that was recorded before.
-func (s *listPositions) setBase(next feed.Position) (before feed.Position) {
+// relay its last value.
+func (s *listPositions) setBase(next feed.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before = s.base
 	if s.base.Before(next) {
 		s.base = next
 	}
-	return before
+}
+
+// end returns the end position of the last complete read.
+func (s *listPositions) end() feed.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.base
 }
--- a/standin/site/restore.go
+++ b/standin/site/restore.go
@@ -22,10 +22,11 @@
 		}
 		t.first = min(t.first, uint64(len(history)))
 		t.records, t.history, t.newest = nil, nil, map[string]record{}
+		last := maps.Clone(t.put)
 		for _, r := range history {
 			t.add(r)
 		}
-		t.records = slices.Clone(t.records[t.first:])
+		t.records, t.put = slices.Clone(t.records[t.first:]), last
 	}
 	s.era++
 	s.dropReads()
@@ -45,26 +46,39 @@
 	}
 }
 
-// newest returns the newest value of each key of a topic.
-func (s *Store) newest(name string) map[string][]byte {
+// outdated returns the keys of a topic whose newest value is not the last one that was
+// put, sorted.
+func (s *Store) outdated(name string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string][]byte{}
-	for key, r := range s.topic(name).newest {
-		out[key] = r.value
+	t := s.topic(name)
+	var out []string
+	for key := range t.put {
+		if !bytes.Equal(t.newest[key].value, t.put[key]) {
+			out = append(out, key)
+		}
 	}
+	slices.Sort(out)
 	return out
 }
 
-// putIfUnchanged puts a value if the newest one is still that of before, nil for none.
-func (s *Store) putIfUnchanged(name, key string, before, value []byte) {
+// putAgain puts the last value of a key again if a restore has replaced it.
+func (s *Store) putAgain(name, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if bytes.Equal(s.topic(name).newest[key].value, before) {
-		s.put(name, key, value)
+	t := s.topic(name)
+	if !bytes.Equal(t.newest[key].value, t.put[key]) {
+		s.put(name, key, t.put[key])
 	}
 }
 
+// isDeleted reports whether the last value of a key that was put deleted it.
+func (s *Store) isDeleted(name, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).put[key]) == 0
+}
+
 // Drill takes the store away for some time, after which it comes back from a copy that was
 // of some age when it went. What the operator and the backend servers had written is
 // written again: the routing document at once, an entry of the list within a heartbeat
@@ -72,29 +86,19 @@
 func (w *World) Drill(away, age time.Duration) {
 	w.Store.SetUnavailable(true)
 	time.Sleep(away)
-	present := map[string]map[string][]byte{}
-	for _, name := range []string{"keyed.op", "keyed.servers"} {
-		present[name] = w.Store.newest(name)
-	}
 	w.Store.Restore(away + age)
 	w.Store.SetUnavailable(false)
-	for name, values := range present {
-		restored := w.Store.newest(name)
-		keys := slices.Sorted(maps.Keys(values))
+	for _, name := range []string{"keyed.op", "keyed.servers"} {
+		keys := w.Store.outdated(name)
 		for i, key := range keys {
-			if bytes.Equal(restored[key], values[key]) {
-				continue
-			}
 			after := 50 * time.Millisecond
-			if name == "keyed.servers" {
+			switch {
+			case name == "keyed.servers" && w.Store.isDeleted(name, key):
+				after = 3 * heartbeatInterval
+			case name == "keyed.servers":
 				after = heartbeatInterval * time.Duration(i+1) / time.Duration(len(keys))
 			}
-			w.runAfter(after, func() { w.Store.putIfUnchanged(name, key, restored[key], values[key]) })
-		}
-		for key := range restored {
-			if values[key] == nil && name == "keyed.servers" {
-				w.runAfter(3*heartbeatInterval, func() { w.Store.putIfUnchanged(name, key, restored[key], nil) })
-			}
+			w.runAfter(after, func() { w.Store.putAgain(name, key) })
 		}
 	}
 }
--- a/standin/site/restore_test.go
+++ b/standin/site/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -107,3 +108,83 @@
 		}
 	}
 }
+
+// A restored list shows servers that have left: an entry that had been removed, or one
+// that said ready where the last one said draining. They got requests until the entry
+// expired or was written again.
+func TestServerThatHadLeftReturnedWithTheCopy(t *testing.T) {
+	const (
+		age   = 6 * time.Second // of the copy: it shows the server as it was before it left
+		until = 5 * time.Second // by then the list is as before
+	)
+	for name, leave := range map[string]func(w *World){
+		"draining": func(w *World) { w.Plains[0].announce("draining") },
+		"deleted":  func(w *World) { w.Store.Put("keyed.servers", w.Plains[0].ID, nil) },
+		"deleted after draining": func(w *World) {
+			w.Plains[0].announce("draining")
+			time.Sleep(time.Second)
+			w.Store.Put("keyed.servers", w.Plains[0].ID, nil)
+		},
+	} {
+		for _, away := range []time.Duration{time.Millisecond, time.Second} {
+			for _, daemons := range []int{3, 24} {
+				if underRace && daemons > 3 {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, away %s, %d daemons", name, away, daemons), func(t *testing.T) {
+					runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+						leave(w)
+						time.Sleep(drainBound)
+						w.Drill(away, age)
+						for n := 0; n < 10; n++ {
+							checkUnused(t, w, w.Daemons, fmt.Sprint("after-", n))
+							time.Sleep(until / 10)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// A restored list lacks the servers that had started since, and shows engines outside of
+// the groups that they had joined. They were dropped until their entries were back.
+func TestServersMissingInTheCopyWereDropped(t *testing.T) {
+	sinceStart := func(w *World) time.Duration { return time.Since(w.started) }
+	for name, drill := range map[string]func(w *World){
+		"engines outside of groups":    func(w *World) { w.Drill(time.Millisecond, sinceStart(w)) },
+		"the same, away for a second":  func(w *World) { w.Drill(time.Second, sinceStart(w)) },
+		"no servers":                   func(w *World) { w.Drill(time.Millisecond, sinceStart(w)+time.Second) },
+		"no servers, away for seconds": func(w *World) { w.Drill(2500*time.Millisecond, sinceStart(w)+time.Second) },
+		"twice": func(w *World) {
+			w.Drill(100*time.Millisecond, sinceStart(w)+time.Second)
+			time.Sleep(700 * time.Millisecond)
+			w.Drill(100*time.Millisecond, sinceStart(w))
+		},
+	} {
+		for _, daemons := range []int{3, 24} {
+			if underRace && daemons > 3 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d daemons", name, daemons), func(t *testing.T) {
+				runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+					groups, orders := w.OpenGroups(ModelOfTwo)+w.OpenGroups(ModelOfThree), w.OrderCount()
+					w.runAfter(time.Second, func() { drill(w) })
+					var calls sync.WaitGroup
+					calls.Go(func() {
+						for _, r := range sendEvery(w, 40*time.Millisecond, 6*time.Second, func(d *Daemon, id string) Response {
+							return w.Call(d, http.MethodPost, "/unsafe/x", id, "", "entry "+id, nil)
+						}) {
+							assert.Check(t, r.Status == http.StatusOK, "%s: status %d, %v, %s", r.id, r.Status, r.Err, r.Body)
+						}
+					})
+					cut, rejected := countCutAndRejected(t, sendStreams(w, ModelOfTwo, 6*time.Second))
+					calls.Wait()
+					assert.Equal(t, cut+rejected, 0)
+					assert.Equal(t, w.OpenGroups(ModelOfTwo)+w.OpenGroups(ModelOfThree), groups)
+					assert.Equal(t, w.OrderCount(), orders)
+				})
+			})
+		}
+	}
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -42,7 +42,9 @@
 	first   uint64
 	records []record
 	newest  map[string]record
-	history []record // all records, for Restore
+	// history holds all records, and put the last value of each key, for Restore.
+	history []record
+	put     map[string][]byte
 }
 
 // end returns the offset of the next record.
@@ -204,11 +206,13 @@
 // add appends a record.
 func (t *topic) add(r record) {
 	t.records, t.history = append(t.records, r), append(t.history, r)
-	switch {
-	case r.raw != nil:
-	case len(r.value) == 0:
+	if r.raw != nil {
+		return
+	}
+	t.put[r.key] = r.value
+	if len(r.value) == 0 {
 		delete(t.newest, r.key)
-	default:
+	} else {
 		t.newest[r.key] = r
 	}
 }
@@ -233,7 +237,7 @@
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &topic{newest: map[string]record{}}
+		t = &topic{newest: map[string]record{}, put: map[string][]byte{}}
 		s.topics[name] = t
 	}
 	return t
