edge: daemons write again what a restored store lacks

Callers: none has seen it; found while listing what a restore takes away. A daemon that had announced itself within the seconds that the copy lacks was unknown to daemons that started later, and to those that read the list of daemons anew, and a request that crashes servers was met without its verdict by daemons that started after the restore.

Cause: endpoints and verdicts are written once, and an acknowledged write counted for good.

Change: a daemon whose endpoint is missing in a complete read publishes it again; the others keep endpoints that a restored read lacks. After a restore all verdicts in force are recorded again by the lease holder.

Conclusion: claims, endpoints and verdicts are all that daemons write.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,6 +129,7 @@
 	broadcastCount                         atomic.Uint64 // number of engine responses that this daemon has broadcast
 	demand                                 demandMeter
 	addresses                              addressBook
+	announced                              atomic.Bool // the endpoint of this daemon was published
 	draining                               atomic.Bool
 	drainingSince                          atomic.Int64 // nanoseconds since started
 	drainStarted                           chan struct{}
@@ -414,6 +415,13 @@
 	server   *http.Server
 }
 
+// CountPeers returns the number of other daemons that this one hears.
+func (d *Daemon) CountPeers() int {
+	n := 0
+	d.anyRecentPeer(func(membership.Peer) bool { n++; return false })
+	return n
+}
+
 // LinksToAll reports whether this daemon has links to all others, as far as it knows
 // them.
 func (d *Daemon) LinksToAll() bool { return d.mesh.IsHub() }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -189,6 +189,7 @@
 		}
 	}
 	d.positions.setBase(next)
+	d.detector.RecordAgain()
 	missing := d.directory.RetainRestored(listed, now)
 	d.events.Emit(eventStoreRestored, "era", next.Era, "before", known.Era, "position", next, "known", known,
 		"servers", len(items), "withheld", withheld, "missing", len(missing))
@@ -250,6 +251,18 @@
 type addressBook struct {
 	mu        sync.Mutex
 	endpoints map[string]membership.Endpoint // by daemon name
+	era       uint64                         // of the last complete read
+}
+
+// showsAll reports whether a complete read that ended at position next has the endpoints
+// of all daemons. After a restore of the store some may be missing, which their daemons
+// publish again.
+func (b *addressBook) showsAll(next feed.Position) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	restored := b.endpoints != nil && b.era < next.Era
+	b.era = next.Era
+	return !restored
 }
 
 // update applies endpoints that were read; complete is set if they are those of
@@ -310,9 +323,14 @@
 		MaxWait:     daemonsPollTimeout,
 		MinInterval: d.daemonsReadInterval,
 		Sink: feed.Sink[membership.Endpoint]{
-			OnSnapshot: func(items []feed.Item[membership.Endpoint], _ feed.Position) { d.applyAddresses(items, true) },
-			OnChanges:  func(items []feed.Item[membership.Endpoint]) { d.applyAddresses(items, false) },
-			OnError:    func(err error) { d.events.Emit(eventStoreFailed, "what", "daemons", "error", err) },
+			OnSnapshot: func(items []feed.Item[membership.Endpoint], next feed.Position) {
+				d.applyAddresses(items, d.addresses.showsAll(next))
+				if d.announced.Load() && !d.isAnnounced(items) {
+					go d.announce(ctx) // the store was restored from a copy without it
+				}
+			},
+			OnChanges: func(items []feed.Item[membership.Endpoint]) { d.applyAddresses(items, false) },
+			OnError:   func(err error) { d.events.Emit(eventStoreFailed, "what", "daemons", "error", err) },
 		},
 	}
 	f.Run(ctx)
@@ -327,6 +345,18 @@
 	d.mesh.SetEndpoints(d.addresses.update(items, complete))
 }
 
+// endpoint returns the endpoint of this daemon.
+func (d *Daemon) endpoint() membership.Endpoint {
+	return membership.Endpoint{Address: d.peerAddress(), Zone: fleet.Zone(d.settings.Zone), Processors: d.settings.Processors}
+}
+
+// isAnnounced reports whether the endpoints of all daemons have that of this one.
+func (d *Daemon) isAnnounced(items []feed.Item[membership.Endpoint]) bool {
+	return slices.ContainsFunc(items, func(item feed.Item[membership.Endpoint]) bool {
+		return item.Key == d.settings.Name && item.Err == nil && item.Value == d.endpoint()
+	})
+}
+
 // skipBadRecord counts and logs a record that is skipped because it is invalid.
 // Position is its offset in the store, or the version of a peer's broadcast.
 func (d *Daemon) skipBadRecord(what string, key, position any, err error) {
@@ -336,9 +366,12 @@
 
 // announce publishes this daemon's endpoint once. It retries until it succeeds.
 func (d *Daemon) announce(ctx context.Context) {
-	self := membership.Endpoint{Address: d.peerAddress(), Zone: fleet.Zone(d.settings.Zone), Processors: d.settings.Processors}
+	d.announced.Store(false)
 	for {
-		err := d.env.Platform.Announce(ctx, d.settings.Name, self)
+		err := d.env.Platform.Announce(ctx, d.settings.Name, d.endpoint())
+		if err == nil {
+			d.announced.Store(true)
+		}
 		if err == nil || ctx.Err() != nil {
 			return
 		}
--- a/internal/suspect/verdicts.go
+++ b/internal/suspect/verdicts.go
@@ -94,6 +94,15 @@
 	})
 }
 
+// RecordAgain notes that verdicts may be lost where they were kept.
+func (d *Detector) RecordAgain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for f := range d.verdicts {
+		d.unrecorded[f] = struct{}{}
+	}
+}
+
 // Recorded notes that a verdict is kept outside. A failure to do so is logged.
 func (d *Detector) Recorded(v Verdict, err error) {
 	if err != nil {
--- a/standin/site/restore_test.go
+++ b/standin/site/restore_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"carawayproxy.example/caraway/internal/suspect"
 )
 
 // stableAfter is how long after a disturbance of the store the bounds hold again.
@@ -188,3 +191,44 @@
 		}
 	}
 }
+
+// What the daemons had written was lost with the copy: their addresses, without which
+// daemons that start later don't find them, and verdicts on requests that crash servers.
+func TestDaemonsRecordsWereLostWithTheCopy(t *testing.T) {
+	verdict := suspect.Verdict{Fingerprint: 8, Until: time.Now().Add(1000 * time.Hour).UnixMilli()}
+	encoded, err := cbor.Marshal(verdict)
+	assert.NilError(t, err)
+	for _, away := range []time.Duration{time.Millisecond, time.Second} {
+		for _, daemons := range []int{3, 24} {
+			if underRace && daemons > 3 {
+				continue
+			}
+			t.Run(fmt.Sprintf("away %s, %d daemons", away, daemons), func(t *testing.T) {
+				runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+					topics := []string{"keyed.caraway.endpoints", "keyed.caraway.daemons", "keyed.caraway.verdicts"}
+					w.Store.Put("keyed.caraway.verdicts", verdict.Fingerprint.String(), encoded)
+					for _, d := range w.Daemons { // they read the verdict when they start
+						d.Kill()
+						assert.NilError(t, d.Start(false))
+					}
+					time.Sleep(5 * time.Second)
+					want := map[string][]string{}
+					for _, name := range topics {
+						want[name] = w.Store.Keys(name)
+					}
+					linked := w.Daemons[0].run.CountPeers()
+					lowest := linked
+					w.Drill(away, time.Since(w.started)+time.Second)
+					for range 50 {
+						time.Sleep(100 * time.Millisecond)
+						lowest = min(lowest, w.Daemons[0].run.CountPeers())
+					}
+					for _, name := range topics {
+						assert.DeepEqual(t, w.Store.Keys(name), want[name])
+					}
+					assert.Equal(t, lowest, linked, "links to other daemons were closed")
+				})
+			})
+		}
+	}
+}
