--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -101,13 +101,13 @@
 func (d *Directory) Announce(s Server, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.withheld, s.Instance)
 	d.announce(s, now)
 }
 
 // announce is Announce, with mu held.
 func (d *Directory) announce(s Server, now time.Time) {
 	delete(d.departures, s.Instance)
+	delete(d.withheld, s.Instance)
 	e := d.entries[s.Instance]
 	if e == nil {
 		e = &entry{}
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -62,6 +62,7 @@
 // It is called after the whole list was read.
 func (d *Directory) Retain(listed map[fleet.InstanceID]bool, mayReturnUntil, now time.Time) []Withdrawn {
 	d.mu.Lock()
+	d.dropWithheld(listed)
 	var gone []Withdrawn
 	for id := range d.entries {
 		if !listed[id] {
--- a/internal/directory/restore.go
+++ b/internal/directory/restore.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -72,6 +73,7 @@
 		e.missFromCopy(now.Add(grace))
 		return false
 	case e == nil && left && s.Incarnation < gone.server.Incarnation:
+		delete(d.withheld, s.Instance)
 		return false
 	case e == nil && left && s.Incarnation == gone.server.Incarnation:
 		s.Leaving = s.Leaving || gone.server.Leaving
@@ -106,19 +108,25 @@
 // releaseWithheld announces the withheld entries whose grace has ended. Called with mu
 // held.
 func (d *Directory) releaseWithheld(now time.Time) {
-	for id, w := range d.withheld {
+	for _, w := range d.withheld {
 		if !now.Before(w.until) {
 			d.announce(w.server, now)
-			delete(d.withheld, id)
 		}
 	}
 }
 
+// dropWithheld drops the withheld entries that are not listed any more. Called with mu
+// held.
+func (d *Directory) dropWithheld(listed map[fleet.InstanceID]bool) {
+	maps.DeleteFunc(d.withheld, func(id fleet.InstanceID, _ withheldEntry) bool { return !listed[id] })
+}
+
 // RetainRestored is Retain for a restored list: all servers that are not in listed may
 // return.
 func (d *Directory) RetainRestored(listed map[fleet.InstanceID]bool, now time.Time) []Withdrawn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.dropWithheld(listed)
 	var kept []Withdrawn
 	for id, e := range d.entries {
 		if !listed[id] {
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -103,4 +103,23 @@
 	assert.Equal(t, d.Len(), 0, "they have not returned")
 }
 
+// The entry of a server that had left was withheld, and announced later although the list
+// had been restored once more, without it.
+func TestWithheldEntryOutlivedTheList(t *testing.T) {
+	for name, retain := range map[string]func(d *Directory){
+		"restored": func(d *Directory) { d.RetainRestored(nil, at(0)) },
+		"read":     func(d *Directory) { d.Retain(nil, time.Time{}, at(0)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.Announce(server("e", nil), at(0))
+			d.Withdraw("e", time.Time{}, at(0))
+			assert.Assert(t, !d.AnnounceRestored(server("e", nil), at(0)))
+			retain(d)
+			d.ListRead(at(departedGrace))
+			assert.Equal(t, d.Len(), 0)
+		})
+	}
+}
+
 func ref(s Server) *Server { return &s }
