--- a/standin/site/restore_test.go
+++ b/standin/site/restore_test.go
@@ -232,3 +232,45 @@
 		}
 	}
 }
+
+// A daemon must not go back to the earlier routing document that a restored store has, and
+// must take the next one in time.
+func TestDocumentThroughARestore(t *testing.T) {
+	withKey := func(version int, key string) map[string]any {
+		document := Document(version)
+		document["tenants"] = []any{map[string]any{"name": Workspace, "apiKeys": []string{key}, "priority": 1}}
+		return document
+	}
+	for _, away := range []time.Duration{time.Millisecond, time.Second} {
+		for _, daemons := range []int{3, 24} {
+			if underRace && daemons > 3 {
+				continue
+			}
+			t.Run(fmt.Sprintf("away %s, %d daemons", away, daemons), func(t *testing.T) {
+				runLargerWorld(t, daemons, func(t *testing.T, w *World) {
+					n := 0
+					checkKeys := func(good, bad string) {
+						t.Helper()
+						for _, d := range w.Daemons {
+							for key, status := range map[string]int{good: http.StatusOK, bad: http.StatusUnauthorized} {
+								n++
+								r := w.Call(d, http.MethodPost, "/unsafe/x", fmt.Sprint("key-", n), "", "", http.Header{"X-Carawayproxy-Key": {key}})
+								assert.Check(t, r.Status == status, "%s answers %d to %q, want %d: %v, %s", d.name, r.Status, key, status, r.Err, r.Body)
+							}
+						}
+					}
+					w.Publish(withKey(2, "second"))
+					time.Sleep(documentBound)
+					w.Drill(away, 5*time.Second)
+					for range 10 {
+						checkKeys("second", Key)
+						time.Sleep(300 * time.Millisecond)
+					}
+					w.Publish(withKey(5, "third"))
+					time.Sleep(documentBound)
+					checkKeys("third", "second")
+				})
+			})
+		}
+	}
+}
