edge, platform: logs tell how large a read of the store was and what it took

The logs said that reads of the document passed their deadline, not whether the link, the processor or the store's turn held them.

Change: edge.document has the bytes of the read that brought the document and the times to its answer's beginning and end; the error of a failed read says how many bytes had arrived and when.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -20,11 +20,11 @@
 	eventServeFailed = event.Define(1806, "edge.serve-failed", log.ErrorLevel,
 		"A listener failed.", "Restart the daemon; check whether the address is in use.")
 	eventDocument = event.Define(1807, "edge.document", log.InfoLevel,
-		"A newer routing document is in effect at this daemon.", "Nothing.")
+		"A newer routing document is in effect at this daemon; bytes is the size of the read that brought it, head the time until its answer began, which includes the wait for a change, and body that until its end.", "Nothing.")
 	eventBadRecord = event.Define(1808, "edge.bad-record", log.WarnLevel,
 		"A record of the store or a broadcast of a peer is invalid and was skipped; position is its offset or version, and the error names the field.", "Report the error to the writer of the record.")
 	eventStoreFailed = event.Define(1809, "edge.store-failed", log.WarnLevel,
-		"A call to the store failed; the last known state stays in effect.", "Check whether the store responds.")
+		"A call to the store failed; the last known state stays in effect. The error says how much of an answer had arrived, and when.", "Check whether the store responds.")
 	eventStoreRestored = event.Define(1818, "edge.store-restored", log.WarnLevel,
 		"The store has come back from an older copy, in which entries of the list may be missing or outdated until their servers write them again; era is that of its answers, before is the last one. Withheld is the number of entries that contradict what is known and do not count yet, missing that of servers without an entry, which are kept for now.", "Nothing, unless it was not intended.")
 	eventListRecovered = event.Define(1810, "edge.list-back", log.InfoLevel,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -84,7 +84,8 @@
 		d.directory.InvalidateGroups()
 		d.mesh.RequestHeartbeat()
 		d.events.Emit(eventDocument, "version", item.Value.Version, "routes", len(item.Value.Routes),
-			"services", len(item.Value.Services), "workspaces", len(item.Value.Workspaces))
+			"services", len(item.Value.Services), "workspaces", len(item.Value.Workspaces),
+			"bytes", item.Read.Bytes, "head", item.Read.Head.Round(time.Millisecond), "body", item.Read.Body.Round(time.Millisecond))
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -61,10 +61,20 @@
 	Deleted  bool
 	// Age is the time since the value was read, if another daemon read it.
 	Age time.Duration
+	// Read is the transfer with which the value was read.
+	Read Transfer
 	// Err is set if the value could not be decoded; Value is zero then.
 	Err error
 }
 
+// Transfer tells how large the answer of a source was and how long its parts took.
+type Transfer struct {
+	Bytes int
+	// Head is the time from the request to the beginning of the answer, and Body that
+	// from there to its end.
+	Head, Body time.Duration
+}
+
 // Source is a source of keyed values. That it has come back from an older copy of itself
 // is a gap: later reads of all values may lack changes that were read before.
 type Source[T any] interface {
