--- a/standin/runs/network/conn.go
+++ b/standin/runs/network/conn.go
@@ -13,6 +13,13 @@
 // while it is full.
 const bufferBytes = 256 << 10
 
+// Over a link with a limited rate, limitedBufferBytes is that capacity, and bytes arrive
+// in pieces of pieceBytes.
+const (
+	limitedBufferBytes = 64 << 10
+	pieceBytes         = 8 << 10
+)
+
 // firstPort precedes the port of the first outgoing connection.
 const firstPort = 40000
 
@@ -153,24 +160,38 @@
 // append appends as many bytes of p as there is room for and returns their
 // number. The caller holds mu.
 func (s *stream) append(p []byte) int {
-	n := min(len(p), bufferBytes-s.size)
-	if n == 0 {
-		return 0
+	sender, receiver := s.network.link(s.from), s.network.link(s.to)
+	if sender == nil && receiver == nil {
+		n := min(len(p), bufferBytes-s.size)
+		s.appendPiece(p[:n], time.Now().Add(s.latency))
+		return n
+	}
+	n := min(len(p), max(limitedBufferBytes-s.size, 0))
+	for at := 0; at < n; at += pieceBytes {
+		piece := p[at:min(at+pieceBytes, n)]
+		left := sender.send(time.Now(), len(piece))
+		s.appendPiece(piece, receiver.receive(left.Add(s.latency), len(piece)))
+	}
+	return n
+}
+
+// appendPiece appends bytes that arrive at a time. The caller holds mu.
+func (s *stream) appendPiece(p []byte, arrivesAt time.Time) {
+	if len(p) == 0 {
+		return
 	}
-	arrivesAt := time.Now().Add(s.latency)
-	s.size += n
+	s.size += len(p)
 	if last := len(s.chunks) - 1; last >= 0 && s.chunks[last].arrivesAt.Equal(arrivesAt) {
-		s.chunks[last].data = append(s.chunks[last].data, p[:n]...)
-		return n
+		s.chunks[last].data = append(s.chunks[last].data, p...)
+		return
 	}
-	s.chunks = append(s.chunks, chunk{data: append([]byte(nil), p[:n]...), arrivesAt: arrivesAt})
-	switch {
-	case s.latency <= 0:
+	s.chunks = append(s.chunks, chunk{data: append([]byte(nil), p...), arrivesAt: arrivesAt})
+	switch wait := time.Until(arrivesAt); {
+	case wait <= 0:
 		s.readable.Broadcast()
 	case len(s.chunks) == 1:
-		s.wakeReaderAfter(s.latency)
+		s.wakeReaderAfter(wait)
 	}
-	return n
 }
 
 // closeWriter closes the writer's side; with reset, bytes in transit are dropped.
--- a/standin/runs/network/network.go
+++ b/standin/runs/network/network.go
@@ -30,6 +30,9 @@
 	// faults is an immutable copy of cuts and frozen, nil if both are empty. It
 	// is read for every message, without mu.
 	faults atomic.Pointer[faults]
+	// links is an immutable map of the links with a limited rate, by IP address. It is
+	// nil if there are none.
+	links atomic.Pointer[map[string]*hostLink]
 
 	mu        sync.Mutex
 	hosts     map[string]*Host
@@ -175,6 +178,64 @@
 	}
 }
 
+// SetLinkRate limits the rate at which a host sends and receives, in bytes a second each.
+func (n *Network) SetLinkRate(ip string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	links := map[string]*hostLink{}
+	if old := n.links.Load(); old != nil {
+		links = maps.Clone(*old)
+	}
+	links[ip] = &hostLink{rate: bytesPerSecond}
+	n.links.Store(&links)
+}
+
+// link returns the limited link of a host, nil if it has none.
+func (n *Network) link(ip string) *hostLink {
+	if links := n.links.Load(); links != nil {
+		return (*links)[ip]
+	}
+	return nil
+}
+
+// hostLink is a host's link with a limited rate. What is sent at the same time is
+// transferred in the order in which it was written.
+type hostLink struct {
+	rate float64 // bytes a second
+
+	mu                sync.Mutex
+	sentBy, arrivedBy time.Time // when all that was written has left, and has arrived
+}
+
+// send returns when a number of bytes that are written now have left the host.
+func (l *hostLink) send(now time.Time, bytes int) time.Time {
+	if l == nil {
+		return now
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.transfer(&l.sentBy, now, bytes)
+}
+
+// receive returns when a number of bytes whose transfer to the host begins at a time
+// have arrived.
+func (l *hostLink) receive(from time.Time, bytes int) time.Time {
+	if l == nil {
+		return from
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.transfer(&l.arrivedBy, from, bytes)
+}
+
+func (l *hostLink) transfer(free *time.Time, from time.Time, bytes int) time.Time {
+	if free.After(from) {
+		from = *free
+	}
+	*free = from.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
+	return *free
+}
+
 // Separated reports whether bytes between two hosts are held in both
 // directions.
 func (n *Network) Separated(a, b string) bool { return n.isHeld(a, b) && n.isHeld(b, a) }
--- a/standin/runs/network/network_test.go
+++ b/standin/runs/network/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +117,41 @@
 		assert.Equal(t, time.Since(start), 2*time.Second)
 	})
 }
+
+func TestLinkRateLimitsTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, rate = 500 << 10, 1 << 20
+		n := New(func(_, _ string) time.Duration { return time.Millisecond })
+		n.SetLinkRate("10.0.0.2", rate)
+		l, err := n.Host("10.0.0.1").Listen("80")
+		assert.NilError(t, err)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, _ = c.Write(make([]byte, size))
+					_ = c.Close()
+				}()
+			}
+		}()
+		began := time.Now()
+		var transfers sync.WaitGroup
+		for range 2 { // they share the link
+			transfers.Go(func() {
+				c, err := n.Host("10.0.0.2").Dial(t.Context(), "tcp", "10.0.0.1:80")
+				assert.Check(t, err)
+				received, err := io.Copy(io.Discard, c)
+				assert.Check(t, err)
+				assert.Check(t, received == size)
+				_ = c.Close()
+			})
+		}
+		transfers.Wait()
+		took := time.Since(began).Seconds()
+		assert.Assert(t, took > 0.95 && took < 1.1, "two transfers of half a second took %.2f s", took)
+		assert.NilError(t, l.Close())
+	})
+}
