entry, edge: a daemon that lacks the newest document answers 503, not 404 or 401

Callers: a request for a route, or with a key, that a newer document has was answered as if it were wrong, by a daemon that knew from its peers that there is one. Callers don't come back after 404 or 401.

Cause: 404 and 401 say something of the newest document; this daemon had an older one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,9 @@
 	Codec      Codec
 	Routes     *routes.CurrentDocument
 	Dispatcher Dispatcher
+	// IsOutdated reports whether there is a newer routing document that this daemon does
+	// not have yet.
+	IsOutdated func() bool
 	// Draining reports whether the daemon is shutting down. Connections are
 	// then closed after the answer.
 	Draining func() bool
@@ -81,8 +84,8 @@
 	defaultBodyBytes = 4 << 20
 	// defaultTimeout applies to requests that state no timeout.
 	defaultTimeout = 30 * time.Second
-	// retryAfterNoDocument is the Retry-After of a daemon without a routing
-	// document. It is short because other daemons have the document.
+	// retryAfterNoDocument is the Retry-After of a daemon without a routing document, or
+	// without the newest. It is short because other daemons have the document.
 	retryAfterNoDocument = 300 * time.Millisecond
 )
 
@@ -212,10 +215,10 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	var found bool
 	if req.route, found = table.Match(r.Host, path); !found {
-		return req, &refusal{http.StatusNotFound, "no route for " + r.Host + path, 0}
+		return req, h.unknown(http.StatusNotFound, "no route for "+r.Host+path)
 	}
-	if f := req.identify(table); f != nil {
-		return req, f
+	if reason := req.identify(table); reason != "" {
+		return req, h.unknown(http.StatusUnauthorized, reason)
 	}
 	if req.service, found = table.Service(req.route.PickService(rand.Float64())); !found {
 		return req, &refusal{http.StatusServiceUnavailable, "the route's service is not in the document", retryAfterNoDocument}
@@ -223,6 +226,15 @@
 	return req, req.readBody(w, r, table.Document.Limits)
 }
 
+// unknown returns the refusal of a request whose route or key the document does not have.
+// A newer document may have it: while this daemon lacks that, the caller is to come back.
+func (h *Handler) unknown(status int, reason string) *refusal {
+	if h.cfg.IsOutdated() {
+		return &refusal{http.StatusServiceUnavailable, reason + " in a routing document that is no longer the newest", retryAfterNoDocument}
+	}
+	return &refusal{status, reason, 0}
+}
+
 // headerBytes returns the size of the request line and headers as sent.
 func headerBytes(r *http.Request) int {
 	const lineEnd, separator = 2, 2
@@ -235,22 +247,22 @@
 	return n
 }
 
-// identify resolves the workspace of the request's key. It returns a refusal if
-// the route needs a key and the key is unknown.
-func (q *request) identify(table *routes.Table) *refusal {
+// identify resolves the workspace of the request's key. It returns why the request is
+// refused if the route needs a key and the key is unknown.
+func (q *request) identify(table *routes.Table) (reason string) {
 	q.workspace, q.priority = routes.PublicWorkspace, q.route.Priority
 	w, known := table.Workspace(q.meta.Key)
 	if !known {
 		if table.NeedsKey(q.route) {
-			return &refusal{http.StatusUnauthorized, "the key is not known", 0}
+			return "the key is not known"
 		}
-		return nil
+		return ""
 	}
 	q.workspace = w.Name
 	if w.Priority >= 0 {
 		q.priority = w.Priority
 	}
-	return nil
+	return ""
 }
 
 // readBody buffers the whole body, so that the request can be retried.
