dispatch, edge: answers without end take a bounded part of the memory

Cause: an answer is buffered before it is passed on, up to 32 MiB for each attempt by itself, and an error answer of a repeatable request as much, only to be kept as a last resort. Servers in trouble send bytes without end, to many requests at once.

Change: all buffered answers, and events beyond 4 KiB, share an eighth of the memory limit (dispatch.Config.AnswerMemory, 32 MiB without one). When that runs out, the largest answer is dropped and its attempt ends, so that small ones are never the ones to go. Error answers of repeatable requests are kept up to 64 KiB. Answers are kept in blocks, not in a slice that doubles. Such an end counts neither as a crash of the server nor as proof of anything.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -357,7 +357,7 @@
 // mayBeCrash reports whether an attempt may have failed because its server
 // ended. Attempts that this daemon canceled and error answers are not.
 func mayBeCrash(cause error) bool {
-	for _, other := range []error{errCallerGone, errSuperseded, errBackendError, errNotContinuation, context.Canceled, context.DeadlineExceeded} {
+	for _, other := range []error{errCallerGone, errSuperseded, errBackendError, errNotContinuation, errAnswerSize, errAnswerMemory, errEventSize, context.Canceled, context.DeadlineExceeded} {
 		if errors.Is(cause, other) {
 			return false
 		}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -42,6 +42,9 @@
 	StallDetector StallDetector
 	Events        *event.Logger
 	Metrics       metrics.Registry
+	// AnswerMemory is the number of bytes that the answers which Forward buffers may take
+	// together; DefaultAnswerMemory when zero.
+	AnswerMemory int
 	// Daemons returns the number of daemons that share the groups' capacity;
 	// nil means one.
 	Daemons func() int
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	runTimes runTimes
 	isolated isolatedGroups
 	metrics  dispatchMetrics
+	answers  *answerMemory
 	inFlight atomic.Int64
 	draining atomic.Bool
 
@@ -39,7 +40,7 @@
 	if cfg.Daemons == nil {
 		cfg.Daemons = func() int { return 1 }
 	}
-	d := &Dispatcher{cfg: cfg, metrics: newDispatchMetrics(cfg.Metrics)}
+	d := &Dispatcher{cfg: cfg, metrics: newDispatchMetrics(cfg.Metrics), answers: newAnswerMemory(cfg.AnswerMemory)}
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
 	return d
 }
--- a/internal/dispatch/events_reader.go
+++ b/internal/dispatch/events_reader.go
@@ -27,10 +27,33 @@
 type eventReader struct {
 	r     *bufio.Reader
 	event []byte
+	// open returns the buffer in which long events count. It is called for the first one.
+	open func() *answerBuffer
+	long *answerBuffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+// newEventReader returns a reader that has to be closed.
+func newEventReader(r io.Reader, open func() *answerBuffer) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), open: open}
+}
+
+// Close gives up the memory of long events.
+func (e *eventReader) Close() {
+	if e.long != nil {
+		e.long.Close()
+	}
+}
+
+// reserveLong makes count what an event takes beyond the size of typical ones.
+func (e *eventReader) reserveLong() error {
+	long := cap(e.event) - eventBufferBytes
+	if long <= 0 {
+		return nil
+	}
+	if e.long == nil {
+		e.long = e.open()
+	}
+	return e.long.reserveUpTo(long)
 }
 
 // next returns the next complete event, including the blank line that ends it,
@@ -43,6 +66,9 @@
 	for {
 		piece, err := e.r.ReadSlice('\n')
 		e.event = append(e.event, piece...)
+		if err := e.reserveLong(); err != nil {
+			return nil, nil, err
+		}
 		switch {
 		case len(e.event) > maxEventBytes:
 			return nil, nil, errEventSize
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -17,8 +17,14 @@
 	"carawayproxy.example/caraway/internal/suspect"
 )
 
-// maxAnswerBytes bounds an answer that is buffered before it is relayed.
-const maxAnswerBytes = 32 << 20
+const (
+	// maxAnswerBytes bounds an answer that is buffered before it is relayed, as long as
+	// there is memory for it.
+	maxAnswerBytes = 32 << 20
+	// maxErrorAnswerBytes bounds an error answer that is kept while the request is tried
+	// elsewhere. It is many times the text of an error.
+	maxErrorAnswerBytes = 64 << 10
+)
 
 // errNotUsable is the cause of an attempt that was not sent, because the group could no
 // longer be used when there was a connection.
@@ -141,10 +147,11 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *answerBuffer
 }
 
 func (r *forwardedRequest) admitAndRun(ctx context.Context, ws service.WorkspaceSpec) *fleet.Failure {
+	defer r.keepErrorAnswer(nil)
 	dec := r.routeNow()
 	if dec.Chosen == nil {
 		return r.noGroupFailure(dec.Decision)
@@ -251,12 +258,24 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err := r.deliver(r.errorAnswer); err != nil {
+	switch err := r.deliver(r.errorAnswer); {
+	case errors.Is(err, errAnswerMemory):
+		return f
+	case err != nil:
 		return r.newFailure(fleet.ReasonCanceled, 0, err.Error())
 	}
 	return nil
 }
 
+// keepErrorAnswer keeps an error answer, nil for none, in place of the one before. Called
+// with mu held, or when no attempt is running any more.
+func (r *forwardedRequest) keepErrorAnswer(a *bufferedAnswer) {
+	if r.errorAnswer != nil {
+		r.errorAnswer.body.Close()
+	}
+	r.errorAnswer = a
+}
+
 // attempt sends one attempt and relays its answer. If another one is started
 // beside it, attempt returns when both have ended, with the attempt that decides
 // about the request. The cause is nil once the caller has received the complete
@@ -342,21 +361,34 @@
 	if r.hasSentHeader() {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes+1))
-	if err != nil {
+	answer := &bufferedAnswer{status: ans.Status, header: ans.Header, body: r.d.answers.open(a.cancel)}
+	kept := false
+	defer func() {
+		if !kept {
+			answer.body.Close()
+		}
+	}()
+	failed := ans.Status >= http.StatusInternalServerError && r.req.Repeatable
+	limit := maxAnswerBytes
+	if failed {
+		limit = maxErrorAnswerBytes
+	}
+	switch err := answer.body.read(ans.Body, limit); {
+	case errors.Is(err, errAnswerSize) && failed:
+		return errors.Wrapf(errBackendError, "status %d, %s", ans.Status, err)
+	case errors.Is(err, errAnswerSize), errors.Is(err, errAnswerMemory):
+		return err
+	case err != nil:
 		return errors.Wrap(err, "the answer broke off")
 	}
-	if len(body) > maxAnswerBytes {
-		return errors.Errorf("the answer has more than %d bytes", maxAnswerBytes)
-	}
-	answer := &bufferedAnswer{status: ans.Status, header: ans.Header, body: body}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.headerSent {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
-	if ans.Status >= http.StatusInternalServerError && r.req.Repeatable {
-		r.errorAnswer = answer
+	if failed {
+		kept = true
+		r.keepErrorAnswer(answer)
 		return errors.Wrapf(errBackendError, "status %d", ans.Status)
 	}
 	if err := r.claim(a); err != nil {
@@ -366,13 +398,20 @@
 	return r.deliver(answer)
 }
 
-// deliver writes a complete answer to the caller. Called with mu held.
+// deliver writes a complete answer to the caller. It returns errAnswerMemory, and writes
+// nothing, if the answer was dropped. Called with mu held.
 func (r *forwardedRequest) deliver(a *bufferedAnswer) error {
+	blocks, ok := a.body.take()
+	if !ok {
+		return errAnswerMemory
+	}
 	r.headerSent = true
 	r.firstByteAt = time.Now()
 	r.relay.WriteHeader(a.status, a.header)
-	if err := r.relay.WriteBody(a.body, false); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
+	for i, block := range blocks {
+		if err := r.relay.WriteBody(block, i < len(blocks)-1); err != nil {
+			return errors.Wrap(errCallerGone, err.Error())
+		}
 	}
 	return nil
 }
@@ -386,7 +425,8 @@
 		return err
 	}
 	empty := true
-	events := newEventReader(ans.Body)
+	events := newEventReader(ans.Body, func() *answerBuffer { return r.d.answers.open(a.cancel) })
+	defer events.Close()
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -303,6 +303,7 @@
 		Pauses:         pauses{d},
 		Leavers:        leavers{d},
 		LinksLost:      d.env.ServerDialer.LostSignal,
+		AnswerMemory:   answerMemory(d.settings.MemoryLimit),
 		Daemons:        d.countDaemons,
 		RetryRatio:     d.settings.RetryRatio,
 		RetryBurst:     d.retryBurst,
