--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -212,6 +212,9 @@
 	if req.meta, err = h.cfg.Codec.Decode(r.Header); err != nil {
 		return req, &refusal{http.StatusBadRequest, err.Error(), 0}
 	}
+	if _, err := httpx.TargetURL(r.Host, r.RequestURI); err != nil {
+		return req, &refusal{http.StatusBadRequest, err.Error(), 0}
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	var found bool
 	if req.route, found = table.Match(r.Host, path); !found {
