dispatch, edge: the end of an unframed answer is doubted if its server has ended

Cause: an answer with neither a length nor chunks ends with its connection, and so do all connections of a server whose process ends. The daemon took the one for the other.

Change: at such an end the daemon asks whether the server still listens at its address. If not, the answer has been broken off: a request that may be repeated goes on at another server, else the caller gets an incomplete answer or 502. An answer without an event to a resumed request is complete if its server runs. A probe that began before is not shared by those who ask later.

Price: one dial for each unframed answer after its last event.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -313,9 +313,9 @@
 		r.d.cfg.Refusals.Reset(a.Group, a.Epoch)
 	}
 	if r.req.Stream && ans.Status/100 == 2 {
-		return r.relayStream(ans, a, w)
+		return r.relayStream(ctx, ans, a, w)
 	}
-	return r.relayBuffered(ans, a)
+	return r.relayBuffered(ctx, ans, a)
 }
 
 func (r *forwardedRequest) message(ctx context.Context, t target) backend.Opaque {
@@ -357,7 +357,7 @@
 
 // relayBuffered buffers an answer before the caller receives any of it, so that
 // a truncated answer can be retried.
-func (r *forwardedRequest) relayBuffered(ans backend.OpaqueResponse, a *runningAttempt) error {
+func (r *forwardedRequest) relayBuffered(ctx context.Context, ans backend.OpaqueResponse, a *runningAttempt) error {
 	if r.hasSentHeader() {
 		return errors.Wrapf(errBackendError, "status %d in place of the rest of a stream", ans.Status)
 	}
@@ -381,6 +381,9 @@
 	case err != nil:
 		return errors.Wrap(err, "the answer broke off")
 	}
+	if err := r.checkEnd(ctx, ans, a); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.headerSent {
@@ -419,7 +422,7 @@
 // relayStream relays complete events as they arrive. When a stream resumes,
 // the caller keeps the header that it has already received, and gets only events
 // that continue its stream.
-func (r *forwardedRequest) relayStream(ans backend.OpaqueResponse, a *runningAttempt, w *attemptWatch) error {
+func (r *forwardedRequest) relayStream(ctx context.Context, ans backend.OpaqueResponse, a *runningAttempt, w *attemptWatch) error {
 	placed, err := r.checkContinuation(ans)
 	if err != nil {
 		return err
@@ -430,6 +433,9 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if err := r.checkEnd(ctx, ans, a); err != nil {
+				return err
+			}
 			return r.finishStream(ans, a, empty)
 		}
 		if err != nil {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"context"
 	"mime"
 	"net/http"
 	"strings"
+	"time"
 	"unicode"
 
 	"github.com/pkg/errors"
@@ -78,13 +80,34 @@
 	return len(id) <= maxEventIDBytes && !strings.ContainsFunc(id, unicode.IsControl)
 }
 
+// endCheckTimeout limits the check whether a server's process has ended. It is many times
+// the longest round trip between availability zones, and bounds how much later than its
+// last event a stream may end.
+const endCheckTimeout = 100 * time.Millisecond
+
+// checkEnd returns an error if the end of an answer that has neither a length nor chunks
+// may be that of its server's process, whose connections end like those of a server that
+// has nothing more to send. Whether it was complete shows if another one is asked for what
+// follows.
+func (r *forwardedRequest) checkEnd(ctx context.Context, ans backend.OpaqueResponse, a *runningAttempt) error {
+	prober := r.d.cfg.LivenessProber
+	if ans.Framed || prober == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if prober.HasEnded(ctx, a.Address) {
+		return errors.Wrap(errTruncated, "the connection and its server's process have ended")
+	}
+	return nil
+}
+
 // checkEmpty returns an error if an answer that ended without any event can't be
-// complete. A server that ends before its first event closes its connection like
-// one that has nothing more to send, so only a length or chunks show the difference.
-// Called with mu held.
+// complete. As the first one, it may be that of a server that ends before its first event;
+// only a length or chunks show the difference. Called with mu held.
 func (r *forwardedRequest) checkEmpty(ans backend.OpaqueResponse) error {
 	switch {
-	case !ans.Framed:
+	case !ans.Framed && !(r.headerSent && r.d.cfg.LivenessProber != nil):
 		return errors.Wrap(errTruncated, "the connection ended before any event")
 	case r.headerSent && r.delivered.moreDue:
 		return errors.Wrap(errNotContinuation, "no event, though the answer before broke off inside one or before its length")
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -267,3 +269,74 @@
 		})
 	}
 }
+
+// endedServers is a LivenessProber of servers that have ended or not, in the order in
+// which they are first asked about.
+type endedServers struct {
+	ended []bool
+	mu    sync.Mutex
+	asked []string
+}
+
+func (s *endedServers) HasEnded(_ context.Context, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.Index(s.asked, address)
+	if i < 0 {
+		i = len(s.asked)
+		s.asked = append(s.asked, address)
+	}
+	return i < len(s.ended) && s.ended[i]
+}
+
+// A server's process ended while it gave an answer that has neither a length nor chunks.
+// Its connection ended like that of a server that has nothing more to send, and the
+// shorter answer was passed on as a complete one.
+func TestAnswerThatEndedWithItsServerLookedComplete(t *testing.T) {
+	stream := func(body string) streamAnswer { return streamAnswer{contentType: eventStream, body: body} }
+	for _, test := range []struct {
+		name               string
+		stream, repeatable bool
+		answers            []streamAnswer
+		ended              []bool
+		want               string
+		complete           bool
+		attempts           int
+	}{
+		{"its server goes on", true, true, []streamAnswer{stream(eventsTo2)}, nil, eventsTo2, true, 1},
+		{"its server goes on, not repeatable", true, false, []streamAnswer{stream(eventsTo2)}, nil, eventsTo2, true, 1},
+		{"between two events", true, true, []streamAnswer{stream(eventsTo2), stream(eventsFrom3)}, []bool{true}, eventsTo2 + eventsFrom3, true, 2},
+		{"after the last event", true, true, []streamAnswer{stream(eventsTo2), {contentType: eventStream, framed: true}}, []bool{true}, eventsTo2, true, 2},
+		{"after the last event, none has a length", true, true, []streamAnswer{stream(eventsTo2), stream("")}, []bool{true}, eventsTo2, true, 2},
+		{"both servers end", true, true, []streamAnswer{stream(eventsTo2), stream("")}, []bool{true, true}, eventsTo2, false, 2},
+		{"no other server", true, true, []streamAnswer{stream(eventsTo2)}, []bool{true}, eventsTo2, false, 2},
+		{"not repeatable", true, false, []streamAnswer{stream(eventsTo2)}, []bool{true}, eventsTo2, false, 1},
+		{"plain, its server goes on", false, false, []streamAnswer{{body: "whole"}}, nil, "whole", true, 1},
+		{"plain", false, true, []streamAnswer{{body: "who"}, {body: "whole"}}, []bool{true}, "whole", true, 2},
+		{"plain, not repeatable", false, false, []streamAnswer{{body: "who"}}, []bool{true}, "", false, 1},
+		{"with a length", true, true, []streamAnswer{{contentType: eventStream, body: eventsTo2, length: "30"}}, []bool{true}, eventsTo2, true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			servers, relay := &fakeOpaques{answers: test.answers}, &fakeRelay{}
+			verdicts := suspect.NewFold()
+			d := dispatch.New(dispatch.Config{
+				Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, nil), Router: newFakeRouter(4), Admission: &fakeAdmission{},
+				CatalogSource: &fakeCatalog{specs: []service.Spec{plainSpec}}, Opaques: servers, LivenessProber: &endedServers{ended: test.ended},
+				Suspects: suspect.NewTracker(suspect.TrackerConfig{Self: "d", Fold: verdicts, Proposer: &immediateProposer{fold: verdicts}}),
+			})
+			defer d.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			f := d.Forward(ctx, dispatch.Forwarding{
+				Workspace: "w", Service: "book", Kind: fleet.KindPlain, Stream: test.stream, Repeatable: test.repeatable, MaxAttempts: 2,
+				Message: backend.Opaque{Request: "r", Method: http.MethodPost, Header: http.Header{}},
+			}, relay)
+			assert.Equal(t, f == nil, test.complete, "%v", f)
+			assert.Equal(t, relay.body.String(), test.want)
+			assert.Equal(t, len(servers.resumeAfter), test.attempts)
+			if test.attempts > 1 && test.stream {
+				assert.Equal(t, servers.resumeAfter[1], "2")
+			}
+		})
+	}
+}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -99,13 +99,18 @@
 
 var _ dispatch.LivenessProber = (*sharedProber)(nil)
 
-// HasEnded implements dispatch.LivenessProber.
+// HasEnded implements dispatch.LivenessProber. It takes the result of a probe that began
+// before only if that found the server ended.
 func (s *sharedProber) HasEnded(ctx context.Context, address string) bool {
 	s.mu.Lock()
-	if p := s.probes[address]; p != nil {
+	for waited := false; s.probes[address] != nil; waited = true {
+		p := s.probes[address]
 		s.mu.Unlock()
 		<-p.done
-		return p.ended
+		if p.ended || waited {
+			return p.ended
+		}
+		s.mu.Lock()
 	}
 	p := &sharedProbe{done: make(chan struct{})}
 	if s.probes == nil {
--- a/standin/site/unframed_test.go
+++ b/standin/site/unframed_test.go
@@ -107,3 +107,19 @@
 		})
 	}
 }
+
+// An engine's process ended while it gave streams that have neither a length nor chunks.
+// Callers got a shorter stream as a complete one, though the rest could be had elsewhere.
+func TestUnframedStreamWhoseEngineCrashedLookedComplete(t *testing.T) {
+	runWorld(t, func(t *testing.T, w *World) {
+		w.Update(func() { w.shared.unframed = true })
+		w.runAfter(time.Second, func() { w.CrashEngine(w.Member(ModelOfTwo, 0)) })
+		responses := sendStreams(w, ModelOfTwo, 3*time.Second)
+		for id, r := range responses {
+			assert.Check(t, r.Status != http.StatusOK || r.Err != nil || r.IsComplete(id), "%s ends as complete after %d events", id, strings.Count(r.Body, "\n\n"))
+		}
+		cut, rejected := countCutAndRejected(t, responses)
+		assert.Equal(t, cut, 0)
+		assert.Assert(t, rejected <= len(responses)/10, "%d of %d rejected", rejected, len(responses))
+	})
+}
