edge: earlier releases take nothing from a document broadcast

The body of the broadcast of a routing document held nothing that knows, which it logs as invalid, once for each version and daemon. Nothing else followed from it: that daemon reads the document by itself.

Figures: TestDocumentBroadcastAtAnEarlierRelease failed before and passes.

--- a/internal/edge/documents.go
+++ b/internal/edge/documents.go
@@ -11,7 +11,9 @@
 	"github.com/pkg/errors"
 
 	"carawayproxy.example/caraway/internal/delta"
+	"carawayproxy.example/caraway/internal/directory"
 	"carawayproxy.example/caraway/internal/feed"
+	"carawayproxy.example/caraway/internal/fleet"
 	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/routes"
 )
@@ -260,7 +262,7 @@
 	if change == nil || !d.readsForOthers() || len(change.Delta) > maxDeltaBytes {
 		return
 	}
-	body, err := cbor.Marshal(serverBroadcast{Document: change})
+	body, err := documentBody(*change)
 	if err != nil {
 		d.events.Emit(eventBadRecord, "what", "bulletin", "key", change.key(), "error", err)
 		return
@@ -268,6 +270,13 @@
 	d.mesh.Broadcast([]membership.Broadcast{{Key: change.key(), Version: change.Version, Body: body}})
 }
 
+// documentBody returns the body of the broadcast of a version. Earlier releases take it
+// for an old answer of a server that is not on the list, which changes nothing.
+func documentBody(c documentChange) ([]byte, error) {
+	s := directory.Server{Instance: fleet.InstanceID(c.key())}
+	return cbor.Marshal(serverBroadcast{Server: &s, Answered: true, AgeMilli: uint64(oldAnswerAge.Milliseconds()), Document: &c})
+}
+
 // onDocumentChange records a version that a peer has broadcast.
 func (d *Daemon) onDocumentChange(b membership.Broadcast, c documentChange) {
 	if err := c.check(b.Key); err != nil {
--- a/internal/edge/documents_test.go
+++ b/internal/edge/documents_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"carawayproxy.example/caraway/internal/feed"
+	"carawayproxy.example/caraway/internal/membership"
 	"carawayproxy.example/caraway/internal/routes"
 )
 
@@ -63,6 +64,35 @@
 	assert.Assert(t, len(changes[2].Delta) < 200, "%d bytes for one route more", len(changes[2].Delta))
 }
 
+// Earlier releases take the broadcast of a version for an answer, and must make nothing
+// of it.
+func TestDocumentBroadcastAtAnEarlierRelease(t *testing.T) {
+	change := adopted(t, stored(3, 10))[0]
+	body, err := documentBody(change)
+	assert.NilError(t, err)
+	p := decodeAsEarlierRelease(t, body)
+	d := newIdleDaemon(t).directory
+	d.Announce(listedServer(), time.Now())
+	updated := d.RecordAnswer(*p.Server, time.Now().Add(-time.Duration(p.AgeMilli)*time.Millisecond))
+	assert.Assert(t, !updated)
+	assert.Equal(t, len(d.Servers()), 1)
+	assert.DeepEqual(t, d.Servers()["e"].Server, listedServer())
+}
+
+func TestDocumentBroadcastIsApplied(t *testing.T) {
+	document := stored(3, 10)
+	change := adopted(t, document)[0]
+	body, err := documentBody(change)
+	assert.NilError(t, err)
+	d := newIdleDaemon(t)
+	d.onBroadcasts([]membership.Broadcast{{Key: change.key(), Version: change.Version, Body: body}})
+	version, text, err := d.documentNews.next()
+	assert.NilError(t, err)
+	assert.Equal(t, version, uint64(3))
+	assert.Assert(t, bytes.Equal(text, document.Text))
+	assert.Equal(t, d.badRecords.Count(), int64(0))
+}
+
 // A change that does not fit must take no effect, and must not stay.
 func TestDocumentChangeThatDoesNotFit(t *testing.T) {
 	base, next := stored(3, 10), stored(4, 11)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -37,8 +37,9 @@
 
 // serverBroadcast is the body of a broadcast: a change of the list, the response
 // of an engine about its own state, a verdict on a request, a request rate that
-// a backend server announces, or a version of the routing document. Releases that do not know a field take the body for
-// what the others say, and log it as invalid if they say nothing.
+// a backend server announces, or a version of the routing document. Releases that do
+// not know a field take the body for what the others say, and log it as invalid if
+// they say nothing.
 type serverBroadcast struct {
 	Server   *directory.Server `cbor:"1,keyasint,omitempty"`
 	Deleted  bool              `cbor:"2,keyasint,omitempty"`
