--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -11,12 +11,12 @@
 // All daemons share the store's call limit, and each call has a price. Therefore only
 // a reader follows the list of backend servers and the routing document: the lease
 // holder, or a daemon that hears of no reader. It broadcasts the changes of the list
-// and of the document, and tells up to which position and as of when it has read; its heartbeats tell when
-// it last read the document. The others are as current as the newest such news that
-// covers what they have. Once
-// that is older than listPatience or documentPatience, they read for themselves, so
-// that nothing rests on a reader: one that is dead, cut off, frozen or turned away by
-// the store only costs the others a read each.
+// and of the document, and tells up to which position and as of when it has read; its
+// heartbeats tell when it last read the document. The others are as current as the
+// newest such news that covers what they have. Once that is older than listPatience or
+// documentPatience, they read for themselves, so that nothing rests on a reader: one
+// that is dead, cut off, frozen or turned away by the store only costs the others a
+// read each.
 
 // minReaderAge is how long after its start a daemon without the lease begins to read for
 // others: before, it may not have heard of their readers yet.
