lease: a late claim of an earlier era hides no term

Two members of one term would let an engine take the orders of both placement daemons for those of one.

Since a daemon that has seen a record of the log's era took the last record's term plus one. A claim that was sent before the restore and written after it is the last record, with an old term, and the claims of the era before it are not seen: 2097153 + 1 was given out twice. Ruled out: two holders at one time (not seen), and a term from the position (each position is written once an era).

Change: after a restore, terms come from the position and the era alone, which rise with each claim.

Figures: TestLateClaimHidTheNewestTerm failed before ("term 2097154 of another member follows 2097154") and passes; the package passes.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -72,8 +72,8 @@
 	end       feed.Position
 	seenAt    time.Duration
 	vacant    bool
-	// lastTerm is the highest term of any hold that this daemon knows of. Eras of the log
-	// after termEra may lack terms of before; termsKnown is set once the log was read.
+	// lastTerm is the highest term of any hold that this daemon knows of. termEra is the
+	// latest era of a record that it knows; termsKnown is set once the log was read.
 	lastTerm   Term
 	termEra    uint64
 	termsKnown bool
@@ -339,11 +339,13 @@
 // older copy: those of four days, at the renewal interval of the operators' platform.
 const termsPerEra = 1 << 20
 
-// nextTerm returns a term that follows all known ones, and those that the log may have
-// lost. The caller holds mu.
+// nextTerm returns a term that follows all known ones, those that the log may have lost,
+// and those that it has but does not show: its last record may be a claim that was sent in
+// an earlier era. Terms rise with the position in the log, so that no two claims have the
+// same. The caller holds mu.
 func (e *Elector) nextTerm() Term {
 	term := Term(e.end.Offset + 1)
-	if e.termEra < e.end.Era {
+	if e.end.Era > firstEra {
 		term += Term(e.end.Era) * termsPerEra
 	}
 	return max(term, e.lastTerm+1)
--- a/internal/lease/elector_test.go
+++ b/internal/lease/elector_test.go
@@ -56,6 +56,12 @@
 	change()
 }
 
+func (l *claimLog) last() ClaimEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[len(l.records)-1]
+}
+
 func (l *claimLog) callCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -514,6 +520,35 @@
 	}
 }
 
+// A claim that was sent before a restore was written late, behind those of the new era. A
+// daemon that knew only the first of these took the last of the old era for the newest,
+// and the next term that it knew of nothing for a new one: another member had held it.
+func TestLateClaimHidTheNewestTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const era = firstEra + 1
+		l := &claimLog{delay: 4 * time.Millisecond, era: era}
+		first := l.start(t, "first")
+		time.Sleep(3 * testTTL)
+		next := l.start(t, "next")
+		time.Sleep(testEvery)
+		assert.Equal(t, l.last(), ClaimEntry{Member: "first", Term: first.term(), Serial: l.last().Serial, TTL: testTTL, Era: era, HasEra: true})
+		first.stop()
+		next.candidate.Store(false) // it knows of the first term only
+		other := l.start(t, "other")
+		time.Sleep(3 * testTTL)
+		term := other.term()
+		assert.Assert(t, term != 0)
+		other.stop()
+		l.update(func() {
+			l.records = append(l.records, ClaimEntry{Member: "late", Term: 1, TTL: testTTL, Era: firstEra, HasEra: true})
+		})
+		next.candidate.Store(true)
+		time.Sleep(3 * testTTL)
+		assert.Assert(t, next.term() > term, "term %d of another member follows %d", next.term(), term)
+		next.stop()
+	})
+}
+
 // A holder renews its hold in a restored log, also one that it has kept in an outage, and
 // under the term that it had.
 func TestHoldSurvivesARestore(t *testing.T) {
