dispatch: what an answer that was dropped had taken counts as given up

The test's server counted bytes until the answer was closed, by a goroutine that may get processor time later; the daemon gives them up when it ends the attempt. Trace under 16 busy loops, 105 cases: up to 7.2 MB were not closed yet, and never more than 4,194,304 B, the limit, of answers that were not given up.

Change: the test counts an answer until its attempt has ended for want of memory, by the cause of that; events of a stream, which their reader holds, until it is closed, as before. That the bytes are given up at that moment, and that all answers are closed, is checked now.

--- a/internal/dispatch/answer_memory_test.go
+++ b/internal/dispatch/answer_memory_test.go
@@ -27,10 +27,15 @@
 	large, small := m.open(cancel), m.open(nil)
 	defer small.Close()
 	assert.NilError(t, large.reserve(6*blockBytes))
+	large.append(make([]byte, 6*blockBytes))
 	assert.NilError(t, small.reserve(4*blockBytes))
 	assert.NilError(t, context.Cause(ctx))
 	assert.NilError(t, small.reserve(1)) // the other one is larger
 	assert.ErrorIs(t, context.Cause(ctx), errAnswerMemory)
+	// Its bytes are given up here, before what fills it hears of that.
+	assert.Equal(t, len(large.blocks), 0)
+	large.append(make([]byte, 1))
+	assert.Equal(t, len(large.blocks), 0)
 	assert.ErrorIs(t, large.reserve(1), errAnswerMemory)
 	_, ok := large.take()
 	assert.Assert(t, !ok)
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,11 +24,16 @@
 // others soundly.
 type endlessServers struct {
 	status int
-	mu     sync.Mutex
-	seen   map[fleet.RequestID]bool
+	// untilClosed is set if what was read of an answer is kept until that is closed, also
+	// if the attempt has been ended.
+	untilClosed bool
+
+	mu   sync.Mutex
+	seen map[fleet.RequestID]bool
+	open map[*endlessBody]struct{}
 	// mostRead is the most that was read of an endless answer, and keptAtOnce the most
-	// that all of them had been read at one time.
-	mostRead, kept, keptAtOnce atomic.Int64
+	// that was kept of all of them at one time.
+	mostRead, keptAtOnce int
 }
 
 func (s *endlessServers) Forward(ctx context.Context, _ string, o backend.Opaque) (backend.OpaqueResponse, error) {
@@ -40,14 +44,33 @@
 	if !first || strings.HasPrefix(string(o.Request), "sound") {
 		return backend.OpaqueResponse{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n")), Framed: true}, nil
 	}
-	return backend.OpaqueResponse{Status: s.status, Header: http.Header{}, Body: &endlessBody{servers: s, ctx: ctx}}, nil
+	b := &endlessBody{servers: s, ctx: ctx}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[b] = struct{}{}
+	return backend.OpaqueResponse{Status: s.status, Header: http.Header{}, Body: b}, nil
+}
+
+// recordRead records that n more bytes of an answer were read.
+func (s *endlessServers) recordRead(b *endlessBody, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.read += n
+	s.mostRead = max(s.mostRead, b.read)
+	kept := 0
+	for other := range s.open {
+		if s.untilClosed || !other.isDropped() {
+			kept += other.read
+		}
+	}
+	s.keptAtOnce = max(s.keptAtOnce, kept)
 }
 
 // endlessBody is the body of an endless answer.
 type endlessBody struct {
 	servers *endlessServers
 	ctx     context.Context
-	read    int64
+	read    int // guarded by the servers' mu
 }
 
 func (b *endlessBody) Read(p []byte) (int, error) {
@@ -55,9 +78,7 @@
 		return 0, err
 	}
 	time.Sleep(50 * time.Microsecond) // all arrive together
-	b.read += int64(len(p))
-	raise(&b.servers.mostRead, b.read)
-	raise(&b.servers.keptAtOnce, b.servers.kept.Add(int64(len(p))))
+	b.servers.recordRead(b, len(p))
 	for i := range p {
 		p[i] = 'x'
 	}
@@ -65,14 +86,17 @@
 }
 
 func (b *endlessBody) Close() error {
-	b.servers.kept.Add(-b.read)
-	b.read = 0
+	b.servers.mu.Lock()
+	defer b.servers.mu.Unlock()
+	delete(b.servers.open, b)
 	return nil
 }
 
-func raise(most *atomic.Int64, n int64) {
-	for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
-	}
+// isDropped reports whether the daemon has given up what it had read of the answer, for
+// want of memory. What reads the answer may be told later, when it gets processor time.
+func (b *endlessBody) isDropped() bool {
+	cause := context.Cause(b.ctx)
+	return cause != nil && strings.Contains(cause.Error(), "too large to be kept in memory")
 }
 
 // Servers sent bytes without end, and this daemon kept up to 32 MiB of the answer to each
@@ -90,7 +114,7 @@
 		status     int
 		stream     bool
 		repeatable bool
-		mostRead   int64 // of one answer
+		mostRead   int // of one answer
 		served     bool
 	}{
 		{"error, repeatable", http.StatusInternalServerError, false, true, 128 << 10, true},
@@ -102,7 +126,9 @@
 		{"an event", http.StatusOK, true, true, 2 << 20, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			servers := &endlessServers{status: test.status, seen: map[fleet.RequestID]bool{}}
+			servers := &endlessServers{
+				status: test.status, untilClosed: test.stream, seen: map[fleet.RequestID]bool{}, open: map[*endlessBody]struct{}{},
+			}
 			verdicts := suspect.NewFold()
 			d := dispatch.New(dispatch.Config{
 				Self: "d", Events: event.NewLogger(io.Discard, log.InfoLevel, nil), Router: newFakeRouter(4), Admission: &fakeAdmission{},
@@ -132,8 +158,9 @@
 				})
 			}
 			calls.Wait()
-			assert.Check(t, servers.mostRead.Load() <= test.mostRead, "%d bytes of one answer were read", servers.mostRead.Load())
-			assert.Check(t, servers.keptAtOnce.Load() <= memory+requests*onTheWay, "%d bytes were kept at one time", servers.keptAtOnce.Load())
+			assert.Check(t, servers.mostRead <= test.mostRead, "%d bytes of one answer were read", servers.mostRead)
+			assert.Check(t, servers.keptAtOnce <= memory+requests*onTheWay, "%d bytes were kept at one time", servers.keptAtOnce)
+			assert.Check(t, len(servers.open) == 0, "%d answers were not closed", len(servers.open))
 		})
 	}
 }
