lease: the floor of the random schedules counts time in which the log is available

Change: a schedule runs until the log was available in 2,000 checks, about twice as long, and the floor is twice as high.

--- a/internal/lease/elector_test.go
+++ b/internal/lease/elector_test.go
@@ -609,10 +609,15 @@
 	for i := range 4 {
 		members = append(members, l.start(t, fmt.Sprint(i)))
 	}
-	held := 0
+	held, available := 0, 0
 	holderOf := map[Term]*member{}
-	for n := range 2000 {
+	for n := 0; available < 2000; n++ {
 		time.Sleep(20 * time.Millisecond)
+		l.update(func() {
+			if !l.unavailable {
+				available++
+			}
+		})
 		running := slices.DeleteFunc(slices.Clone(members), func(m *member) bool { return m.suspended.Load() })
 		holding := holders(running)
 		assert.Assert(t, len(holding) <= 1, "%v hold the scope", holding)
@@ -647,7 +652,7 @@
 			}
 		}
 	}
-	assert.Assert(t, held > 200, "the scope was held in %d of 2000 checks", held)
+	assert.Assert(t, held > 400, "the scope was held in %d checks, and the log was available in %d", held, available)
 	for _, m := range members {
 		m.stop()
 	}
