standin/site: a daemon's process can be asked while another one starts

The stand-in's Daemon.Start writes the field that HoldsLease reads, in another goroutine of the test, which watches for two holders.

Change: the field is an atomic pointer.

--- a/standin/site/foreign_test.go
+++ b/standin/site/foreign_test.go
@@ -63,7 +63,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			runWorld(t, func(t *testing.T, w *World) {
-				whole := func(d *Daemon) int { return d.run.CountWholeGroups(ModelService(ModelOfThree)) }
+				whole := func(d *Daemon) int { return d.process().CountWholeGroups(ModelService(ModelOfThree)) }
 				before := whole(w.Daemons[0])
 				assert.Assert(t, before >= 2)
 				orders := w.OrderCount()
--- a/standin/site/news_test.go
+++ b/standin/site/news_test.go
@@ -238,7 +238,7 @@
 	runLargerWorld(t, 18, func(t *testing.T, w *World) {
 		var hubs []*Daemon
 		for _, d := range w.Daemons {
-			if d.run.LinksToAll() {
+			if d.process().LinksToAll() {
 				hubs = append(hubs, d)
 			}
 		}
@@ -248,7 +248,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, len(holders(w)), 1)
-		assert.Assert(t, !readerOf(w).run.LinksToAll())
+		assert.Assert(t, !readerOf(w).process().LinksToAll())
 		for _, d := range hubs {
 			assert.NilError(t, d.Start(false))
 		}
@@ -257,6 +257,6 @@
 			assert.Assert(t, len(holders(w)) <= 1, "%v", holders(w))
 		}
 		assert.Equal(t, len(holders(w)), 1)
-		assert.Assert(t, readerOf(w).run.LinksToAll(), "%s holds the scope", readerOf(w).name)
+		assert.Assert(t, readerOf(w).process().LinksToAll(), "%s holds the scope", readerOf(w).name)
 	})
 }
--- a/standin/site/restore_test.go
+++ b/standin/site/restore_test.go
@@ -216,12 +216,12 @@
 					for _, name := range topics {
 						want[name] = w.Store.Keys(name)
 					}
-					linked := w.Daemons[0].run.CountPeers()
+					linked := w.Daemons[0].process().CountPeers()
 					lowest := linked
 					w.Drill(away, time.Since(w.started)+time.Second)
 					for range 50 {
 						time.Sleep(100 * time.Millisecond)
-						lowest = min(lowest, w.Daemons[0].run.CountPeers())
+						lowest = min(lowest, w.Daemons[0].process().CountPeers())
 					}
 					for _, name := range topics {
 						assert.DeepEqual(t, w.Store.Keys(name), want[name])
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -214,7 +214,7 @@
 		time.Sleep(time.Second)
 		assert.NilError(t, restarted.Start(false))
 		time.Sleep(time.Second)
-		assert.Equal(t, restarted.run.CountWholeGroups(ModelService(ModelOfThree))+restarted.run.CountWholeGroups(ModelService(ModelOfTwo)), groups)
+		assert.Equal(t, restarted.process().CountWholeGroups(ModelService(ModelOfThree))+restarted.process().CountWholeGroups(ModelService(ModelOfTwo)), groups)
 		holder.Kill()
 		for _, d := range w.Daemons {
 			if d != holder && d != restarted {
@@ -250,7 +250,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, len(holders(w)), 1)
 		for _, d := range w.Daemons {
-			assert.Equal(t, d.run.CountWholeGroups(ModelService(ModelOfThree))+d.run.CountWholeGroups(ModelService(ModelOfTwo)), groups, "%s", d.name)
+			assert.Equal(t, d.process().CountWholeGroups(ModelService(ModelOfThree))+d.process().CountWholeGroups(ModelService(ModelOfTwo)), groups, "%s", d.name)
 		}
 		w.Update(func() {
 			for e, m := range before {
@@ -302,7 +302,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, restarted.HoldsLease())
-		assert.Equal(t, restarted.run.CountWholeGroups(ModelService(ModelOfThree))+restarted.run.CountWholeGroups(ModelService(ModelOfTwo)), groups)
+		assert.Equal(t, restarted.process().CountWholeGroups(ModelService(ModelOfThree))+restarted.process().CountWholeGroups(ModelService(ModelOfTwo)), groups)
 	})
 }
 
@@ -403,7 +403,7 @@
 		assert.Equal(t, w.OpenGroups(ModelOfThree), groups, "the group was not repaired")
 		assert.DeepEqual(t, holders(w), first)
 		for _, d := range w.Daemons {
-			assert.Equal(t, d.run.CountWholeGroups(ModelService(ModelOfThree)), groups, "%s does not see the repaired group", d.name)
+			assert.Equal(t, d.process().CountWholeGroups(ModelService(ModelOfThree)), groups, "%s does not see the repaired group", d.name)
 		}
 		w.Store.SetUnavailable(false)
 		time.Sleep(3 * time.Second)
--- a/standin/site/world.go
+++ b/standin/site/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carawayproxy.example/caraway/internal/edge"
@@ -87,7 +88,7 @@
 	// processors is the number of cores that it is told it may use.
 	processors float64
 	host       *network.Host
-	run        *edge.Daemon
+	current    atomic.Pointer[edge.Daemon] // of the last start
 	stop       context.CancelFunc
 	done       chan struct{}
 	links      links
@@ -382,12 +383,14 @@
 	}
 	env.ServerDialer = reach.NewDialer(env.Dial)
 	env.Platform = platform.New(env.Dial, env.ServerDialer.DialContext, set.Store)
-	if d.run, err = edge.New(set, env); err != nil {
+	run, err := edge.New(set, env)
+	if err != nil {
 		return err
 	}
+	d.current.Store(run)
 	ctx, stop := context.WithCancel(d.world.ctx)
 	d.stop, d.done = stop, make(chan struct{})
-	run, done := d.run, d.done
+	done := d.done
 	go func() {
 		defer close(done)
 		_ = run.Run(ctx) // returns no error of its own
@@ -404,12 +407,15 @@
 
 // Drain starts a planned stop and returns when the daemon has ended.
 func (d *Daemon) Drain() {
-	d.run.Drain()
+	d.process().Drain()
 	<-d.done
 }
 
 // HoldsLease reports whether the daemon holds the placement scope.
-func (d *Daemon) HoldsLease() bool { return d.run.HoldsLease() }
+func (d *Daemon) HoldsLease() bool { return d.process().HoldsLease() }
+
+// process returns the daemon of the last start. It may be called while another one starts.
+func (d *Daemon) process() *edge.Daemon { return d.current.Load() }
 
 // URL returns the URL of a path on the daemon's listener for callers.
 func (d *Daemon) URL(path string) string {
