httpx: a reset that a write received is no end of an answer

Cause: the kernel reports the error of a socket once. When the write of the upload receives ECONNRESET first, later reads of that socket return 0 bytes, which net/http takes for the end of an answer without a length. Which of the two comes first is a matter of chance. The same holds for a write that receives the error of a lost link.

Change: httpx.ResetAware wraps a socket. A write keeps the error that it received, and a read that finds the end of the data returns that error. A read that finds the end beside a write that is under way asks the kernel whether the connection can still send: if so, the peer has ended its data in order, and the answer is whole however long the upload takes; if not, the write fails at once and its error decides. EPIPE does not count: the kernel gives it in place of ECONNRESET if the end of the data came first.

The same cause was looked for wherever answers are read: - requests and streams, also resumed ones, control calls, the store and the list: they share platform's transports, which are wrapped; - answers through another daemon: the daemon that serves the tunnel passed the end on as a clean one; wrapped. Between the two daemons the end of the data is a message of its own, which a reset lacks; - the product's own interface: polls over HTTP/1.1 are wrapped; all else is HTTP/2, which has an end of its own.

--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -122,7 +122,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return conn, nil
+			return ResetAware(conn), nil
 		},
 	}
 }
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -261,6 +261,7 @@
 		http.Error(w, "can't reach the backend server", http.StatusBadGateway)
 		return
 	}
+	server = httpx.ResetAware(server)
 	defer server.Close()
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
--- a/standin/crowd/crowd_test.go
+++ b/standin/crowd/crowd_test.go
@@ -101,6 +101,7 @@
 
 // process is a daemon's process before stand-in servers.
 type process struct {
+	world   *site.World // nil for a plain daemon
 	pid     int
 	exited  chan struct{}
 	callers string
@@ -109,22 +110,36 @@
 	ask func(id string) error
 }
 
-// startProcess starts a daemon and waits until it serves.
+// startProcess starts a daemon before plain servers and waits until it serves.
 func startProcess(t *testing.T) *process {
+	t.Helper()
+	p := startBefore(t, memoryLimitMiB, site.Options{Plains: 4}, func(*site.World) map[string]any { return document(maxBodyBytes) })
+	p.checkOrdinary(t, "before the crowd")
+	return p
+}
+
+// document returns a routing document with a limit on bodies.
+func document(bodyBytes int) map[string]any {
+	d := site.Document(2)
+	d["limits"].(map[string]any)["maxBodyBytes"] = bodyBytes
+	return d
+}
+
+// startBefore starts a daemon with a memory limit before the backend servers of options and
+// those that publish adds, which returns the routing document.
+func startBefore(t *testing.T, memoryMiB int, options site.Options, publish func(*site.World) map[string]any) *process {
 	t.Helper()
 	const octets, firstOctet = 100, 125
 	hosts := loopback{firstOctet + os.Getpid()%octets}
-	world, err := site.NewBackends(site.Options{Plains: 4}, hosts, (&net.Dialer{}).DialContext)
+	world, err := site.NewBackends(options, hosts, (&net.Dialer{}).DialContext)
 	assert.NilError(t, err)
 	t.Cleanup(world.Close)
-	document := site.Document(2)
-	document["limits"].(map[string]any)["maxBodyBytes"] = maxBodyBytes
-	world.Publish(document)
+	world.Publish(publish(world))
 
 	ip := hosts.Host("10.1.0.1").Addr("")
 	ip = strings.TrimSuffix(ip, ":")
 	callers := ip + ":7400"
-	p := &process{exited: make(chan struct{}), callers: callers, others: []string{ip + ":7401", ip + ":7402"}, ask: func(id string) error {
+	p := &process{world: world, exited: make(chan struct{}), callers: callers, others: []string{ip + ":7401", ip + ":7402"}, ask: func(id string) error {
 		r := world.CallAt("http://"+callers+"/safe/x", http.MethodPost, id, "", "ordinary", nil)
 		if r.Err != nil || r.Status != http.StatusOK || r.Body != "ordinary" {
 			return errors.Errorf("status %d, body %q, error %v", r.Status, r.Body, r.Err)
@@ -135,7 +150,7 @@
 	assert.NilError(t, err)
 	cmd := exec.Command(binary, "--name=edge", "--availability-zone=a", "--store="+world.StoreAddress(), "--first-start",
 		"--callers-listen="+callers, "--readiness-listen="+ip+":7403", "--admin-listen="+ip+":7401", "--peers-listen="+ip+":7402")
-	cmd.Env = append(os.Environ(), "CARAWAY_MEMORY_LIMIT="+strconv.Itoa(memoryLimitMiB), "CARAWAY_DESCRIPTORS="+strconv.Itoa(descriptors))
+	cmd.Env = append(os.Environ(), "CARAWAY_MEMORY_LIMIT="+strconv.Itoa(memoryMiB), "CARAWAY_DESCRIPTORS="+strconv.Itoa(descriptors))
 	cmd.Stdout, cmd.Stderr = log, log
 	assert.NilError(t, cmd.Start())
 	p.pid = cmd.Process.Pid
@@ -148,7 +163,6 @@
 		_ = cmd.Process.Kill() // fails if the process has ended
 		<-p.exited
 	})
-	p.checkOrdinary(t, "before the crowd")
 	return p
 }
 
