crowd: an answer with status 000 reaches no caller

Here the case is handled: platform refuses each status below 200 since before the issue (TestStatusThatIsNoFinalAnswerWasPassedOn, which holds 000).

Change: a test with a real process. Callers of safe, unsafe, resumable and other streaming routes get none of the answers with 000 or 099 and a length, chunks or neither, beside a long upload, and all of those with 200 in chunks.

--- a/standin/crowd/broken_test.go
+++ b/standin/crowd/broken_test.go
@@ -136,6 +136,12 @@
 	}
 }
 
+// readUpload ends the answer and reads the rest of the request.
+func readUpload(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // answerWith returns answers with a status, the fields that callers need, further lines of
 // the head, and a body.
 func answerWith(status, lines, body string) func(id string) string {
@@ -153,9 +159,21 @@
 	answer := answerWith("200 OK", "", body)
 	checkExchanges(t, body, []exchange{
 		{"reset", answer, func(conn *net.TCPConn) { _ = conn.SetLinger(0) }, false},
-		{"ended, and the upload read", answer, func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		}, true},
+		{"ended, and the upload read", answer, readUpload, true},
+	})
+}
+
+// An engine in trouble sends an answer whose status is 000.
+func TestStatusThatIsNoFinalAnswer(t *testing.T) {
+	const (
+		body   = "id: 1\ndata: x\n\n"
+		chunks = "f\r\n" + body + "\r\n0\r\n\r\n"
+	)
+	checkExchanges(t, body, []exchange{
+		{"000, with a length", answerWith("000 None", "Content-Length: 15\r\n", body), readUpload, false},
+		{"000, in chunks", answerWith("000 None", "Transfer-Encoding: chunked\r\n", chunks), readUpload, false},
+		{"000, ended with its connection", answerWith("000 None", "", body), readUpload, false},
+		{"099", answerWith("099 None", "Content-Length: 15\r\n", body), readUpload, false},
+		{"200, in chunks", answerWith("200 OK", "Transfer-Encoding: chunked\r\n", chunks), readUpload, true},
 	})
 }
