httpx: a field name with a blank makes a head invalid

The caller got it as an answer, without that line; where the name was "Transfer-Encoding ", the size lines of the chunks came as part of the body, and where it was "Content-Length ", the body had no length to be checked against.

Cause: net/http accepts field names with blanks, under a key that nothing recognizes (go.dev/issue/34540). Names with control bytes, tabs and other bytes that are not allowed it rejects, so that those cases of the issue were handled: 502.

--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -107,7 +107,7 @@
 // which needs about half the processor time of HTTP/2 for such calls and closes
 // the connection of a call that timed out.
 func NewPollClient(dial DialFunc) *http.Client {
-	return &http.Client{Transport: newTransport(dial)}
+	return &http.Client{Transport: CheckedTransport{newTransport(dial)}}
 }
 
 func newTransport(dial DialFunc) *http.Transport {
--- a/standin/crowd/broken_test.go
+++ b/standin/crowd/broken_test.go
@@ -177,3 +177,24 @@
 		{"200, in chunks", answerWith("200 OK", "Transfer-Encoding: chunked\r\n", chunks), readUpload, true},
 	})
 }
+
+// An engine in trouble sent an answer in whose head the name of a field held a blank or a
+// control byte. The caller got it as an answer, without that line, and the chunks that it
+// announced as the body.
+func TestNamesThatAreNoTokens(t *testing.T) {
+	const (
+		body   = "id: 1\ndata: x\n\n"
+		length = "Content-Length: 15\r\n"
+		chunks = "f\r\n" + body + "\r\n0\r\n\r\n"
+	)
+	checkExchanges(t, body, []exchange{
+		{"blank", answerWith("200 OK", "X Field: 1\r\n"+length, body), readUpload, false},
+		{"blank at the end", answerWith("200 OK", "X-Field : 1\r\n", body), readUpload, false},
+		{"blank after a framing field", answerWith("200 OK", "Transfer-Encoding : chunked\r\n", chunks), readUpload, false},
+		{"tab", answerWith("200 OK", "X-Field\t: 1\r\n"+length, body), readUpload, false},
+		{"control byte", answerWith("200 OK", "X\x01Field: 1\r\n"+length, body), readUpload, false},
+		{"zero byte", answerWith("200 OK", "X-Field\x00: 1\r\n", body), readUpload, false},
+		{"folded line", answerWith("200 OK", "X-Field: 1\r\n X-Folded: 2\r\n", body), readUpload, true},
+		{"empty value, lower case", answerWith("200 OK", "x-field:\r\n"+length, body), readUpload, true},
+	})
+}
