httpx, platform, reach: tests of resets do not depend on the load

Cause: a server of "ended, and nothing read" closed its connection after 100 ms, which resets it; on a busy machine the answer might not have been read by then. Change: it waits until the answer has been read. The test of the poll client counts the parts that looked complete in place of a line for each, and the daemon of standin/crowd's tests of broken answers has 512 MiB, so that two long bodies at once do not make memory short.

--- a/internal/httpx/reset_test.go
+++ b/internal/httpx/reset_test.go
@@ -31,8 +31,8 @@
 // reset makes the other end of a connection receive a reset.
 func reset(t *testing.T, conn *net.TCPConn) {
 	t.Helper()
-	assert.NilError(t, conn.SetLinger(0))
-	assert.NilError(t, conn.Close())
+	assert.Check(t, conn.SetLinger(0))
+	assert.Check(t, conn.Close())
 }
 
 // moment is many times what loopback takes.
@@ -139,14 +139,16 @@
 			assert.Check(t, conn.Close())
 		}
 	}()
-	client := NewPollClient(Dialer())
+	client, complete := NewPollClient(Dialer()), 0
 	for range rounds {
 		res, err := client.Post("http://"+l.Addr().String()+"/", "text/plain", bytes.NewReader(upload))
 		if err != nil {
 			continue
 		}
-		got, err := io.ReadAll(res.Body)
-		assert.Check(t, err != nil, "%q is taken for the whole answer", got)
+		if _, err := io.ReadAll(res.Body); err == nil {
+			complete++
+		}
 		assert.NilError(t, res.Body.Close())
 	}
+	assert.Equal(t, complete, 0, "parts that were taken for the whole, of %d", rounds)
 }
--- a/internal/reach/reset_test.go
+++ b/internal/reach/reset_test.go
@@ -22,21 +22,23 @@
 	)
 	upload := bytes.Repeat([]byte("u"), 16<<20) // more than the socket buffers take
 	for _, test := range []struct {
-		name  string
-		end   func(c *net.TCPConn)
+		name string
+		// end ends the connection after the answer. read gets a value once that has been read.
+		end   func(c *net.TCPConn, read <-chan struct{})
 		whole bool
 	}{
-		{"reset", func(c *net.TCPConn) { _ = c.SetLinger(0) }, false},
-		{"ended, and the upload read", func(c *net.TCPConn) {
+		{"reset", func(c *net.TCPConn, _ <-chan struct{}) { _ = c.SetLinger(0) }, false},
+		{"ended, and the upload read", func(c *net.TCPConn, _ <-chan struct{}) {
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, c)
 		}, true},
-		{"ended, and nothing read", func(c *net.TCPConn) {
+		{"ended, and nothing read", func(c *net.TCPConn, read <-chan struct{}) {
 			_ = c.CloseWrite()
-			time.Sleep(10 * moment)
+			<-read
 		}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			read := make(chan struct{}, rounds)
 			w := newTestWorld(t, 2)
 			address := w.serve(t, func(c *net.TCPConn) {
 				defer c.Close()
@@ -45,7 +47,7 @@
 				}
 				_, _ = io.WriteString(c, text)
 				time.Sleep(moment) // a reset discards bytes that have not been sent
-				test.end(c)
+				test.end(c, read)
 			})
 			w.serve(t, idle)
 			w.daemons[0].refusing.Store(true)
@@ -57,6 +59,7 @@
 					_, err = io.ReadAll(res.Body)
 					assert.Check(t, res.Body.Close())
 				}
+				read <- struct{}{}
 				if last = err; err == nil {
 					complete++
 				}
--- a/standin/crowd/broken_test.go
+++ b/standin/crowd/broken_test.go
@@ -23,7 +23,7 @@
 	// uploadBytes is the size of a long body, more than the socket buffers take.
 	uploadBytes = 16 << 20
 	// uploadMemoryMiB is the memory limit of a daemon that has room for such a body.
-	uploadMemoryMiB = 256
+	uploadMemoryMiB = 512
 	// arrivalTime is many times what bytes need on loopback. A reset discards those that
 	// have not arrived.
 	arrivalTime = 5 * time.Millisecond
