Review case 14: the part that all prompts share is convicted for a deadly one

Cause: a review counts a death that is only some ms old, before the sighting that names the deadly part has come, and a first part that is new has no survivals yet.

--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -323,6 +323,8 @@
 		frozen()
 	case "deadly":
 		deadly()
+	case "hot":
+		hot()
 	case "common":
 		common()
 	case "lasttenant":
