--- a/review/_rig3/deadly.go
+++ b/review/_rig3/deadly.go
@@ -21,8 +21,8 @@
 	soundGap   = 25 * time.Millisecond
 	// sharedParts is the number of parts that prompts share, and partsOfPrompt that of one.
 	sharedPartCount = 2000
-	partsOfPrompt   = 90
-	partTokens      = 64
+	partsOfPrompt   = 140
+	partTokens      = 42
 	// stableWindow is stableWindowMs, crashesBefore and allowedAfter the figures of the rule.
 	stableWindow  = 3 * time.Second
 	crashesBefore = 5
@@ -40,7 +40,7 @@
 	if p := os.Getenv("PART"); p != "" {
 		part = p
 	}
-	_ = os.Setenv("DEADLY", part)
+	_, _ = os.Setenv("DEADLY", part), os.Setenv("EVENTS", "60")
 	r := newRig()
 	r.store.putJSON("keyed.op", "config", map[string]any{
 		"version": 3,
@@ -98,9 +98,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			statuses[fmt.Sprintf("%s %d complete=%v", kind, a.status, a.whole)]++
-			if kind == "deadly" {
-				r.printf("requester: %s at %s got status %d, complete %v, after %s", id, r.daemons[n%3].name, a.status, a.whole, a.took.Round(time.Millisecond))
-			}
+			r.printf("requester: %s, sent to %s %s ago, got status %d, complete %v", id, r.daemons[n%3].name, a.took.Round(time.Millisecond), a.status, a.whole)
 		})
 	}
 	end, lastDeadly, n, d := time.Now().Add(deadlyTime), time.Now(), 0, 0
@@ -118,6 +116,7 @@
 	mu.Lock()
 	over = true
 	mu.Unlock()
+	r.logRuns()
 	late, runs := 0, 0
 	for n := 1; n <= deadlyServers; n++ {
 		data, _ := os.ReadFile(r.serverLog(n))
